--- /dev/null
+++ b/boot/checker.go
@@ -0,0 +1,51 @@
+package boot
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"strings"
+)
+
+// checker collects what is wrong with settings.
+type checker struct{ faults []string }
+
+var localityForm = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+func (c *checker) bad(field string, value any, allowed string) {
+	c.faults = append(c.faults, fmt.Sprintf("%s %q: must be %s", field, fmt.Sprint(value), allowed))
+}
+
+func (c *checker) address(field, value string, required bool) {
+	if value == "" && !required {
+		return
+	}
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.bad(field, value, "an IP address and port such as 10.0.0.7:7400")
+	}
+}
+
+func (c *checker) atLeast(field string, value, least int) {
+	if value < least {
+		c.bad(field, value, fmt.Sprintf("at least %d", least))
+	}
+}
+
+func (c *checker) common(s *Common) {
+	if !localityForm.MatchString(s.Locality) {
+		c.bad("locality", s.Locality, "a name of lower-case letters, digits, '.', '_', '-'")
+	}
+	c.address("wire", s.Wire, true)
+	c.address("advertise", s.Advertise, false)
+	c.address("control", s.Control, true)
+	if len(s.Seeds) > 3 {
+		c.bad("seed", strings.Join(s.Seeds, " "), "at most three addresses")
+	}
+	for _, a := range s.Seeds {
+		c.address("seed", a, true)
+	}
+	if s.Drain < 0 {
+		c.bad("drain", s.Drain, "a duration of 0s or more")
+	}
+	c.atLeast("log-lines", s.LogLines, 1)
+}
--- /dev/null
+++ b/boot/exit.go
@@ -0,0 +1,8 @@
+package boot
+
+// Exit says whether the process should end now, with what code and text.
+type Exit struct {
+	Now  bool
+	Code int
+	Text string
+}
--- /dev/null
+++ b/cmd/core/control.go
@@ -0,0 +1,232 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"curlewwalk/cohort"
+	"curlewwalk/collect"
+	"curlewwalk/desired"
+	"curlewwalk/feed"
+	"curlewwalk/process"
+	"curlewwalk/register"
+	"curlewwalk/trace"
+	"curlewwalk/wire"
+)
+
+// headerStamp carries a word's stamp.
+const headerStamp = "Curlewwalk-Stamp"
+
+// written is the receipt of an operator's write.
+type written struct {
+	Stamp uint64          `json:"stamp,omitempty"`
+	Taken register.Result `json:"taken"`
+	Error string          `json:"error,omitempty"`
+}
+
+// faulty is the receipt of a configuration that does not check.
+type faulty struct {
+	Error  string          `json:"error"`
+	Faults []desired.Fault `json:"faults"`
+}
+
+// state is what GET /v1/state shows.
+type state struct {
+	Self      cohort.Seat    `json:"self"`
+	Phase     register.Phase `json:"phase"`
+	Promised  uint64         `json:"promised"`
+	Mark      register.Mark  `json:"mark"`
+	Seats     map[int]uint64 `json:"incarnations"`
+	Duty      int            `json:"duty"`
+	Cores     []cohort.Seat  `json:"cores"`
+	Live      []int          `json:"live"`
+	Directory feed.State     `json:"directory"`
+}
+
+// control serves a core's /v1, /live and /ready.
+func (n *node) control() http.Handler {
+	mux := http.NewServeMux()
+	n.p.Common(mux, n.live, n.ready)
+	mux.HandleFunc("PUT /v1/desired", n.putDesired)
+	mux.HandleFunc("GET /v1/desired", n.getDesired)
+	mux.HandleFunc("GET /v1/localities", n.getLocalities)
+	mux.HandleFunc("PUT /v1/localities/{name}/emptied", n.locality(register.Empty))
+	mux.HandleFunc("DELETE /v1/localities/{name}/emptied", n.locality(register.TakeBack))
+	mux.HandleFunc("GET /v1/traces/{id}", n.getTrace)
+	mux.HandleFunc("GET /v1/state", n.getState)
+	mux.Handle("GET /v1/reload", n.reload)
+	return mux
+}
+
+func (n *node) live(ctx context.Context) (bool, string) {
+	_, ok := n.directory.State(ctx)
+	return ok, "control thread"
+}
+
+func (n *node) ready(ctx context.Context) (bool, string) {
+	st, ok := n.directory.State(ctx)
+	switch {
+	case n.draining.Load():
+		return false, "stopping"
+	case n.keeper.Voter().Phase != register.Established:
+		return false, "not established in its slot"
+	case !ok || !st.Open:
+		return false, "still being told of the nodes"
+	}
+	return true, "serving"
+}
+
+func (n *node) getState(w http.ResponseWriter, r *http.Request) {
+	v := n.keeper.Voter()
+	st := state{Self: n.seat(), Phase: v.Phase, Promised: v.Promised, Mark: v.Mark, Seats: v.Seats, Duty: n.duty().Slot, Cores: n.seeker.Seats().Known()}
+	for _, c := range n.seeker.Seats().Live(time.Now()) {
+		st.Live = append(st.Live, c.Slot)
+	}
+	st.Directory, _ = n.directory.State(r.Context())
+	process.JSON(w, http.StatusOK, st)
+}
+
+func (n *node) putDesired(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, desired.MaxBytes))
+	var big *http.MaxBytesError
+	if errors.As(err, &big) {
+		process.JSON(w, http.StatusUnprocessableEntity, faulty{Error: "configuration does not check",
+			Faults: []desired.Fault{{Path: "$", Message: fmt.Sprintf("over %d bytes", desired.MaxBytes)}}})
+		return
+	}
+	if err != nil {
+		process.Error(w, http.StatusBadRequest, "body was cut short")
+		return
+	}
+	_, faults, ok := desired.Parse(body)
+	if !ok {
+		process.Error(w, http.StatusBadRequest, "not JSON")
+		return
+	}
+	if len(faults) > 0 {
+		process.JSON(w, http.StatusUnprocessableEntity, faulty{Error: "configuration does not check", Faults: faults})
+		return
+	}
+	n.order(w, r, register.Order{Kind: register.Put, Bytes: body})
+}
+
+func (n *node) locality(kind register.OrderKind) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		n.order(w, r, register.Order{Kind: kind, Locality: r.PathValue("name")})
+	}
+}
+
+// order has an order written and tells what is known of it.
+func (n *node) order(w http.ResponseWriter, r *http.Request, o register.Order) {
+	if m := r.Header.Get("If-Match"); m != "" {
+		stamp, err := strconv.ParseUint(strings.Trim(m, `"`), 10, 64)
+		if err != nil {
+			process.Error(w, http.StatusBadRequest, "If-Match is no stamp")
+			return
+		}
+		o.IfMatch = &stamp
+	}
+	a := n.write(context.WithoutCancel(r.Context()), o)
+	out := written{Taken: a.Result, Stamp: a.Word.Stamp}
+	status := http.StatusOK
+	switch a.Result {
+	case register.Taken:
+		stamped(w, a.Word.Stamp)
+	case register.Mismatch:
+		status, out.Stamp, out.Error = http.StatusPreconditionFailed, a.Word.DesiredStamp, "the newest stamp is another one"
+	default:
+		out.Error = "no majority of cores took it"
+		status = http.StatusServiceUnavailable
+		w.Header().Set("Retry-After", "1")
+	}
+	process.JSON(w, status, out)
+}
+
+func stamped(w http.ResponseWriter, stamp uint64) {
+	w.Header().Set(headerStamp, strconv.FormatUint(stamp, 10))
+	w.Header().Set("ETag", `"`+strconv.FormatUint(stamp, 10)+`"`)
+}
+
+// read reads the newest word back from a majority.
+func (n *node) read(w http.ResponseWriter, r *http.Request) (desired.Word, bool) {
+	word, ok := n.keeper.ReadBack(r.Context(), n.refresh)
+	if !ok {
+		w.Header().Set("Retry-After", "1")
+		process.Error(w, http.StatusServiceUnavailable, "no majority of cores answers")
+	}
+	return word, ok
+}
+
+func (n *node) getDesired(w http.ResponseWriter, r *http.Request) {
+	word, ok := n.read(w, r)
+	if !ok {
+		return
+	}
+	if word.DesiredStamp == 0 {
+		process.Error(w, http.StatusNotFound, "no configuration was ever put")
+		return
+	}
+	stamped(w, word.DesiredStamp)
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(word.Desired)
+}
+
+func (n *node) getLocalities(w http.ResponseWriter, r *http.Request) {
+	if word, ok := n.read(w, r); ok {
+		emptied := word.Emptied
+		if emptied == nil {
+			emptied = []string{}
+		}
+		process.JSON(w, http.StatusOK, map[string]any{"stamp": word.Stamp, "emptied": emptied})
+	}
+}
+
+// getTrace gathers a trace from all cores.
+func (n *node) getTrace(w http.ResponseWriter, r *http.Request) {
+	id, ok := trace.ParseTraceID(r.PathValue("id"))
+	if !ok {
+		process.Error(w, http.StatusBadRequest, "not a trace id: 16 or 32 hex digits")
+		return
+	}
+	type part struct {
+		slot   int
+		events []trace.Event
+		ok     bool
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Second)
+	defer cancel()
+	parts := make(chan part, n.set.Slots)
+	for slot := 1; slot <= n.set.Slots; slot++ {
+		n.p.Launcher.Go(ctx, "trace-query", func(ctx context.Context) {
+			addr, known := n.Addr(slot)
+			if slot == n.set.Slot {
+				addr, known = n.set.Advertise, true
+			}
+			var b collect.Batch
+			got := known && n.p.Net.Call(ctx, addr, wire.Control, collect.KindTrace, collect.Query{Trace: id}).Into(&b)
+			parts <- part{slot: slot, events: b.Events, ok: got}
+		})
+	}
+	var events []trace.Event
+	var unasked []int
+	for range n.set.Slots {
+		p := <-parts
+		events = append(events, p.events...)
+		if !p.ok {
+			unasked = append(unasked, p.slot)
+		}
+	}
+	t := collect.Build(id, events)
+	t.Unasked, t.Whole = unasked, t.Whole && len(unasked) == 0
+	status := http.StatusOK
+	if t.Spans == 0 {
+		status = http.StatusNotFound
+	}
+	process.JSON(w, status, t)
+}
--- /dev/null
+++ b/cmd/core/node.go
@@ -0,0 +1,149 @@
+package main
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"curlewwalk/boot"
+	"curlewwalk/cohort"
+	"curlewwalk/collect"
+	"curlewwalk/desired"
+	"curlewwalk/feed"
+	"curlewwalk/process"
+	"curlewwalk/register"
+	"curlewwalk/vault"
+	"curlewwalk/wire"
+)
+
+// node is a core with its parts.
+type node struct {
+	p         *process.Process
+	set       boot.Core
+	keeper    *register.Keeper
+	directory *feed.Directory
+	seeker    *cohort.Seeker
+	store     *collect.Store
+	reload    *process.Reloader
+	web       *process.Web
+	draining  atomic.Bool
+}
+
+// newNode puts the parts together and opens the addresses.
+func newNode(set boot.Core) *node {
+	p := process.New("core", set.Common)
+	n := &node{p: p, set: set, store: collect.NewStore(), seeker: cohort.NewSeeker(), directory: feed.NewDirectory(p.Launcher, p.Boot)}
+	v, err := vault.Open(set.Data)
+	if err != nil {
+		p.Fail("data", err)
+	}
+	if n.keeper, err = register.NewKeeper(p.Launcher, &register.Disk{Vault: v}, set.Slot, set.Slots); err != nil {
+		p.Fail("data", err)
+	}
+	n.keeper.Net, n.keeper.Log, n.keeper.Peers = p.Net, p.Log, n
+	n.keeper.Settled = func(ctx context.Context, w desired.Word) { n.directory.Settled(ctx, w) }
+	n.seeker.Own = func() cohort.Hail { s := n.seat(); return cohort.Hail{Seat: &s} }
+	n.seeker.Addr, n.seeker.Net, n.seeker.Launcher, n.seeker.Heard = set.Advertise, p.Net, p.Launcher, n.heard
+	n.reload = &process.Reloader{Seeker: n.seeker}
+	n.reload.Apply(set.Common)
+
+	p.Host.Handlers[cohort.KindHail] = n.hail
+	p.Host.Handlers[feed.KindFollow] = n.directory.Answer
+	p.Host.Handlers[register.KindBallot] = n.keeper.Ballot
+	p.Host.Handlers[register.KindOrder] = n.keeper.Order
+	p.Host.Handlers[collect.KindPublish] = n.store.Publish
+	p.Host.Handlers[collect.KindTrace] = n.store.Trace
+	if err := p.Host.Listen(set.Wire); err != nil {
+		p.Fail("wire", err)
+	}
+	n.web = p.Serve(p.Listen("control", set.Control), n.control())
+	for name, run := range map[string]func(context.Context){
+		"net": p.Net.Run, "host": p.Host.Run, "seeker": n.seeker.Run, "keeper": n.keeper.Run, "directory": n.directory.Run, "store": n.store.Run,
+	} {
+		p.Launcher.Go(p.Life, name, run)
+	}
+	return n
+}
+
+// seat is what this core tells of itself.
+func (n *node) seat() cohort.Seat {
+	v := n.keeper.Voter()
+	return cohort.Seat{Slot: n.set.Slot, Slots: n.set.Slots, Addr: n.set.Advertise, Inc: v.Self.Inc, Boot: n.p.Boot,
+		Locality: n.set.Locality, Established: v.Phase == register.Established, Settled: v.Settled}
+}
+
+// hail answers another process.
+func (n *node) hail(ctx context.Context, in wire.Inquiry) (any, string) {
+	var h cohort.Hail
+	if !in.Into(&h) {
+		return nil, "not a hail"
+	}
+	if h.Node != nil {
+		n.directory.Told(ctx, *h.Node)
+	}
+	n.seeker.Hear(cohort.Hail{Seat: h.Seat, Know: h.Know})
+	s := n.seat()
+	return cohort.Hail{Seat: &s, Know: n.seeker.Seats().Known()}, ""
+}
+
+// heard copies what another core has and this one lacks. (DESIGN 6.4)
+func (n *node) heard(ctx context.Context, c cohort.Seat) {
+	if v := n.keeper.Voter(); v.Phase == register.Established && c.Settled > v.Settled {
+		n.p.Launcher.Go(ctx, "catch", func(ctx context.Context) { n.keeper.Catch(ctx, c.Addr) })
+	}
+}
+
+// Addr implements register.Peers.
+func (n *node) Addr(slot int) (string, bool) {
+	c, ok := n.seeker.Seats().At(slot)
+	return c.Addr, ok
+}
+
+// duty is the first live core in the agreed order.
+func (n *node) duty() cohort.Seat {
+	own := n.seat()
+	for _, c := range n.seeker.Seats().Live(time.Now()) {
+		if c.Slot < own.Slot && c.Established {
+			return c
+		}
+		if c.Slot > own.Slot && !own.Established && c.Established {
+			return c
+		}
+	}
+	return own
+}
+
+// OnDuty implements register.Peers.
+func (n *node) OnDuty() bool { return n.duty().Slot == n.set.Slot }
+
+// write carries an order out on the core on duty.
+func (n *node) write(ctx context.Context, o register.Order) register.Answer {
+	c := n.duty()
+	if c.Slot == n.set.Slot {
+		return n.keeper.Write(ctx, o)
+	}
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	var a register.Answer
+	switch r := n.p.Net.Call(ctx, c.Addr, wire.Control, register.KindOrder, o); {
+	case r.Into(&a):
+		return a
+	case r.Fate == wire.Unsent:
+		return n.keeper.Write(ctx, o) // it is gone; the epoch settles who is right
+	}
+	return register.Answer{Result: register.Unknown}
+}
+
+// refresh makes sure that a majority holds the newest word.
+func (n *node) refresh(ctx context.Context) register.Answer {
+	return n.write(ctx, register.Order{Kind: register.Refresh})
+}
+
+// stop ends the core in order.
+func (n *node) stop() {
+	n.draining.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), n.reload.Drain())
+	defer cancel()
+	n.web.Stop(ctx)
+	n.p.End()
+}
--- /dev/null
+++ b/cmd/sidecar/control.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"curlewwalk/cohort"
+	"curlewwalk/launch"
+	"curlewwalk/process"
+	"curlewwalk/relay"
+	"curlewwalk/roster"
+	"curlewwalk/trace"
+)
+
+func listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
+
+// announced is the receipt of an announcement.
+type announced struct {
+	// Outgoing is where the backend sends its own calls.
+	Outgoing string `json:"outgoing"`
+	// Every is how soon the next announcement should come.
+	Every string `json:"every"`
+}
+
+// entryView is a backend as an operator reads it.
+type entryView struct {
+	cohort.Backend
+	Age      string `json:"age"`
+	Open     int64  `json:"open"`
+	Limit    int64  `json:"limit"`
+	Outgoing string `json:"outgoing"`
+}
+
+// stats is what GET /v1/stats shows.
+type stats struct {
+	Node     string           `json:"node"`
+	Boot     uint64           `json:"boot"`
+	Locality string           `json:"locality"`
+	Stamp    uint64           `json:"stamp"`
+	Follows  follows          `json:"follows"`
+	NewsAge  string           `json:"news_age"`
+	Cores    []cohort.Seat    `json:"cores"`
+	Near     relay.Totals     `json:"near"`
+	Far      relay.Totals     `json:"far"`
+	Trace    trace.QueueStats `json:"trace_queue"`
+	Draining bool             `json:"draining"`
+}
+
+// control serves a sidecar's /v1, /live and /ready.
+func (n *node) control() http.Handler {
+	mux := http.NewServeMux()
+	n.p.Common(mux, n.live, n.ready)
+	mux.HandleFunc("POST /v1/backends", n.announce)
+	mux.HandleFunc("GET /v1/backends", n.backends)
+	mux.HandleFunc("DELETE /v1/backends/{instance}", n.leave)
+	mux.HandleFunc("GET /v1/nodes", func(w http.ResponseWriter, _ *http.Request) {
+		process.JSON(w, http.StatusOK, n.steward.view.Load().Nodes())
+	})
+	mux.HandleFunc("GET /v1/stats", func(w http.ResponseWriter, _ *http.Request) { process.JSON(w, http.StatusOK, n.stats()) })
+	mux.Handle("GET /v1/reload", n.reload)
+	return mux
+}
+
+func (n *node) live(ctx context.Context) (bool, string) {
+	_, ok := launch.Ask(ctx, n.steward.box, func(r chan<- bool) any { return msgLive{r} })
+	return ok, "control thread"
+}
+
+func (n *node) ready(context.Context) (bool, string) {
+	switch {
+	case n.draining.Load():
+		return false, "stopping"
+	case n.steward.shown.Load().Core == "":
+		return false, "no core followed yet"
+	}
+	return true, "serving"
+}
+
+func (n *node) announce(w http.ResponseWriter, r *http.Request) {
+	var a roster.Announcement
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 64<<10)).Decode(&a); err != nil {
+		process.Error(w, http.StatusBadRequest, "not an announcement: "+err.Error())
+		return
+	}
+	faults, ok := launch.Ask(r.Context(), n.steward.box, func(c chan<- []string) any { return msgAnnounce{a, c} })
+	if !ok {
+		return
+	}
+	if len(faults) > 0 {
+		process.Error(w, http.StatusUnprocessableEntity, faults...)
+		return
+	}
+	addr, err := n.outgoing.addr(a.Service)
+	if err != nil {
+		process.Error(w, http.StatusInternalServerError, "outgoing address: "+err.Error())
+		return
+	}
+	process.JSON(w, http.StatusOK, announced{Outgoing: addr, Every: cohort.Beat.String()})
+}
+
+func (n *node) leave(w http.ResponseWriter, r *http.Request) {
+	ok, heard := launch.Ask(r.Context(), n.steward.box, func(c chan<- bool) any { return msgLeave{r.PathValue("instance"), c} })
+	if heard && !ok {
+		process.Error(w, http.StatusNotFound, "no such backend")
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (n *node) backends(w http.ResponseWriter, _ *http.Request) {
+	now := time.Now()
+	out := []entryView{}
+	for _, e := range n.steward.roster.Load().Entries() {
+		addr, _ := n.outgoing.addr(e.Service)
+		out = append(out, entryView{Backend: e.Backend, Age: now.Sub(e.Heard).String(), Open: e.Desk.Open(), Limit: e.Limit(now), Outgoing: addr})
+	}
+	process.JSON(w, http.StatusOK, out)
+}
+
+func (n *node) stats() stats {
+	f := *n.steward.shown.Load()
+	return stats{Node: n.set.Advertise, Boot: n.p.Boot, Locality: n.set.Locality, Stamp: n.steward.table.Load().Stamp, Follows: f,
+		NewsAge: time.Since(f.Since).String(), Cores: n.seeker.Seats().Known(), Near: n.near.Counts.Read(), Far: n.far.Counts.Read(),
+		Trace: n.queue.Stats(), Draining: n.draining.Load()}
+}
--- /dev/null
+++ b/cmd/sidecar/node.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"curlewwalk/boot"
+	"curlewwalk/claim"
+	"curlewwalk/cohort"
+	"curlewwalk/collect"
+	"curlewwalk/feed"
+	"curlewwalk/lineage"
+	"curlewwalk/process"
+	"curlewwalk/relay"
+	"curlewwalk/rendezvous"
+	"curlewwalk/roster"
+	"curlewwalk/trace"
+	"curlewwalk/way"
+	"curlewwalk/wire"
+)
+
+// workers is how many drain the trace queue. (ours)
+const workers = 2
+
+// node is a sidecar with its parts.
+type node struct {
+	p        *process.Process
+	set      boot.Sidecar
+	steward  *steward
+	seeker   *cohort.Seeker
+	near     *relay.Near
+	far      *relay.Far
+	queue    *trace.Queue
+	outgoing *outgoing
+	draining atomic.Bool
+	reload   *process.Reloader
+	webs     []*process.Web
+}
+
+// newNode puts the parts together and opens the addresses.
+func newNode(set boot.Sidecar) *node {
+	p := process.New("sidecar", set.Common)
+	n := &node{p: p, set: set, queue: trace.NewQueue(set.Advertise, p.Boot, set.TraceQueue)}
+	n.seeker = cohort.NewSeeker()
+	n.steward = newSteward(p.Launcher, set.Advertise, p.Boot, set.Locality, n.seeker.Hasten)
+	lin := lineage.NewKeeper()
+	claims := claim.New(func(r relay.Receipt) int { return len(r.Body) })
+	n.seeker.Own = func() cohort.Hail { nd := n.steward.node(); return cohort.Hail{Node: &nd} }
+	n.seeker.Addr, n.seeker.Net, n.seeker.Launcher = set.Advertise, p.Net, p.Launcher
+	n.reload = &process.Reloader{Seeker: n.seeker}
+	n.reload.Apply(set.Common)
+	n.seeker.Heard = func(context.Context, cohort.Seat) {}
+	table := func() *way.Table { return n.steward.table.Load() }
+	n.near = &relay.Near{Addr: set.Advertise, Locality: set.Locality, Table: table, View: func() *cohort.View { return n.steward.view.Load() },
+		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Lineage: lin, Claims: claims, Life: p.Life, Draining: n.draining.Load}
+	n.far = relay.NewFar(p.Life, p.Launcher)
+	n.far.Boot, n.far.Table, n.far.Queue, n.far.Lineage, n.far.Draining = p.Boot, table, n.queue, lin, n.draining.Load
+	n.far.Roster = func() roster.Roster { return *n.steward.roster.Load() }
+	n.outgoing = &outgoing{p: p, near: n.near, host: netip.MustParseAddrPort(set.Advertise).Addr(), fixed: set.Outgoing, webs: map[string]*process.Web{}}
+
+	p.Host.Handlers[cohort.KindHail] = n.hail
+	p.Host.Handlers[relay.KindLeg] = n.far.Leg
+	p.Host.Handlers[relay.KindRecall] = n.far.Recall
+	if err := p.Host.Listen(set.Wire); err != nil {
+		p.Fail("wire", err)
+	}
+	n.webs = append(n.webs, p.Serve(p.Listen("control", set.Control), n.control()))
+	n.webs = append(n.webs, p.Serve(p.Listen("inquiries", set.Inquiries), n.near.Handler("")))
+	for svc := range set.Outgoing {
+		if _, err := n.outgoing.addr(svc); err != nil {
+			p.Fail("outgoing "+svc, err)
+		}
+	}
+	follower := &feed.Follower{Own: set.Advertise, Seats: n.seeker.Seats, Net: p.Net, Hasten: n.seeker.Hasten,
+		Take: func(ctx context.Context, c cohort.Seat, news feed.News) { n.steward.box.Send(ctx, msgNews{c, news}) }}
+	for name, run := range map[string]func(context.Context){
+		"net": p.Net.Run, "host": p.Host.Run, "steward": n.steward.run, "seeker": n.seeker.Run,
+		"lineage": lin.Run, "claims": claims.Run, "follower": follower.Run,
+	} {
+		p.Launcher.Go(p.Life, name, run)
+	}
+	for range workers {
+		w := &trace.Worker{Queue: n.queue, Choose: n.collector, Send: n.publish, Linger: 100 * time.Millisecond, MaxSize: 256}
+		p.Launcher.Go(p.Life, "trace-worker", w.Run)
+	}
+	return n
+}
+
+// readyLine prints the signal of readiness: the addresses that really stand.
+func (n *node) readyLine() {
+	fmt.Fprintf(os.Stdout, "started wire=%s control=%s inquiries=%s\n", n.p.Host.Addr(), n.webs[0].Listener.Addr(), n.webs[1].Listener.Addr())
+}
+
+// hail answers another process.
+func (n *node) hail(_ context.Context, in wire.Inquiry) (any, string) {
+	var h cohort.Hail
+	if !in.Into(&h) {
+		return nil, "not a hail"
+	}
+	n.seeker.Hear(cohort.Hail{Seat: h.Seat, Know: h.Know})
+	return cohort.Hail{Know: n.seeker.Seats().Known()}, ""
+}
+
+// collector is the first live core by rendezvous of the trace id.
+func (n *node) collector(id trace.TraceID) (string, bool) {
+	live := rendezvous.Rank(id.String(), n.seeker.Seats().Live(time.Now()), func(c cohort.Seat) string { return fmt.Sprint(c.Slot) })
+	if len(live) == 0 {
+		return "", false
+	}
+	return live[0].Addr, true
+}
+
+func (n *node) publish(ctx context.Context, collector string, batch []trace.Event) bool {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	var t collect.Taken
+	return n.p.Net.Call(ctx, collector, wire.Control, collect.KindPublish, collect.Batch{Events: slices.Clone(batch)}).Into(&t)
+}
+
+// stop drains: unready at once, nothing new, what was handed over finishes.
+// (DESIGN 11.3)
+func (n *node) stop() {
+	n.draining.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), n.reload.Drain())
+	defer cancel()
+	n.steward.box.Send(ctx, msgDrain{})
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	// A backend's outgoing calls belong to inquiries that were handed over.
+	for n.far.Counts.Open.Load() > 0 || n.near.Counts.Open.Load() > 0 {
+		select {
+		case <-tick.C:
+			continue
+		case <-ctx.Done():
+		}
+		break
+	}
+	for _, w := range n.webs {
+		w.Stop(ctx)
+	}
+	n.outgoing.stop(ctx)
+	n.p.End()
+}
--- /dev/null
+++ b/cmd/sidecar/steward.go
@@ -0,0 +1,160 @@
+package main
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"curlewwalk/cohort"
+	"curlewwalk/desired"
+	"curlewwalk/feed"
+	"curlewwalk/launch"
+	"curlewwalk/roster"
+	"curlewwalk/way"
+)
+
+// steward is the one thread of control state. It swaps whole the snapshots
+// that traffic reads. (DESIGN 1.3)
+type steward struct {
+	box      *launch.Mailbox
+	addr     string
+	boot     uint64
+	locality string
+	hasten   func()
+
+	nodes map[string]cohort.Node
+
+	roster atomic.Pointer[roster.Roster]
+	table  atomic.Pointer[way.Table]
+	view   atomic.Pointer[cohort.View]
+	shown  atomic.Pointer[follows]
+}
+
+// follows is what the steward shows of the feed.
+type follows struct {
+	Core  string    `json:"core"`
+	Slot  int       `json:"slot"`
+	Stamp uint64    `json:"stamp"`
+	Since time.Time `json:"-"`
+}
+
+type (
+	msgAnnounce struct {
+		a     roster.Announcement
+		reply chan<- []string
+	}
+	msgLeave struct {
+		instance string
+		reply    chan<- bool
+	}
+	msgNews struct {
+		core cohort.Seat
+		n    feed.News
+	}
+	msgTick  struct{}
+	msgDrain struct{}
+	msgLive  struct{ reply chan<- bool }
+)
+
+func newSteward(l *launch.Launcher, addr string, boot uint64, locality string, hasten func()) *steward {
+	s := &steward{addr: addr, boot: boot, locality: locality, hasten: hasten, nodes: map[string]cohort.Node{}}
+	s.roster.Store(&roster.Roster{})
+	t, _ := way.NewTable(desired.Word{})
+	s.table.Store(t)
+	s.view.Store(cohort.NewView(nil, nil))
+	s.shown.Store(&follows{})
+	s.box = l.Spawn("steward", s.on)
+	return s
+}
+
+// run keeps time until ctx ends.
+func (s *steward) run(ctx context.Context) {
+	tick := time.NewTicker(cohort.Beat)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			s.box.Send(ctx, msgTick{})
+		}
+	}
+}
+
+// node is what this sidecar tells of itself.
+func (s *steward) node() cohort.Node {
+	r := s.roster.Load()
+	return cohort.Node{Addr: s.addr, Boot: s.boot, Rev: r.Rev, Locality: s.locality, Stamp: s.table.Load().Stamp, Backends: r.Backends()}
+}
+
+func (s *steward) on(ctx context.Context, msg any) {
+	now := time.Now()
+	switch m := msg.(type) {
+	case msgAnnounce:
+		next, faults := s.roster.Load().Announce(m.a, s.locality, now)
+		s.swapRoster(next)
+		m.reply <- faults
+	case msgLeave:
+		next, ok := s.roster.Load().Leave(m.instance, now)
+		s.swapRoster(next)
+		m.reply <- ok
+	case msgDrain:
+		next := *s.roster.Load()
+		for _, e := range next.Entries() {
+			next, _ = next.Leave(e.Instance, now)
+		}
+		s.swapRoster(next)
+	case msgNews:
+		s.take(m.core, m.n)
+	case msgTick:
+		s.swapRoster(s.roster.Load().Tick(now))
+	case msgLive:
+		m.reply <- true
+	}
+}
+
+func (s *steward) swapRoster(next roster.Roster) {
+	changed := next.Rev != s.roster.Load().Rev
+	s.roster.Store(&next)
+	if changed {
+		s.look()
+		s.hasten()
+	}
+}
+
+// look rebuilds the view. Of itself a node knows best.
+func (s *steward) look() {
+	s.nodes[s.addr] = s.node()
+	s.view.Store(cohort.NewView(s.nodes, s.view.Load()))
+}
+
+func (s *steward) take(core cohort.Seat, n feed.News) {
+	if n.Snapshot {
+		s.nodes = map[string]cohort.Node{}
+	}
+	for _, it := range n.Items {
+		switch {
+		case it.Word != nil:
+			s.word(*it.Word)
+		case it.Node != nil:
+			s.nodes[it.Node.Addr] = *it.Node
+		default:
+			delete(s.nodes, it.Gone)
+		}
+	}
+	if len(n.Items) > 0 || n.Snapshot {
+		s.look()
+	}
+	s.shown.Store(&follows{Core: core.Addr, Slot: core.Slot, Stamp: s.table.Load().Stamp, Since: time.Now()})
+}
+
+// word puts a word in force; a node never goes back to an older one.
+func (s *steward) word(w desired.Word) {
+	if w.Stamp <= s.table.Load().Stamp {
+		return
+	}
+	if t, ok := way.NewTable(w); ok {
+		s.table.Store(t)
+		s.hasten()
+	}
+}
--- /dev/null
+++ b/cohort/backend.go
@@ -0,0 +1,14 @@
+// Package cohort is what the nodes know of one another: seats of cores, nodes
+// of the data plane with their backends, and the view for traffic. (DESIGN 7)
+package cohort
+
+// Backend is one backend instance as its sidecar tells of it.
+type Backend struct {
+	Instance string  `msgpack:"i" json:"instance"`
+	Service  string  `msgpack:"s" json:"service"`
+	Address  string  `msgpack:"a" json:"address"`
+	Locality string  `msgpack:"l" json:"locality"`
+	Capacity int     `msgpack:"c" json:"capacity"`
+	Share    float64 `msgpack:"w" json:"share"`
+	Leaving  bool    `msgpack:"x" json:"leaving"`
+}
--- /dev/null
+++ b/cohort/node.go
@@ -0,0 +1,11 @@
+package cohort
+
+// Node is one sidecar's soft state. Rev counts changes within a boot.
+type Node struct {
+	Addr     string    `msgpack:"a" json:"address"`
+	Boot     uint64    `msgpack:"b" json:"boot"`
+	Rev      uint64    `msgpack:"r" json:"rev"`
+	Locality string    `msgpack:"l" json:"locality"`
+	Stamp    uint64    `msgpack:"s" json:"stamp"`
+	Backends []Backend `msgpack:"be" json:"backends"`
+}
--- /dev/null
+++ b/cohort/seat.go
@@ -0,0 +1,13 @@
+package cohort
+
+// Seat is a core in its slot.
+type Seat struct {
+	Slot        int    `msgpack:"s" json:"slot"`
+	Slots       int    `msgpack:"n" json:"slots"`
+	Addr        string `msgpack:"a" json:"address"`
+	Inc         uint64 `msgpack:"i" json:"incarnation"`
+	Boot        uint64 `msgpack:"b" json:"boot"`
+	Locality    string `msgpack:"l" json:"locality"`
+	Established bool   `msgpack:"e" json:"established"`
+	Settled     uint64 `msgpack:"st" json:"settled"`
+}
--- /dev/null
+++ b/cohort/seats.go
@@ -0,0 +1,100 @@
+package cohort
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+// Silence is how long a core may be unheard before it counts as not live.
+const Silence = 1500 * time.Millisecond // (ours)
+
+// forgetAfter is how long an address that never answers is still tried.
+const forgetAfter = 30 * time.Second // (ours)
+
+// Seats is a decision value: which core sits in which slot, from what was
+// heard. Only a core's own word seats it; hearsay makes it a candidate.
+type Seats struct {
+	bySlot     map[int]heard
+	candidates map[string]time.Time
+}
+
+type heard struct {
+	seat Seat
+	at   time.Time
+}
+
+// Hear takes a core's own word and returns the next value.
+func (s Seats) Hear(c Seat, now time.Time) Seats {
+	old, ok := s.bySlot[c.Slot]
+	older := c.Inc < old.seat.Inc
+	// Of two that claim one slot in the same incarnation (none established
+	// yet), the one already heard keeps it while it is live.
+	rival := c.Inc == old.seat.Inc && c.Addr != old.seat.Addr && now.Sub(old.at) < Silence
+	if ok && (older || rival) {
+		return s
+	}
+	next := Seats{bySlot: maps.Clone(s.bySlot), candidates: s.candidates}
+	if next.bySlot == nil {
+		next.bySlot = map[int]heard{}
+	}
+	next.bySlot[c.Slot] = heard{seat: c, at: now}
+	return next
+}
+
+// Hearsay takes seats that another process knows of.
+func (s Seats) Hearsay(known []Seat, now time.Time) Seats {
+	next := maps.Clone(s.candidates)
+	if next == nil {
+		next = map[string]time.Time{}
+	}
+	for _, c := range known {
+		next[c.Addr] = now
+	}
+	maps.DeleteFunc(next, func(_ string, at time.Time) bool { return now.Sub(at) > forgetAfter })
+	return Seats{bySlot: s.bySlot, candidates: next}
+}
+
+// Known lists the seated cores by slot, live or not.
+func (s Seats) Known() []Seat {
+	var out []Seat
+	for _, h := range s.bySlot {
+		out = append(out, h.seat)
+	}
+	slices.SortFunc(out, func(a, b Seat) int { return cmp.Compare(a.Slot, b.Slot) })
+	return out
+}
+
+// Live lists the seated cores heard of lately, by slot: the agreed order of
+// duty.
+func (s Seats) Live(now time.Time) []Seat {
+	return slices.DeleteFunc(s.Known(), func(c Seat) bool { return now.Sub(s.bySlot[c.Slot].at) >= Silence })
+}
+
+// At finds the core in a slot.
+func (s Seats) At(slot int) (Seat, bool) {
+	h, ok := s.bySlot[slot]
+	return h.seat, ok
+}
+
+// Targets lists whom to hail: all seated cores and candidates, and the seeds
+// while any slot lacks a live core.
+func (s Seats) Targets(own string, seeds []string, now time.Time) []string {
+	set := map[string]bool{}
+	slots := 0
+	for _, c := range s.Known() {
+		set[c.Addr] = true
+		slots = c.Slots
+	}
+	for a := range s.candidates {
+		set[a] = true
+	}
+	if live := len(s.Live(now)); live == 0 || live < slots {
+		for _, a := range seeds {
+			set[a] = true
+		}
+	}
+	delete(set, own)
+	return slices.Sorted(maps.Keys(set))
+}
--- /dev/null
+++ b/cohort/view.go
@@ -0,0 +1,63 @@
+package cohort
+
+import (
+	"maps"
+	"slices"
+)
+
+// View is the immutable snapshot that traffic reads: for each service the
+// backends that may be chosen. It is only a hint; the far sidecar decides.
+type View struct {
+	byService map[string][]Target
+	nodes     map[string]Node
+}
+
+// Target is one backend behind its sidecar.
+type Target struct {
+	Backend
+	Node string
+	Boot uint64
+	// Load is shared by all snapshots that hold the same backend.
+	Load *Load
+}
+
+// Service lists the targets of a service.
+func (v *View) Service(name string) []Target { return v.byService[name] }
+
+// Nodes lists all known nodes by address.
+func (v *View) Nodes() []Node {
+	out := slices.Collect(maps.Values(v.nodes))
+	slices.SortFunc(out, func(a, b Node) int {
+		if a.Addr < b.Addr {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// NewView builds the snapshot of nodes, keeping the loads of the one before.
+func NewView(nodes map[string]Node, before *View) *View {
+	loads := map[string]*Load{}
+	if before != nil {
+		for _, list := range before.byService {
+			for _, t := range list {
+				loads[t.key()] = t.Load
+			}
+		}
+	}
+	v := &View{byService: map[string][]Target{}, nodes: maps.Clone(nodes)}
+	for _, addr := range slices.Sorted(maps.Keys(nodes)) {
+		n := nodes[addr]
+		for _, b := range n.Backends {
+			t := Target{Backend: b, Node: n.Addr, Boot: n.Boot}
+			if t.Load = loads[t.key()]; t.Load == nil {
+				t.Load = new(Load)
+			}
+			v.byService[b.Service] = append(v.byService[b.Service], t)
+		}
+	}
+	return v
+}
+
+func (t Target) key() string { return t.Node + " " + t.Service + " " + t.Instance }
--- /dev/null
+++ b/collect/tree.go
@@ -0,0 +1,117 @@
+package collect
+
+import (
+	"cmp"
+	"slices"
+
+	"curlewwalk/trace"
+)
+
+// Tree is a whole trace as an operator reads it.
+type Tree struct {
+	Trace string `json:"trace"`
+	Spans int    `json:"spans"`
+	// Whole tells whether nothing is missing.
+	Whole bool    `json:"whole"`
+	Roots []*Node `json:"roots"`
+	// Unasked lists the cores that did not answer.
+	Unasked []int `json:"unasked,omitempty"`
+}
+
+// Node is one span with its children.
+type Node struct {
+	Span   string `json:"span"`
+	Parent string `json:"parent,omitempty"`
+	// Lost is set when the parent is not among the spans.
+	Lost       bool        `json:"parent_missing,omitempty"`
+	Way        string      `json:"way,omitempty"`
+	Service    string      `json:"service,omitempty"`
+	Caller     string      `json:"caller,omitempty"`
+	Link       trace.Link  `json:"link,omitempty"`
+	Candidates []string    `json:"candidates,omitempty"`
+	Events     []EventView `json:"events"`
+	Missing    []string    `json:"missing,omitempty"`
+	Children   []*Node     `json:"children,omitempty"`
+}
+
+// EventView is one event as an operator reads it.
+type EventView struct {
+	Kind     trace.Kind `json:"kind"`
+	Node     string     `json:"node"`
+	Counter  uint64     `json:"counter"`
+	Since    string     `json:"since_start"`
+	Instance string     `json:"instance,omitempty"`
+	Status   int        `json:"status,omitempty"`
+	Outcome  string     `json:"outcome,omitempty"`
+	Leg      int        `json:"leg,omitempty"`
+}
+
+// Build puts a tree together. The order comes from the tree and the logical
+// counters, never from clocks.
+func Build(id trace.TraceID, events []trace.Event) Tree {
+	t := Tree{Trace: id.String(), Whole: len(events) > 0}
+	slices.SortStableFunc(events, func(a, b trace.Event) int { return cmp.Compare(a.Counter, b.Counter) })
+	nodes := map[trace.ID]*Node{}
+	parents := map[trace.ID]trace.ID{}
+	var order []trace.ID
+	for _, e := range events {
+		n := nodes[e.Span]
+		if n == nil {
+			n = &Node{Span: e.Span.String()}
+			nodes[e.Span] = n
+			parents[e.Span] = e.Parent
+			order = append(order, e.Span)
+		}
+		n.add(e)
+	}
+	for _, sp := range order {
+		n := nodes[sp]
+		n.missing()
+		t.Whole = t.Whole && len(n.Missing) == 0
+		p := parents[sp]
+		if p != 0 {
+			n.Parent = p.String()
+		}
+		if up := nodes[p]; up != nil {
+			up.Children = append(up.Children, n)
+			continue
+		}
+		if n.Lost = p != 0; n.Lost {
+			t.Whole = false
+		}
+		t.Roots = append(t.Roots, n)
+	}
+	t.Spans = len(nodes)
+	return t
+}
+
+func (n *Node) add(e trace.Event) {
+	n.Way, n.Service, n.Caller = cmp.Or(n.Way, e.Way), cmp.Or(n.Service, e.Service), cmp.Or(n.Caller, e.Caller)
+	if n.Link == trace.LinkNone && e.Link != trace.LinkNone {
+		n.Link = e.Link
+		for _, c := range e.Candidates {
+			n.Candidates = append(n.Candidates, c.String())
+		}
+	}
+	n.Events = append(n.Events, EventView{Kind: e.Kind, Node: e.Node, Counter: e.Counter, Since: e.Since.String(),
+		Instance: e.Instance, Status: e.Status, Outcome: e.Outcome, Leg: e.Leg})
+}
+
+// missing marks the events that should be there. A call that ended before any
+// leg has no server's events.
+func (n *Node) missing() {
+	has := map[trace.Kind]bool{}
+	legs := true
+	for _, e := range n.Events {
+		has[e.Kind] = true
+		if e.Kind == trace.ClientReceive {
+			legs = e.Leg > 0
+		}
+	}
+	for _, k := range []trace.Kind{trace.ClientStart, trace.ServerReceive, trace.ServerSend, trace.ClientReceive} {
+		server := k == trace.ServerReceive || k == trace.ServerSend
+		if !has[k] && (legs || !server) {
+			n.Missing = append(n.Missing, string(k))
+		}
+	}
+}
--- /dev/null
+++ b/desired/duration.go
@@ -0,0 +1,28 @@
+package desired
+
+import (
+	"time"
+
+	"github.com/mailru/easyjson/jlexer"
+	"github.com/mailru/easyjson/jwriter"
+)
+
+// Duration is a time.Duration written as in "250ms".
+type Duration struct {
+	time.Duration
+	Bad string // what was written, when it is no duration
+}
+
+// UnmarshalEasyJSON implements easyjson.Unmarshaler.
+func (d *Duration) UnmarshalEasyJSON(in *jlexer.Lexer) {
+	text := in.String()
+	v, err := time.ParseDuration(text)
+	if err != nil {
+		d.Bad = text
+		return
+	}
+	d.Duration = v
+}
+
+// MarshalEasyJSON implements easyjson.Marshaler.
+func (d Duration) MarshalEasyJSON(out *jwriter.Writer) { out.String(d.String()) }
--- /dev/null
+++ b/desired/fault.go
@@ -0,0 +1,7 @@
+package desired
+
+// Fault is one thing wrong with a configuration.
+type Fault struct {
+	Path    string `json:"path"`
+	Message string `json:"message"`
+}
--- /dev/null
+++ b/desired/generate.go
@@ -0,0 +1,3 @@
+package desired
+
+//go:generate go tool easyjson .
--- /dev/null
+++ b/feed/directory.go
@@ -0,0 +1,131 @@
+package feed
+
+import (
+	"context"
+	"time"
+
+	"curlewwalk/cohort"
+	"curlewwalk/desired"
+	"curlewwalk/launch"
+	"curlewwalk/wire"
+)
+
+// Directory runs a Feed on a core's control thread and lets followers wait
+// for news. (DESIGN 8.1)
+type Directory struct {
+	box   *launch.Mailbox
+	feed  *Feed
+	start time.Time
+	held  []follower
+}
+
+type follower struct {
+	q     Follow
+	until time.Duration
+	reply chan<- *News
+}
+
+type (
+	msgNode    struct{ n cohort.Node }
+	msgSettled struct{ w desired.Word }
+	msgTick    struct{}
+	msgFollow  struct {
+		q     Follow
+		reply chan<- *News
+	}
+	msgState struct{ reply chan<- State }
+)
+
+// State is what the directory shows.
+type State struct {
+	Stamp uint64        `json:"stamp"`
+	Feed  uint64        `json:"feed"`
+	Place uint64        `json:"place"`
+	Open  bool          `json:"open"`
+	Nodes []cohort.Node `json:"nodes"`
+}
+
+// NewDirectory starts the directory's actor.
+func NewDirectory(l *launch.Launcher, boot uint64) *Directory {
+	d := &Directory{feed: New(boot, 0), start: time.Now()}
+	d.box = l.Spawn("directory", d.on)
+	return d
+}
+
+// Run keeps time until ctx ends.
+func (d *Directory) Run(ctx context.Context) {
+	tick := time.NewTicker(100 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			d.box.Send(ctx, msgTick{})
+		}
+	}
+}
+
+// Told takes a node's own word.
+func (d *Directory) Told(ctx context.Context, n cohort.Node) { d.box.Send(ctx, msgNode{n}) }
+
+// Settled takes a majority-held word.
+func (d *Directory) Settled(ctx context.Context, w desired.Word) { d.box.Send(ctx, msgSettled{w}) }
+
+// State shows the directory.
+func (d *Directory) State(ctx context.Context) (State, bool) {
+	return launch.Ask(ctx, d.box, func(r chan<- State) any { return msgState{r} })
+}
+
+// Answer handles a Follow call.
+func (d *Directory) Answer(ctx context.Context, in wire.Inquiry) (any, string) {
+	var q Follow
+	if !in.Into(&q) {
+		return nil, "not a follow"
+	}
+	n, ok := launch.Ask(ctx, d.box, func(r chan<- *News) any { return msgFollow{q, r} })
+	if !ok || n == nil {
+		return nil, "not settled in"
+	}
+	return n, ""
+}
+
+func (d *Directory) on(_ context.Context, msg any) {
+	now := time.Since(d.start)
+	switch m := msg.(type) {
+	case msgNode:
+		d.feed.Told(m.n, now)
+	case msgSettled:
+		d.feed.Settled(m.w)
+	case msgTick:
+		d.feed.Tick(now)
+	case msgFollow:
+		if !d.feed.Open(now) {
+			m.reply <- nil
+			return
+		}
+		d.held = append(d.held, follower{q: m.q, until: now + m.q.Wait, reply: m.reply})
+	case msgState:
+		st := State{Feed: d.feed.ID, Place: d.feed.place, Open: d.feed.Open(now), Nodes: d.feed.Nodes()}
+		if w := d.feed.Word(); w != nil {
+			st.Stamp = w.Stamp
+		}
+		m.reply <- st
+	}
+	d.serve(now)
+}
+
+// serve answers the followers that there is news for or that waited enough.
+func (d *Directory) serve(now time.Duration) {
+	kept := d.held[:0]
+	for _, f := range d.held {
+		n, fresh := d.feed.Since(f.q)
+		if !fresh && now < f.until {
+			kept = append(kept, f)
+			continue
+		}
+		f.reply <- &n
+	}
+	clear(d.held[len(kept):])
+	d.held = kept
+}
--- /dev/null
+++ b/feed/feed.go
@@ -0,0 +1,124 @@
+package feed
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"curlewwalk/cohort"
+	"curlewwalk/desired"
+)
+
+const (
+	kept = 1024 // changes kept for followers to resume from (ours)
+	// SettleIn is how long after its start a core only listens: its directory
+	// must be told again before a snapshot of it means anything.
+	SettleIn = 1200 * time.Millisecond // (ours)
+	// goneAfter is when a silent node is taken out.
+	goneAfter = 2 * time.Second // (ours)
+)
+
+// Feed is a core's directory and its numbered changes: a decision value that
+// one thread owns. Times are durations since the owner's start.
+type Feed struct {
+	ID    uint64
+	place uint64
+	items []Item // items[i] has number place-len(items)+1+i
+	word  *desired.Word
+	nodes map[string]cohort.Node
+	heard map[string]time.Duration
+	open  time.Duration // not before this is the feed served
+	last  time.Duration
+}
+
+// New makes an empty feed.
+func New(id uint64, now time.Duration) *Feed {
+	return &Feed{ID: id, nodes: map[string]cohort.Node{}, heard: map[string]time.Duration{}, open: now + SettleIn, last: now}
+}
+
+func (f *Feed) add(it Item) {
+	f.place++
+	f.items = append(f.items, it)
+	if len(f.items) > kept {
+		f.items = slices.Delete(f.items, 0, len(f.items)-kept)
+	}
+}
+
+// Settled takes a majority-held word; true if it is news.
+func (f *Feed) Settled(w desired.Word) bool {
+	if f.word != nil && w.Stamp <= f.word.Stamp {
+		return false
+	}
+	f.word = &w
+	f.add(Item{Word: &w})
+	return true
+}
+
+// Told takes a node's own word; true if it is news.
+func (f *Feed) Told(n cohort.Node, now time.Duration) bool {
+	old, ok := f.nodes[n.Addr]
+	f.heard[n.Addr] = now
+	if ok && old.Boot == n.Boot && old.Rev > n.Rev {
+		return false // overtaken on the way
+	}
+	f.nodes[n.Addr] = n
+	if ok && old.Boot == n.Boot && old.Rev == n.Rev {
+		return false
+	}
+	f.add(Item{Node: &n})
+	return true
+}
+
+// Tick takes out silent nodes; true if there was news. After a gap in its own
+// ticks (a freeze) it starts anew: nobody could be heard meanwhile.
+func (f *Feed) Tick(now time.Duration) bool {
+	if now-f.last > goneAfter/2 {
+		id := f.ID + 1
+		*f = Feed{ID: id, word: f.word, nodes: map[string]cohort.Node{}, heard: map[string]time.Duration{}, open: now + SettleIn}
+	}
+	f.last = now
+	news := false
+	for _, addr := range slices.Sorted(maps.Keys(f.nodes)) {
+		if now-f.heard[addr] > goneAfter {
+			delete(f.nodes, addr)
+			delete(f.heard, addr)
+			f.add(Item{Gone: addr})
+			news = true
+		}
+	}
+	return news
+}
+
+// Open tells whether the feed may be served yet.
+func (f *Feed) Open(now time.Duration) bool { return now >= f.open }
+
+// Since answers a follower; fresh is false when there is nothing new for it.
+func (f *Feed) Since(q Follow) (n News, fresh bool) {
+	n = News{Feed: f.ID, Place: f.place}
+	first := f.place - uint64(len(f.items))
+	if q.Feed == f.ID && q.Place >= first && q.Place <= f.place {
+		n.Items = slices.Clone(f.items[q.Place-first:])
+		return n, len(n.Items) > 0
+	}
+	n.Snapshot = true
+	if f.word != nil {
+		n.Items = append(n.Items, Item{Word: f.word})
+	}
+	for _, addr := range slices.Sorted(maps.Keys(f.nodes)) {
+		node := f.nodes[addr]
+		n.Items = append(n.Items, Item{Node: &node})
+	}
+	return n, true
+}
+
+// Word is the newest majority-held word, if any.
+func (f *Feed) Word() *desired.Word { return f.word }
+
+// Nodes lists the known nodes by address.
+func (f *Feed) Nodes() []cohort.Node {
+	var out []cohort.Node
+	for _, addr := range slices.Sorted(maps.Keys(f.nodes)) {
+		out = append(out, f.nodes[addr])
+	}
+	return out
+}
--- /dev/null
+++ b/feed/item.go
@@ -0,0 +1,15 @@
+// Package feed is how news reaches the data plane: a numbered feed that nodes
+// follow from a place on, starting from a snapshot. (DESIGN 8)
+package feed
+
+import (
+	"curlewwalk/cohort"
+	"curlewwalk/desired"
+)
+
+// Item is one change.
+type Item struct {
+	Word *desired.Word `msgpack:"w,omitempty"`
+	Node *cohort.Node  `msgpack:"n,omitempty"`
+	Gone string        `msgpack:"g,omitempty"`
+}
--- /dev/null
+++ b/feed/news.go
@@ -0,0 +1,10 @@
+package feed
+
+// News answers a Follow. With Snapshot set, the items are everything there is
+// and what is not among them is gone.
+type News struct {
+	Feed     uint64 `msgpack:"f"`
+	Place    uint64 `msgpack:"p"`
+	Snapshot bool   `msgpack:"s"`
+	Items    []Item `msgpack:"i"`
+}
--- /dev/null
+++ b/launch/dispatcher.go
@@ -0,0 +1,24 @@
+package launch
+
+import (
+	"context"
+
+	"github.com/asynkron/protoactor-go/actor"
+)
+
+// dispatcher runs actor mailboxes through the launcher, so that actors' work
+// too starts in the one place.
+type dispatcher struct {
+	l    *Launcher
+	name string
+}
+
+var _ actor.Dispatcher = dispatcher{}
+
+// Schedule implements actor.Dispatcher.
+func (d dispatcher) Schedule(fn func()) {
+	d.l.Go(context.Background(), d.name, func(context.Context) { fn() })
+}
+
+// Throughput implements actor.Dispatcher.
+func (d dispatcher) Throughput() int { return 300 }
--- /dev/null
+++ b/lineage/keeper.go
@@ -0,0 +1,71 @@
+package lineage
+
+import (
+	"context"
+	"time"
+
+	"curlewwalk/trace"
+)
+
+// Keeper runs a Book. Its loop is the only one to touch it.
+type Keeper struct {
+	enter chan Open
+	leave chan trace.ID
+	links chan query
+}
+
+type query struct {
+	service, way string
+	told         trace.Span
+	at           time.Time
+	reply        chan Cause
+}
+
+// NewKeeper makes a keeper.
+func NewKeeper() *Keeper {
+	return &Keeper{enter: make(chan Open), leave: make(chan trace.ID), links: make(chan query)}
+}
+
+// Run owns the book until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	b := NewBook()
+	for {
+		select {
+		case o := <-k.enter:
+			b.Enter(o)
+		case id := <-k.leave:
+			b.Leave(id)
+		case q := <-k.links:
+			q.reply <- b.Link(q.service, q.way, q.told, q.at)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Enter opens an inquiry before its first byte goes to the backend.
+func (k *Keeper) Enter(ctx context.Context, o Open) {
+	select {
+	case k.enter <- o:
+	case <-ctx.Done():
+	}
+}
+
+// Leave closes it once the backend has answered.
+func (k *Keeper) Leave(ctx context.Context, id trace.ID) {
+	select {
+	case k.leave <- id:
+	case <-ctx.Done():
+	}
+}
+
+// Link ties an outgoing call.
+func (k *Keeper) Link(ctx context.Context, service, way string, told trace.Span) Cause {
+	q := query{service: service, way: way, told: told, at: time.Now(), reply: make(chan Cause, 1)}
+	select {
+	case k.links <- q:
+		return <-q.reply
+	case <-ctx.Done():
+		return Cause{}
+	}
+}
--- /dev/null
+++ b/process/process.go
@@ -0,0 +1,112 @@
+// Package process is what both programs have in common: starting, signals,
+// HTTP listeners, and the ring log when something goes wrong. (DESIGN 11)
+package process
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"curlewwalk/boot"
+	"curlewwalk/launch"
+	"curlewwalk/ring"
+	"curlewwalk/wire"
+)
+
+// Process is the frame that a program hangs its parts in.
+type Process struct {
+	Name     string
+	Boot     uint64
+	Ring     *ring.Ring
+	Log      *slog.Logger
+	Launcher *launch.Launcher
+	Net      *wire.Net
+	Host     *wire.Host
+	// Life ends all parts.
+	Life context.Context
+	end  context.CancelFunc
+}
+
+// Exit prints an exit's text where it belongs and ends the process, if it is
+// one.
+func Exit(e boot.Exit) {
+	if !e.Now {
+		return
+	}
+	out := os.Stdout
+	if e.Code != 0 {
+		out = os.Stderr
+	}
+	fmt.Fprintln(out, e.Text)
+	os.Exit(e.Code)
+}
+
+// New makes the frame: ring log, launcher, circuits, host.
+func New(name string, s boot.Common) *Process {
+	r := ring.New(s.LogLines)
+	p := &Process{Name: name, Boot: rand.Uint64(), Ring: r, Log: slog.New(r)}
+	p.Life, p.end = context.WithCancel(context.Background())
+	p.Launcher = launch.New(p.Log, p.broken)
+	own := wire.Greeting{Version: wire.Version, Node: s.Advertise, Boot: p.Boot}
+	var from net.IP
+	if ap := netip.MustParseAddrPort(s.Wire); !ap.Addr().IsUnspecified() {
+		from = ap.Addr().AsSlice()
+	}
+	p.Net = wire.NewNet(p.Launcher, own, from)
+	p.Host = &wire.Host{Own: own, Launcher: p.Launcher, Handlers: map[string]wire.Handler{}}
+	return p
+}
+
+// broken ends the process over a broken invariant: the one thing that does.
+func (p *Process) broken(part string, cause any, stack []byte) {
+	p.Log.Error("broken invariant", "part", part, "cause", fmt.Sprint(cause))
+	p.Ring.WriteTo(os.Stderr)
+	fmt.Fprintf(os.Stderr, "%s: broken invariant in %s: %v\n%s", p.Name, part, cause, stack)
+	os.Exit(3)
+}
+
+// Fail ends the process at its start, when it can't have what its settings say.
+func (p *Process) Fail(what string, err error) {
+	p.Ring.WriteTo(os.Stderr)
+	fmt.Fprintf(os.Stderr, "%s: %s: %v\n", p.Name, what, err)
+	os.Exit(1)
+}
+
+// Listen opens an address or fails the start.
+func (p *Process) Listen(what, addr string) net.Listener {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		p.Fail(what, err)
+	}
+	return ln
+}
+
+// Wait returns when the process is warned to stop; each SIGHUP calls reload.
+func (p *Process) Wait(reload func()) {
+	ch := make(chan os.Signal, 4)
+	signal.Notify(ch, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for s := range ch {
+		if s != syscall.SIGHUP {
+			p.Log.Info("warned to stop", "signal", s.String())
+			return
+		}
+		reload()
+	}
+}
+
+// End ends all parts and waits for them, but not for ever.
+func (p *Process) End() {
+	p.end()
+	p.Launcher.Stop()
+	select {
+	case <-p.Launcher.Idle():
+	case <-time.After(2 * time.Second):
+	}
+}
--- /dev/null
+++ b/proof/cmd/fleet/main.go
@@ -0,0 +1,74 @@
+// Command fleet runs a whole fleet of either deployment's size under its load
+// and prints a verdict.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"curlewwalk/proof/fleet"
+)
+
+func main() {
+	var opt struct {
+		Deployment string        `long:"deployment" choice:"association" choice:"heating" default:"association" description:"whose size to run"`
+		For        time.Duration `long:"for" default:"10s" description:"how long clients send"`
+		Rate       float64       `long:"rate" description:"inquiries a second instead of the deployment's own"`
+	}
+	if _, err := flags.Parse(&opt); err != nil {
+		os.Exit(2)
+	}
+	size := fleet.Association()
+	if opt.Deployment == "heating" {
+		size = fleet.Heating()
+	}
+	if opt.Rate > 0 {
+		size.Rate = opt.Rate
+	}
+	if err := run(size, opt.For); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func run(size fleet.Size, d time.Duration) error {
+	bin, err := fleet.Build()
+	if err != nil {
+		return err
+	}
+	defer bin.Remove()
+	f, err := fleet.New(size, bin)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	if err := f.Start(ctx); err != nil {
+		return err
+	}
+	fmt.Printf("fleet %s: %d machines, %d cores; serving after %v\n", size.Name, size.Machines, size.Cores, time.Since(start).Round(time.Millisecond))
+	load, stop := context.WithTimeout(context.Background(), d)
+	defer stop()
+	r := &fleet.Report{}
+	callers := f.Callers()
+	for _, c := range callers {
+		c.Saw = r.Saw
+	}
+	f.Load(load, callers...)
+	v := f.Ledger.Judge()
+	fmt.Print(r)
+	fmt.Printf("sent %d (inner calls included), ran %d, good %d, not-run %d, unknown %d\n", v.Sent, v.Ran, v.Good, v.NotRun, v.Unknown)
+	for _, b := range v.Broken {
+		fmt.Println("BROKEN:", b)
+	}
+	if len(v.Broken) > 0 {
+		return fmt.Errorf("%d things happened that must never", len(v.Broken))
+	}
+	return nil
+}
--- /dev/null
+++ b/proof/fleet/binaries.go
@@ -0,0 +1,34 @@
+package fleet
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+)
+
+// Binaries is a folder with the programs built.
+type Binaries string
+
+// Build builds the programs into a folder of its own.
+func Build() (Binaries, error) {
+	dir, err := os.MkdirTemp("", "curlewwalk-bin-")
+	if err != nil {
+		return "", err
+	}
+	args := []string{"build", "-o", dir}
+	if race {
+		args = append(args, "-race")
+	}
+	out, err := exec.Command("go", append(args, "curlewwalk/cmd/core", "curlewwalk/cmd/sidecar")...).CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build: %w\n%s", err, out)
+	}
+	return Binaries(dir), nil
+}
+
+// Path is where a program lies.
+func (b Binaries) Path(program string) string { return filepath.Join(string(b), program) }
+
+// Remove deletes the folder.
+func (b Binaries) Remove() { os.RemoveAll(string(b)) }
--- /dev/null
+++ b/proof/fleet/fleet.go
@@ -0,0 +1,283 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"curlewwalk/proof/ledger"
+	"curlewwalk/proof/standin"
+)
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Size     Size
+	Site     *Site
+	Bin      Binaries
+	Dir      string
+	Cores    []*Program
+	Sidecars []*Program
+	Backends []*standin.Backend
+	Ledger   *ledger.Ledger
+	Client   *http.Client
+	Args     []string // further flags for every sidecar
+}
+
+// ports on every machine
+const (
+	portWire      = 7400
+	portControl   = 7401
+	portInquiries = 7402
+	portBackend   = 8000
+)
+
+func at(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
+
+// New lays a fleet out without starting anything.
+func New(size Size, bin Binaries) (*Fleet, error) {
+	site, err := NewSite()
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "curlewwalk-fleet-")
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{Size: size, Site: site, Bin: bin, Dir: dir, Ledger: ledger.New(),
+		Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: 30 * time.Second}}
+	for i := range size.Cores {
+		f.Cores = append(f.Cores, f.NewCore(i+1, f.CoreIP(i+1), filepath.Join(dir, fmt.Sprintf("core-%d", i+1))))
+	}
+	for i := range size.Machines {
+		f.Sidecars = append(f.Sidecars, f.newSidecar(i))
+	}
+	return f, nil
+}
+
+// CoreIP is where the core of a slot stands first.
+func (f *Fleet) CoreIP(slot int) string { return f.Site.IP(200 + slot) }
+
+// Seeds are the seeds of every process: two cores and a sidecar.
+func (f *Fleet) Seeds() []string {
+	out := []string{at(f.CoreIP(1), portWire), at(f.Site.IP(0), portWire)}
+	if f.Size.Cores > 1 {
+		out = append(out, at(f.CoreIP(2), portWire))
+	}
+	return out
+}
+
+func (f *Fleet) program(name, program, ip, locality string, more ...string) *Program {
+	args := []string{"--wire=" + at(ip, portWire), "--control=" + at(ip, portControl), "--locality=" + locality}
+	for _, s := range f.Seeds() {
+		args = append(args, "--seed="+s)
+	}
+	return &Program{Name: name, IP: ip, Control: at(ip, portControl), path: f.Bin.Path(program), args: append(args, more...)}
+}
+
+// NewCore lays a core out for a slot, at any address and data folder.
+func (f *Fleet) NewCore(slot int, ip, data string) *Program {
+	return f.program(fmt.Sprintf("core-%d", slot), "core", ip, f.Locality(slot-1), fmt.Sprintf("--slot=%d", slot), fmt.Sprintf("--slots=%d", f.Size.Cores), "--data="+data)
+}
+
+// Locality is where the nth machine stands.
+func (f *Fleet) Locality(n int) string { return f.Size.Localities[n%len(f.Size.Localities)] }
+
+func (f *Fleet) newSidecar(i int) *Program {
+	ip := f.Site.IP(i)
+	return f.program(fmt.Sprintf("sidecar-%d", i), "sidecar", ip, f.Locality(i), append([]string{"--inquiries=" + at(ip, portInquiries)}, f.Args...)...)
+}
+
+// Inquiries is where clients of the nth machine send.
+func (f *Fleet) Inquiries(n int) string { return at(f.Site.IP(n), portInquiries) }
+
+// Start starts everything, puts the configuration and waits until it is in
+// force and the backends are known everywhere.
+func (f *Fleet) Start(ctx context.Context) error {
+	var wg sync.WaitGroup
+	errs := make(chan error, len(f.Cores)+len(f.Sidecars))
+	for _, p := range append(append([]*Program{}, f.Cores...), f.Sidecars...) {
+		wg.Go(func() { errs <- p.Start() })
+	}
+	wg.Wait()
+	close(errs)
+	for err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	for _, p := range f.Cores {
+		if err := p.Ready(ctx); err != nil {
+			return err
+		}
+	}
+	stamp, err := f.Put(ctx, 0, f.Configuration())
+	if err != nil {
+		return err
+	}
+	for i, svc := range f.Size.Backends {
+		if _, err := f.StartBackend(i, svc, fmt.Sprintf("%s-%d", svc, i), portBackend); err != nil {
+			return err
+		}
+	}
+	for _, p := range f.Sidecars {
+		if err := p.Ready(ctx); err != nil {
+			return err
+		}
+	}
+	return f.AwaitServing(ctx, stamp, len(f.Size.Backends))
+}
+
+// StartBackend starts a backend on the nth machine.
+func (f *Fleet) StartBackend(n int, service, instance string, port int) (*standin.Backend, error) {
+	b := &standin.Backend{Instance: instance, Service: service, Locality: f.Locality(n), Capacity: f.Size.Capacity,
+		Control: f.Sidecars[n].Control, Plans: f.Size.Plans, Ledger: f.Ledger, Client: f.Client}
+	f.Backends = append(f.Backends, b)
+	return b, b.Start(at(f.Site.IP(n), port))
+}
+
+// sidecarNode is what is read of GET /v1/nodes.
+type sidecarNode struct {
+	Address  string `json:"address"`
+	Backends []struct {
+		Instance string `json:"instance"`
+		Leaving  bool   `json:"leaving"`
+	} `json:"backends"`
+}
+
+// AwaitServing waits until every sidecar has a stamp in force and knows of a
+// number of backends that are not leaving.
+func (f *Fleet) AwaitServing(ctx context.Context, stamp uint64, backends int) error {
+	for _, p := range f.Sidecars {
+		if !p.Running() {
+			continue
+		}
+		err := Await(ctx, fmt.Sprintf("%s at stamp %d with %d backends", p.Name, stamp, backends), func(ctx context.Context) bool {
+			var nodes []sidecarNode
+			if _, err := p.Get(ctx, "/v1/nodes", &nodes); err != nil {
+				return false
+			}
+			known := 0
+			for _, n := range nodes {
+				for _, b := range n.Backends {
+					if !b.Leaving {
+						known++
+					}
+				}
+			}
+			at, err := f.Stamp(ctx, p)
+			return err == nil && at >= stamp && known == backends
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Stamp reads the stamp that a sidecar has in force.
+func (f *Fleet) Stamp(ctx context.Context, p *Program) (uint64, error) {
+	var st struct {
+		Stamp uint64 `json:"stamp"`
+	}
+	_, err := p.Get(ctx, "/v1/stats", &st)
+	return st.Stamp, err
+}
+
+// Configuration is the fleet's plans as an operator would put them.
+func (f *Fleet) Configuration() []byte {
+	var ways, contracts []map[string]any
+	for _, p := range f.Size.Plans {
+		ways = append(ways, map[string]any{"name": p.Name, "prefix": p.Prefix, "methods": []string{p.Method}, "service": p.Service, "contract": p.Name, "repeatable": p.Repeatable})
+		contracts = append(contracts, map[string]any{"name": p.Name, "aim": p.Aim.String(), "expiry": p.Expiry.String(), "rank": p.Rank})
+	}
+	b, _ := json.MarshalIndent(map[string]any{"ways": ways, "contracts": contracts}, "", "  ")
+	return b
+}
+
+// Reply is an answer to an operator.
+type Reply struct {
+	Status int
+	Stamp  uint64
+	Taken  string
+	Body   []byte
+}
+
+// Operate sends an operator's request to a core.
+func (f *Fleet) Operate(ctx context.Context, core *Program, method, path string, body []byte, header ...string) (Reply, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+core.Control+path, bytes.NewReader(body))
+	if err != nil {
+		return Reply{}, err
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := f.Client.Do(req)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer resp.Body.Close()
+	r := Reply{Status: resp.StatusCode}
+	if r.Body, err = io.ReadAll(resp.Body); err != nil {
+		return r, err
+	}
+	r.Stamp, _ = strconv.ParseUint(resp.Header.Get("Curlewwalk-Stamp"), 10, 64)
+	var out struct{ Taken string }
+	json.Unmarshal(r.Body, &out)
+	r.Taken = out.Taken
+	return r, nil
+}
+
+// Put puts a configuration to the nth core and returns its stamp.
+func (f *Fleet) Put(ctx context.Context, core int, body []byte) (uint64, error) {
+	r, err := f.Operate(ctx, f.Cores[core], http.MethodPut, "/v1/desired", body)
+	if err == nil && r.Status != http.StatusOK {
+		err = fmt.Errorf("put: status %d %s", r.Status, r.Body)
+	}
+	return r.Stamp, err
+}
+
+// NewCaller makes a client on the nth machine.
+func (f *Fleet) NewCaller(n int, rate float64) *standin.Caller {
+	return &standin.Caller{Name: fmt.Sprintf("caller-%d", n), Addr: f.Inquiries(n), Rate: rate, Plans: f.Size.Plans, Ledger: f.Ledger, Client: f.Client, Seed: uint64(n)}
+}
+
+// Load has clients on all machines send at the fleet's rate until ctx ends.
+func (f *Fleet) Load(ctx context.Context, callers ...*standin.Caller) {
+	var wg sync.WaitGroup
+	for _, c := range callers {
+		wg.Go(func() { c.Run(ctx) })
+	}
+	wg.Wait()
+}
+
+// Callers makes a client for every machine, sharing the fleet's rate.
+func (f *Fleet) Callers() []*standin.Caller {
+	var out []*standin.Caller
+	for i := range f.Sidecars {
+		out = append(out, f.NewCaller(i, f.Size.Rate/float64(len(f.Sidecars))))
+	}
+	return out
+}
+
+// Close ends everything that is still running.
+func (f *Fleet) Close() {
+	for _, b := range f.Backends {
+		b.Kill()
+	}
+	for _, p := range append(append([]*Program{}, f.Sidecars...), f.Cores...) {
+		if p.cmd != nil && p.Running() {
+			p.Kill()
+		}
+	}
+	f.Site.Close()
+	os.RemoveAll(f.Dir)
+}
--- /dev/null
+++ b/proof/fleet/program.go
@@ -0,0 +1,147 @@
+package fleet
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Program is one process of the system.
+type Program struct {
+	Name    string
+	IP      string
+	Control string
+	path    string
+	args    []string
+
+	cmd    *exec.Cmd
+	stderr *tail
+	exited chan struct{}
+}
+
+// tail keeps the end of what a process said.
+type tail struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (t *tail) Write(p []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.b.Len() < 1<<20 {
+		t.b.Write(p)
+	}
+	return len(p), nil
+}
+
+// String is what was said.
+func (t *tail) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.b.String()
+}
+
+// Start starts the process and returns once its addresses stand.
+func (p *Program) Start() error {
+	p.cmd = exec.Command(p.path, p.args...)
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	p.stderr = &tail{}
+	p.cmd.Stderr = p.stderr
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		return err
+	}
+	if err := p.cmd.Start(); err != nil {
+		return err
+	}
+	line, err := bufio.NewReader(out).ReadString('\n')
+	exited := make(chan struct{})
+	p.exited = exited
+	cmd := p.cmd
+	go func() {
+		cmd.Wait()
+		close(exited)
+	}()
+	if err != nil || !strings.HasPrefix(line, "started ") {
+		<-exited
+		return fmt.Errorf("%s did not start: %q %s", p.Name, line, p.stderr)
+	}
+	return nil
+}
+
+// Signal sends a signal to the process.
+func (p *Program) Signal(s syscall.Signal) { p.cmd.Process.Signal(s) }
+
+// Kill ends the process at once.
+func (p *Program) Kill() {
+	p.Signal(syscall.SIGKILL)
+	<-p.exited
+}
+
+// Stop warns the process and returns its exit code once it has ended.
+func (p *Program) Stop() int {
+	p.Signal(syscall.SIGTERM)
+	<-p.exited
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// Running tells whether the process has not ended.
+func (p *Program) Running() bool {
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return p.cmd != nil
+	}
+}
+
+// Said is what the process wrote to its standard error.
+func (p *Program) Said() string { return p.stderr.String() }
+
+// Get reads a JSON page of the process's control address.
+func (p *Program) Get(ctx context.Context, path string, into any) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Control+path, nil)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	if into == nil {
+		return resp.StatusCode, nil
+	}
+	return resp.StatusCode, json.NewDecoder(resp.Body).Decode(into)
+}
+
+// Await asks again and again until ok, or fails when ctx ends.
+func Await(ctx context.Context, what string, ok func(ctx context.Context) bool) error {
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for !ok(ctx) {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("waited in vain for: %s", what)
+		case <-tick.C:
+		}
+	}
+	return nil
+}
+
+// Ready waits until the process says that it is ready.
+func (p *Program) Ready(ctx context.Context) error {
+	return Await(ctx, p.Name+" ready", func(ctx context.Context) bool {
+		status, err := p.Get(ctx, "/ready", nil)
+		return err == nil && status == http.StatusOK
+	})
+}
--- /dev/null
+++ b/proof/fleet/race_on.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package fleet
+
+const race = true
--- /dev/null
+++ b/proof/ledger/ledger.go
@@ -0,0 +1,172 @@
+// Package ledger holds the stand-ins' own records of a run and judges them: it
+// believes nothing that the system says of itself. (DESIGN 14.2)
+package ledger
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Sent is an inquiry that a caller sent.
+type Sent struct {
+	ID         string
+	Cause      string // the inquiry that a backend was working on, if one sent it
+	Caller     string // the calling service, or ""
+	Service    string
+	Digest     string
+	Repeatable bool
+	At         time.Time
+}
+
+// Ran is an inquiry that a backend ran.
+type Ran struct {
+	ID       string
+	Service  string
+	Instance string
+	Locality string
+	Caller   string // as the backend was told
+	Digest   string
+	At       time.Time
+}
+
+// Answered is what a caller got.
+type Answered struct {
+	ID      string
+	Status  int
+	Outcome string
+	// Wrong says what is wrong with the answer, if anything.
+	Wrong string
+	At    time.Time
+}
+
+// Left is a backend that said it was leaving.
+type Left struct {
+	Instance string
+	At       time.Time
+}
+
+// Ledger collects the records of one run.
+type Ledger struct {
+	mu       sync.Mutex
+	sent     map[string]Sent
+	ran      map[string][]Ran
+	answered map[string]Answered
+	left     map[string]time.Time
+	emptied  map[string][]span
+}
+
+type span struct{ from, to time.Time }
+
+// New makes an empty ledger.
+func New() *Ledger {
+	return &Ledger{sent: map[string]Sent{}, ran: map[string][]Ran{}, answered: map[string]Answered{}, left: map[string]time.Time{}, emptied: map[string][]span{}}
+}
+
+func (l *Ledger) with(fn func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	fn()
+}
+
+// Sent records an inquiry before it goes out.
+func (l *Ledger) Sent(s Sent) { l.with(func() { l.sent[s.ID] = s }) }
+
+// Ran records a run as it begins.
+func (l *Ledger) Ran(r Ran) { l.with(func() { l.ran[r.ID] = append(l.ran[r.ID], r) }) }
+
+// Answered records an answer.
+func (l *Ledger) Answered(a Answered) { l.with(func() { l.answered[a.ID] = a }) }
+
+// Left records that a backend's word of leaving was taken.
+func (l *Ledger) Left(x Left) { l.with(func() { l.left[x.Instance] = x.At }) }
+
+// Emptied records that a locality was asked to be emptied; taken back ends it.
+func (l *Ledger) Emptied(locality string, at time.Time) {
+	l.with(func() { l.emptied[locality] = append(l.emptied[locality], span{from: at}) })
+}
+
+// TakenBack records that an emptied locality was asked back.
+func (l *Ledger) TakenBack(locality string, at time.Time) {
+	l.with(func() { s := l.emptied[locality]; s[len(s)-1].to = at })
+}
+
+// Cause tells which inquiry truly caused another.
+func (l *Ledger) Cause(id string) (s Sent, ok bool) {
+	l.with(func() { s, ok = l.sent[id] })
+	return s, ok
+}
+
+// Verdict is a run's judgement.
+type Verdict struct {
+	Sent, Ran, Answered, Good, NotRun, Unknown int
+	// Broken lists what must never happen and did.
+	Broken []string
+}
+
+const (
+	leaveWithin = 2 * time.Second
+	emptyWithin = 5 * time.Second
+)
+
+// Judge checks the records, once all callers have stopped.
+func (l *Ledger) Judge() Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	v := Verdict{Sent: len(l.sent), Answered: len(l.answered)}
+	broken := func(format string, args ...any) { v.Broken = append(v.Broken, fmt.Sprintf(format, args...)) }
+	for id, runs := range l.ran {
+		v.Ran += len(runs)
+		s, ok := l.sent[id]
+		if !ok {
+			broken("%s ran at %s, but nobody sent it", id, runs[0].Instance)
+			continue
+		}
+		if len(runs) > 1 && !s.Repeatable {
+			broken("%s must run once and ran %d times", id, len(runs))
+		}
+		for _, r := range runs {
+			l.judgeRun(s, r, broken)
+		}
+	}
+	for id, a := range l.answered {
+		switch {
+		case a.Outcome == "not-run":
+			v.NotRun++
+			if n := len(l.ran[id]); n > 0 {
+				broken("%s was promised not to have run and ran %d times", id, n)
+			}
+		case a.Outcome != "":
+			v.Unknown++
+		default:
+			v.Good++
+			if len(l.ran[id]) == 0 {
+				broken("%s got an answer and never ran", id)
+			}
+		}
+		if a.Wrong != "" {
+			broken("%s got a wrong answer: %s", id, a.Wrong)
+		}
+	}
+	return v
+}
+
+func (l *Ledger) judgeRun(s Sent, r Ran, broken func(string, ...any)) {
+	if r.Service != s.Service {
+		broken("%s was for %s and ran at %s of %s", s.ID, s.Service, r.Instance, r.Service)
+	}
+	if r.Digest != s.Digest {
+		broken("%s was altered on its way", s.ID)
+	}
+	if r.Caller != s.Caller {
+		broken("%s was sent by %q and told to be by %q", s.ID, s.Caller, r.Caller)
+	}
+	if at, ok := l.left[r.Instance]; ok && r.At.Sub(at) > leaveWithin {
+		broken("%s ran at %s %v after it had left", s.ID, r.Instance, r.At.Sub(at))
+	}
+	for _, e := range l.emptied[r.Locality] {
+		if r.At.Sub(e.from) > emptyWithin && (e.to.IsZero() || r.At.Before(e.to)) {
+			broken("%s ran in %s %v after it was to be emptied", s.ID, r.Locality, r.At.Sub(e.from))
+		}
+	}
+}
--- /dev/null
+++ b/proof/standin/backend.go
@@ -0,0 +1,194 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"curlewwalk/proof/ledger"
+)
+
+// Backend is one backend instance on a machine.
+type Backend struct {
+	Instance string
+	Service  string
+	Locality string
+	Capacity int
+	// Share is what it says of its warm-up; zero means warm.
+	Share   float64
+	Control string // the sidecar's control address
+	Plans   []Plan
+	Ledger  *ledger.Ledger
+	Client  *http.Client
+	// Handle, if set, takes the place of the ordinary behaviour.
+	Handle http.Handler
+
+	ln       net.Listener
+	srv      *http.Server
+	outgoing atomic.Value
+	open     atomic.Int64
+	Peak     atomic.Int64
+	Runs     atomic.Int64
+	stop     context.CancelFunc
+	done     chan struct{}
+	leaving  atomic.Bool
+	serial   atomic.Int64
+}
+
+// Start listens on addr and announces itself until stopped.
+func (b *Backend) Start(addr string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	b.ln = ln
+	h := b.Handle
+	if h == nil {
+		h = http.HandlerFunc(b.serve)
+	}
+	b.srv = &http.Server{Handler: h}
+	ctx, cancel := context.WithCancel(context.Background())
+	b.stop, b.done = cancel, make(chan struct{})
+	go b.srv.Serve(ln)
+	go b.announceLoop(ctx)
+	return nil
+}
+
+// Addr is where the backend listens.
+func (b *Backend) Addr() string { return b.ln.Addr().String() }
+
+// Kill ends the backend at once, cutting what is open.
+func (b *Backend) Kill() {
+	b.stop()
+	b.srv.Close()
+	<-b.done
+}
+
+// Leave says that the backend is leaving.
+func (b *Backend) Leave(ctx context.Context) error {
+	b.leaving.Store(true)
+	if err := b.announce(ctx); err != nil {
+		return err
+	}
+	b.Ledger.Left(ledger.Left{Instance: b.Instance, At: time.Now()})
+	return nil
+}
+
+func (b *Backend) announceLoop(ctx context.Context) {
+	defer close(b.done)
+	tick := time.NewTicker(500 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		call, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
+		b.announce(call)
+		cancel()
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// announce tells the sidecar once.
+func (b *Backend) announce(ctx context.Context) error {
+	a := map[string]any{"instance": b.Instance, "service": b.Service, "address": b.Addr(), "locality": b.Locality,
+		"capacity": b.Capacity, "leaving": b.leaving.Load()}
+	if b.Share > 0 {
+		a["warmup"] = map[string]any{"share": b.Share}
+	}
+	body, _ := json.Marshal(a)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.Control+"/v1/backends", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := b.Client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	var got struct {
+		Outgoing string `json:"outgoing"`
+	}
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("announcement: status %d", resp.StatusCode)
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&got); err != nil {
+		return err
+	}
+	b.outgoing.Store(got.Outgoing)
+	return nil
+}
+
+// serve runs an inquiry: records it, works, makes its inner calls, answers.
+func (b *Backend) serve(w http.ResponseWriter, r *http.Request) {
+	n := b.open.Add(1)
+	defer b.open.Add(-1)
+	for old := b.Peak.Load(); n > old && !b.Peak.CompareAndSwap(old, n); old = b.Peak.Load() {
+	}
+	b.Runs.Add(1)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	id := r.Header.Get(headerID)
+	b.Ledger.Ran(ledger.Ran{ID: id, Service: b.Service, Instance: b.Instance, Locality: b.Locality, Caller: r.Header.Get("Curlewwalk-Caller"),
+		Digest: digest(r.Method, r.RequestURI, r.Header, body), At: time.Now()})
+	p, ok := match(b.Plans, r.Method, r.URL.Path)
+	if !ok {
+		w.WriteHeader(http.StatusTeapot)
+		return
+	}
+	work := p.Work/2 + time.Duration(rand.Int64N(int64(p.Work)+1))
+	wait(r.Context(), work/2)
+	for _, name := range p.Calls {
+		b.call(r.Context(), id, name)
+	}
+	wait(r.Context(), work/2)
+	answer := filler(id+b.Instance, 200+int(n)*10)
+	w.Header().Set("X-Proof-Instance", b.Instance)
+	w.Header().Set(headerID, id)
+	w.Header().Set(headerDigest, digest("", "", w.Header(), answer))
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	w.WriteHeader(http.StatusOK)
+	w.Write(answer)
+}
+
+// call makes one inner call through the address that the sidecar gave.
+func (b *Backend) call(ctx context.Context, cause, name string) {
+	addr, _ := b.outgoing.Load().(string)
+	if addr == "" {
+		return
+	}
+	for _, p := range b.Plans {
+		if p.Name == name {
+			send(ctx, b.Client, b.Ledger, addr, p, b.Service, cause, fmt.Sprintf("%s/%s-%d", cause, b.Instance, b.serial.Add(1)))
+		}
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func match(plans []Plan, method, path string) (Plan, bool) {
+	for _, p := range plans {
+		if p.Method == method && len(path) >= len(p.Prefix) && path[:len(p.Prefix)] == p.Prefix {
+			return p, true
+		}
+	}
+	return Plan{}, false
+}
--- /dev/null
+++ b/proof/standin/plan.go
@@ -0,0 +1,23 @@
+package standin
+
+import "time"
+
+// Plan is how one kind of inquiry behaves in a fleet.
+type Plan struct {
+	Name       string
+	Method     string
+	Prefix     string
+	Service    string
+	Repeatable bool
+	Aim        time.Duration
+	Expiry     time.Duration
+	Rank       int
+	// Share is its part of what clients send; zero is for inner calls only.
+	Share float64
+	// Work is how long a backend works on it, about.
+	Work time.Duration
+	// Calls names the plans of the inner calls that a run makes.
+	Calls []string
+	// Body is how large the inquiry's body is, about.
+	Body int
+}
--- /dev/null
+++ b/register/ballot.go
@@ -0,0 +1,24 @@
+package register
+
+import "curlewwalk/desired"
+
+// Act is what a ballot asks of a voter.
+type Act string
+
+// The acts.
+const (
+	Prepare Act = "prepare"
+	Propose Act = "propose"
+	Settle  Act = "settle"
+	Read    Act = "read"
+	Sit     Act = "sit"
+)
+
+// Ballot is a message to a voter.
+type Ballot struct {
+	From  From         `msgpack:"f"`
+	Act   Act          `msgpack:"a"`
+	Epoch uint64       `msgpack:"e"`
+	Mark  Mark         `msgpack:"m"`
+	Word  desired.Word `msgpack:"w"`
+}
--- /dev/null
+++ b/register/keeper.go
@@ -0,0 +1,353 @@
+package register
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"curlewwalk/desired"
+	"curlewwalk/launch"
+	"curlewwalk/wire"
+)
+
+// The kinds on the wire.
+const (
+	KindBallot = "ballot"
+	KindOrder  = "order"
+)
+
+const (
+	tickEvery  = 50 * time.Millisecond  // (ours)
+	seatEvery  = 300 * time.Millisecond // how often an empty core tries for its seat (ours)
+	voteLimit  = 2 * time.Second        // (ours)
+	orderLimit = 3 * time.Second        // how long an order may take (ours)
+)
+
+// Peers reaches the other slots.
+type Peers interface {
+	// Addr finds the core that sits, or would sit, in a slot.
+	Addr(slot int) (string, bool)
+	// OnDuty tells whether this core is the first live one in the agreed order.
+	OnDuty() bool
+}
+
+// Keeper runs the voter and the clerk of one core on one thread, next to its
+// disk. (DESIGN 6)
+type Keeper struct {
+	Net      *wire.Net
+	Launcher *launch.Launcher
+	Log      *slog.Logger
+	Peers    Peers
+	// Settled is told of each newly settled word.
+	Settled func(ctx context.Context, w desired.Word)
+
+	box    *launch.Mailbox
+	disk   *Disk
+	voter  Voter
+	clerk  *Clerk
+	start  time.Time
+	orders map[uint64]chan<- Answer
+	seated time.Duration
+	shown  atomic.Pointer[Voter]
+	told   uint64
+}
+
+type (
+	msgBallot struct {
+		b     Ballot
+		reply chan<- *Vote
+	}
+	msgOrder struct {
+		o     Order
+		reply chan<- Answer
+	}
+	msgVote  struct{ v Vote }
+	msgReads struct {
+		votes map[int]Vote
+	}
+	msgSits struct {
+		self  From
+		votes map[int]Vote
+	}
+	msgTick struct{}
+)
+
+// NewKeeper loads the voter from disk and starts the keeper's actor.
+func NewKeeper(l *launch.Launcher, d *Disk, slot, slots int) (*Keeper, error) {
+	v, err := d.Load(slot, slots)
+	if err != nil {
+		return nil, err
+	}
+	k := &Keeper{Launcher: l, disk: d, voter: v, start: time.Now(), orders: map[uint64]chan<- Answer{}}
+	k.clerk = &Clerk{Self: v.Self, Slots: slots}
+	k.show()
+	k.box = l.Spawn("keeper", k.on)
+	return k, nil
+}
+
+// Run keeps time until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			k.box.Send(ctx, msgTick{})
+		}
+	}
+}
+
+// Voter shows the voter as it stands.
+func (k *Keeper) Voter() Voter { return *k.shown.Load() }
+
+// Ballot handles a ballot from the wire.
+func (k *Keeper) Ballot(ctx context.Context, in wire.Inquiry) (any, string) {
+	var b Ballot
+	if !in.Into(&b) {
+		return nil, "not a ballot"
+	}
+	if v := k.vote(ctx, b); v != nil {
+		return v, ""
+	}
+	return nil, "the disk does not take it"
+}
+
+func (k *Keeper) vote(ctx context.Context, b Ballot) *Vote {
+	ctx, cancel := context.WithTimeout(ctx, voteLimit)
+	defer cancel()
+	v, _ := launch.Ask(ctx, k.box, func(r chan<- *Vote) any { return msgBallot{b, r} })
+	return v
+}
+
+// Order handles an order that another core passed on.
+func (k *Keeper) Order(ctx context.Context, in wire.Inquiry) (any, string) {
+	var o Order
+	if !in.Into(&o) {
+		return nil, "not an order"
+	}
+	return k.Write(ctx, o), ""
+}
+
+// Write carries an order out on this core.
+func (k *Keeper) Write(ctx context.Context, o Order) Answer {
+	o.ID = rand.Uint64()
+	o.Until = time.Since(k.start) + orderLimit
+	ctx, cancel := context.WithTimeout(ctx, orderLimit+time.Second)
+	defer cancel()
+	if a, ok := launch.Ask(ctx, k.box, func(r chan<- Answer) any { return msgOrder{o, r} }); ok {
+		return a
+	}
+	return Answer{Result: Unknown}
+}
+
+// ReadBack reads the newest word from a majority, and has it mended first if
+// the majority does not hold it yet. (DESIGN 6.4)
+func (k *Keeper) ReadBack(ctx context.Context, refresh func(ctx context.Context) Answer) (desired.Word, bool) {
+	self := k.Voter()
+	votes := Counted(k.gather(ctx, Ballot{From: self.Self, Act: Read}, true))
+	if len(votes) < Majority(self.Slots) {
+		return desired.Word{}, false
+	}
+	var top Vote
+	same := 0
+	for _, v := range votes {
+		if c := top.Mark.Compare(v.Mark); c < 0 {
+			top, same = v, 1
+		} else if c == 0 {
+			same++
+			top.Settled = max(top.Settled, v.Settled)
+		}
+	}
+	if same >= Majority(self.Slots) || top.Settled == top.Mark.Stamp {
+		return top.Word, true
+	}
+	a := refresh(ctx)
+	return a.Word, a.Result == Taken
+}
+
+// Catch copies a settled word that another core is known to have.
+func (k *Keeper) Catch(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, voteLimit)
+	defer cancel()
+	var v Vote
+	self := k.Voter().Self
+	if k.Net.Call(ctx, addr, wire.Control, KindBallot, Ballot{From: self, Act: Read}).Into(&v) && v.Settled == v.Mark.Stamp {
+		k.vote(ctx, Ballot{From: self, Act: Settle, Epoch: v.Mark.Epoch, Mark: v.Mark, Word: v.Word})
+	}
+}
+
+// gather puts a ballot to all slots and returns the votes that came in time,
+// or the first majority if that is enough.
+func (k *Keeper) gather(ctx context.Context, b Ballot, enough bool) map[int]Vote {
+	ctx, cancel := context.WithTimeout(ctx, voteLimit/2)
+	defer cancel()
+	slots := k.Voter().Slots
+	in := make(chan *Vote, slots)
+	for s := 1; s <= slots; s++ {
+		k.Launcher.Go(ctx, "gather", func(ctx context.Context) { in <- k.put(ctx, s, b) })
+	}
+	votes := map[int]Vote{}
+	for range slots {
+		if v := <-in; v != nil {
+			votes[v.From.Slot] = *v
+		}
+		if enough && len(Counted(votes)) >= Majority(slots) {
+			break
+		}
+	}
+	return votes
+}
+
+// put brings a ballot to one slot.
+func (k *Keeper) put(ctx context.Context, slot int, b Ballot) *Vote {
+	if slot == k.Voter().Self.Slot {
+		return k.vote(ctx, b)
+	}
+	addr, ok := k.Peers.Addr(slot)
+	if !ok {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, voteLimit)
+	defer cancel()
+	var v Vote
+	if k.Net.Call(ctx, addr, wire.Control, KindBallot, b).Into(&v) && v.From.Slot == slot {
+		return &v
+	}
+	return nil
+}
+
+func (k *Keeper) on(ctx context.Context, msg any) {
+	now := time.Since(k.start)
+	switch m := msg.(type) {
+	case msgBallot:
+		m.reply <- k.take(ctx, m.b)
+	case msgOrder:
+		if k.voter.Phase != Established {
+			m.reply <- Answer{Result: NotTaken}
+			return
+		}
+		k.orders[m.o.ID] = m.reply
+		k.obey(ctx, k.clerk.Take(m.o, now))
+	case msgVote:
+		k.obey(ctx, k.clerk.Hear(m.v, now))
+	case msgReads:
+		k.tryBirth(ctx, m.votes)
+	case msgSits:
+		if next, ok := k.voter.Seated(m.self, m.votes); ok && k.save(next) {
+			k.Log.Info("took the seat", "slot", m.self.Slot, "incarnation", m.self.Inc, "stamp", next.Mark.Stamp)
+			k.tell(ctx)
+		}
+	case msgTick:
+		k.tick(ctx, now)
+	}
+}
+
+func (k *Keeper) tick(ctx context.Context, now time.Duration) {
+	if k.voter.Phase != Established {
+		if now-k.seated >= seatEvery || k.seated == 0 {
+			k.seated = now
+			k.Launcher.Go(ctx, "look-for-seat", func(ctx context.Context) {
+				k.box.Send(ctx, msgReads{k.others(ctx, Ballot{From: k.Voter().Self, Act: Read})})
+			})
+		}
+		return
+	}
+	k.clerk.known = max(k.clerk.known, k.voter.Promised)
+	// A word that no majority is known to hold is made sure of by the core on
+	// duty: after a cold start, or when a clerk stopped half way.
+	if k.voter.Mark.Stamp > k.voter.Settled && len(k.orders) == 0 && k.Peers.OnDuty() && now-k.seated >= seatEvery {
+		k.seated = now
+		o := Order{ID: rand.Uint64(), Kind: Refresh, Until: now + orderLimit}
+		k.orders[o.ID] = make(chan Answer, 1)
+		k.obey(ctx, k.clerk.Take(o, now))
+	}
+	k.obey(ctx, k.clerk.Tick(now))
+}
+
+func (k *Keeper) others(ctx context.Context, b Ballot) map[int]Vote {
+	votes := k.gather(ctx, b, false)
+	delete(votes, k.Voter().Self.Slot)
+	return votes
+}
+
+func (k *Keeper) tryBirth(ctx context.Context, votes map[int]Vote) {
+	if k.voter.Phase == Established {
+		return
+	}
+	if next, ok := k.voter.Born(votes); ok {
+		if k.save(next) {
+			k.Log.Info("born", "slot", next.Self.Slot, "slots", next.Slots)
+		}
+		return
+	}
+	self := k.voter.Claimant(votes)
+	established := 0
+	for _, v := range votes {
+		if v.Phase == Established {
+			established++
+		}
+	}
+	if established < Majority(k.voter.Slots) {
+		return
+	}
+	k.Launcher.Go(ctx, "sit", func(ctx context.Context) {
+		k.box.Send(ctx, msgSits{self, k.others(ctx, Ballot{From: self, Act: Sit})})
+	})
+}
+
+// take puts a ballot to the own voter. The vote is only sent when what it
+// stands for is on disk.
+func (k *Keeper) take(ctx context.Context, b Ballot) *Vote {
+	next, vote := k.voter.On(b)
+	if !k.save(next) {
+		return nil
+	}
+	k.tell(ctx)
+	return &vote
+}
+
+func (k *Keeper) save(next Voter) bool {
+	if err := k.disk.Save(next); err != nil {
+		k.Log.Error("the disk does not take the register", "error", err)
+		return false
+	}
+	k.voter = next
+	k.clerk.Self = next.Self
+	k.show()
+	return true
+}
+
+func (k *Keeper) show() {
+	v := k.voter
+	k.shown.Store(&v)
+}
+
+// tell passes a newly settled word on.
+func (k *Keeper) tell(ctx context.Context) {
+	if v := k.voter; v.Settled > k.told && v.Settled == v.Mark.Stamp {
+		k.told = v.Settled
+		k.Settled(ctx, v.Word)
+	}
+}
+
+func (k *Keeper) obey(ctx context.Context, outs []Outcome) {
+	for _, o := range outs {
+		if o.Answer != nil {
+			if reply, ok := k.orders[o.Answer.ID]; ok {
+				reply <- *o.Answer
+				delete(k.orders, o.Answer.ID)
+			}
+		}
+		for _, s := range o.To {
+			k.Launcher.Go(ctx, "ballot", func(ctx context.Context) {
+				if v := k.put(ctx, s, *o.Ballot); v != nil {
+					k.box.Send(ctx, msgVote{*v})
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/register/mark.go
@@ -0,0 +1,17 @@
+// Package register holds the operator's word on the cores: voters that keep
+// it, and the clerk of the duty core that writes it. Both are plain decision
+// values. (DESIGN 6)
+package register
+
+import "cmp"
+
+// Mark orders accepted words: by the epoch that wrote them, then by stamp.
+type Mark struct {
+	Epoch uint64 `msgpack:"e"`
+	Stamp uint64 `msgpack:"s"`
+}
+
+// Compare orders two marks.
+func (m Mark) Compare(o Mark) int {
+	return cmp.Or(cmp.Compare(m.Epoch, o.Epoch), cmp.Compare(m.Stamp, o.Stamp))
+}
--- /dev/null
+++ b/register/order.go
@@ -0,0 +1,27 @@
+package register
+
+import "time"
+
+// OrderKind is what an operator wants done to the word.
+type OrderKind string
+
+// The kinds. Refresh changes nothing: it makes sure that the newest word is
+// held by a majority.
+const (
+	Put      OrderKind = "put"
+	Empty    OrderKind = "empty"
+	TakeBack OrderKind = "take-back"
+	Refresh  OrderKind = "refresh"
+)
+
+// Order is one operator's write for the clerk.
+type Order struct {
+	ID       uint64        `msgpack:"i"`
+	Kind     OrderKind     `msgpack:"k"`
+	Bytes    []byte        `msgpack:"b"`
+	Locality string        `msgpack:"l"`
+	IfMatch  *uint64       `msgpack:"m"`
+	Until    time.Duration `msgpack:"-"`
+	// proposed is the mark under which the order went out, if it did.
+	proposed Mark
+}
--- /dev/null
+++ b/relay/counts.go
@@ -0,0 +1,27 @@
+package relay
+
+import "sync/atomic"
+
+// Counts are a side's running totals, for /v1/stats.
+type Counts struct {
+	// Open is how many are under way now.
+	Open                                                    atomic.Int64
+	Inquiries, Answered, NotRun, Unknown, ExtraLegs, Joined atomic.Int64
+}
+
+// Totals is a reading of Counts.
+type Totals struct {
+	Open      int64 `json:"open"`
+	Inquiries int64 `json:"inquiries"`
+	Answered  int64 `json:"answered"`
+	NotRun    int64 `json:"not_run"`
+	Unknown   int64 `json:"unknown"`
+	ExtraLegs int64 `json:"extra_legs"`
+	Joined    int64 `json:"joined"`
+}
+
+// Read takes a reading.
+func (c *Counts) Read() Totals {
+	return Totals{Open: c.Open.Load(), Inquiries: c.Inquiries.Load(), Answered: c.Answered.Load(), NotRun: c.NotRun.Load(),
+		Unknown: c.Unknown.Load(), ExtraLegs: c.ExtraLegs.Load(), Joined: c.Joined.Load()}
+}
--- /dev/null
+++ b/relay/far.go
@@ -0,0 +1,209 @@
+package relay
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"curlewwalk/launch"
+	"curlewwalk/lineage"
+	"curlewwalk/roster"
+	"curlewwalk/trace"
+	"curlewwalk/way"
+	"curlewwalk/wire"
+)
+
+// Far is the executor beside the backend. It alone admits. (DESIGN 9)
+type Far struct {
+	Boot    uint64
+	Roster  func() roster.Roster
+	Table   func() *way.Table
+	Queue   *trace.Queue
+	Lineage *lineage.Keeper
+	// Draining tells whether new legs are still taken.
+	Draining func() bool
+	Counts   Counts
+
+	ledger *ledger
+	client http.RoundTripper
+}
+
+// NewFar makes the far side and starts its ledger.
+func NewFar(ctx context.Context, l *launch.Launcher) *Far {
+	f := &Far{ledger: newLedger()}
+	l.Go(ctx, "ledger", f.ledger.run)
+	// One connection a leg: no hidden second try on a reused one. Nothing is
+	// added, unpacked or followed. (DESIGN 10.1)
+	f.client = &http.Transport{DialContext: dialGuarded, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: 1 << 20}
+	return f
+}
+
+// Leg handles a leg.
+func (f *Far) Leg(ctx context.Context, in wire.Inquiry) (any, string) {
+	var leg Leg
+	if !in.Into(&leg) {
+		return nil, "not a leg"
+	}
+	f.Counts.Inquiries.Add(1)
+	f.Counts.Open.Add(1)
+	defer f.Counts.Open.Add(-1)
+	span, traced := trace.From(ctx)
+	note := trace.Event{Way: leg.Way, Service: leg.Service, Caller: leg.Caller, Instance: leg.Instance, Leg: leg.N}
+	if !traced {
+		span = trace.Root() // an untraced peer is served all the same
+	}
+	ctx, cancel := context.WithTimeout(trace.With(context.WithoutCancel(ctx), span), leg.Left)
+	defer cancel()
+	f.Queue.Put(span, trace.ServerReceive, note)
+	rc := f.carry(ctx, leg, span)
+	note.Status, note.Outcome = rc.Status, string(rc.Fate)
+	f.Queue.Put(span, trace.ServerSend, note)
+	switch rc.Fate {
+	case way.Answered:
+		f.Counts.Answered.Add(1)
+	case way.NotRun:
+		f.Counts.NotRun.Add(1)
+	default:
+		f.Counts.Unknown.Add(1)
+	}
+	return rc, ""
+}
+
+// Recall handles a recall.
+func (f *Far) Recall(ctx context.Context, in wire.Inquiry) (any, string) {
+	var q Recall
+	if !in.Into(&q) {
+		return nil, "not a recall"
+	}
+	rc := LegReceipt{ID: q.ID, Fate: way.Unknown, Reason: "it was begun, or begun before a restart"}
+	if ask(ctx, f.ledger.refuse, q.ID) && q.Boot == f.Boot {
+		rc.Fate, rc.Reason = way.NotRun, "recalled before it was begun"
+	}
+	return rc, ""
+}
+
+// check asks the gate. It is asked first, and again before the write.
+func (f *Far) check(ctx context.Context, leg *Leg) (roster.Entry, roster.Refusal) {
+	switch {
+	case leg.Boot != f.Boot:
+		return roster.Entry{}, roster.WrongBoot
+	case ctx.Err() != nil:
+		return roster.Entry{}, roster.Expired
+	}
+	return f.Roster().Check(roster.Ask{Service: leg.Service, Instance: leg.Instance}, f.Table().Emptied, time.Now())
+}
+
+func (f *Far) carry(ctx context.Context, leg Leg, span trace.Span) LegReceipt {
+	refuse := func(why roster.Refusal, open int64) LegReceipt {
+		// A leg that was begun is over; one that was not must never begin.
+		ask(context.WithoutCancel(ctx), f.ledger.refuse, leg.ID)
+		return LegReceipt{ID: leg.ID, Fate: way.NotRun, Reason: string(why), Open: int(open)}
+	}
+	if f.Draining() {
+		return refuse(roster.Draining, 0)
+	}
+	e, why := f.check(ctx, &leg)
+	if why != roster.Open {
+		return refuse(why, 0)
+	}
+	give, ok := e.Take(time.Now())
+	if !ok {
+		return refuse(roster.Full, e.Desk.Open())
+	}
+	defer give()
+	if !ask(ctx, f.ledger.begin, leg.ID) {
+		if ctx.Err() != nil {
+			return refuse(roster.Expired, 0)
+		}
+		return LegReceipt{ID: leg.ID, Fate: way.Unknown, Reason: "this leg came before"}
+	}
+	shut := roster.Open
+	g := &guard{open: func() bool {
+		now, reason := f.check(ctx, &leg)
+		if reason == roster.Open && now.Address != e.Address {
+			reason = roster.NoBackend
+		}
+		shut = reason
+		return reason == roster.Open
+	}}
+	f.Lineage.Enter(ctx, lineage.Open{Span: span, Service: leg.Service, Way: leg.Way, Since: time.Now(), Expiry: deadline(ctx)})
+	defer f.Lineage.Leave(context.WithoutCancel(ctx), span.ID)
+	rc := f.exchange(context.WithValue(ctx, guardKey{}, g), e, &leg, span)
+	if rc.Fate == way.Unknown && !g.wrote.Load() {
+		rc.Fate, rc.Reason = way.NotRun, cmp.Or(string(shut), rc.Reason)
+	}
+	rc.ID, rc.Open = leg.ID, int(e.Desk.Open())
+	return rc
+}
+
+func deadline(ctx context.Context) time.Time {
+	t, _ := ctx.Deadline()
+	return t
+}
+
+// exchange puts the inquiry to the backend and reads its whole answer.
+func (f *Far) exchange(ctx context.Context, e roster.Entry, leg *Leg, span trace.Span) LegReceipt {
+	unknown := func(reason string) LegReceipt {
+		if ctx.Err() != nil {
+			reason = string(roster.Expired)
+		}
+		return LegReceipt{Fate: way.Unknown, Reason: reason}
+	}
+	req := backendRequest(ctx, e.Address, leg)
+	trace.WriteB3(req.Header, span)
+	if leg.Caller != "" {
+		req.Header.Set(HeaderCaller, leg.Caller)
+	}
+	resp, err := f.client.RoundTrip(req)
+	if err != nil {
+		return unknown("backend: " + cause(err))
+	}
+	defer resp.Body.Close()
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed && leg.Method != http.MethodHead {
+		// Its end is only the connection's end, which a dying backend has too.
+		return unknown("backend's answer does not tell its length")
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
+	switch {
+	case err != nil:
+		return unknown("backend's answer was cut short")
+	case len(body) > MaxBody:
+		return unknown("backend's answer is too large")
+	case resp.StatusCode == http.StatusSwitchingProtocols:
+		return unknown("backend switched protocols")
+	}
+	h := endToEnd(resp.Header)
+	if leg.Method == http.MethodHead && resp.Header.Get("Content-Length") != "" {
+		h["Content-Length"] = resp.Header["Content-Length"]
+	}
+	h.Del(HeaderOutcome) // only ours may promise
+	return LegReceipt{Fate: way.Answered, Status: resp.StatusCode, Header: h, Body: body}
+}
+
+// backendRequest rebuilds the client's request as it was.
+func backendRequest(ctx context.Context, addr string, leg *Leg) *http.Request {
+	req := &http.Request{Method: leg.Method, URL: target(addr, leg.URI), Host: leg.Host, Header: leg.Header.Clone(), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
+	if req.Header == nil {
+		req.Header = http.Header{}
+	}
+	if _, ok := req.Header["User-Agent"]; !ok {
+		req.Header["User-Agent"] = nil // net/http would add its own
+	}
+	if len(leg.Body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(leg.Body))
+		req.ContentLength = int64(len(leg.Body))
+	}
+	return req.WithContext(ctx)
+}
+
+// cause is the innermost reason of a transport's error.
+func cause(err error) string {
+	for next := err; next != nil; next = errors.Unwrap(next) {
+		err = next
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/relay/leg.go
@@ -0,0 +1,52 @@
+// Package relay carries inquiries: the near side asks the decision object and
+// obeys, the far side passes legs through the gate to the backend. (DESIGN 4, 10)
+package relay
+
+import (
+	"net/http"
+	"time"
+
+	"curlewwalk/way"
+)
+
+// KindLeg and KindRecall are kinds on the wire.
+const (
+	KindLeg    = "leg"
+	KindRecall = "recall"
+)
+
+// Leg is one attempt of an inquiry, as the near sidecar sends it.
+type Leg struct {
+	// ID is unique to the leg; the far sidecar never runs one twice.
+	ID       string        `msgpack:"id"`
+	N        int           `msgpack:"n"`
+	Service  string        `msgpack:"s"`
+	Instance string        `msgpack:"i"`
+	Boot     uint64        `msgpack:"bt"`
+	Way      string        `msgpack:"w"`
+	Left     time.Duration `msgpack:"l"`
+	Caller   string        `msgpack:"c,omitempty"`
+	Method   string        `msgpack:"m"`
+	URI      string        `msgpack:"u"`
+	Host     string        `msgpack:"h"`
+	Header   http.Header   `msgpack:"hd"`
+	Body     []byte        `msgpack:"b"`
+}
+
+// LegReceipt is what the far sidecar tells of a leg.
+type LegReceipt struct {
+	ID     string      `msgpack:"id"`
+	Fate   way.Fate    `msgpack:"f"`
+	Reason string      `msgpack:"r,omitempty"`
+	Status int         `msgpack:"s"`
+	Header http.Header `msgpack:"h"`
+	Body   []byte      `msgpack:"b"`
+	// Open is how many inquiries the backend has open.
+	Open int `msgpack:"o"`
+}
+
+// Recall asks a far sidecar, in one incarnation of it, to let a leg never run.
+type Recall struct {
+	ID   string `msgpack:"id"`
+	Boot uint64 `msgpack:"bt"`
+}
--- /dev/null
+++ b/relay/limits.go
@@ -0,0 +1,15 @@
+package relay
+
+import "time"
+
+const (
+	// MaxBody bounds the body of an inquiry and of an answer.
+	MaxBody = 16 << 20 // (ours)
+	// recallFor is how long a leg's fate is asked for after it was lost.
+	recallFor = 300 * time.Millisecond // (ours)
+	// grace is what the far side gets back from to answer before the near side
+	// stops listening.
+	grace = 20 * time.Millisecond // (ours)
+	// shunFor is how long a target that failed is left out.
+	shunFor = time.Second // (ours)
+)
--- /dev/null
+++ b/relay/near.go
@@ -0,0 +1,250 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"curlewwalk/claim"
+	"curlewwalk/cohort"
+	"curlewwalk/desired"
+	"curlewwalk/launch"
+	"curlewwalk/lineage"
+	"curlewwalk/roster"
+	"curlewwalk/trace"
+	"curlewwalk/way"
+	"curlewwalk/wire"
+)
+
+// Near is the executor beside the caller.
+type Near struct {
+	Addr     string
+	Locality string
+	Table    func() *way.Table
+	View     func() *cohort.View
+	Net      *wire.Net
+	Launcher *launch.Launcher
+	Queue    *trace.Queue
+	Lineage  *lineage.Keeper
+	Claims   *claim.Claims[Receipt]
+	// Life ends when the node must stop at once.
+	Life context.Context
+	// Draining tells whether new inquiries are still taken.
+	Draining func() bool
+	Counts   Counts
+}
+
+// inquiry is one client's request on its way.
+type inquiry struct {
+	caller   string
+	way      desired.Way
+	contract desired.Contract
+	expiry   time.Time
+	span     trace.Span
+	cause    lineage.Cause
+	traced   bool // the client itself sent identifiers
+	leg      Leg
+}
+
+// Handler serves inquiries of one caller: a backend service, or "" for clients.
+func (n *Near) Handler(caller string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.serve(caller, r).write(w, r.Method)
+	})
+}
+
+func (n *Near) serve(caller string, r *http.Request) Receipt {
+	n.Counts.Inquiries.Add(1)
+	n.Counts.Open.Add(1)
+	defer n.Counts.Open.Add(-1)
+	// Calls of the own backends belong to inquiries that were handed over.
+	if caller == "" && n.Draining() {
+		return n.count(ownReceipt(http.StatusServiceUnavailable, way.NotRun, "this node is stopping", "", time.Second))
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, MaxBody))
+	var big *http.MaxBytesError
+	switch {
+	case errors.As(err, &big):
+		return n.count(ownReceipt(http.StatusRequestEntityTooLarge, way.NotRun, fmt.Sprintf("body is over %d bytes", MaxBody), "", 0))
+	case err != nil:
+		return n.count(ownReceipt(http.StatusBadRequest, way.NotRun, "body was cut short", "", 0))
+	}
+	if target("", r.RequestURI).RequestURI() != r.RequestURI {
+		return n.count(ownReceipt(http.StatusBadRequest, way.NotRun, "this path can't be passed on as it is", "", 0))
+	}
+	q := inquiry{caller: caller}
+	var ok bool
+	if q.way, q.contract, ok = n.Table().Match(r.Host, r.URL.Path, r.Method); !ok {
+		return n.count(ownReceipt(http.StatusNotFound, way.NotRun, "no way takes this inquiry", "", 0))
+	}
+	h := endToEnd(r.Header)
+	h.Del(HeaderCaller)
+	q.leg = Leg{Service: q.way.Service, Way: q.way.Name, Caller: caller, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h, Body: body}
+	// The client's going away stops nothing: the inquiry was handed over.
+	ctx := context.WithoutCancel(r.Context())
+	n.begin(ctx, &q, r.Header)
+	ctx, cancel := context.WithDeadline(trace.With(ctx, q.span), q.expiry)
+	defer cancel()
+	rc := n.claimed(ctx, &q, r.Header.Get(HeaderKey))
+	if q.traced {
+		rc.Header = rc.Header.Clone()
+		trace.WriteB3(rc.Header, q.span)
+	}
+	return n.count(rc)
+}
+
+func (n *Near) count(r Receipt) Receipt {
+	switch r.Fate {
+	case way.Answered:
+		n.Counts.Answered.Add(1)
+	case way.NotRun:
+		n.Counts.NotRun.Add(1)
+	default:
+		n.Counts.Unknown.Add(1)
+	}
+	return r
+}
+
+// begin ties the inquiry to its cause and opens its span. (DESIGN 2.5)
+func (n *Near) begin(ctx context.Context, q *inquiry, h http.Header) {
+	told, traced := trace.ReadB3(h)
+	q.traced = traced
+	q.expiry = time.Now().Add(q.contract.Expiry.Duration)
+	if q.caller != "" {
+		q.cause = n.Lineage.Link(ctx, q.caller, q.way.Name, told)
+		if e := q.cause.Expiry; !e.IsZero() && e.Before(q.expiry) {
+			q.expiry = e
+		}
+	}
+	switch {
+	case !q.cause.Parent.IsZero():
+		q.span = q.cause.Parent.Child()
+	case traced:
+		q.span = told.Child()
+	default:
+		q.span = trace.Root()
+	}
+}
+
+// claimed runs the inquiry under its Idempotency-Key, if it has one.
+func (n *Near) claimed(ctx context.Context, q *inquiry, text string) Receipt {
+	if text == "" {
+		return n.run(ctx, q)
+	}
+	key := claim.Key{Caller: q.caller, Text: text}
+	print := claim.Print(sha256.Sum256(bytes.Join([][]byte{[]byte(q.leg.Method), []byte(q.leg.Host), []byte(q.leg.URI), q.leg.Body}, []byte{0})))
+	verdict, rc, err := n.Claims.Lay(ctx, key, print)
+	switch {
+	case err != nil && verdict == claim.Repeat:
+		return n.own(q, http.StatusGatewayTimeout, way.Unknown, "expired while the first inquiry of this key was running", time.Second)
+	case verdict == claim.Crowded:
+		return n.own(q, http.StatusServiceUnavailable, way.NotRun, "too many keys are claimed", time.Second)
+	case verdict == claim.Clash:
+		return n.own(q, http.StatusUnprocessableEntity, way.NotRun, "this key was used for another inquiry", 0)
+	case verdict == claim.Repeat:
+		n.Counts.Joined.Add(1)
+		return rc
+	}
+	rc = n.run(ctx, q)
+	n.Claims.Finish(n.Life, key, rc, rc.Fate != way.NotRun)
+	return rc
+}
+
+func (n *Near) own(q *inquiry, status int, f way.Fate, reason string, retry time.Duration) Receipt {
+	return ownReceipt(status, f, reason, q.span.Trace.String(), retry)
+}
+
+// run asks the decision and obeys, leg by leg.
+func (n *Near) run(ctx context.Context, q *inquiry) Receipt {
+	d := way.Decision{Way: q.way, Expiry: q.expiry, Locality: n.Locality, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	note := trace.Event{Way: q.way.Name, Service: q.way.Service, Caller: q.caller, Link: q.cause.Link, Candidates: q.cause.Candidates}
+	n.Queue.Put(q.span, trace.ClientStart, note)
+	var last LegReceipt
+	for {
+		o := d.Ask(n.Table(), n.View(), time.Now())
+		if !o.Send {
+			rc := Receipt{Status: last.Status, Header: last.Header, Body: last.Body, Fate: way.Answered}
+			if o.End.Status != 0 {
+				rc = n.own(q, o.End.Status, o.End.Fate, o.End.Reason, o.End.RetryAfter)
+			}
+			note.Status, note.Outcome, note.Leg = rc.Status, string(rc.Fate), len(d.Legs())
+			n.Queue.Put(q.span, trace.ClientReceive, note)
+			return rc
+		}
+		var l way.Leg
+		l, last = n.send(ctx, q, o.Target, len(d.Legs())+1)
+		d.Tell(l)
+	}
+}
+
+// send carries one leg. The first leg is the span's own; each further one is a
+// child span of its own. (DESIGN 2.1)
+func (n *Near) send(ctx context.Context, q *inquiry, t cohort.Target, num int) (way.Leg, LegReceipt) {
+	span := q.span
+	if num > 1 {
+		n.Counts.ExtraLegs.Add(1)
+		span = q.span.Child()
+		ctx = trace.With(ctx, span)
+		n.Queue.Put(span, trace.ClientStart, trace.Event{Way: q.way.Name, Service: q.way.Service, Instance: t.Instance, Leg: num})
+	}
+	leg := q.leg
+	leg.ID = span.ID.String() + "/" + trace.NewID().String()
+	leg.N, leg.Instance, leg.Boot = num, t.Instance, t.Boot
+	leg.Left = time.Until(q.expiry) - grace
+	t.Load.Legs.Add(1)
+	r := n.Net.Call(ctx, t.Node, wire.Traffic, KindLeg, leg)
+	t.Load.Legs.Add(-1)
+	if r.Traced {
+		span.Hear(r.Span.Counter())
+	}
+	l := way.Leg{Target: t, Fate: way.Unknown, Reason: "lost on the way"}
+	var rc LegReceipt
+	switch {
+	case r.Fate == wire.Unsent:
+		l.Fate, l.Reason = way.NotRun, "node could not be reached"
+		t.Load.Shun(shunFor)
+	case r.Into(&rc) && rc.ID == leg.ID:
+		l.Fate, l.Reason = rc.Fate, rc.Reason
+		t.Load.Tell(rc.Open)
+		if rc.Fate != way.Answered && rc.Reason != string(roster.Full) {
+			t.Load.Shun(shunFor)
+		}
+	default:
+		t.Load.Shun(shunFor)
+		l = n.recall(ctx, l, leg)
+	}
+	if num > 1 {
+		n.Queue.Put(span, trace.ClientReceive, trace.Event{Way: q.way.Name, Service: q.way.Service, Instance: t.Instance, Leg: num, Status: rc.Status, Outcome: string(l.Fate)})
+	}
+	return l, rc
+}
+
+// recall asks the far sidecar to let a lost leg never run; only its word that
+// the leg did not run proves it. Past the expiry nobody waits for that word.
+// (DESIGN 10.2)
+func (n *Near) recall(ctx context.Context, l way.Leg, leg Leg) way.Leg {
+	ask := func(ctx context.Context) (rc LegReceipt, ok bool) {
+		ok = n.Net.Call(ctx, l.Target.Node, wire.Control, KindRecall, Recall{ID: leg.ID, Boot: leg.Boot}).Into(&rc)
+		return rc, ok && rc.ID == leg.ID
+	}
+	if ctx.Err() != nil {
+		n.Launcher.Go(context.WithoutCancel(ctx), "recall", func(ctx context.Context) {
+			ctx, cancel := context.WithTimeout(ctx, recallFor)
+			defer cancel()
+			ask(ctx)
+		})
+		return l
+	}
+	ctx, cancel := context.WithTimeout(ctx, recallFor)
+	defer cancel()
+	if rc, ok := ask(ctx); ok && rc.Fate == way.NotRun {
+		l.Fate, l.Reason = way.NotRun, rc.Reason
+	}
+	return l
+}
--- /dev/null
+++ b/relay/receipt.go
@@ -0,0 +1,54 @@
+package relay
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"curlewwalk/way"
+)
+
+// Receipt is the answer to an inquiry as its client gets it.
+type Receipt struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	Fate   way.Fate
+}
+
+// refusal is the body of an answer that is our own.
+type refusal struct {
+	Outcome way.Fate `json:"outcome"`
+	Reason  string   `json:"reason"`
+	Trace   string   `json:"trace,omitempty"`
+}
+
+// ownReceipt builds an answer of our own: at once, with what is known and when
+// to come back. (DESIGN 10.2)
+func ownReceipt(status int, f way.Fate, reason, trace string, retry time.Duration) Receipt {
+	body, _ := json.Marshal(refusal{Outcome: f, Reason: reason, Trace: trace})
+	h := http.Header{"Content-Type": {"application/json"}, HeaderOutcome: {string(f)}}
+	if retry > 0 {
+		h.Set("Retry-After", strconv.Itoa(int((retry+time.Second-1)/time.Second)))
+	}
+	return Receipt{Status: status, Header: h, Body: body, Fate: f}
+}
+
+// write hands the receipt to the client, adding nothing.
+func (r Receipt) write(w http.ResponseWriter, method string) {
+	h := w.Header()
+	for k, v := range r.Header {
+		h[k] = v
+	}
+	for _, k := range []string{"Date", "Content-Type"} {
+		if _, ok := h[k]; !ok {
+			h[k] = nil // net/http would add its own
+		}
+	}
+	if method != http.MethodHead && r.Status != http.StatusNoContent && r.Status != http.StatusNotModified {
+		h.Set("Content-Length", strconv.Itoa(len(r.Body)))
+	}
+	w.WriteHeader(r.Status)
+	w.Write(r.Body)
+}
--- /dev/null
+++ b/ring/ring.go
@@ -0,0 +1,63 @@
+// Package ring is the log: a ring in memory that is written out when something
+// goes wrong. (DESIGN 12)
+package ring
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+)
+
+// Ring is a slog.Handler that keeps the newest lines.
+type Ring struct {
+	slog.Handler
+	lines *lines
+}
+
+// lines is the io.Writer behind the handler: one Write is one line.
+type lines struct {
+	mu   sync.Mutex
+	kept [][]byte
+	next int
+}
+
+// New makes a ring of the given number of lines.
+func New(size int) *Ring {
+	l := &lines{kept: make([][]byte, size)}
+	return &Ring{Handler: slog.NewTextHandler(l, &slog.HandlerOptions{Level: slog.LevelInfo}), lines: l}
+}
+
+// Enabled implements slog.Handler: all but debug lines are kept.
+func (r *Ring) Enabled(ctx context.Context, l slog.Level) bool { return r.Handler.Enabled(ctx, l) }
+
+// WithAttrs implements slog.Handler.
+func (r *Ring) WithAttrs(a []slog.Attr) slog.Handler {
+	return &Ring{Handler: r.Handler.WithAttrs(a), lines: r.lines}
+}
+
+// WithGroup implements slog.Handler.
+func (r *Ring) WithGroup(g string) slog.Handler {
+	return &Ring{Handler: r.Handler.WithGroup(g), lines: r.lines}
+}
+
+// WriteTo writes the kept lines, the oldest first.
+func (r *Ring) WriteTo(w io.Writer) (int64, error) {
+	r.lines.mu.Lock()
+	defer r.lines.mu.Unlock()
+	var b bytes.Buffer
+	for i := range r.lines.kept {
+		b.Write(r.lines.kept[(r.lines.next+i)%len(r.lines.kept)])
+	}
+	return b.WriteTo(w)
+}
+
+// Write implements io.Writer.
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.kept[l.next] = bytes.Clone(b)
+	l.next = (l.next + 1) % len(l.kept)
+	return len(b), nil
+}
--- /dev/null
+++ b/roster/announcement.go
@@ -0,0 +1,58 @@
+// Package roster keeps a sidecar's own backends and is the last gate before a
+// backend. (DESIGN 9)
+package roster
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"time"
+)
+
+// Announcement is what a backend says of itself about once a beat.
+type Announcement struct {
+	Instance string  `json:"instance"`
+	Service  string  `json:"service"`
+	Address  string  `json:"address"`
+	Locality string  `json:"locality"`
+	Capacity int     `json:"capacity"`
+	Warmup   *Warmup `json:"warmup"`
+	Leaving  bool    `json:"leaving"`
+}
+
+// Warmup is how much of its capacity a cold backend can bear now, and how long
+// until it can bear all of it.
+type Warmup struct {
+	Share float64 `json:"share"`
+	Ramp  string  `json:"ramp"`
+}
+
+// check lists what is wrong and reads the ramp.
+func (a *Announcement) check() (share float64, ramp time.Duration, faults []string) {
+	fault := func(format string, args ...any) { faults = append(faults, fmt.Sprintf(format, args...)) }
+	if a.Instance == "" || len(a.Instance) > 128 {
+		fault("instance: must have 1 to 128 bytes")
+	}
+	if a.Service == "" || len(a.Service) > 63 {
+		fault("service: must have 1 to 63 bytes")
+	}
+	if ap, err := netip.ParseAddrPort(a.Address); err != nil || ap.Port() == 0 {
+		fault("address: %q is no IP address and port", a.Address)
+	}
+	if a.Capacity < 1 {
+		fault("capacity: %d is below 1", a.Capacity)
+	}
+	share = 1
+	if w := a.Warmup; w != nil {
+		if share = w.Share; math.IsNaN(share) || share <= 0 || share > 1 {
+			fault("warmup.share: %v is not above 0 and at most 1", w.Share)
+		}
+		if w.Ramp != "" {
+			var err error
+			if ramp, err = time.ParseDuration(w.Ramp); err != nil || ramp < 0 {
+				fault("warmup.ramp: %q is no duration", w.Ramp)
+			}
+		}
+	}
+	return share, ramp, faults
+}
--- /dev/null
+++ b/roster/gate.go
@@ -0,0 +1,48 @@
+package roster
+
+import "time"
+
+// Ask is what a leg wants of the gate.
+type Ask struct {
+	Service, Instance string
+}
+
+// Refusal says why the gate is shut; empty means open.
+type Refusal string
+
+// The refusals. All of them come before a byte was written.
+const (
+	Open       Refusal = ""
+	NoBackend  Refusal = "no-such-backend"
+	Stale      Refusal = "backend-silent"
+	LeavingNow Refusal = "backend-leaving"
+	Emptied    Refusal = "locality-emptied"
+	Full       Refusal = "backend-full"
+	WrongBoot  Refusal = "wrong-incarnation"
+	Expired    Refusal = "expired"
+	Draining   Refusal = "node-draining"
+)
+
+// Check asks whether a leg may go to its backend at this moment. (DESIGN 9.2)
+func (r Roster) Check(a Ask, emptied func(locality string) bool, now time.Time) (Entry, Refusal) {
+	e, ok := r.entries[a.Instance]
+	switch {
+	case !ok || e.Service != a.Service:
+		return e, NoBackend
+	case now.Sub(e.Heard) > FreshFor:
+		return e, Stale
+	case e.Leaving:
+		return e, LeavingNow
+	case emptied(e.Locality):
+		return e, Emptied
+	}
+	return e, Open
+}
+
+// Take reserves a place at the backend; give returns it.
+func (e Entry) Take(now time.Time) (give func(), ok bool) {
+	if !e.Desk.take(e.Limit(now)) {
+		return nil, false
+	}
+	return e.Desk.give, true
+}
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,103 @@
+package roster
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"curlewwalk/cohort"
+)
+
+const (
+	// FreshFor is how old a backend's last beat may be for new admissions:
+	// addresses pass to other services after about 2 s.
+	FreshFor = 1500 * time.Millisecond // (ours)
+	// forgetAfter is when a silent backend is taken off the roster.
+	forgetAfter = 5 * time.Second // (ours)
+	// leftFor is how long a leaving backend stays so whatever it says, so that
+	// a beat that was overtaken can't call it back.
+	leftFor = 2 * time.Second // (ours)
+)
+
+// Roster is an immutable table of own backends by instance.
+type Roster struct {
+	Rev     uint64
+	entries map[string]Entry
+}
+
+// Announce takes a backend's word and returns the next roster, or the faults.
+func (r Roster) Announce(a Announcement, home string, now time.Time) (Roster, []string) {
+	share, ramp, faults := a.check()
+	if len(faults) > 0 {
+		return r, faults
+	}
+	old, known := r.entries[a.Instance]
+	e := Entry{Heard: now, ramp: ramp, Desk: old.Desk, LeftAt: old.LeftAt, Backend: cohort.Backend{
+		Instance: a.Instance, Service: a.Service, Address: a.Address, Capacity: a.Capacity, Share: share,
+		Locality: cmp.Or(a.Locality, home), Leaving: a.Leaving,
+	}}
+	if e.Desk == nil || old.Address != a.Address || old.Service != a.Service {
+		e.Desk = new(Desk)
+	}
+	switch {
+	case a.Leaving && !old.Leaving:
+		e.LeftAt = now
+	case !a.Leaving && old.Leaving && now.Sub(old.LeftAt) < leftFor:
+		e.Leaving = true
+	}
+	next := Roster{Rev: r.Rev, entries: maps.Clone(r.entries)}
+	if next.entries == nil {
+		next.entries = map[string]Entry{}
+	}
+	// An address that another instance announces is no longer the earlier one's.
+	maps.DeleteFunc(next.entries, func(_ string, o Entry) bool {
+		return o.Address == a.Address && o.Instance != a.Instance
+	})
+	next.entries[a.Instance] = e
+	if !known || old.Backend != e.Backend {
+		next.Rev++
+	}
+	return next, nil
+}
+
+// Leave marks a backend as leaving; false if it is not known.
+func (r Roster) Leave(instance string, now time.Time) (Roster, bool) {
+	e, ok := r.entries[instance]
+	if !ok || e.Leaving {
+		return r, ok
+	}
+	e.Leaving, e.LeftAt = true, now
+	next := Roster{Rev: r.Rev + 1, entries: maps.Clone(r.entries)}
+	next.entries[instance] = e
+	return next, true
+}
+
+// Tick takes silent backends off.
+func (r Roster) Tick(now time.Time) Roster {
+	next := Roster{Rev: r.Rev, entries: maps.Clone(r.entries)}
+	maps.DeleteFunc(next.entries, func(_ string, e Entry) bool { return now.Sub(e.Heard) > forgetAfter })
+	if len(next.entries) == len(r.entries) {
+		return r
+	}
+	next.Rev++
+	return next
+}
+
+// Entries lists the backends by instance.
+func (r Roster) Entries() []Entry {
+	var out []Entry
+	for _, k := range slices.Sorted(maps.Keys(r.entries)) {
+		out = append(out, r.entries[k])
+	}
+	return out
+}
+
+// Backends lists what is told to others.
+func (r Roster) Backends() []cohort.Backend {
+	var out []cohort.Backend
+	for _, e := range r.Entries() {
+		out = append(out, e.Backend)
+	}
+	return out
+}
--- /dev/null
+++ b/trace/b3.go
@@ -0,0 +1,39 @@
+package trace
+
+import "net/http"
+
+// The headers of B3. (DESIGN 2.2)
+const (
+	HeaderTrace  = "X-B3-Traceid"
+	HeaderSpan   = "X-B3-Spanid"
+	HeaderParent = "X-B3-Parentspanid"
+)
+
+// ReadB3 takes a span from headers. Anything malformed counts as none.
+func ReadB3(h http.Header) (Span, bool) {
+	t, ok := ParseTraceID(h.Get(HeaderTrace))
+	if !ok {
+		return Span{}, false
+	}
+	id, ok := ParseID(h.Get(HeaderSpan))
+	if !ok {
+		return Span{}, false
+	}
+	var parent ID
+	if p := h.Get(HeaderParent); p != "" {
+		if parent, ok = ParseID(p); !ok {
+			return Span{}, false
+		}
+	}
+	return Join(t, id, parent, 0), true
+}
+
+// WriteB3 replaces whatever B3 headers stand in h by those of s.
+func WriteB3(h http.Header, s Span) {
+	h.Set(HeaderTrace, s.Trace.String())
+	h.Set(HeaderSpan, s.ID.String())
+	h.Del(HeaderParent)
+	if s.Parent != 0 {
+		h.Set(HeaderParent, s.Parent.String())
+	}
+}
--- /dev/null
+++ b/trace/traceid.go
@@ -0,0 +1,34 @@
+package trace
+
+// TraceID is shared by a whole tree: 64 bits when we draw it, 128 when a
+// client brings it so.
+type TraceID struct {
+	Hi uint64 `msgpack:"h,omitempty"`
+	Lo ID     `msgpack:"l"`
+}
+
+// IsZero tells whether there is no trace.
+func (t TraceID) IsZero() bool { return t.Hi == 0 && t.Lo == 0 }
+
+// String gives the hex form of B3: 16 digits, or 32 if the high half is set.
+func (t TraceID) String() string {
+	if t.Hi == 0 {
+		return t.Lo.String()
+	}
+	return ID(t.Hi).String() + t.Lo.String()
+}
+
+// ParseTraceID reads 16 or 32 hex digits.
+func ParseTraceID(s string) (TraceID, bool) {
+	if len(s) != 32 {
+		lo, ok := ParseID(s)
+		return TraceID{Lo: lo}, ok
+	}
+	if s[:16] == "0000000000000000" {
+		lo, ok := ParseID(s[16:])
+		return TraceID{Lo: lo}, ok
+	}
+	hi, okHi := ParseID(s[:16])
+	lo, okLo := ParseID(s[16:])
+	return TraceID{Hi: uint64(hi), Lo: lo}, okHi && okLo
+}
--- /dev/null
+++ b/way/decision.go
@@ -0,0 +1,128 @@
+package way
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"curlewwalk/cohort"
+	"curlewwalk/desired"
+)
+
+const (
+	mostLegs = 3 // (ours)
+	// spillAt is how busy the own locality must be before others are used.
+	spillAt = 0.8 // (ours)
+)
+
+// Decision is the object that is asked about one inquiry. The executor obeys
+// it and tells it what came of each leg. (DESIGN 4.2)
+type Decision struct {
+	Way      desired.Way
+	Expiry   time.Time
+	Locality string
+	Rand     *rand.Rand
+	legs     []Leg
+}
+
+// Tell takes the fate of a leg.
+func (d *Decision) Tell(l Leg) { d.legs = append(d.legs, l) }
+
+// Legs lists the legs so far.
+func (d *Decision) Legs() []Leg { return d.legs }
+
+// Ask decides what comes next, on the snapshots as they are now.
+func (d *Decision) Ask(t *Table, v *cohort.View, now time.Time) Order {
+	fate := NotRun
+	reason := "no backend of " + d.Way.Service
+	if n := len(d.legs); n > 0 {
+		last := d.legs[n-1]
+		if last.Fate == Answered {
+			return Order{}
+		}
+		reason = last.Reason
+		for _, l := range d.legs {
+			if l.Fate == Unknown {
+				fate = Unknown
+			}
+		}
+	}
+	if !now.Before(d.Expiry) {
+		return end(http.StatusGatewayTimeout, fate, "expired: "+reason)
+	}
+	if fate == Unknown && !d.Way.Repeatable || len(d.legs) >= mostLegs {
+		return end(status(fate), fate, reason)
+	}
+	target, ok := d.choose(t, v)
+	if !ok {
+		return end(status(fate), fate, reason)
+	}
+	return Order{Send: true, Target: target}
+}
+
+func status(f Fate) int {
+	if f == NotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
+
+func end(status int, f Fate, reason string) Order {
+	return Order{End: End{Status: status, Fate: f, Reason: reason, RetryAfter: time.Second}}
+}
+
+// choose takes the less busy of two random backends, of the own locality first.
+func (d *Decision) choose(t *Table, v *cohort.View) (cohort.Target, bool) {
+	var near, far, shunned []cohort.Target
+	for _, c := range v.Service(d.Way.Service) {
+		switch {
+		case c.Leaving || t.Emptied(c.Locality) || d.tried(c):
+		case c.Load.Shunned():
+			shunned = append(shunned, c)
+		case c.Locality == d.Locality:
+			near = append(near, c)
+		default:
+			far = append(far, c)
+		}
+	}
+	best, ok := d.two(near)
+	if !ok || fill(best) >= spillAt {
+		if other, okFar := d.two(far); okFar && (!ok || fill(other) < fill(best)) {
+			best, ok = other, true
+		}
+	}
+	if !ok {
+		best, ok = d.two(shunned)
+	}
+	return best, ok
+}
+
+func (d *Decision) two(from []cohort.Target) (cohort.Target, bool) {
+	if len(from) == 0 {
+		return cohort.Target{}, false
+	}
+	i := d.Rand.IntN(len(from))
+	a := from[i]
+	if len(from) == 1 {
+		return a, true
+	}
+	b := from[(i+1+d.Rand.IntN(len(from)-1))%len(from)]
+	if fill(b) < fill(a) {
+		return b, true
+	}
+	return a, true
+}
+
+// fill is the share of what a backend can bear that is taken.
+func fill(t cohort.Target) float64 {
+	return float64(t.Load.Busy()) / max(1, float64(t.Capacity)*t.Share)
+}
+
+func (d *Decision) tried(t cohort.Target) bool {
+	for _, l := range d.legs {
+		if l.Target.Node == t.Node && l.Target.Instance == t.Instance && l.Target.Boot == t.Boot {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/way/leg.go
@@ -0,0 +1,20 @@
+package way
+
+import "curlewwalk/cohort"
+
+// Fate is what is known of a leg.
+type Fate string
+
+// A leg was answered, or proven not run, or nobody knows.
+const (
+	Answered Fate = "answered"
+	NotRun   Fate = "not-run"
+	Unknown  Fate = "unknown"
+)
+
+// Leg is one attempt and what came of it.
+type Leg struct {
+	Target cohort.Target
+	Fate   Fate
+	Reason string
+}
--- /dev/null
+++ b/way/order.go
@@ -0,0 +1,24 @@
+package way
+
+import (
+	"time"
+
+	"curlewwalk/cohort"
+)
+
+// Order is what the executor must do next: send a leg, or end the inquiry.
+type Order struct {
+	Send   bool
+	Target cohort.Target
+	// End, when Send is false.
+	End End
+}
+
+// End is how an inquiry ends without a whole answer of its backend. A zero
+// Status means that the last leg's answer is passed on.
+type End struct {
+	Status     int
+	Fate       Fate
+	Reason     string
+	RetryAfter time.Duration
+}
--- /dev/null
+++ b/wire/circuit.go
@@ -0,0 +1,226 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"curlewwalk/launch"
+	"curlewwalk/trace"
+)
+
+const (
+	pingAfter  = 500 * time.Millisecond // (ours)
+	breakAfter = 2 * time.Second        // (ours)
+	writeLimit = 5 * time.Second        // (ours)
+	kindPing   = "ping"
+)
+
+// Circuit is the calling side of one TCP connection: many calls at a time,
+// each matched to its receipt by number. (DESIGN 3.2)
+type Circuit struct {
+	conn  net.Conn
+	far   Greeting
+	calls chan *call
+	drop  chan *call
+	in    chan inbound
+	done  chan struct{}
+}
+
+type call struct {
+	id    uint64
+	span  trace.Span
+	kind  string
+	body  msgpack.RawMessage
+	reply chan Receipt
+}
+
+type inbound struct {
+	span   trace.Span
+	traced bool
+	msg    message
+	err    error
+}
+
+// Dial opens a circuit and exchanges greetings.
+func Dial(ctx context.Context, l *launch.Launcher, from net.IP, addr string, own Greeting) (*Circuit, error) {
+	d := net.Dialer{Timeout: time.Second}
+	if from != nil {
+		d.LocalAddr = &net.TCPAddr{IP: from}
+	}
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, eris.Wrap(err, "dial")
+	}
+	c := &Circuit{conn: conn, calls: make(chan *call), drop: make(chan *call), in: make(chan inbound, 16), done: make(chan struct{})}
+	r := bufio.NewReader(conn)
+	if c.far, err = exchange(conn, r, own); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	life := context.WithoutCancel(ctx)
+	l.Go(life, "circuit-read", func(context.Context) { c.read(r) })
+	l.Go(life, "circuit", func(context.Context) { c.run() })
+	return c, nil
+}
+
+// exchange sends the own greeting and reads the other's.
+func exchange(conn net.Conn, r *bufio.Reader, own Greeting) (Greeting, error) {
+	var far Greeting
+	conn.SetDeadline(time.Now().Add(time.Second))
+	defer conn.SetDeadline(time.Time{})
+	raw, err := msgpack.Marshal(&own)
+	if err != nil {
+		return far, err
+	}
+	if _, err := conn.Write(sealFrame(append(make([]byte, headLen), raw...))); err != nil {
+		return far, eris.Wrap(err, "greet")
+	}
+	b, err := readFrame(r)
+	if err != nil {
+		return far, eris.Wrap(err, "read greeting")
+	}
+	return far, eris.Wrap(msgpack.Unmarshal(b, &far), "greeting")
+}
+
+// Far is whom the circuit reached.
+func (c *Circuit) Far() Greeting { return c.far }
+
+// Broken is closed when the circuit has ended.
+func (c *Circuit) Broken() <-chan struct{} { return c.done }
+
+// Close ends the circuit; calls still open are lost.
+func (c *Circuit) Close() { c.conn.Close() }
+
+// Call sends body and waits for the receipt or for ctx. The span in ctx's slot
+// goes at the start of the message.
+func (c *Circuit) Call(ctx context.Context, kind string, body any) Receipt {
+	raw, err := msgpack.Marshal(body)
+	if err != nil {
+		return Receipt{Fate: Unsent, Fault: err.Error()}
+	}
+	s, _ := trace.From(ctx)
+	k := &call{span: s, kind: kind, body: raw, reply: make(chan Receipt, 1)}
+	select {
+	case c.calls <- k:
+	case <-c.done:
+		return Receipt{Fate: Unsent}
+	case <-ctx.Done():
+		return Receipt{Fate: Unsent}
+	}
+	select {
+	case r := <-k.reply:
+		return r
+	case <-ctx.Done():
+		select {
+		case c.drop <- k:
+		case <-c.done:
+		}
+		return Receipt{Fate: Lost}
+	}
+}
+
+func (c *Circuit) read(r *bufio.Reader) {
+	for {
+		var in inbound
+		b, err := readFrame(r)
+		if err == nil {
+			in.span, in.traced, in.msg, err = decode(b)
+		}
+		in.err = err
+		select {
+		case c.in <- in:
+		case <-c.done:
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// run owns the open calls. It alone writes to the connection.
+func (c *Circuit) run() {
+	open := map[uint64]*call{}
+	dropped := map[uint64]bool{}
+	var next uint64
+	heard := time.Now()
+	tick := time.NewTicker(pingAfter)
+	defer tick.Stop()
+	defer func() {
+		c.conn.Close()
+		close(c.done)
+		for _, k := range open {
+			k.reply <- Receipt{Fate: Lost}
+		}
+	}()
+	write := func(s trace.Span, m message) (sent bool, ok bool) {
+		b, err := encode(s, m)
+		if err != nil {
+			return false, true
+		}
+		c.conn.SetWriteDeadline(time.Now().Add(writeLimit))
+		n, err := c.conn.Write(b)
+		return n == len(b), err == nil
+	}
+	for {
+		select {
+		case k := <-c.calls:
+			next++
+			k.id = next
+			if len(open) == 0 {
+				heard = time.Now()
+			}
+			sent, ok := write(k.span, message{ID: k.id, Kind: k.kind, Body: k.body})
+			if sent {
+				open[k.id] = k
+			} else {
+				// Part of a frame can't be read as a message. (DESIGN 3.3)
+				k.reply <- Receipt{Fate: Unsent}
+			}
+			if !ok {
+				return
+			}
+		case k := <-c.drop:
+			if open[k.id] == k {
+				delete(open, k.id)
+				dropped[k.id] = true
+			}
+		case in := <-c.in:
+			if in.err != nil {
+				return
+			}
+			heard = time.Now()
+			if in.msg.Kind == kindPing {
+				continue
+			}
+			k, ok := open[in.msg.ID]
+			if !ok {
+				if !dropped[in.msg.ID] {
+					return // a receipt that nobody asked for: the circuit can't be trusted
+				}
+				delete(dropped, in.msg.ID)
+				continue
+			}
+			if k.kind != in.msg.Kind {
+				return
+			}
+			delete(open, in.msg.ID)
+			k.reply <- Receipt{Fate: Answered, Fault: in.msg.Fault, Span: in.span, Traced: in.traced, body: in.msg.Body}
+		case <-tick.C:
+			if len(open) == 0 {
+				continue
+			}
+			if time.Since(heard) > breakAfter {
+				return
+			}
+			if _, ok := write(trace.Span{}, message{Kind: kindPing}); !ok {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/wire/host.go
@@ -0,0 +1,139 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"curlewwalk/launch"
+	"curlewwalk/trace"
+)
+
+// Inquiry is a call that arrived, for a handler.
+type Inquiry struct {
+	Far  Greeting
+	body msgpack.RawMessage
+}
+
+// Into reads the call's body.
+func (q Inquiry) Into(v any) bool { return msgpack.Unmarshal(q.body, v) == nil }
+
+// Handler answers one kind of call. The caller's span is in ctx's slot. A
+// non-empty fault means that the call was not taken.
+type Handler func(ctx context.Context, q Inquiry) (body any, fault string)
+
+// Host is the answering side of circuits. (DESIGN 3.2)
+type Host struct {
+	Own      Greeting
+	Handlers map[string]Handler
+	Launcher *launch.Launcher
+	ln       net.Listener
+}
+
+// Listen opens the address.
+func (h *Host) Listen(addr string) error {
+	ln, err := net.Listen("tcp", addr)
+	h.ln = ln
+	return err
+}
+
+// Addr is where the host listens.
+func (h *Host) Addr() net.Addr { return h.ln.Addr() }
+
+// Run accepts circuits until ctx ends. Circuits end with their own contexts
+// after their open calls are answered.
+func (h *Host) Run(ctx context.Context) {
+	h.Launcher.Go(ctx, "host-close", func(ctx context.Context) { <-ctx.Done(); h.ln.Close() })
+	for {
+		conn, err := h.ln.Accept()
+		if err != nil {
+			return
+		}
+		h.Launcher.Go(ctx, "host-circuit", func(ctx context.Context) { h.serve(ctx, conn) })
+	}
+}
+
+func (h *Host) serve(ctx context.Context, conn net.Conn) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	far, err := exchange(conn, r, h.Own)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	out := make(chan []byte, 16)
+	h.Launcher.Go(ctx, "host-write", func(ctx context.Context) {
+		defer conn.Close()
+		for {
+			select {
+			case b := <-out:
+				conn.SetWriteDeadline(time.Now().Add(writeLimit))
+				if _, err := conn.Write(b); err != nil {
+					return
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	})
+	var last uint64
+	for {
+		b, err := readFrame(r)
+		if err != nil {
+			return
+		}
+		s, traced, m, err := decode(b)
+		if err != nil {
+			return
+		}
+		if m.Kind == kindPing {
+			h.reply(ctx, out, trace.Span{}, message{Kind: kindPing})
+			continue
+		}
+		if m.ID <= last {
+			return // a frame came twice or out of order
+		}
+		last = m.ID
+		h.Launcher.Go(ctx, "host-call", func(ctx context.Context) {
+			if traced {
+				ctx = trace.With(ctx, s)
+			}
+			h.reply(ctx, out, s, h.answer(ctx, far, m))
+		})
+	}
+}
+
+func (h *Host) answer(ctx context.Context, far Greeting, m message) message {
+	a := message{ID: m.ID, Kind: m.Kind}
+	fn, ok := h.Handlers[m.Kind]
+	if !ok {
+		a.Fault = "unknown kind " + m.Kind
+		return a
+	}
+	body, fault := fn(ctx, Inquiry{Far: far, body: m.Body})
+	a.Fault = fault
+	if fault == "" {
+		raw, err := msgpack.Marshal(body)
+		if err != nil {
+			a.Fault = err.Error()
+		}
+		a.Body = raw
+	}
+	return a
+}
+
+// reply answers in the caller's form: traced to a traced call, else plain.
+func (h *Host) reply(ctx context.Context, out chan<- []byte, s trace.Span, m message) {
+	b, err := encode(s, m)
+	if err != nil {
+		b, _ = encode(s, message{ID: m.ID, Kind: m.Kind, Fault: err.Error()})
+	}
+	select {
+	case out <- b:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/wire/net.go
@@ -0,0 +1,135 @@
+package wire
+
+import (
+	"context"
+	"maps"
+	"net"
+	"sync/atomic"
+
+	"curlewwalk/launch"
+)
+
+// Net keeps one circuit for each lane to each address and opens them on
+// demand. The table of circuits is an immutable snapshot. (DESIGN 3.4)
+type Net struct {
+	own  Greeting
+	from net.IP
+	l    *launch.Launcher
+	open atomic.Pointer[map[line]*Circuit]
+	want chan want
+	made chan dialled
+	gone chan *Circuit
+}
+
+// Lane keeps control traffic and inquiries out of each other's way.
+type Lane int
+
+// The lanes.
+const (
+	Control Lane = iota
+	Feed
+	Traffic
+)
+
+type line struct {
+	addr string
+	lane Lane
+}
+
+type want struct {
+	line  line
+	reply chan *Circuit
+}
+
+type dialled struct {
+	line line
+	c    *Circuit
+}
+
+// NewNet makes a Net; from is the local address that dials come from.
+func NewNet(l *launch.Launcher, own Greeting, from net.IP) *Net {
+	n := &Net{own: own, from: from, l: l, want: make(chan want), made: make(chan dialled), gone: make(chan *Circuit)}
+	n.open.Store(&map[line]*Circuit{})
+	return n
+}
+
+// Call sends one call to addr, opening a circuit if there is none.
+func (n *Net) Call(ctx context.Context, addr string, lane Lane, kind string, body any) Receipt {
+	ln := line{addr: addr, lane: lane}
+	c, ok := (*n.open.Load())[ln]
+	if !ok {
+		w := want{line: ln, reply: make(chan *Circuit, 1)}
+		select {
+		case n.want <- w:
+		case <-ctx.Done():
+			return Receipt{Fate: Unsent}
+		}
+		select {
+		case c = <-w.reply:
+		case <-ctx.Done():
+		}
+		if c == nil {
+			return Receipt{Fate: Unsent, Fault: "no circuit"}
+		}
+	}
+	return c.Call(ctx, kind, body)
+}
+
+// Run owns the table.
+func (n *Net) Run(ctx context.Context) {
+	waiting := map[line][]chan *Circuit{}
+	swap := func(change func(map[line]*Circuit)) {
+		next := maps.Clone(*n.open.Load())
+		change(next)
+		n.open.Store(&next)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			for _, c := range *n.open.Load() {
+				c.Close()
+			}
+			return
+		case w := <-n.want:
+			if c, ok := (*n.open.Load())[w.line]; ok {
+				w.reply <- c
+				continue
+			}
+			if waiting[w.line] = append(waiting[w.line], w.reply); len(waiting[w.line]) == 1 {
+				n.l.Go(ctx, "dial", func(ctx context.Context) {
+					c, err := Dial(ctx, n.l, n.from, w.line.addr, n.own)
+					if err != nil {
+						c = nil
+					}
+					select {
+					case n.made <- dialled{line: w.line, c: c}:
+					case <-ctx.Done():
+						if c != nil {
+							c.Close()
+						}
+					}
+				})
+			}
+		case d := <-n.made:
+			for _, reply := range waiting[d.line] {
+				reply <- d.c
+			}
+			delete(waiting, d.line)
+			if d.c == nil {
+				continue
+			}
+			swap(func(m map[line]*Circuit) { m[d.line] = d.c })
+			n.l.Go(ctx, "circuit-watch", func(ctx context.Context) {
+				<-d.c.Broken()
+				select {
+				case n.gone <- d.c:
+				case <-ctx.Done():
+				}
+			})
+		case c := <-n.gone:
+			swap(func(m map[line]*Circuit) {
+				maps.DeleteFunc(m, func(_ line, have *Circuit) bool { return have == c })
+			})
+		}
+	}
+}
