--- /dev/null
+++ b/proof/exact_test.go
@@ -0,0 +1,197 @@
+package proof
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// What a backend gets is what the client sent, and the other way round.
+func TestUntouched(t *testing.T) {
+	r := newRig(t)
+	type seen struct {
+		Method, URI, Host, Body string
+		Header                  http.Header
+	}
+	got := make(chan seen, 1)
+	r.backend(1, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		b, _ := io.ReadAll(q.Body)
+		got <- seen{q.Method, q.RequestURI, q.Host, string(b), q.Header}
+		h := w.Header()
+		h["Date"], h["Content-Type"] = nil, nil
+		h.Add("Set-Cookie", "a=1")
+		h.Add("Set-Cookie", "b=2")
+		h.Set("Location", "http://elsewhere/")
+		w.WriteHeader(http.StatusFound)
+		io.WriteString(w, "moved \x00 bytes")
+	}))
+	for _, uri := range []string{"/look/a", "/look/a%2Fb/..//c?x=%20&y", "/look/?", "/look/%e2%82%ac;p=1?a=b?c"} {
+		a := r.send("GET", uri, "", "X-One", "1", "Curlewwalk-Caller", "forged", "Connection", "X-Drop", "X-Drop", "hop", "Accept-Encoding", "identity", "Idempotency-Key", "k"+uri)
+		s := recv(r, got)
+		if s.Method != "GET" || s.URI != uri || s.Host != r.Inquiries(0) || s.Body != "" {
+			t.Errorf("backend saw %s %s host %s body %q", s.Method, s.URI, s.Host, s.Body)
+		}
+		for _, k := range []string{"X-B3-Traceid", "X-B3-Spanid", "X-B3-Parentspanid"} {
+			s.Header.Del(k)
+		}
+		want := http.Header{"X-One": {"1"}, "Accept-Encoding": {"identity"}, "Idempotency-Key": {"k" + uri}, "User-Agent": {"Go-http-client/1.1"}, "Connection": {"close"}}
+		if d := cmp.Diff(want, s.Header); d != "" {
+			t.Errorf("headers at the backend: %s", d)
+		}
+		wantBack := http.Header{"Set-Cookie": {"a=1", "b=2"}, "Location": {"http://elsewhere/"}, "Content-Length": {"13"}}
+		if d := cmp.Diff(wantBack, a.Header); d != "" || a.StatusCode != 302 || string(a.body) != "moved \x00 bytes" {
+			t.Errorf("answer %d %q: %s", a.StatusCode, a.body, d)
+		}
+	}
+	body := strings.Repeat("\x00\xff", 1<<20)
+	r.send("POST", "/once/x", body)
+	if s := recv(r, got); s.Body != body || s.Method != "POST" {
+		t.Errorf("a body of %d bytes came as %d", len(body), len(s.Body))
+	}
+	a := r.send("HEAD", "/look/head", "")
+	if recv(r, got); a.StatusCode != 302 || len(a.body) != 0 {
+		t.Errorf("HEAD: %d %q", a.StatusCode, a.body)
+	}
+}
+
+// Refusals of the near side say at once what is known.
+func TestRefusals(t *testing.T) {
+	r := newRig(t)
+	r.expect(r.send("GET", "/nowhere", ""), 404, "not-run")
+	r.expect(r.send("POST", "/look/", ""), 404, "not-run")
+	r.expect(r.send("POST", "/once/", strings.Repeat("x", 17<<20)), 413, "not-run")
+	r.expect(r.send("POST", "/once/", "x"), 503, "not-run") // no backend at all
+	// A body that is cut short is a bad request.
+	c, err := net.Dial("tcp", r.Inquiries(0))
+	must(t, err)
+	defer c.Close()
+	fmt.Fprint(c, "POST /once/ HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc")
+	must(t, c.(*net.TCPConn).CloseWrite())
+	reply, _ := io.ReadAll(c)
+	if !bytes.HasPrefix(reply, []byte("HTTP/1.1 400 ")) {
+		t.Errorf("a cut request got %q", reply)
+	}
+	// A backend that nobody listens for is proven not run.
+	ln, err := net.Listen("tcp", net.JoinHostPort(r.Site.IP(1), "0"))
+	must(t, err)
+	addr := ln.Addr().String()
+	ln.Close()
+	r.announce(1, "dead", addr)
+	r.expect(r.send("POST", "/once/", "x"), 503, "not-run")
+}
+
+// Whatever a backend does wrong after it was written to, an order is not run
+// again and its answer is not passed on as whole.
+func TestWrongAnswers(t *testing.T) {
+	for name, speak := range map[string]string{
+		"nothing":         "",
+		"half a head":     "HTTP/1.1 200 OK\r\nContent-Le",
+		"no HTTP":         "good day\r\n\r\n",
+		"short body":      "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nonly this",
+		"short chunk":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nonly",
+		"no last chunk":   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nonly\r\n",
+		"no length":       "HTTP/1.1 200 OK\r\n\r\nends with the connection",
+		"two lengths":     "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+		"other protocol":  "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n",
+		"length and junk": "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\nabc",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t)
+			count := r.rawBackend(1, func(_ int, c net.Conn) { io.WriteString(c, speak) })
+			a := r.send("POST", "/once/", "x", "Idempotency-Key", "k")
+			r.expect(a, 502, "unknown")
+			if n := count(); n != 1 {
+				t.Errorf("it ran %d times", n)
+			}
+			// The key's claim stands: a repeat gets the same and does not run.
+			again := r.send("POST", "/once/", "x", "Idempotency-Key", "k")
+			if !bytes.Equal(a.body, again.body) || count() != 1 {
+				t.Errorf("a repeat got %q after %q and ran %d times", again.body, a.body, count())
+			}
+		})
+	}
+}
+
+// A way marked repeatable gets another leg after a lost answer; an order does
+// not, even with two backends to go to.
+func TestExtraLeg(t *testing.T) {
+	r := newRig(t)
+	count := r.rawBackend(1, func(int, net.Conn) {})
+	r.expect(r.send("POST", "/once/", "x"), 502, "unknown")
+	if n := count(); n != 1 {
+		t.Fatalf("an order ran %d times", n)
+	}
+	r.backend(1, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	for count() < 3 && r.ctx.Err() == nil {
+		if a := r.send("GET", "/look/", ""); a.StatusCode != 200 {
+			t.Errorf("a repeatable inquiry got %d %s", a.StatusCode, a.body)
+		}
+	}
+}
+
+// Past its expiry an inquiry is answered at once, and a slow backend is not
+// asked a second time.
+func TestExpiry(t *testing.T) {
+	r := newRig(t)
+	release := make(chan struct{})
+	var runs atomic.Int64
+	r.backend(1, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		runs.Add(1)
+		io.Copy(io.Discard, q.Body)
+		<-release
+	}))
+	a := r.send("POST", "/once/", "x")
+	close(release)
+	r.expect(a, 504, "unknown")
+	if runs.Load() != 1 {
+		t.Errorf("it ran %d times", runs.Load())
+	}
+	if a.took > once.Expiry+time.Second {
+		t.Errorf("an expiry of %v was answered after %v", once.Expiry, a.took)
+	}
+}
+
+// The claims of Idempotency-Key: a repeat joins the running one, gets the same
+// receipt afterwards, and can't be another inquiry. What did not run may run.
+func TestClaims(t *testing.T) {
+	r := newRig(t)
+	r.expect(r.send("POST", "/once/", "x", "Idempotency-Key", "a"), 503, "not-run")
+	var runs atomic.Int64
+	running, release := make(chan struct{}, 9), make(chan struct{})
+	r.backend(1, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		io.Copy(io.Discard, q.Body)
+		n := runs.Add(1)
+		running <- struct{}{}
+		<-release
+		fmt.Fprintf(w, "run %d", n)
+	}))
+	answers := make(chan string, 3)
+	ask := func() { answers <- string(r.send("POST", "/once/", "x", "Idempotency-Key", "a").body) }
+	go ask()
+	recv(r, running)
+	go ask()
+	go ask()
+	must(t, r.joined(2))
+	close(release)
+	for range 3 {
+		if got := recv(r, answers); got != "run 1" {
+			t.Errorf("got %q", got)
+		}
+	}
+	if a := r.send("POST", "/once/", "x", "Idempotency-Key", "a"); string(a.body) != "run 1" {
+		t.Errorf("afterwards: %q", a.body)
+	}
+	r.expect(r.send("POST", "/once/", "other", "Idempotency-Key", "a"), 422, "not-run")
+	if a := r.send("POST", "/once/", "x", "Idempotency-Key", "b"); string(a.body) != "run 2" || runs.Load() != 2 {
+		t.Errorf("another key: %q after %d runs", a.body, runs.Load())
+	}
+}
--- /dev/null
+++ b/proof/gate_test.go
@@ -0,0 +1,191 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// A leaving backend gets nothing new from the moment its sidecar has its word;
+// what it is working on finishes. The other backend takes over.
+func TestLeaving(t *testing.T) {
+	r := newRig(t)
+	var runs [2]atomic.Int64
+	running, release := make(chan struct{}, 9), make(chan struct{})
+	hold := r.backend(1, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		io.Copy(io.Discard, q.Body)
+		runs[0].Add(1)
+		running <- struct{}{}
+		<-release
+		io.WriteString(w, "held")
+	}))
+	first := make(chan answer, 1)
+	go func() { first <- r.send("POST", "/once/", "x") }()
+	recv(r, running)
+	r.backend(1, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs[1].Add(1) }))
+	must(t, hold.Leave(r.ctx))
+	for range 20 {
+		if a := r.send("POST", "/once/", "x"); a.StatusCode != 200 {
+			t.Errorf("got %d %s", a.StatusCode, a.body)
+		}
+	}
+	if runs[0].Load() != 1 || runs[1].Load() != 20 {
+		t.Errorf("the leaving one ran %d, the other %d", runs[0].Load(), runs[1].Load())
+	}
+	close(release)
+	if a := recv(r, first); string(a.body) != "held" {
+		t.Errorf("what was running got %d %q", a.StatusCode, a.body)
+	}
+}
+
+// An address that passed to another service: the one who had it before fell
+// silent, and nothing meant for it reaches the new one.
+func TestAddressPasses(t *testing.T) {
+	r := newRig(t)
+	var strays atomic.Int64
+	old := r.backend(1, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	if a := r.send("POST", "/once/", "x"); a.StatusCode != 200 {
+		t.Fatalf("got %d %s", a.StatusCode, a.body)
+	}
+	addr := old.Addr()
+	old.Kill()
+	ln, err := net.Listen("tcp", addr)
+	must(t, err)
+	srv := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { strays.Add(1) })}
+	defer srv.Close()
+	go srv.Serve(ln)
+	body := fmt.Sprintf(`{"instance": "newcomer", "service": "another", "address": %q, "capacity": 1}`, addr)
+	resp, err := r.Client.Post("http://"+r.Sidecars[1].Control+"/v1/backends", "application/json", bytes.NewReader([]byte(body)))
+	must(t, err)
+	resp.Body.Close()
+	for range 10 {
+		r.expect(r.send("POST", "/once/", "x"), 503, "not-run")
+	}
+	if strays.Load() != 0 {
+		t.Errorf("%d inquiries reached another service", strays.Load())
+	}
+}
+
+// A silent backend is closed to new inquiries by its beat's age alone.
+func TestSilentBackend(t *testing.T) {
+	r := newRig(t)
+	var runs atomic.Int64
+	var last atomic.Int64
+	ln, err := net.Listen("tcp", net.JoinHostPort(r.Site.IP(1), "0"))
+	must(t, err)
+	begin := time.Now()
+	srv := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		runs.Add(1)
+		last.Store(int64(time.Since(begin)))
+	})}
+	defer srv.Close()
+	go srv.Serve(ln)
+	body := fmt.Sprintf(`{"instance": "mute", "service": "desk", "address": %q, "capacity": 1}`, ln.Addr())
+	resp, err := r.Client.Post("http://"+r.Sidecars[1].Control+"/v1/backends", "application/json", bytes.NewReader([]byte(body)))
+	must(t, err)
+	resp.Body.Close()
+	said := time.Since(begin)
+	must(t, r.AwaitServing(r.ctx, 1, 1))
+	refused := 0
+	for refused < 5 && r.ctx.Err() == nil {
+		if a := r.send("GET", "/look/", ""); a.StatusCode == 503 {
+			refused++
+		}
+	}
+	if runs.Load() == 0 || time.Duration(last.Load())-said > 1600*time.Millisecond {
+		t.Errorf("ran %d times, last %v after its only beat", runs.Load(), time.Duration(last.Load())-said)
+	}
+}
+
+// Emptying a locality and taking it back, under load.
+func TestEmptiedLocality(t *testing.T) {
+	f, ctx := start(t, small())
+	load, stop := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { f.Load(load, f.Callers()...) })
+	// sidecar-3 and its backend of "orders" stand in the west; so does no other
+	// backend of that service.
+	before := f.Backends[3].Runs.Load()
+	r, err := f.Operate(ctx, f.Cores[1], "PUT", "/v1/localities/west/emptied", nil)
+	must(t, err)
+	if r.Status != 200 || r.Stamp != 2 {
+		t.Fatalf("emptying: %+v", r)
+	}
+	f.Ledger.Emptied("west", time.Now())
+	must(t, f.AwaitServing(ctx, 2, 4))
+	closed := f.Backends[3].Runs.Load()
+	mark := f.Backends[0].Runs.Load()
+	must(t, awaitRuns(ctx, f.Backends[0].Runs.Load, mark+50))
+	if now := f.Backends[3].Runs.Load(); now > closed {
+		t.Errorf("the emptied locality ran %d more after every sidecar had the word (%d before)", now-closed, closed-before)
+	}
+	r, err = f.Operate(ctx, f.Cores[2], "DELETE", "/v1/localities/west/emptied", nil)
+	must(t, err)
+	f.Ledger.TakenBack("west", time.Now())
+	must(t, awaitRuns(ctx, f.Backends[3].Runs.Load, closed+5))
+	stop()
+	wg.Wait()
+	judge(t, f)
+	if v := f.Ledger.Judge(); v.Good != v.Sent {
+		t.Errorf("of %d sent only %d were good", v.Sent, v.Good)
+	}
+}
+
+// A warned sidecar is unready at once, takes nothing new, finishes what was
+// handed over to it on either side, and ends with 0.
+func TestDrain(t *testing.T) {
+	r := newRig(t)
+	running, release := make(chan struct{}, 9), make(chan struct{})
+	r.backend(1, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		io.Copy(io.Discard, q.Body)
+		running <- struct{}{}
+		<-release
+		io.WriteString(w, "done")
+	}))
+	open := make(chan answer, 1)
+	go func() { open <- r.send("POST", "/once/", "x") }()
+	recv(r, running)
+	code := make(chan int, 2)
+	for i := range 2 {
+		go func() { code <- r.Sidecars[i].Stop() }()
+	}
+	must(t, awaitUnready(r, 0))
+	must(t, awaitUnready(r, 1))
+	r.expect(r.send("POST", "/once/", "x"), 503, "not-run")
+	close(release)
+	if a := recv(r, open); a.StatusCode != 200 || string(a.body) != "done" {
+		t.Errorf("what was handed over got %d %q", a.StatusCode, a.body)
+	}
+	for range 2 {
+		if c := recv(r, code); c != 0 {
+			t.Errorf("ended with %d", c)
+		}
+	}
+}
+
+// A reload puts in force what it can and says what it can't.
+func TestReload(t *testing.T) {
+	r := newRig(t)
+	for _, p := range []interface {
+		Signal(syscall.Signal)
+		Get(context.Context, string, any) (int, error)
+	}{r.Sidecars[0], r.Cores[0]} {
+		p.Signal(syscall.SIGHUP)
+		must(t, awaitPage(r.ctx, func(ctx context.Context) bool {
+			var got *struct {
+				Applied []string `json:"applied"`
+				Fault   string   `json:"fault"`
+			}
+			_, err := p.Get(ctx, "/v1/reload", &got)
+			return err == nil && got != nil && got.Fault == "" && len(got.Applied) == 0
+		}))
+	}
+}
--- /dev/null
+++ b/proof/rig_test.go
@@ -0,0 +1,176 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"curlewwalk/proof/fleet"
+	"curlewwalk/proof/standin"
+)
+
+// rig is a fleet of one core and two machines for tests with backends of their
+// own: callers stand on machine 0, backends on machine 1.
+type rig struct {
+	*fleet.Fleet
+	t   *testing.T
+	ctx context.Context
+	// known is how many backends were started or announced.
+	known int
+}
+
+// The two ways of a rig: an order must run once, a look may be repeated.
+var (
+	once = standin.Plan{Name: "once", Method: "POST", Prefix: "/once/", Service: "desk", Aim: time.Second, Expiry: 3 * time.Second, Rank: 1, Work: time.Millisecond, Body: 50}
+	head = standin.Plan{Name: "head", Method: "HEAD", Prefix: "/look/", Service: "desk", Aim: time.Second, Expiry: 3 * time.Second, Rank: 1, Repeatable: true}
+	look = standin.Plan{Name: "look", Method: "GET", Prefix: "/look/", Service: "desk", Aim: time.Second, Expiry: 3 * time.Second, Rank: 1, Work: time.Millisecond, Repeatable: true}
+)
+
+func newRig(t *testing.T) *rig {
+	f, ctx := start(t, fleet.Size{Name: "rig", Cores: 1, Machines: 2, Localities: []string{"north", "south"}, Capacity: 9, Plans: []standin.Plan{once, look, head}})
+	return &rig{Fleet: f, t: t, ctx: ctx}
+}
+
+// backend starts a backend on a machine that answers by h, and waits until the
+// sidecars of the rig know as many as there are.
+func (r *rig) backend(machine int, h http.Handler) *standin.Backend {
+	r.t.Helper()
+	n := r.known
+	r.known++
+	b := &standin.Backend{Instance: fmt.Sprintf("desk-%d", n), Service: "desk", Locality: r.Locality(machine), Capacity: 9,
+		Control: r.Sidecars[machine].Control, Plans: r.Size.Plans, Ledger: r.Ledger, Client: r.Client, Handle: h}
+	must(r.t, b.Start(net.JoinHostPort(r.Site.IP(machine), fmt.Sprint(8000+n))))
+	r.Backends = append(r.Backends, b)
+	must(r.t, r.AwaitServing(r.ctx, 1, r.known))
+	return b
+}
+
+// answer is what a raw request got.
+type answer struct {
+	*http.Response
+	body []byte
+	took time.Duration
+}
+
+// send sends a request to the sidecar of machine 0.
+func (r *rig) send(method, uri, body string, header ...string) answer {
+	r.t.Helper()
+	req, err := http.NewRequestWithContext(r.ctx, method, "http://"+r.Inquiries(0)+uri, bytes.NewReader([]byte(body)))
+	must(r.t, err)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	begin := time.Now()
+	resp, err := r.Client.Transport.RoundTrip(req)
+	must(r.t, err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	must(r.t, err)
+	return answer{Response: resp, body: b, took: time.Since(begin)}
+}
+
+// expect checks status and outcome of an answer of the sidecar's own.
+func (r *rig) expect(a answer, status int, outcome string) {
+	r.t.Helper()
+	var own struct{ Outcome, Reason, Trace string }
+	json.Unmarshal(a.body, &own)
+	if a.StatusCode != status || a.Header.Get("Curlewwalk-Outcome") != outcome || own.Outcome != outcome || own.Reason == "" {
+		r.t.Errorf("got %d %q %s, want %d %q", a.StatusCode, a.Header.Get("Curlewwalk-Outcome"), a.body, status, outcome)
+	}
+	if status >= 500 && a.Header.Get("Retry-After") == "" {
+		r.t.Errorf("%d without Retry-After", status)
+	}
+}
+
+// rawBackend answers each connection by what speak writes after the request
+// was read; it counts the requests it saw.
+func (r *rig) rawBackend(machine int, speak func(n int, c net.Conn)) (count func() int) {
+	r.t.Helper()
+	ln, err := net.Listen("tcp", net.JoinHostPort(r.Site.IP(machine), "0"))
+	must(r.t, err)
+	r.t.Cleanup(func() { ln.Close() })
+	seen := make(chan int, 1)
+	seen <- 0
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				b := make([]byte, 4096)
+				if k, _ := c.Read(b); k == 0 {
+					return
+				}
+				n := <-seen + 1
+				seen <- n
+				speak(n, c)
+			}()
+		}
+	}()
+	r.announce(machine, "raw", ln.Addr().String())
+	return func() int { n := <-seen; seen <- n; return n }
+}
+
+// announce keeps telling a sidecar of a backend at an address until the test
+// ends.
+func (r *rig) announce(machine int, instance, addr string) {
+	r.t.Helper()
+	body, _ := json.Marshal(map[string]any{"instance": instance, "service": "desk", "address": addr, "capacity": 9})
+	tell := func() error {
+		resp, err := r.Client.Post("http://"+r.Sidecars[machine].Control+"/v1/backends", "application/json", bytes.NewReader(body))
+		if err == nil {
+			resp.Body.Close()
+		}
+		return err
+	}
+	must(r.t, tell())
+	done := make(chan struct{})
+	r.t.Cleanup(func() { close(done) })
+	go func() {
+		tick := time.NewTicker(500 * time.Millisecond)
+		defer tick.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-tick.C:
+				tell()
+			}
+		}
+	}()
+	r.known++
+	must(r.t, r.AwaitServing(r.ctx, 1, r.known))
+}
+
+// joined waits until repeats wait for a running inquiry on machine 0.
+func (r *rig) joined(n int64) error {
+	return fleet.Await(r.ctx, "repeats to join", func(ctx context.Context) bool {
+		var st struct {
+			Near struct {
+				Open int64 `json:"open"`
+			} `json:"near"`
+		}
+		_, err := r.Sidecars[0].Get(ctx, "/v1/stats", &st)
+		return err == nil && st.Near.Open == n+1
+	})
+}
+
+// recv receives or fails the test when its time is over.
+func recv[T any](r *rig, ch <-chan T) T {
+	r.t.Helper()
+	select {
+	case v := <-ch:
+		return v
+	case <-r.ctx.Done():
+		r.t.Fatal("waited in vain")
+		panic("not reached")
+	}
+}
--- a/relay/near.go
+++ b/relay/near.go
@@ -210,7 +210,7 @@
 		l.Fate, l.Reason = way.NotRun, "node could not be reached"
 		t.Load.Shun(shunFor)
 	case r.Into(&rc) && rc.ID == leg.ID:
-		l.Fate, l.Reason = rc.Fate, rc.Reason
+		l.Fate, l.Reason, l.Expired = rc.Fate, rc.Reason, rc.Reason == string(roster.Expired)
 		t.Load.Tell(rc.Open)
 		if rc.Fate != way.Answered && rc.Reason != string(roster.Full) {
 			t.Load.Shun(shunFor)
--- a/way/decision.go
+++ b/way/decision.go
@@ -33,22 +33,22 @@
 
 // Ask decides what comes next, on the snapshots as they are now.
 func (d *Decision) Ask(t *Table, v *cohort.View, now time.Time) Order {
-	fate := NotRun
+	fate, expired := NotRun, !now.Before(d.Expiry)
 	reason := "no backend of " + d.Way.Service
 	if n := len(d.legs); n > 0 {
 		last := d.legs[n-1]
 		if last.Fate == Answered {
 			return Order{}
 		}
-		reason = last.Reason
+		reason, expired = last.Reason, expired || last.Expired
 		for _, l := range d.legs {
 			if l.Fate == Unknown {
 				fate = Unknown
 			}
 		}
 	}
-	if !now.Before(d.Expiry) {
-		return end(http.StatusGatewayTimeout, fate, "expired: "+reason)
+	if expired {
+		return end(http.StatusGatewayTimeout, fate, reason)
 	}
 	if fate == Unknown && !d.Way.Repeatable || len(d.legs) >= mostLegs {
 		return end(status(fate), fate, reason)
--- a/way/leg.go
+++ b/way/leg.go
@@ -17,4 +17,6 @@
 	Target cohort.Target
 	Fate   Fate
 	Reason string
+	// Expired says that the leg ended because the inquiry's time was over.
+	Expired bool
 }
