Drive the register through seeded failures; mend four faults it showed

The simulator runs the production voter and clerk through lost, late, doubled and reordered messages, kills at the disk, herds, lost disks with the old core still running, splits and freezes, with operators racing. It showed four causes, each seen as failing seeds before its change: - a voter let an overtaken proposal of the same epoch undo a later one (two words for one stamp): a proposal below the held mark is now refused; - an empty core counted votes of cores that were swapped out themselves (stale reads): seating now counts as every other majority does; - a refresh, and a stamp mismatch, were judged on what the clerk held, which a later epoch may have overtaken (stale reads): both now need an epoch begun after they came; - a disk swapped in before any word was held was born a second time into the same incarnation as the old one (two words for one stamp): disks draw an identity, and a birth records whom it saw. Ruled out: reuse of an epoch by a restarted clerk; the own promise guards it.

--- a/cmd/core/control.go
+++ b/cmd/core/control.go
@@ -38,15 +38,15 @@
 
 // state is what GET /v1/state shows.
 type state struct {
-	Self      cohort.Seat    `json:"self"`
-	Phase     register.Phase `json:"phase"`
-	Promised  uint64         `json:"promised"`
-	Mark      register.Mark  `json:"mark"`
-	Seats     map[int]uint64 `json:"incarnations"`
-	Duty      int            `json:"duty"`
-	Cores     []cohort.Seat  `json:"cores"`
-	Live      []int          `json:"live"`
-	Directory feed.State     `json:"directory"`
+	Self      cohort.Seat            `json:"self"`
+	Phase     register.Phase         `json:"phase"`
+	Promised  uint64                 `json:"promised"`
+	Mark      register.Mark          `json:"mark"`
+	Seats     map[int]register.Chair `json:"incarnations"`
+	Duty      int                    `json:"duty"`
+	Cores     []cohort.Seat          `json:"cores"`
+	Live      []int                  `json:"live"`
+	Directory feed.State             `json:"directory"`
 }
 
 // control serves a core's /v1, /live and /ready.
--- /dev/null
+++ b/proof/simulator/register.go
@@ -0,0 +1,465 @@
+package simulator
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"curlewwalk/desired"
+	"curlewwalk/register"
+)
+
+// Faults says which failures a run brings about.
+type Faults struct {
+	Loss, Double float64       // of messages
+	Delay        time.Duration // longest
+	Kill         time.Duration // about how often a core is killed
+	Swap         time.Duration // about how often a disk is lost for good
+	Freeze       time.Duration // about how often a core is frozen
+	Cut          time.Duration // about how often the cores are split
+	Until        time.Duration // the faults stop here
+}
+
+// Harsh are the faults of the sweeps.
+var Harsh = Faults{Loss: 0.1, Double: 0.1, Delay: 120 * time.Millisecond, Kill: 3 * time.Second, Swap: 9 * time.Second,
+	Freeze: 4 * time.Second, Cut: 5 * time.Second, Until: 40 * time.Second}
+
+// core is a simulated core process with its disk.
+type core struct {
+	slot   int
+	up     bool
+	frozen time.Duration // until then it does nothing; what comes piles up
+	cut    int           // which side of a split it is on
+	disk   register.Voter
+	voter  register.Voter
+	clerk  *register.Clerk
+	votes  map[int]register.Vote // of the current search for a seat
+	asked  register.From         // the claim of that search; zero while it only reads
+	told   uint64
+	life   int
+}
+
+// Register is a run of the register.
+type Register struct {
+	clock
+	rng    *rand.Rand
+	slots  int
+	faults Faults
+	cores  []*core // the last of a slot is the one that belongs there
+	seq    uint64
+
+	orders  map[uint64]register.Order
+	asks    map[uint64]func(register.Answer)
+	settled map[uint64][]byte
+	acked   uint64
+	// Trace, if set, is told what goes on.
+	Trace func(string)
+	// Broken lists what must never happen and did.
+	Broken []string
+	// Acked, Reads, Refused and Swaps count what went on.
+	Acked, Reads, Refused, Swaps, Kills int
+}
+
+// NewRegister lays a run out.
+func NewRegister(seed uint64, slots int, f Faults) *Register {
+	r := &Register{rng: rand.New(rand.NewPCG(seed, 7)), slots: slots, faults: f, orders: map[uint64]register.Order{},
+		asks: map[uint64]func(register.Answer){}, settled: map[uint64][]byte{}}
+	for s := 1; s <= slots; s++ {
+		c := &core{slot: s, disk: r.blank(s)}
+		r.cores = append(r.cores, c)
+		r.after(r.some(time.Second), func() { r.boot(c) })
+	}
+	return r
+}
+
+func (r *Register) blank(slot int) register.Voter {
+	return register.Voter{Self: register.From{Slot: slot, ID: r.rng.Uint64() | 1}, Slots: r.slots, Phase: register.Virgin, Seats: map[int]register.Chair{}}
+}
+
+func (r *Register) some(d time.Duration) time.Duration {
+	return time.Duration(r.rng.Int64N(int64(d) + 1))
+}
+
+func (r *Register) note(c *core, format string, args ...any) {
+	if r.Trace != nil {
+		r.Trace(fmt.Sprintf("%12v core %d.%d/%x ", r.now, c.slot, c.voter.Self.Inc, c.voter.Self.ID>>52) + fmt.Sprintf(format, args...))
+	}
+}
+
+func (r *Register) broken(format string, args ...any) {
+	r.Broken = append(r.Broken, fmt.Sprintf("%v: ", r.now)+fmt.Sprintf(format, args...))
+}
+
+// Run runs it: faults for a while, then quiet, after which it must serve.
+func (r *Register) Run() {
+	r.repeat(250*time.Millisecond, r.faults.Until, r.write)
+	r.repeat(300*time.Millisecond, r.faults.Until, r.readBack)
+	r.repeat(r.faults.Kill, r.faults.Until, r.kill)
+	r.repeat(r.faults.Swap, r.faults.Until, r.swap)
+	r.repeat(r.faults.Freeze, r.faults.Until, r.freeze)
+	r.repeat(r.faults.Cut, r.faults.Until, r.split)
+	r.run(r.faults.Until)
+	for _, c := range r.cores {
+		c.cut = 0
+		if c == r.seat(c.slot) && !c.up {
+			r.boot(c)
+		}
+	}
+	quiet := r.now + 15*time.Second
+	r.run(quiet)
+	before := r.Acked
+	reads := r.Reads
+	for tries := 0; tries < 40 && (r.Acked == before || r.Reads == reads); tries++ {
+		r.write()
+		r.readBack()
+		r.run(r.now + time.Second)
+	}
+	if r.Acked == before || r.Reads == reads {
+		r.broken("it does not serve 15 s after the last fault: %s", r.show())
+	}
+}
+
+func (r *Register) show() (s string) {
+	for _, c := range r.cores {
+		s += fmt.Sprintf(" [%d.%d up=%v %s promised %d %v settled %d]", c.slot, c.voter.Self.Inc, c.up, c.voter.Phase, c.voter.Promised, c.voter.Mark, c.voter.Settled)
+	}
+	return s
+}
+
+func (r *Register) repeat(about, until time.Duration, do func()) {
+	if about == 0 {
+		return
+	}
+	r.after(r.some(2*about), func() {
+		if r.now < until {
+			do()
+			r.repeat(about, until, do)
+		}
+	})
+}
+
+// seat is the core that belongs in a slot now.
+func (r *Register) seat(slot int) (last *core) {
+	for _, c := range r.cores {
+		if c.slot == slot {
+			last = c
+		}
+	}
+	return last
+}
+
+func (r *Register) any() *core { return r.cores[r.rng.IntN(len(r.cores))] }
+
+// boot starts a core from its disk.
+func (r *Register) boot(c *core) {
+	c.up, c.told = true, 0
+	r.note(c, "boots")
+	c.life++
+	life := c.life
+	c.voter = c.disk
+	c.voter.Settled = 0
+	c.clerk = &register.Clerk{Self: c.voter.Self, Slots: r.slots}
+	var tick func()
+	tick = func() {
+		if c.up && c.life == life {
+			r.when(c, func() { r.tick(c) })
+			r.after(50*time.Millisecond, tick)
+		}
+	}
+	tick()
+}
+
+// when runs do now, or once the core has woken, if it then still lives.
+func (r *Register) when(c *core, do func()) {
+	life := c.life
+	if c.frozen > r.now {
+		r.after(c.frozen-r.now, func() {
+			if c.up && c.life == life {
+				do()
+			}
+		})
+		return
+	}
+	if c.up {
+		do()
+	}
+}
+
+func (r *Register) tick(c *core) {
+	if c.voter.Phase != register.Established {
+		r.lookForSeat(c)
+		return
+	}
+	c.clerk.Known(c.voter.Promised)
+	if c.voter.Mark.Stamp > c.voter.Settled && r.rng.IntN(20) == 0 {
+		r.order(c, register.Order{Kind: register.Refresh}, func(register.Answer) {})
+	}
+	r.obey(c, c.clerk.Tick(r.now))
+}
+
+// lookForSeat is what an empty core does from time to time.
+func (r *Register) lookForSeat(c *core) {
+	if r.rng.IntN(6) != 0 {
+		return
+	}
+	if c.votes != nil && c.asked == (register.From{}) {
+		if next, ok := c.voter.Born(c.votes); ok {
+			r.save(c, next)
+			return
+		}
+		self, may := c.voter.Claimant(c.votes)
+		if c.asked = (register.From{}); may {
+			c.asked = self
+		}
+	} else {
+		c.asked = register.From{}
+	}
+	c.votes = map[int]register.Vote{}
+	b := register.Ballot{From: c.voter.Self, Act: register.Read}
+	if c.asked != (register.From{}) {
+		b = register.Ballot{From: c.asked, Act: register.Sit}
+	}
+	votes := c.votes
+	for s := 1; s <= r.slots; s++ {
+		if s == c.slot {
+			continue
+		}
+		r.put(c, s, b, func(v register.Vote) {
+			votes[v.From.Slot] = v
+			if self := c.asked; self == b.From && b.Act == register.Sit {
+				if next, ok := c.voter.Seated(self, votes); ok {
+					r.save(c, next)
+					r.tell(c)
+				}
+			}
+		})
+	}
+}
+
+// put brings a ballot to a slot, and its vote back, through what may happen.
+func (r *Register) put(from *core, slot int, b register.Ballot, back func(register.Vote)) {
+	to := r.seat(slot)
+	if r.rng.IntN(5) == 0 { // news of a swapped core has not come round
+		for _, c := range r.cores {
+			if c.slot == slot {
+				to = c
+				break
+			}
+		}
+	}
+	if from.slot == slot {
+		to = from
+	}
+	life := from.life
+	r.send(from, to, func() {
+		next, vote := to.voter.On(b)
+		if r.rng.IntN(400) == 0 && r.now < r.faults.Until { // power is lost at the disk
+			if r.rng.IntN(2) == 0 {
+				to.disk = next
+			}
+			r.down(to)
+			return
+		}
+		r.save(to, next)
+		r.tell(to)
+		r.send(to, from, func() {
+			if from.life == life {
+				back(vote)
+			}
+		})
+	})
+}
+
+// send carries a message: late, lost, doubled, or to a core that is frozen.
+func (r *Register) send(from, to *core, do func()) {
+	if from == to {
+		r.after(time.Microsecond, func() { r.when(to, do) })
+		return
+	}
+	copies := 1
+	quiet := r.now >= r.faults.Until
+	if !quiet && r.rng.Float64() < r.faults.Double {
+		copies = 2
+	}
+	for range copies {
+		if !quiet && r.rng.Float64() < r.faults.Loss {
+			continue
+		}
+		r.after(time.Millisecond+r.some(r.faults.Delay), func() {
+			if from.cut == to.cut {
+				r.when(to, do)
+			}
+		})
+	}
+}
+
+func (r *Register) save(c *core, next register.Voter) {
+	if next.Mark != c.voter.Mark || next.Promised != c.voter.Promised || next.Phase != c.voter.Phase {
+		r.note(c, "%s, promised %d, holds %v %q, seats %v", next.Phase, next.Promised, next.Mark, next.Word.Desired, next.Seats)
+	}
+	c.voter, c.disk = next, next
+	c.clerk.Self = next.Self
+}
+
+// tell checks each word that a core takes for settled.
+func (r *Register) tell(c *core) {
+	v := c.voter
+	if v.Settled != v.Mark.Stamp || v.Settled <= c.told {
+		return
+	}
+	c.told = v.Settled
+	r.note(c, "takes stamp %d for settled", v.Settled)
+	r.check(v.Word, fmt.Sprintf("core %d", c.slot))
+}
+
+func (r *Register) check(w desired.Word, who string) {
+	if old, ok := r.settled[w.Stamp]; ok && !bytes.Equal(old, w.Desired) {
+		r.broken("%s has %q for stamp %d that was %q", who, w.Desired, w.Stamp, old)
+	}
+	r.settled[w.Stamp] = w.Desired
+}
+
+func (r *Register) obey(c *core, outs []register.Outcome) {
+	for _, o := range outs {
+		if o.Answer != nil {
+			if back, ok := r.asks[o.Answer.ID]; ok {
+				delete(r.asks, o.Answer.ID)
+				back(*o.Answer)
+			}
+		}
+		for _, s := range o.To {
+			r.put(c, s, *o.Ballot, func(v register.Vote) { r.obey(c, c.clerk.Hear(v, r.now)) })
+		}
+	}
+}
+
+func (r *Register) order(c *core, o register.Order, back func(register.Answer)) {
+	r.seq++
+	o.ID, o.Until = r.seq, r.now+3*time.Second
+	r.asks[o.ID] = back
+	r.obey(c, c.clerk.Take(o, r.now))
+}
+
+// write has an operator put a configuration at any core that is up.
+func (r *Register) write() {
+	c := r.any()
+	if !c.up || c.frozen > r.now || c.voter.Phase != register.Established {
+		return
+	}
+	text := fmt.Appendf(nil, "configuration %d", r.seq+1)
+	r.order(c, register.Order{Kind: register.Put, Bytes: text}, func(a register.Answer) {
+		if a.Result != register.Taken {
+			r.Refused++
+			return
+		}
+		r.Acked++
+		if !bytes.Equal(a.Word.Desired, text) && a.Word.DesiredStamp == a.Word.Stamp {
+			r.broken("%q was acknowledged as %q", text, a.Word.Desired)
+		}
+		r.check(a.Word, "an operator")
+		r.acked = max(r.acked, a.Word.Stamp)
+	})
+}
+
+// readBack has an operator read: never older than what was acknowledged before.
+func (r *Register) readBack() {
+	c := r.any()
+	if !c.up || c.frozen > r.now {
+		return
+	}
+	least := r.acked
+	got := func(w desired.Word) {
+		r.Reads++
+		r.check(w, "a reader")
+		if w.Stamp < least {
+			r.broken("stamp %d was read after %d was acknowledged", w.Stamp, least)
+		}
+	}
+	votes, done := map[int]register.Vote{}, false
+	for s := 1; s <= r.slots; s++ {
+		r.put(c, s, register.Ballot{From: c.voter.Self, Act: register.Read}, func(v register.Vote) {
+			votes[v.From.Slot] = v
+			counted := register.Counted(votes)
+			if done || len(counted) < register.Majority(r.slots) {
+				return
+			}
+			done = true
+			if top, held := register.Newest(counted, r.slots); held {
+				got(top.Word)
+			} else if c.voter.Phase == register.Established {
+				r.order(c, register.Order{Kind: register.Refresh}, func(a register.Answer) {
+					if a.Result == register.Taken {
+						got(a.Word)
+					}
+				})
+			}
+		})
+	}
+}
+
+func (r *Register) down(c *core) {
+	r.note(c, "is killed")
+	c.up = false
+	r.Kills++
+	c.life++
+	if c == r.seat(c.slot) {
+		r.after(r.some(3*time.Second), func() {
+			if !c.up && c == r.seat(c.slot) {
+				r.boot(c)
+			}
+		})
+	}
+}
+
+func (r *Register) kill() {
+	if c := r.any(); c.up {
+		r.down(c)
+	}
+	if r.rng.IntN(8) == 0 { // a herd
+		for _, c := range r.cores {
+			if c.up {
+				r.down(c)
+			}
+		}
+	}
+}
+
+// swap puts a core with an empty disk in a slot, while all others are
+// established: more than a minority of disks lost at a time is beyond what the
+// register can bear. The old core may go on running.
+func (r *Register) swap() {
+	slot := r.rng.IntN(r.slots) + 1
+	for s := 1; s <= r.slots; s++ {
+		if c := r.seat(s); c.disk.Phase != register.Established {
+			return
+		}
+	}
+	r.Swaps++
+	r.note(r.seat(slot), "is swapped")
+	old := r.seat(slot)
+	c := &core{slot: slot, disk: r.blank(slot)}
+	r.cores = append(r.cores, c)
+	if r.rng.IntN(2) == 0 {
+		old.up = false
+		old.life++
+	}
+	r.boot(c)
+}
+
+func (r *Register) freeze() {
+	if c := r.any(); c.up {
+		c.frozen = r.now + r.some(5*time.Second)
+	}
+}
+
+func (r *Register) split() {
+	for _, c := range r.cores {
+		c.cut = r.rng.IntN(2)
+	}
+	r.after(r.some(4*time.Second), func() {
+		for _, c := range r.cores {
+			c.cut = 0
+		}
+	})
+}
--- /dev/null
+++ b/proof/simulator/simulator_test.go
@@ -0,0 +1,41 @@
+package simulator
+
+import (
+	"flag"
+	"testing"
+)
+
+var (
+	seeds = flag.Int("seeds", 60, "how many seeds to run")
+	first = flag.Uint64("first", 1, "the first seed")
+)
+
+// The register under lost, late, doubled and reordered messages, kills at the
+// disk, herds, lost disks, splits and freezes, with operators racing: nothing
+// acknowledged is lost, no stamp stands for two words, no read is old, and it
+// serves again within 15 s.
+func TestRegister(t *testing.T) {
+	var acked, reads, refused, swaps, kills int
+	for _, slots := range []int{3, 5} {
+		for seed := *first; seed < *first+uint64(*seeds); seed++ {
+			r := NewRegister(seed, slots, Harsh)
+			if *seeds == 1 {
+				r.Trace = func(s string) { t.Log(s) }
+			}
+			r.Run()
+			for i, b := range r.Broken {
+				if i < 3 {
+					t.Errorf("seed %d with %d slots: %s", seed, slots, b)
+				}
+			}
+			if len(r.Broken) > 0 {
+				t.Errorf("replay: go test ./proof/simulator -run TestRegister -first %d -seeds 1", seed)
+			}
+			acked, reads, refused, swaps, kills = acked+r.Acked, reads+r.Reads, refused+r.Refused, swaps+r.Swaps, kills+r.Kills
+		}
+	}
+	t.Logf("%d writes acknowledged, %d refused, %d reads, %d swaps, %d kills", acked, refused, reads, swaps, kills)
+	if acked == 0 || reads == 0 || swaps == 0 || refused == 0 {
+		t.Error("the faults or the work did not come about")
+	}
+}
--- /dev/null
+++ b/register/chair.go
@@ -0,0 +1,8 @@
+package register
+
+// Chair is what a voter knows of a slot: the highest incarnation, and whose
+// disk has it.
+type Chair struct {
+	Inc uint64 `msgpack:"i" json:"incarnation"`
+	ID  uint64 `msgpack:"d" json:"id"`
+}
--- a/register/clerk.go
+++ b/register/clerk.go
@@ -39,10 +39,12 @@
 	votes  map[int]Vote
 	sent   time.Duration
 	rest   time.Duration // no new epoch before this
+	began  time.Duration // when the epoch was asked for
 }
 
 // Take queues an order.
 func (c *Clerk) Take(o Order, now time.Duration) []Outcome {
+	o.at = now
 	c.orders = append(c.orders, o)
 	return c.proceed(now)
 }
@@ -116,10 +118,17 @@
 				return out
 			}
 			c.epoch = (c.known/uint64(c.Slots)+1)*uint64(c.Slots) + uint64(c.Self.Slot)
+			c.began = now
 			return append(out, c.begin(preparing, now)...)
 		}
 		o := &c.orders[0]
 		if ans, done := c.judge(*o); done {
+			if c.began < o.at && (o.Kind == Refresh || ans.Result == Mismatch) {
+				// What is held may have been overtaken under a later epoch: only
+				// an epoch begun since the order came proves it the newest.
+				c.epoch = 0
+				continue
+			}
 			c.orders = c.orders[1:]
 			out = append(out, Outcome{Answer: &ans})
 			continue
@@ -228,3 +237,6 @@
 	}
 	return out
 }
+
+// Known tells the clerk of an epoch that the own voter has promised.
+func (c *Clerk) Known(epoch uint64) { c.known = max(c.known, epoch) }
--- a/register/disk.go
+++ b/register/disk.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 
 	"github.com/rotisserie/eris"
 
@@ -30,10 +31,11 @@
 
 // oath is the small part of a voter: what it promised and who sits where.
 type oath struct {
-	Inc      uint64         `json:"incarnation"`
-	Phase    Phase          `json:"phase"`
-	Promised uint64         `json:"promised"`
-	Seats    map[int]uint64 `json:"seats"`
+	ID       uint64        `json:"id"`
+	Inc      uint64        `json:"incarnation"`
+	Phase    Phase         `json:"phase"`
+	Promised uint64        `json:"promised"`
+	Seats    map[int]Chair `json:"seats"`
 }
 
 // wordHead is the first line of a word's file; the operator's bytes follow.
@@ -46,7 +48,7 @@
 // Load reads a voter. One whose newest files can't be read whole has lost what
 // it promised: its files are set aside and it must take its seat anew.
 func (d *Disk) Load(slot, slots int) (Voter, error) {
-	v := Voter{Self: From{Slot: slot}, Slots: slots, Phase: Virgin, Seats: map[int]uint64{}}
+	v := Voter{Self: From{Slot: slot}, Slots: slots, Phase: Virgin, Seats: map[int]Chair{}}
 	oathName, oathData, oathTorn, err := d.Vault.Newest(kindOath)
 	if err != nil {
 		return v, err
@@ -56,16 +58,18 @@
 		return v, err
 	}
 	if oathName == "" && wordName == "" {
-		return v, nil
+		// An empty disk draws its identity before it says anything.
+		v.Self.ID, v.OathDirty = rand.Uint64()|1, true
+		return v, d.Save(v)
 	}
 	var o oath
 	if oathName == "" || oathTorn || wordTorn || json.Unmarshal(oathData, &o) != nil {
 		return d.lose(v)
 	}
 	fmt.Sscanf(oathName, "%d", &d.oaths)
-	v.Self.Inc, v.Phase, v.Promised, v.Seats = o.Inc, o.Phase, o.Promised, o.Seats
+	v.Self.ID, v.Self.Inc, v.Phase, v.Promised, v.Seats = o.ID, o.Inc, o.Phase, o.Promised, o.Seats
 	if v.Seats == nil {
-		v.Seats = map[int]uint64{}
+		v.Seats = map[int]Chair{}
 	}
 	if wordName != "" && v.Phase == Established {
 		head, body, _ := bytes.Cut(wordData, []byte("\n"))
@@ -86,7 +90,7 @@
 			return v, err
 		}
 	}
-	v = Voter{Self: From{Slot: v.Self.Slot}, Slots: v.Slots, Phase: Lost, Seats: map[int]uint64{}, OathDirty: true}
+	v = Voter{Self: From{Slot: v.Self.Slot, ID: rand.Uint64() | 1}, Slots: v.Slots, Phase: Lost, Seats: map[int]Chair{}, OathDirty: true}
 	return v, d.Save(v)
 }
 
@@ -107,7 +111,7 @@
 		}
 	}
 	if v.OathDirty {
-		data, err := json.Marshal(oath{Inc: v.Self.Inc, Phase: v.Phase, Promised: v.Promised, Seats: v.Seats})
+		data, err := json.Marshal(oath{ID: v.Self.ID, Inc: v.Self.Inc, Phase: v.Phase, Promised: v.Promised, Seats: v.Seats})
 		if err != nil {
 			return eris.Wrap(err, "oath")
 		}
--- a/register/keeper.go
+++ b/register/keeper.go
@@ -152,17 +152,8 @@
 	if len(votes) < Majority(self.Slots) {
 		return desired.Word{}, false
 	}
-	var top Vote
-	same := 0
-	for _, v := range votes {
-		if c := top.Mark.Compare(v.Mark); c < 0 {
-			top, same = v, 1
-		} else if c == 0 {
-			same++
-			top.Settled = max(top.Settled, v.Settled)
-		}
-	}
-	if same >= Majority(self.Slots) || top.Settled == top.Mark.Stamp {
+	top, held := Newest(votes, self.Slots)
+	if held {
 		return top.Word, true
 	}
 	a := refresh(ctx)
@@ -256,7 +247,7 @@
 		}
 		return
 	}
-	k.clerk.known = max(k.clerk.known, k.voter.Promised)
+	k.clerk.Known(k.voter.Promised)
 	// A word that no majority is known to hold is made sure of by the core on
 	// duty: after a cold start, or when a clerk stopped half way.
 	if k.voter.Mark.Stamp > k.voter.Settled && len(k.orders) == 0 && k.Peers.OnDuty() && now-k.seated >= seatEvery {
@@ -284,14 +275,8 @@
 		}
 		return
 	}
-	self := k.voter.Claimant(votes)
-	established := 0
-	for _, v := range votes {
-		if v.Phase == Established {
-			established++
-		}
-	}
-	if established < Majority(k.voter.Slots) {
+	self, may := k.voter.Claimant(votes)
+	if !may {
 		return
 	}
 	k.Launcher.Go(ctx, "sit", func(ctx context.Context) {
--- a/register/order.go
+++ b/register/order.go
@@ -22,6 +22,8 @@
 	Locality string        `msgpack:"l"`
 	IfMatch  *uint64       `msgpack:"m"`
 	Until    time.Duration `msgpack:"-"`
+	// at is when the clerk took it.
+	at time.Duration
 	// proposed is the mark under which the order went out, if it did.
 	proposed Mark
 }
--- a/register/voter.go
+++ b/register/voter.go
@@ -16,7 +16,7 @@
 	Mark     Mark
 	Word     desired.Word
 	// Seats is the highest incarnation known of each slot.
-	Seats map[int]uint64
+	Seats map[int]Chair
 	// Settled is the highest stamp known to be held by a majority; not on disk.
 	Settled uint64
 	// OathDirty and WordDirty say what must be saved.
@@ -39,7 +39,8 @@
 			v.Promised = b.Epoch
 		}
 	case b.Act == Propose:
-		if ok = b.Epoch >= v.Promised && b.Mark.Epoch == b.Epoch; ok {
+		// An overtaken proposal of the same epoch must not undo a later one.
+		if ok = b.Epoch >= v.Promised && b.Mark.Epoch == b.Epoch && b.Mark.Compare(v.Mark) >= 0; ok {
 			v = v.accept(b.Mark, b.Word)
 		}
 	case b.Act == Settle:
@@ -50,8 +51,8 @@
 		}
 		v.Settled = max(v.Settled, b.Mark.Stamp)
 	case b.Act == Sit:
-		if ok = b.From.Inc > v.Seats[b.From.Slot]; ok {
-			v = v.seat(map[int]uint64{b.From.Slot: b.From.Inc})
+		if ok = b.From.Inc > v.Seats[b.From.Slot].Inc; ok {
+			v = v.seat(map[int]Chair{b.From.Slot: {Inc: b.From.Inc, ID: b.From.ID}})
 		}
 	}
 	vote := Vote{From: v.Self, Act: b.Act, Epoch: b.Epoch, OK: ok, Phase: v.Phase, Promised: v.Promised,
@@ -67,7 +68,7 @@
 	if b.Act == Read {
 		return true
 	}
-	return v.Phase == Established && (b.Act == Sit || b.From.Inc >= v.Seats[b.From.Slot])
+	return v.Phase == Established && (b.Act == Sit || b.From.holds(v.Seats[b.From.Slot]))
 }
 
 func (v Voter) accept(m Mark, w desired.Word) Voter {
@@ -76,14 +77,14 @@
 	return v
 }
 
-func (v Voter) seat(seats map[int]uint64) Voter {
+func (v Voter) seat(seats map[int]Chair) Voter {
 	next := maps.Clone(v.Seats)
 	if next == nil {
-		next = map[int]uint64{}
+		next = map[int]Chair{}
 	}
-	for s, inc := range seats {
-		if inc > next[s] {
-			next[s], v.OathDirty = inc, true
+	for s, c := range seats {
+		if c.Inc > next[s].Inc {
+			next[s], v.OathDirty = c, true
 		}
 	}
 	v.Seats = next
@@ -92,43 +93,45 @@
 
 // Born decides whether an empty core may be established, from the votes that
 // the other slots gave to a Read. All slots must answer, and none may hold a
-// word or have lost one. (DESIGN 6.5)
+// word or have lost one. Those already born must have seen this very disk at
+// their birth: else it came in place of another, and takes its seat by Sit.
+// (DESIGN 6.5)
 func (v Voter) Born(votes map[int]Vote) (Voter, bool) {
 	if v.Phase != Virgin || len(votes) < v.Slots-1 {
 		return v, false
 	}
-	for _, o := range votes {
-		if o.Phase == Lost || o.Mark != (Mark{}) || o.Seats[v.Self.Slot] > v.Self.Inc {
+	chairs := map[int]Chair{v.Self.Slot: {Inc: 1, ID: v.Self.ID}}
+	promised := v.Promised
+	for s, o := range votes {
+		if o.Phase == Lost || o.Mark != (Mark{}) || o.Phase == Established && o.Seats[v.Self.Slot] != chairs[v.Self.Slot] {
 			return v, false
 		}
-		v.Promised = max(v.Promised, o.Promised)
+		chairs[s] = Chair{Inc: max(1, o.From.Inc), ID: o.From.ID}
+		promised = max(promised, o.Promised)
 	}
-	v.Phase = Established
-	v.Self.Inc = max(v.Self.Inc, 1)
-	v = v.seat(map[int]uint64{v.Self.Slot: v.Self.Inc})
+	v.Phase, v.Promised, v.Self.Inc = Established, promised, 1
+	v = v.seat(chairs)
 	v.OathDirty = true
 	return v, true
 }
 
 // Claimant is the incarnation with which an empty core asks for its seat: one
-// more than any that the others know of.
-func (v Voter) Claimant(votes map[int]Vote) From {
+// more than any that the others know of. It may ask once a majority of the
+// established answer.
+func (v Voter) Claimant(votes map[int]Vote) (From, bool) {
 	inc := v.Self.Inc
 	for _, o := range votes {
-		inc = max(inc, o.Seats[v.Self.Slot])
+		inc = max(inc, o.Seats[v.Self.Slot].Inc)
 	}
-	return From{Slot: v.Self.Slot, Inc: inc + 1}
+	return From{Slot: v.Self.Slot, Inc: inc + 1, ID: v.Self.ID}, len(Counted(votes)) >= Majority(v.Slots)
 }
 
 // Seated decides whether an empty core has copied from a majority of the
 // established, from the votes they gave to its Sit. (DESIGN 6.5)
 func (v Voter) Seated(self From, votes map[int]Vote) (Voter, bool) {
-	var copied []Vote
-	for _, o := range votes {
-		if o.OK && o.Phase == Established {
-			copied = append(copied, o)
-		}
-	}
+	// A voter that was swapped out itself may not know it: it does not count.
+	copied := Counted(votes)
+	maps.DeleteFunc(copied, func(_ int, o Vote) bool { return !o.OK })
 	if v.Phase == Established || len(copied) < Majority(v.Slots) {
 		return v, false
 	}
@@ -146,20 +149,34 @@
 	return v, true
 }
 
-// Counted tells whether a vote may be counted: its voter still holds its seat
-// as far as any of the votes says.
+// Counted leaves the votes that may be counted: those of established voters
+// that still hold their seats as far as any of the votes says.
 func Counted(votes map[int]Vote) map[int]Vote {
-	seats := map[int]uint64{}
-	for _, o := range votes {
-		for s, inc := range o.Seats {
-			seats[s] = max(seats[s], inc)
-		}
-	}
 	out := map[int]Vote{}
 	for s, o := range votes {
-		if o.Phase == Established && o.From.Inc >= seats[s] {
+		ok := o.Phase == Established
+		for _, p := range votes {
+			ok = ok && o.From.holds(p.Seats[o.From.Slot])
+		}
+		if ok {
 			out[s] = o
 		}
 	}
 	return out
 }
+
+// Newest finds the newest word among the counted votes of a majority; held
+// tells whether a majority is known to hold it.
+func Newest(votes map[int]Vote, slots int) (top Vote, held bool) {
+	same, settled := 0, false
+	for _, v := range votes {
+		switch c := top.Mark.Compare(v.Mark); {
+		case c < 0:
+			top, same, settled = v, 1, v.Settled == v.Mark.Stamp
+		case c == 0:
+			same++
+			settled = settled || v.Settled == v.Mark.Stamp
+		}
+	}
+	return top, settled || same >= Majority(slots)
+}
--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,220 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"curlewwalk/launch"
+	"curlewwalk/trace"
+)
+
+func begin(t *testing.T) (context.Context, *launch.Launcher) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	t.Cleanup(cancel)
+	return ctx, launch.New(slog.New(slog.DiscardHandler), func(name string, cause any, stack []byte) { t.Errorf("%s: %v\n%s", name, cause, stack) })
+}
+
+type echo struct {
+	Text  string `msgpack:"t"`
+	Trace string `msgpack:"tr"`
+}
+
+func host(t *testing.T, ctx context.Context, l *launch.Launcher) *Host {
+	h := &Host{Launcher: l, Own: Greeting{Version: Version, Node: "host"}, Handlers: map[string]Handler{
+		"echo": func(ctx context.Context, q Inquiry) (any, string) {
+			var e echo
+			if !q.Into(&e) {
+				return nil, "not an echo"
+			}
+			if s, ok := trace.From(ctx); ok {
+				e.Trace = s.Trace.String()
+			}
+			return e, ""
+		},
+	}}
+	if err := h.Listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	l.Go(ctx, "host", h.Run)
+	return h
+}
+
+// The four mixes of traced and plain peers are served, each in its own form.
+func TestMixesOfTracedAndPlain(t *testing.T) {
+	ctx, l := begin(t)
+	h := host(t, ctx, l)
+	c, err := Dial(ctx, l, nil, h.Addr().String(), Greeting{Version: Version, Node: "caller"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := trace.Root()
+	for _, traced := range []bool{true, false, true} {
+		call, want := ctx, ""
+		if traced {
+			call, want = trace.With(ctx, s), s.Trace.String()
+		}
+		var e echo
+		r := c.Call(call, "echo", echo{Text: "x"})
+		if !r.Into(&e) || r.Traced != traced || e.Trace != want || e.Text != "x" {
+			t.Errorf("traced %v: receipt traced %v, %+v", traced, r.Traced, e)
+		}
+	}
+
+	// A peer that knows no tracing answers plain, and is understood.
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	l.Go(ctx, "plain-peer", func(context.Context) {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		r := bufio.NewReader(conn)
+		exchange(conn, r, Greeting{Version: 1})
+		for {
+			b, err := readFrame(r)
+			if err != nil {
+				return
+			}
+			_, _, m, _ := decode(b)
+			out, _ := encode(trace.Span{}, m)
+			conn.Write(out)
+		}
+	})
+	p, err := Dial(ctx, l, nil, ln.Addr().String(), Greeting{Version: Version})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var e echo
+	if r := p.Call(trace.With(ctx, s), "echo", echo{Text: "y"}); !r.Into(&e) || r.Traced || e.Text != "y" {
+		t.Errorf("plain peer: %+v %+v", r, e)
+	}
+}
+
+// Old and new messages mix: unknown fields and versions are passed over.
+func TestMixedVersions(t *testing.T) {
+	ctx, l := begin(t)
+	h := host(t, ctx, l)
+	conn, err := net.Dial("tcp", h.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	newer, _ := msgpack.Marshal(map[string]any{"v": 99, "n": "newer", "b": 7, "later": "field"})
+	conn.Write(sealFrame(append(make([]byte, headLen), newer...)))
+	if _, err := readFrame(r); err != nil {
+		t.Fatal(err)
+	}
+	body, _ := msgpack.Marshal(map[string]any{"t": "z", "more": []int{1}})
+	call, _ := msgpack.Marshal(map[string]any{"i": 1, "k": "echo", "b": msgpack.RawMessage(body), "later": 3})
+	conn.Write(sealFrame(append(make([]byte, headLen), call...)))
+	b, err := readFrame(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, traced, m, err := decode(b)
+	var e echo
+	if err != nil || traced || msgpack.Unmarshal(m.Body, &e) != nil || e.Text != "z" {
+		t.Errorf("answer traced %v, %+v, %v", traced, m, err)
+	}
+}
+
+// A frame that was altered, doubled or answered with another number breaks the
+// circuit; the call is lost, never answered wrongly.
+func TestBadFramesBreakTheCircuit(t *testing.T) {
+	answers := map[string]func(m message) []byte{
+		"altered": func(m message) []byte {
+			out, _ := encode(trace.Span{}, m)
+			out[len(out)-1] ^= 1
+			return out
+		},
+		"another's number": func(m message) []byte {
+			m.ID += 5
+			out, _ := encode(trace.Span{}, m)
+			return out
+		},
+		"another's kind": func(m message) []byte {
+			m.Kind = "other"
+			out, _ := encode(trace.Span{}, m)
+			return out
+		},
+		"cut short": func(m message) []byte {
+			out, _ := encode(trace.Span{}, m)
+			return out[:len(out)-3]
+		},
+		"too long": func(message) []byte { return []byte{0xff, 0xff, 0xff, 0xff, 0, 0, 0, 0} },
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			ctx, l := begin(t)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			l.Go(ctx, "peer", func(context.Context) {
+				conn, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				r := bufio.NewReader(conn)
+				exchange(conn, r, Greeting{})
+				b, err := readFrame(r)
+				if err != nil {
+					return
+				}
+				_, _, m, _ := decode(b)
+				conn.Write(answer(m))
+			})
+			c, err := Dial(ctx, l, nil, ln.Addr().String(), Greeting{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if r := c.Call(ctx, "echo", echo{Text: "x"}); r.Fate != Lost {
+				t.Errorf("fate %v", r.Fate)
+			}
+			<-c.Broken()
+			if r := c.Call(ctx, "echo", echo{Text: "x"}); r.Fate != Unsent {
+				t.Errorf("on a broken circuit: fate %v", r.Fate)
+			}
+		})
+	}
+}
+
+// The host runs no call twice: a doubled frame ends the circuit.
+func TestDoubledCall(t *testing.T) {
+	ctx, l := begin(t)
+	runs := make(chan int, 9)
+	h := &Host{Launcher: l, Handlers: map[string]Handler{"run": func(context.Context, Inquiry) (any, string) { runs <- 1; return 1, "" }}}
+	if err := h.Listen("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	l.Go(ctx, "host", h.Run)
+	conn, err := net.Dial("tcp", h.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	exchange(conn, r, Greeting{})
+	out, _ := encode(trace.Span{}, message{ID: 1, Kind: "run"})
+	conn.Write(append(append([]byte{}, out...), out...))
+	for {
+		if _, err := readFrame(r); err != nil {
+			break
+		}
+	}
+	if <-runs; len(runs) != 0 {
+		t.Error("it ran twice")
+	}
+}
