Test the operator's word and tracing over processes; tell all faults by path

Cause of the one failure seen: faults of form were told by byte, a null or a list as the whole was taken as empty, and a name that stood twice passed. A walk over the tokens now gives paths and finds doubled names.

--- a/desired/check.go
+++ b/desired/check.go
@@ -1,6 +1,7 @@
 package desired
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"regexp"
@@ -28,12 +29,17 @@
 	if !json.Valid(b) {
 		return st, nil, false
 	}
+	sh := newShape(b)
+	faults = sh.doubled
+	if first := bytes.TrimLeft(b, " \t\r\n")[0]; first != '{' {
+		return st, []Fault{{Path: "$", Message: "must be an object"}}, true
+	}
 	in := jlexer.Lexer{Data: b, UseMultipleErrors: true}
 	st.UnmarshalEasyJSON(&in)
 	for _, e := range in.GetNonFatalErrors() {
-		faults = append(faults, Fault{Path: fmt.Sprintf("byte %d", e.Offset), Message: e.Reason})
+		faults = append(faults, Fault{Path: sh.path(e.Offset), Message: e.Reason})
 	}
-	if err := in.Error(); err != nil && len(faults) == 0 {
+	if err := in.Error(); err != nil {
 		faults = append(faults, Fault{Path: "$", Message: err.Error()})
 	}
 	c := checker{faults: faults}
--- a/proof/fleet/program.go
+++ b/proof/fleet/program.go
@@ -50,6 +50,9 @@
 	return t.b.String()
 }
 
+// Args adds flags for the next start.
+func (p *Program) Args(more ...string) { p.args = append(p.args, more...) }
+
 // Start starts the process and returns once its addresses stand.
 func (p *Program) Start() error {
 	p.cmd = exec.Command(p.path, p.args...)
@@ -105,7 +108,12 @@
 }
 
 // Said is what the process wrote to its standard error.
-func (p *Program) Said() string { return p.stderr.String() }
+func (p *Program) Said() string {
+	if p.stderr == nil {
+		return ""
+	}
+	return p.stderr.String()
+}
 
 // Get reads a JSON page of the process's control address.
 func (p *Program) Get(ctx context.Context, path string, into any) (int, error) {
--- a/proof/ledger/ledger.go
+++ b/proof/ledger/ledger.go
@@ -27,7 +27,9 @@
 	Locality string
 	Caller   string // as the backend was told
 	Digest   string
-	At       time.Time
+	// Trace and Span are the identifiers that the backend was given.
+	Trace, Span string
+	At          time.Time
 }
 
 // Answered is what a caller got.
@@ -91,10 +93,31 @@
 	l.with(func() { s := l.emptied[locality]; s[len(s)-1].to = at })
 }
 
-// Cause tells which inquiry truly caused another.
-func (l *Ledger) Cause(id string) (s Sent, ok bool) {
-	l.with(func() { s, ok = l.sent[id] })
-	return s, ok
+// Link is an inner call as the stand-ins know it.
+type Link struct {
+	ID, Cause, Trace, Span string
+}
+
+// Inner lists the inner calls that ran.
+func (l *Ledger) Inner() (out []Link) {
+	l.with(func() {
+		for id, runs := range l.ran {
+			if s := l.sent[id]; s.Cause != "" {
+				out = append(out, Link{ID: id, Cause: s.Cause, Trace: runs[0].Trace, Span: runs[0].Span})
+			}
+		}
+	})
+	return out
+}
+
+// Spans tells with which identifiers an inquiry ran.
+func (l *Ledger) Spans(id string) (r Ran, ok bool) {
+	l.with(func() {
+		if runs := l.ran[id]; len(runs) > 0 {
+			r, ok = runs[0], true
+		}
+	})
+	return r, ok
 }
 
 // Verdict is a run's judgement.
--- a/proof/main_test.go
+++ b/proof/main_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,8 +40,8 @@
 		cancel()
 		f.Close()
 		for _, p := range append(f.Sidecars, f.Cores...) {
-			if t.Failed() && p.Said() != "" {
-				t.Logf("%s said: %s", p.Name, p.Said())
+			if said := p.Said(); strings.Contains(said, "DATA RACE") || strings.Contains(said, "broken invariant") {
+				t.Errorf("%s said: %s", p.Name, said)
 			}
 		}
 	})
--- a/proof/standin/backend.go
+++ b/proof/standin/backend.go
@@ -141,7 +141,7 @@
 	}
 	id := r.Header.Get(headerID)
 	b.Ledger.Ran(ledger.Ran{ID: id, Service: b.Service, Instance: b.Instance, Locality: b.Locality, Caller: r.Header.Get("Curlewwalk-Caller"),
-		Digest: digest(r.Method, r.RequestURI, r.Header, body), At: time.Now()})
+		Digest: digest(r.Method, r.RequestURI, r.Header, body), Trace: r.Header.Get("X-B3-TraceId"), Span: r.Header.Get("X-B3-SpanId"), At: time.Now()})
 	p, ok := match(b.Plans, r.Method, r.URL.Path)
 	if !ok {
 		w.WriteHeader(http.StatusTeapot)
--- a/proof/standin/caller.go
+++ b/proof/standin/caller.go
@@ -25,6 +25,7 @@
 	// Saw, if set, hears of each answer and how long it took.
 	Saw    func(p Plan, a ledger.Answered, took time.Duration)
 	serial atomic.Int64
+	rng    *rand.Rand
 }
 
 // Once sends one inquiry of a plan.
@@ -39,7 +40,6 @@
 
 // Run sends until ctx ends and returns when all answers are in.
 func (c *Caller) Run(ctx context.Context) {
-	rng := rand.New(rand.NewPCG(c.Seed, 1))
 	var open sync.WaitGroup
 	defer open.Wait()
 	tick := time.NewTicker(time.Duration(float64(time.Second) / c.Rate))
@@ -49,14 +49,18 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			p := c.pick(rng)
+			p := c.Pick()
 			open.Go(func() { c.Once(ctx, p) })
 		}
 	}
 }
 
-func (c *Caller) pick(rng *rand.Rand) Plan {
-	x := rng.Float64()
+// Pick draws a plan by its share. One goroutine at a time may call it.
+func (c *Caller) Pick() Plan {
+	if c.rng == nil {
+		c.rng = rand.New(rand.NewPCG(c.Seed, 1))
+	}
+	x := c.rng.Float64()
 	var last Plan
 	for _, p := range c.Plans {
 		if p.Share == 0 {
--- /dev/null
+++ b/proof/trace_test.go
@@ -0,0 +1,223 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"curlewwalk/proof/fleet"
+	"curlewwalk/proof/standin"
+)
+
+// tree is what is read of GET /v1/traces.
+type tree struct {
+	Spans   int
+	Whole   bool
+	Roots   []branch
+	Unasked []int
+}
+
+type branch struct {
+	Span, Parent, Way, Service, Caller, Link string
+	Candidates, Missing                      []string
+	Events                                   []struct {
+		Kind, Node, Outcome string
+		Counter             uint64
+		Status              int
+	}
+	Children []branch
+}
+
+// awaitTree reads a trace from a core until it is whole.
+func awaitTree(ctx context.Context, core *fleet.Program, id string) (t tree, err error) {
+	err = fleet.Await(ctx, "a whole tree", func(ctx context.Context) bool {
+		t = tree{}
+		_, err := core.Get(ctx, "/v1/traces/"+id, &t)
+		return err == nil && t.Whole
+	})
+	return t, err
+}
+
+// The whole tree of an inquiry and of the calls that it causes, from any core:
+// identifiers on every hop, the four events of each span in logical order, and
+// the answer traced only to the client that sent identifiers.
+func TestTree(t *testing.T) {
+	f, ctx := start(t, small())
+	ids := make(chan http.Header, 1)
+	for i, traced := range []bool{true, false} {
+		req, err := http.NewRequestWithContext(ctx, "GET", "http://"+f.Inquiries(0)+"/orders/1", nil)
+		must(t, err)
+		trace := fmt.Sprintf("00000000000abc%02d", i+1)
+		if traced {
+			req.Header.Set("X-B3-TraceId", trace)
+			req.Header.Set("X-B3-SpanId", "00000000000000ff")
+		}
+		req.Header.Set("X-Proof-Id", trace)
+		resp, err := f.Client.Do(req)
+		must(t, err)
+		io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		if got := resp.Header.Get("X-B3-TraceId"); traced && got != trace || !traced && got != "" {
+			t.Errorf("traced client %v: answer of trace %q", traced, got)
+		}
+		if traced {
+			ids <- resp.Header
+		}
+	}
+	id := (<-ids).Get("X-B3-TraceId")
+	for _, core := range f.Cores {
+		var tr tree
+		must(t, fleet.Await(ctx, "both spans", func(ctx context.Context) bool {
+			tr = tree{}
+			_, err := core.Get(ctx, "/v1/traces/"+id, &tr)
+			return err == nil && tr.Spans == 2 && len(tr.Roots) == 1 && len(tr.Roots[0].Children) == 1 &&
+				len(tr.Roots[0].Events) == 4 && len(tr.Roots[0].Children[0].Events) == 4
+		}))
+		root, child := tr.Roots[0], tr.Roots[0].Children[0]
+		if root.Parent != "00000000000000ff" || root.Way != "order-read" || root.Caller != "" || tr.Whole {
+			t.Errorf("root %+v, whole %v though the client's own span is missing", root, tr.Whole)
+		}
+		if child.Parent != root.Span || child.Way != "stock-read" || child.Caller != "orders" || child.Link != "proven" || len(child.Candidates) != 1 {
+			t.Errorf("child %+v", child)
+		}
+		for _, b := range []branch{root, child} {
+			kinds := ""
+			for i, e := range b.Events {
+				kinds += e.Kind + " "
+				if i > 0 && e.Counter <= b.Events[i-1].Counter {
+					t.Errorf("events out of order: %+v", b.Events)
+				}
+			}
+			if kinds != "cs sr ss cr " || len(b.Missing) > 0 {
+				t.Errorf("events %s, missing %v", kinds, b.Missing)
+			}
+		}
+		// The child's events lie between those of its parent.
+		if child.Events[0].Counter <= root.Events[1].Counter || child.Events[3].Counter >= root.Events[2].Counter {
+			t.Errorf("child %+v is not inside its parent %+v", child.Events, root.Events)
+		}
+	}
+}
+
+// With every collector frozen, and then dead, inquiries neither fail nor wait
+// for tracing; what was dropped is counted.
+func TestCollectorsStopped(t *testing.T) {
+	size := small()
+	f, ctx := begin(t, size)
+	for _, p := range f.Sidecars {
+		p.Args("--trace-queue=16")
+	}
+	must(t, f.Start(ctx))
+	plan := standin.Plan{Name: "stock-read", Method: "GET", Prefix: "/stock/", Service: "stock", Expiry: time.Second, Work: time.Millisecond}
+	for _, stop := range []struct {
+		how  string
+		what func(p *fleet.Program)
+	}{
+		{"frozen", func(p *fleet.Program) { p.Signal(syscall.SIGSTOP) }},
+		{"dead", func(p *fleet.Program) { p.Kill() }},
+	} {
+		for _, p := range f.Cores {
+			stop.what(p)
+		}
+		c := f.NewCaller(0, 1)
+		c.Name += stop.how
+		for range 300 {
+			if a := c.Once(ctx, plan); a.Status != 200 || a.Outcome != "" {
+				t.Fatalf("collectors %s: %+v", stop.how, a)
+			}
+		}
+		var st struct {
+			TraceQueue struct{ Taken, Dropped, Published, Failed uint64 } `json:"trace_queue"`
+		}
+		must(t, fleet.Await(ctx, "drops to be counted", func(ctx context.Context) bool {
+			_, err := f.Sidecars[0].Get(ctx, "/v1/stats", &st)
+			return err == nil && st.TraceQueue.Dropped+st.TraceQueue.Failed > 0
+		}))
+		t.Logf("collectors %s: %+v", stop.how, st.TraceQueue)
+	}
+	judge(t, f)
+}
+
+// links counts how outgoing calls were tied, against what the stand-ins know.
+type links struct{ right, wrong, proven, provenWrong, none int }
+
+// How well a backend's outgoing calls are tied to their causes, at one and at
+// nine inquiries at a time. At one, all are right and proven.
+func TestLinks(t *testing.T) {
+	for _, busy := range []int{1, 9} {
+		t.Run(fmt.Sprint(busy), func(t *testing.T) {
+			t.Parallel()
+			size := small()
+			size.Machines, size.Backends = 2, []string{"orders", "stock"}
+			f, ctx := start(t, size)
+			var open atomic.Int64
+			done := make(chan struct{})
+			for range busy {
+				open.Add(1)
+				c := f.NewCaller(0, 1)
+				c.Name = fmt.Sprintf("caller-%d", open.Load())
+				c.Seed = uint64(open.Load())
+				go func() {
+					for range 100 / busy {
+						c.Once(ctx, c.Pick())
+					}
+					done <- struct{}{}
+				}()
+			}
+			for range busy {
+				<-done
+			}
+			n := countLinks(t, f, ctx)
+			total := n.right + n.wrong + n.none
+			t.Logf("%d busy: %d calls, right %.1f%%, proven %d, proven and wrong %d, untied %d", busy, total, 100*float64(n.right)/float64(max(1, total)), n.proven, n.provenWrong, n.none)
+			if total == 0 || n.provenWrong > 0 || busy == 1 && n.right != total {
+				t.Errorf("%+v", n)
+			}
+			judge(t, f)
+		})
+	}
+}
+
+func countLinks(t *testing.T, f *fleet.Fleet, ctx context.Context) (n links) {
+	t.Helper()
+	for _, inner := range f.Ledger.Inner() {
+		got, err := awaitTree(ctx, f.Cores[0], inner.Trace)
+		must(t, err)
+		b, found := find(got.Roots, inner.Span)
+		outer, _ := f.Ledger.Spans(inner.Cause)
+		switch {
+		case !found:
+			t.Errorf("span %s is not in its tree", inner.Span)
+		case b.Parent == "":
+			n.none++
+		case b.Parent == outer.Span:
+			n.right++
+		default:
+			n.wrong++
+		}
+		if b.Link == "proven" {
+			n.proven++
+			if b.Parent != outer.Span {
+				n.provenWrong++
+			}
+		}
+	}
+	return n
+}
+
+func find(in []branch, span string) (branch, bool) {
+	for _, b := range in {
+		if b.Span == span {
+			return b, true
+		}
+		if c, ok := find(b.Children, span); ok {
+			return c, true
+		}
+	}
+	return branch{}, false
+}
