Admit to backends only under a claim that no newer word is held back

Cause: a sidecar that no core reaches, or one frozen and woken, went on admitting to a locality that was emptied meanwhile. Each core now looks at a majority every 0.3 s and tells with its feed as of when it was sure; a sidecar admits only while that is at most 4 s old, or while so many cores refuse connections that the rest can't be a majority. Also new: relays on the advertised addresses that cut machines off.

--- a/cmd/core/node.go
+++ b/cmd/core/node.go
@@ -42,6 +42,7 @@
 	}
 	n.keeper.Net, n.keeper.Log, n.keeper.Peers = p.Net, p.Log, n
 	n.keeper.Settled = func(ctx context.Context, w desired.Word) { n.directory.Settled(ctx, w) }
+	n.keeper.Confirmed = n.directory.Sure
 	n.seeker.Own = func() cohort.Hail { s := n.seat(); return cohort.Hail{Seat: &s} }
 	n.seeker.Addr, n.seeker.Net, n.seeker.Launcher, n.seeker.Heard = set.Advertise, p.Net, p.Launcher, n.heard
 	n.reload = &process.Reloader{Seeker: n.seeker}
--- a/cmd/sidecar/control.go
+++ b/cmd/sidecar/control.go
@@ -42,6 +42,8 @@
 	Stamp    uint64           `json:"stamp"`
 	Follows  follows          `json:"follows"`
 	NewsAge  string           `json:"news_age"`
+	ClaimAge string           `json:"claim_age"`
+	Claimed  bool             `json:"claimed"`
 	Cores    []cohort.Seat    `json:"cores"`
 	Near     relay.Totals     `json:"near"`
 	Far      relay.Totals     `json:"far"`
@@ -123,6 +125,6 @@
 func (n *node) stats() stats {
 	f := *n.steward.shown.Load()
 	return stats{Node: n.set.Advertise, Boot: n.p.Boot, Locality: n.set.Locality, Stamp: n.steward.table.Load().Stamp, Follows: f,
-		NewsAge: time.Since(f.Since).String(), Cores: n.seeker.Seats().Known(), Near: n.near.Counts.Read(), Far: n.far.Counts.Read(),
+		NewsAge: time.Since(f.Since).String(), ClaimAge: n.steward.claim.Age(time.Now()).String(), Claimed: n.claimed(), Cores: n.seeker.Seats().Known(), Near: n.near.Counts.Read(), Far: n.far.Counts.Read(),
 		Trace: n.queue.Stats(), Draining: n.draining.Load()}
 }
--- a/cmd/sidecar/node.go
+++ b/cmd/sidecar/node.go
@@ -60,6 +60,7 @@
 		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Lineage: lin, Claims: claims, Life: p.Life, Draining: n.draining.Load}
 	n.far = relay.NewFar(p.Life, p.Launcher)
 	n.far.Boot, n.far.Table, n.far.Queue, n.far.Lineage, n.far.Draining = p.Boot, table, n.queue, lin, n.draining.Load
+	n.far.Claimed = n.claimed
 	n.far.Roster = func() roster.Roster { return *n.steward.roster.Load() }
 	n.outgoing = &outgoing{p: p, near: n.near, host: netip.MustParseAddrPort(set.Advertise).Addr(), fixed: set.Outgoing, webs: map[string]*process.Web{}}
 
@@ -77,7 +78,9 @@
 		}
 	}
 	follower := &feed.Follower{Own: set.Advertise, Seats: n.seeker.Seats, Net: p.Net, Hasten: n.seeker.Hasten,
-		Take: func(ctx context.Context, c cohort.Seat, news feed.News) { n.steward.box.Send(ctx, msgNews{c, news}) }}
+		Take: func(ctx context.Context, c cohort.Seat, news feed.News, asked time.Time) {
+			n.steward.box.Send(ctx, msgNews{c, news, asked})
+		}}
 	for name, run := range map[string]func(context.Context){
 		"net": p.Net.Run, "host": p.Host.Run, "steward": n.steward.run, "seeker": n.seeker.Run,
 		"lineage": lin.Run, "claims": claims.Run, "follower": follower.Run,
@@ -96,6 +99,13 @@
 	fmt.Fprintf(os.Stdout, "started wire=%s control=%s inquiries=%s\n", n.p.Host.Addr(), n.webs[0].Listener.Addr(), n.webs[1].Listener.Addr())
 }
 
+// claimed tells whether this sidecar may admit: its claim is young, or so many
+// cores are dead that no newer word can be acknowledged. (DESIGN 7.2)
+func (n *node) claimed() bool {
+	now := time.Now()
+	return n.steward.claim.Age(now) <= roster.ClaimFor || n.seeker.Seats().NoMajority(now)
+}
+
 // hail answers another process.
 func (n *node) hail(_ context.Context, in wire.Inquiry) (any, string) {
 	var h cohort.Hail
--- a/cmd/sidecar/steward.go
+++ b/cmd/sidecar/steward.go
@@ -28,6 +28,7 @@
 	table  atomic.Pointer[way.Table]
 	view   atomic.Pointer[cohort.View]
 	shown  atomic.Pointer[follows]
+	claim  roster.Claim
 }
 
 // follows is what the steward shows of the feed.
@@ -48,8 +49,9 @@
 		reply    chan<- bool
 	}
 	msgNews struct {
-		core cohort.Seat
-		n    feed.News
+		core  cohort.Seat
+		n     feed.News
+		asked time.Time
 	}
 	msgTick  struct{}
 	msgDrain struct{}
@@ -106,6 +108,7 @@
 		s.swapRoster(next)
 	case msgNews:
 		s.take(m.core, m.n)
+		s.claim.Renew(m.asked.Add(-m.n.Age))
 	case msgTick:
 		s.swapRoster(s.roster.Load().Tick(now))
 	case msgLive:
--- a/cohort/seats.go
+++ b/cohort/seats.go
@@ -17,6 +17,7 @@
 // heard. Only a core's own word seats it; hearsay makes it a candidate.
 type Seats struct {
 	bySlot     map[int]heard
+	refused    map[string]time.Time // addresses where nobody listened
 	candidates map[string]time.Time
 }
 
@@ -35,7 +36,7 @@
 	if ok && (older || rival) {
 		return s
 	}
-	next := Seats{bySlot: maps.Clone(s.bySlot), candidates: s.candidates}
+	next := Seats{bySlot: maps.Clone(s.bySlot), candidates: s.candidates, refused: s.refused}
 	if next.bySlot == nil {
 		next.bySlot = map[int]heard{}
 	}
@@ -53,7 +54,31 @@
 		next[c.Addr] = now
 	}
 	maps.DeleteFunc(next, func(_ string, at time.Time) bool { return now.Sub(at) > forgetAfter })
-	return Seats{bySlot: s.bySlot, candidates: next}
+	return Seats{bySlot: s.bySlot, candidates: next, refused: s.refused}
+}
+
+// Refused takes that nobody listened at an address.
+func (s Seats) Refused(addr string, now time.Time) Seats {
+	next := maps.Clone(s.refused)
+	if next == nil {
+		next = map[string]time.Time{}
+	}
+	maps.DeleteFunc(next, func(_ string, at time.Time) bool { return now.Sub(at) > Silence })
+	next[addr] = now
+	return Seats{bySlot: s.bySlot, candidates: s.candidates, refused: next}
+}
+
+// NoMajority tells whether so many seated cores are known to be dead that the
+// others, heard or silent, can't be a majority. (DESIGN 7.2)
+func (s Seats) NoMajority(now time.Time) bool {
+	slots, dead := 0, 0
+	for _, h := range s.bySlot {
+		slots = h.seat.Slots
+		if at, ok := s.refused[h.seat.Addr]; ok && now.Sub(at) < Silence && at.After(h.at) {
+			dead++
+		}
+	}
+	return slots > 0 && slots-dead < slots/2+1
 }
 
 // Known lists the seated cores by slot, live or not.
--- a/cohort/seeker.go
+++ b/cohort/seeker.go
@@ -24,12 +24,13 @@
 	seeds  atomic.Pointer[[]string]
 	table  atomic.Pointer[Seats]
 	inbox  chan Hail
+	dead   chan string
 	hasten chan struct{}
 }
 
 // NewSeeker makes a seeker; the exported fields are set by the caller.
 func NewSeeker() *Seeker {
-	s := &Seeker{inbox: make(chan Hail, 64), hasten: make(chan struct{}, 1)}
+	s := &Seeker{inbox: make(chan Hail, 64), dead: make(chan string), hasten: make(chan struct{}, 1)}
 	s.table.Store(&Seats{})
 	s.SetSeeds(nil)
 	return s
@@ -73,6 +74,9 @@
 			s.round(ctx)
 		case h := <-s.inbox:
 			s.take(ctx, h)
+		case addr := <-s.dead:
+			t := s.Seats().Refused(addr, time.Now())
+			s.table.Store(&t)
 		}
 	}
 }
@@ -102,8 +106,14 @@
 			ctx, cancel := context.WithTimeout(ctx, Silence/2)
 			defer cancel()
 			var h Hail
-			if s.Net.Call(ctx, addr, wire.Control, KindHail, own).Into(&h) {
+			switch r := s.Net.Call(ctx, addr, wire.Control, KindHail, own); {
+			case r.Into(&h):
 				s.Hear(h)
+			case r.Refused:
+				select {
+				case s.dead <- addr:
+				case <-ctx.Done():
+				}
 			}
 		})
 	}
--- a/feed/directory.go
+++ b/feed/directory.go
@@ -17,8 +17,13 @@
 	feed  *Feed
 	start time.Time
 	held  []follower
+	// sure is as of when no newer word had been acknowledged; zero if never.
+	sure time.Time
 }
 
+// never is the age of what a core was never sure of.
+const never = time.Hour
+
 type follower struct {
 	q     Follow
 	until time.Duration
@@ -28,6 +33,7 @@
 type (
 	msgNode    struct{ n cohort.Node }
 	msgSettled struct{ w desired.Word }
+	msgSure    struct{ at time.Time }
 	msgTick    struct{}
 	msgFollow  struct {
 		q     Follow
@@ -72,6 +78,9 @@
 // Settled takes a majority-held word.
 func (d *Directory) Settled(ctx context.Context, w desired.Word) { d.box.Send(ctx, msgSettled{w}) }
 
+// Sure takes that no newer word had been acknowledged as of a moment.
+func (d *Directory) Sure(ctx context.Context, at time.Time) { d.box.Send(ctx, msgSure{at}) }
+
 // State shows the directory.
 func (d *Directory) State(ctx context.Context) (State, bool) {
 	return launch.Ask(ctx, d.box, func(r chan<- State) any { return msgState{r} })
@@ -97,6 +106,8 @@
 		d.feed.Told(m.n, now)
 	case msgSettled:
 		d.feed.Settled(m.w)
+	case msgSure:
+		d.sure = m.at
 	case msgTick:
 		d.feed.Tick(now)
 	case msgFollow:
@@ -124,6 +135,10 @@
 			kept = append(kept, f)
 			continue
 		}
+		n.Age = never
+		if !d.sure.IsZero() {
+			n.Age = time.Since(d.sure)
+		}
 		f.reply <- &n
 	}
 	clear(d.held[len(kept):])
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -23,7 +23,8 @@
 	Net    *wire.Net
 	Hasten func()
 	// Take is handed each piece of news in order, with the core it came from.
-	Take func(ctx context.Context, core cohort.Seat, n News)
+	// What the core was sure of counts from when it was asked.
+	Take func(ctx context.Context, core cohort.Seat, n News, asked time.Time)
 }
 
 // Run follows until ctx ends.
@@ -42,13 +43,14 @@
 			if next.Addr != core.Addr || next.Boot != core.Boot {
 				core, place = next, Follow{Wait: holdFor}
 			}
+			asked := time.Now()
 			call, cancel := context.WithTimeout(ctx, giveUp)
 			var n News
 			ok = f.Net.Call(call, core.Addr, wire.Feed, KindFollow, place).Into(&n)
 			cancel()
 			if ok {
 				place.Feed, place.Place = n.Feed, n.Place
-				f.Take(ctx, core, n)
+				f.Take(ctx, core, n, asked)
 				continue
 			}
 			bad[core.Addr] = time.Now() // until another failed later, it comes last
--- /dev/null
+++ b/proof/cut_test.go
@@ -0,0 +1,148 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"curlewwalk/proof/fleet"
+)
+
+// The core on duty is cut off together with a machine: the others go on, the
+// part that is cut off acknowledges nothing, and once the network is whole the
+// newest word is in force everywhere.
+func TestSplitCore(t *testing.T) {
+	f, ctx := begin(t, small())
+	must(t, f.Relay())
+	must(t, f.Start(ctx))
+	f.Net.Split(f.Cores[0].IP, f.Sidecars[0].IP)
+	var stamp uint64
+	must(t, fleet.Await(ctx, "a write beside the cut", func(ctx context.Context) bool {
+		r, err := f.Operate(ctx, f.Cores[1], "PUT", "/v1/desired", f.Configuration())
+		stamp = r.Stamp
+		return err == nil && r.Status == 200
+	}))
+	r, err := f.Operate(ctx, f.Cores[0], "PUT", "/v1/desired", configuration(9))
+	must(t, err)
+	if r.Status != 503 {
+		t.Errorf("the part that is cut off took a write: %d %s", r.Status, r.Body)
+	}
+	if r, err = f.Operate(ctx, f.Cores[0], "GET", "/v1/desired", nil); err != nil || r.Status != 503 {
+		t.Errorf("the part that is cut off was read: %d %v", r.Status, err)
+	}
+	for _, p := range f.Sidecars[1:] {
+		must(t, fleet.Await(ctx, "the word beside the cut", func(ctx context.Context) bool {
+			s, err := f.Stamp(ctx, p)
+			return err == nil && s >= stamp
+		}))
+	}
+	f.Net.Whole()
+	mended := time.Now()
+	must(t, f.AwaitServing(ctx, stamp, len(f.Size.Backends)))
+	t.Logf("in force everywhere %v after the network was whole", time.Since(mended).Round(time.Millisecond))
+	r, err = f.Operate(ctx, f.Cores[0], "GET", "/v1/desired", nil)
+	must(t, err)
+	if r.Stamp < stamp || r.Stamp == stamp && !bytes.Equal(r.Body, f.Configuration()) {
+		t.Errorf("read back stamp %d after %d was acknowledged", r.Stamp, stamp)
+	}
+}
+
+// Every process of the system dies at once and comes back: backends and nodes
+// are told again, the word comes from the disks, and service returns.
+func TestHerd(t *testing.T) {
+	f, ctx := start(t, small())
+	load, stop := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { f.Load(load, f.Callers()...) })
+	must(t, awaitRuns(ctx, f.Backends[0].Runs.Load, 10))
+	var herd sync.WaitGroup
+	for _, p := range f.Programs() {
+		herd.Go(p.Kill)
+	}
+	herd.Wait()
+	begin := time.Now()
+	for _, p := range f.Programs() {
+		must(t, p.Start())
+	}
+	must(t, f.AwaitServing(ctx, 1, len(f.Size.Backends)))
+	took := time.Since(begin)
+	before := f.Backends[0].Runs.Load()
+	must(t, awaitRuns(ctx, f.Backends[0].Runs.Load, before+20))
+	stop()
+	wg.Wait()
+	t.Logf("all told again after %v", took.Round(time.Millisecond))
+	if took > 15*time.Second {
+		t.Errorf("service returned only after %v", took)
+	}
+	judge(t, f)
+}
+
+// A machine that no core reaches, whose locality is emptied: its sidecar, which
+// can't have heard, admits nothing once 5 s have passed; nor does one that is
+// frozen over that time and woken with inquiries piled up. Taken back and
+// reached again, it serves.
+func TestEmptiedUnheard(t *testing.T) {
+	for name, hide := range map[string]func(f *fleet.Fleet) (back func()){
+		"cut off": func(f *fleet.Fleet) func() {
+			f.Net.Cut([]string{f.Sidecars[3].IP}, f.CoreIPs())
+			return f.Net.Whole
+		},
+		"frozen": func(f *fleet.Fleet) func() {
+			f.Sidecars[3].Signal(syscall.SIGSTOP)
+			return func() { f.Sidecars[3].Signal(syscall.SIGCONT) }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, ctx := begin(t, small())
+			must(t, f.Relay())
+			must(t, f.Start(ctx))
+			load, stop := context.WithCancel(ctx)
+			var wg sync.WaitGroup
+			wg.Go(func() { f.Load(load, f.Callers()...) })
+			must(t, awaitRuns(ctx, f.Backends[3].Runs.Load, 5))
+			back := hide(f)
+			r, err := f.Operate(ctx, f.Cores[0], "PUT", "/v1/localities/west/emptied", nil)
+			must(t, err)
+			if r.Status != 200 {
+				t.Fatalf("emptying: %d %s", r.Status, r.Body)
+			}
+			emptied := time.Now()
+			f.Ledger.Emptied("west", emptied)
+			must(t, fleet.Await(ctx, "7 s to pass", func(context.Context) bool { return time.Since(emptied) > 7*time.Second }))
+			back()
+			must(t, fleet.Await(ctx, "the word to be heard", func(ctx context.Context) bool {
+				s, err := f.Stamp(ctx, f.Sidecars[3])
+				return err == nil && s >= r.Stamp
+			}))
+			r, err = f.Operate(ctx, f.Cores[0], "DELETE", "/v1/localities/west/emptied", nil)
+			must(t, err)
+			f.Ledger.TakenBack("west", time.Now())
+			must(t, awaitRuns(ctx, f.Backends[3].Runs.Load, f.Backends[3].Runs.Load()+5))
+			stop()
+			wg.Wait()
+			judge(t, f)
+		})
+	}
+}
+
+// With every core dead, which each sidecar can tell from a cut, traffic runs
+// on beyond the time of a claim.
+func TestAllCoresDead(t *testing.T) {
+	t.Parallel()
+	f, ctx := start(t, small())
+	for _, p := range f.Cores {
+		p.Kill()
+	}
+	dead := time.Now()
+	c := f.NewCaller(0, 1)
+	for time.Since(dead) < 6*time.Second {
+		if a := c.Once(ctx, c.Pick()); a.Status != 200 || a.Outcome != "" {
+			t.Fatalf("%v after the cores had died: %+v", time.Since(dead), a)
+		}
+	}
+	judge(t, f)
+}
--- /dev/null
+++ b/proof/fault/relay.go
@@ -0,0 +1,148 @@
+// Package fault has relays that stand on advertised addresses while processes
+// bind elsewhere, and cut, stall or refuse what passes. (DESIGN 14.4)
+package fault
+
+import (
+	"context"
+	"io"
+	"net"
+	"slices"
+	"sync"
+)
+
+// Net is the network between machines: all relays obey its cuts.
+type Net struct {
+	mu   sync.Mutex
+	cut  func(a, b string) bool // whether two machines are cut off from each other
+	turn chan struct{}          // closed and renewed when the cuts change
+}
+
+// NewNet makes a whole network.
+func NewNet() *Net {
+	return &Net{cut: func(string, string) bool { return false }, turn: make(chan struct{})}
+}
+
+// Split puts the named machines on a side of their own. What passes between
+// the sides piles up until the network is whole again: nothing is refused, the
+// other side falls silent.
+func (n *Net) Split(machines ...string) {
+	n.set(func(a, b string) bool { return slices.Contains(machines, a) != slices.Contains(machines, b) })
+}
+
+// Cut cuts some machines off from some others, and from no more.
+func (n *Net) Cut(some, others []string) {
+	between := func(a, b string) bool { return slices.Contains(some, a) && slices.Contains(others, b) }
+	n.set(func(a, b string) bool { return between(a, b) || between(b, a) })
+}
+
+// Whole mends the network: what piled up goes on its way.
+func (n *Net) Whole() { n.Split() }
+
+func (n *Net) set(cut func(a, b string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = cut
+	close(n.turn)
+	n.turn = make(chan struct{})
+}
+
+// passable waits until two machines may talk, or ctx ends.
+func (n *Net) passable(ctx context.Context, a, b string) bool {
+	for {
+		n.mu.Lock()
+		ok, turn := !n.cut(a, b), n.turn
+		n.mu.Unlock()
+		if ok {
+			return true
+		}
+		select {
+		case <-turn:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// Relay carries connections to one address on to another.
+type Relay struct {
+	net  *Net
+	ln   net.Listener
+	to   string
+	host string
+	ctx  context.Context
+	end  context.CancelFunc
+}
+
+// Listen starts a relay that stands on at and carries on to to.
+func (n *Net) Listen(at, to string) (*Relay, error) {
+	ln, err := net.Listen("tcp", at)
+	if err != nil {
+		return nil, err
+	}
+	host, _, _ := net.SplitHostPort(at)
+	r := &Relay{net: n, ln: ln, to: to, host: host}
+	r.ctx, r.end = context.WithCancel(context.Background())
+	go r.accept()
+	return r, nil
+}
+
+// Close ends the relay and all it carries.
+func (r *Relay) Close() {
+	r.end()
+	r.ln.Close()
+}
+
+func (r *Relay) accept() {
+	for {
+		c, err := r.ln.Accept()
+		if err != nil {
+			return
+		}
+		go r.carry(c)
+	}
+}
+
+func (r *Relay) carry(c net.Conn) {
+	defer c.Close()
+	from, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+	if !r.net.passable(r.ctx, from, r.host) {
+		return
+	}
+	far, err := net.Dial("tcp", r.to)
+	if err != nil {
+		return
+	}
+	defer far.Close()
+	stop := context.AfterFunc(r.ctx, func() { c.Close(); far.Close() })
+	defer stop()
+	var wg sync.WaitGroup
+	pipe := func(dst, src net.Conn) {
+		buf := make([]byte, 32<<10)
+		for {
+			k, err := src.Read(buf)
+			if k > 0 {
+				if !r.net.passable(r.ctx, from, r.host) {
+					break
+				}
+				if _, werr := dst.Write(buf[:k]); werr != nil {
+					break
+				}
+			}
+			if err != nil {
+				if err != io.EOF {
+					break
+				}
+				if !r.net.passable(r.ctx, from, r.host) {
+					break
+				}
+				dst.(*net.TCPConn).CloseWrite()
+				return
+			}
+		}
+		dst.Close()
+		src.Close()
+	}
+	wg.Go(func() { pipe(far, c) })
+	wg.Go(func() { pipe(c, far) })
+	wg.Wait()
+}
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"curlewwalk/proof/fault"
 	"curlewwalk/proof/ledger"
 	"curlewwalk/proof/standin"
 )
@@ -29,12 +30,14 @@
 	Backends []*standin.Backend
 	Ledger   *ledger.Ledger
 	Client   *http.Client
-	Args     []string // further flags for every sidecar
+	Net      *fault.Net // set if relays stand between the machines
+	relays   []*fault.Relay
 }
 
 // ports on every machine
 const (
 	portWire      = 7400
+	portBehind    = 7399 // where wire binds when a relay stands on portWire
 	portControl   = 7401
 	portInquiries = 7402
 	portBackend   = 8000
@@ -93,7 +96,7 @@
 
 func (f *Fleet) newSidecar(i int) *Program {
 	ip := f.Site.IP(i)
-	return f.program(fmt.Sprintf("sidecar-%d", i), "sidecar", ip, f.Locality(i), append([]string{"--inquiries=" + at(ip, portInquiries)}, f.Args...)...)
+	return f.program(fmt.Sprintf("sidecar-%d", i), "sidecar", ip, f.Locality(i), "--inquiries="+at(ip, portInquiries))
 }
 
 // Inquiries is where clients of the nth machine send.
@@ -104,7 +107,7 @@
 func (f *Fleet) Start(ctx context.Context) error {
 	var wg sync.WaitGroup
 	errs := make(chan error, len(f.Cores)+len(f.Sidecars))
-	for _, p := range append(append([]*Program{}, f.Cores...), f.Sidecars...) {
+	for _, p := range f.Programs() {
 		wg.Go(func() { errs <- p.Start() })
 	}
 	wg.Wait()
@@ -136,6 +139,24 @@
 	return f.AwaitServing(ctx, stamp, len(f.Size.Backends))
 }
 
+// Programs are all processes of the system.
+func (f *Fleet) Programs() []*Program { return append(append([]*Program{}, f.Cores...), f.Sidecars...) }
+
+// Relay puts a relay before every process, so that machines can be cut off.
+// It comes before Start.
+func (f *Fleet) Relay() error {
+	f.Net = fault.NewNet()
+	for _, p := range f.Programs() {
+		r, err := f.Net.Listen(at(p.IP, portWire), at(p.IP, portBehind))
+		if err != nil {
+			return err
+		}
+		f.relays = append(f.relays, r)
+		p.Args("--wire="+at(p.IP, portBehind), "--advertise="+at(p.IP, portWire))
+	}
+	return nil
+}
+
 // StartBackend starts a backend on the nth machine.
 func (f *Fleet) StartBackend(n int, service, instance string, port int) (*standin.Backend, error) {
 	b := &standin.Backend{Instance: instance, Service: service, Locality: f.Locality(n), Capacity: f.Size.Capacity,
@@ -245,6 +266,14 @@
 	return r.Stamp, err
 }
 
+// CoreIPs are the machines of the cores.
+func (f *Fleet) CoreIPs() (out []string) {
+	for _, p := range f.Cores {
+		out = append(out, p.IP)
+	}
+	return out
+}
+
 // NewCaller makes a client on the nth machine.
 func (f *Fleet) NewCaller(n int, rate float64) *standin.Caller {
 	return &standin.Caller{Name: fmt.Sprintf("caller-%d", n), Addr: f.Inquiries(n), Rate: rate, Plans: f.Size.Plans, Ledger: f.Ledger, Client: f.Client, Seed: uint64(n)}
@@ -273,7 +302,10 @@
 	for _, b := range f.Backends {
 		b.Kill()
 	}
-	for _, p := range append(append([]*Program{}, f.Sidecars...), f.Cores...) {
+	for _, r := range f.relays {
+		r.Close()
+	}
+	for _, p := range f.Programs() {
 		if p.cmd != nil && p.Running() {
 			p.Kill()
 		}
--- a/register/ballot.go
+++ b/register/ballot.go
@@ -11,6 +11,7 @@
 	Propose Act = "propose"
 	Settle  Act = "settle"
 	Read    Act = "read"
+	Look    Act = "look" // a read without the word
 	Sit     Act = "sit"
 )
 
--- a/register/keeper.go
+++ b/register/keeper.go
@@ -23,6 +23,7 @@
 	seatEvery  = 300 * time.Millisecond // how often an empty core tries for its seat (ours)
 	voteLimit  = 2 * time.Second        // (ours)
 	orderLimit = 3 * time.Second        // how long an order may take (ours)
+	lookEvery  = 300 * time.Millisecond // how often a majority is asked for newer words (ours)
 )
 
 // Peers reaches the other slots.
@@ -52,6 +53,17 @@
 	seated time.Duration
 	shown  atomic.Pointer[Voter]
 	told   uint64
+	// Confirmed is told that as of a moment no newer word than the one under
+	// this stamp had been acknowledged.
+	Confirmed func(ctx context.Context, at time.Time)
+	sure      confirm
+}
+
+// confirm is a look at a majority that waits for its stamp to be settled here.
+type confirm struct {
+	at    time.Time
+	stamp uint64
+	open  bool
 }
 
 type (
@@ -71,6 +83,10 @@
 		self  From
 		votes map[int]Vote
 	}
+	msgLooked struct {
+		at    time.Time
+		stamp uint64
+	}
 	msgTick struct{}
 )
 
@@ -89,18 +105,34 @@
 
 // Run keeps time until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
-	tick := time.NewTicker(tickEvery)
+	tick, look := time.NewTicker(tickEvery), time.NewTicker(lookEvery)
 	defer tick.Stop()
+	defer look.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 			k.box.Send(ctx, msgTick{})
+		case <-look.C:
+			k.Launcher.Go(ctx, "look", k.look)
 		}
 	}
 }
 
+// look asks a majority whether there is a newer word. What was acknowledged
+// before it began is among the answers. (DESIGN 7.2)
+func (k *Keeper) look(ctx context.Context) {
+	begin := time.Now()
+	self := k.Voter()
+	votes := Counted(k.gather(ctx, Ballot{From: self.Self, Act: Look}, true))
+	if self.Phase != Established || len(votes) < Majority(self.Slots) {
+		return
+	}
+	top, _ := Newest(votes, self.Slots)
+	k.box.Send(ctx, msgLooked{begin, top.Mark.Stamp})
+}
+
 // Voter shows the voter as it stands.
 func (k *Keeper) Voter() Voter { return *k.shown.Load() }
 
@@ -232,9 +264,17 @@
 			k.Log.Info("took the seat", "slot", m.self.Slot, "incarnation", m.self.Inc, "stamp", next.Mark.Stamp)
 			k.tell(ctx)
 		}
+	case msgLooked:
+		if !k.sure.open || m.at.After(k.sure.at) && m.stamp <= k.sure.stamp {
+			k.sure = confirm{at: m.at, stamp: m.stamp, open: true}
+		}
 	case msgTick:
 		k.tick(ctx, now)
 	}
+	if k.sure.open && k.told >= k.sure.stamp {
+		k.sure.open = false
+		k.Confirmed(ctx, k.sure.at)
+	}
 }
 
 func (k *Keeper) tick(ctx context.Context, now time.Duration) {
--- a/register/voter.go
+++ b/register/voter.go
@@ -65,7 +65,7 @@
 
 // admit refuses all but reads while not established, and whoever lost its seat.
 func (v Voter) admit(b Ballot) bool {
-	if b.Act == Read {
+	if b.Act == Read || b.Act == Look {
 		return true
 	}
 	return v.Phase == Established && (b.Act == Sit || b.From.holds(v.Seats[b.From.Slot]))
--- a/relay/far.go
+++ b/relay/far.go
@@ -24,6 +24,8 @@
 	Table   func() *way.Table
 	Queue   *trace.Queue
 	Lineage *lineage.Keeper
+	// Claimed tells whether this sidecar may admit.
+	Claimed func() bool
 	// Draining tells whether new legs are still taken.
 	Draining func() bool
 	Counts   Counts
@@ -93,6 +95,8 @@
 		return roster.Entry{}, roster.WrongBoot
 	case ctx.Err() != nil:
 		return roster.Entry{}, roster.Expired
+	case !f.Claimed():
+		return roster.Entry{}, roster.Lapsed
 	}
 	return f.Roster().Check(roster.Ask{Service: leg.Service, Instance: leg.Instance}, f.Table().Emptied, time.Now())
 }
--- a/roster/gate.go
+++ b/roster/gate.go
@@ -21,6 +21,7 @@
 	WrongBoot  Refusal = "wrong-incarnation"
 	Expired    Refusal = "expired"
 	Draining   Refusal = "node-draining"
+	Lapsed     Refusal = "claim-lapsed"
 )
 
 // Check asks whether a leg may go to its backend at this moment. (DESIGN 9.2)
--- a/wire/net.go
+++ b/wire/net.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net"
 	"sync/atomic"
+	"syscall"
 
 	"curlewwalk/launch"
 )
@@ -38,12 +40,14 @@
 
 type want struct {
 	line  line
-	reply chan *Circuit
+	reply chan dialled
 }
 
 type dialled struct {
 	line line
 	c    *Circuit
+	// refused is set when nobody listens there.
+	refused bool
 }
 
 // NewNet makes a Net; from is the local address that dials come from.
@@ -58,18 +62,19 @@
 	ln := line{addr: addr, lane: lane}
 	c, ok := (*n.open.Load())[ln]
 	if !ok {
-		w := want{line: ln, reply: make(chan *Circuit, 1)}
+		w := want{line: ln, reply: make(chan dialled, 1)}
 		select {
 		case n.want <- w:
 		case <-ctx.Done():
 			return Receipt{Fate: Unsent}
 		}
+		var d dialled
 		select {
-		case c = <-w.reply:
+		case d = <-w.reply:
 		case <-ctx.Done():
 		}
-		if c == nil {
-			return Receipt{Fate: Unsent, Fault: "no circuit"}
+		if c = d.c; c == nil {
+			return Receipt{Fate: Unsent, Fault: "no circuit", Refused: d.refused}
 		}
 	}
 	return c.Call(ctx, kind, body)
@@ -77,7 +82,7 @@
 
 // Run owns the table.
 func (n *Net) Run(ctx context.Context) {
-	waiting := map[line][]chan *Circuit{}
+	waiting := map[line][]chan dialled{}
 	swap := func(change func(map[line]*Circuit)) {
 		next := maps.Clone(*n.open.Load())
 		change(next)
@@ -92,7 +97,7 @@
 			return
 		case w := <-n.want:
 			if c, ok := (*n.open.Load())[w.line]; ok {
-				w.reply <- c
+				w.reply <- dialled{line: w.line, c: c}
 				continue
 			}
 			if waiting[w.line] = append(waiting[w.line], w.reply); len(waiting[w.line]) == 1 {
@@ -102,7 +107,7 @@
 						c = nil
 					}
 					select {
-					case n.made <- dialled{line: w.line, c: c}:
+					case n.made <- dialled{line: w.line, c: c, refused: errors.Is(err, syscall.ECONNREFUSED)}:
 					case <-ctx.Done():
 						if c != nil {
 							c.Close()
@@ -112,7 +117,7 @@
 			}
 		case d := <-n.made:
 			for _, reply := range waiting[d.line] {
-				reply <- d.c
+				reply <- d
 			}
 			delete(waiting, d.line)
 			if d.c == nil {
--- a/wire/receipt.go
+++ b/wire/receipt.go
@@ -10,6 +10,9 @@
 type Receipt struct {
 	Fate  Fate
 	Fault string
+	// Refused is set when the far machine actively refused the connection: no
+	// process listens there.
+	Refused bool
 	// Span is what the far node told of the trace, if it answered traced.
 	Span   trace.Span
 	Traced bool
