Bound extra legs by a fifth of the traffic and a shared allowance

Cause: three legs per inquiry was the only bound; with everything failing, 300 inquiries could come to 900 legs. Each sidecar has a purse per service that starts empty, earns a fifth of a leg by each first leg, pays for each extra one, and holds at most its share of an allowance of 20. Since a purse never refills by time, the bound holds over any stretch of time, restarts included. Ruled out: counting over a sliding window, which lets legs be earned before a drop of traffic and spent after it.

--- a/cmd/sidecar/control.go
+++ b/cmd/sidecar/control.go
@@ -49,6 +49,8 @@
 	Far      relay.Totals     `json:"far"`
 	Trace    trace.QueueStats `json:"trace_queue"`
 	Draining bool             `json:"draining"`
+	// ExtraLegs is how many extra legs to each service this node may make now.
+	ExtraLegs map[string]float64 `json:"extra_legs"`
 }
 
 // control serves a sidecar's /v1, /live and /ready.
@@ -126,5 +128,5 @@
 	f := *n.steward.shown.Load()
 	return stats{Node: n.set.Advertise, Boot: n.p.Boot, Locality: n.set.Locality, Stamp: n.steward.table.Load().Stamp, Follows: f,
 		NewsAge: time.Since(f.Since).String(), ClaimAge: n.steward.claim.Age(time.Now()).String(), Claimed: n.claimed(), Cores: n.seeker.Seats().Known(), Near: n.near.Counts.Read(), Far: n.far.Counts.Read(),
-		Trace: n.queue.Stats(), Draining: n.draining.Load()}
+		Trace: n.queue.Stats(), Draining: n.draining.Load(), ExtraLegs: n.steward.purses.Held()}
 }
--- a/cmd/sidecar/steward.go
+++ b/cmd/sidecar/steward.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"curlewwalk/cohort"
+	"curlewwalk/contract"
 	"curlewwalk/desired"
 	"curlewwalk/feed"
 	"curlewwalk/launch"
@@ -21,6 +24,7 @@
 	boot     uint64
 	locality string
 	hasten   func()
+	purses   *contract.Purses
 
 	nodes map[string]cohort.Node
 
@@ -60,6 +64,7 @@
 
 func newSteward(l *launch.Launcher, addr string, boot uint64, locality string, hasten func()) *steward {
 	s := &steward{addr: addr, boot: boot, locality: locality, hasten: hasten, nodes: map[string]cohort.Node{}}
+	s.purses = contract.NewPurses(addr)
 	s.roster.Store(&roster.Roster{})
 	t, _ := way.NewTable(desired.Word{})
 	s.table.Store(t)
@@ -111,6 +116,7 @@
 		s.claim.Renew(m.asked.Add(-m.n.Age))
 	case msgTick:
 		s.swapRoster(s.roster.Load().Tick(now))
+		s.purses.Share(slices.Sorted(maps.Keys(s.nodes)), now)
 	case msgLive:
 		m.reply <- true
 	}
--- /dev/null
+++ b/contract/purse_test.go
@@ -0,0 +1,90 @@
+package contract
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Over any 10 s, and whatever the traffic does, all sidecars together make at
+// most a fifth of it plus the allowance in extra legs: through bursts, a sudden
+// drop, restarts of sidecars, and nodes that come and go in their views.
+func TestExtraLegsOverAnyWindow(t *testing.T) {
+	const window = 10 * time.Second
+	for _, size := range []int{1, 3, 13, 60} {
+		for seed := range uint64(6) {
+			rng := rand.New(rand.NewPCG(seed, uint64(size)))
+			var names []string
+			for i := range size {
+				names = append(names, fmt.Sprintf("node-%d", i))
+			}
+			base := time.Now()
+			purses := make([]*Purses, size)
+			fresh := func(i int) {
+				purses[i] = NewPurses(names[i])
+				purses[i].Share(names, base)
+			}
+			for i := range size {
+				fresh(i)
+			}
+			type leg struct {
+				at    time.Duration
+				extra bool
+			}
+			var legs []leg
+			extras := 0
+			rate := 400
+			for now := time.Duration(0); now < 60*time.Second; now += 20 * time.Millisecond {
+				if now == 20*time.Second {
+					rate = 5 // a sudden drop
+				}
+				if now == 40*time.Second {
+					rate = 800
+				}
+				i := rng.IntN(size)
+				if rng.IntN(300) == 0 {
+					fresh(i) // a restart
+				}
+				if rng.IntN(50) == 0 && size > 1 { // a node misses another for a while
+					purses[i].Share(names[:size-1], base.Add(now))
+				} else {
+					purses[i].Share(names, base.Add(now))
+				}
+				for range rng.IntN(rate/25 + 1) {
+					i := rng.IntN(size)
+					purses[i].Earn("s")
+					legs = append(legs, leg{at: now})
+					for range 3 { // everything fails, and is tried again at once
+						if purses[i].Spend("s") {
+							legs = append(legs, leg{at: now, extra: true})
+							extras++
+						}
+					}
+				}
+			}
+			if extras == 0 && size <= Allowance {
+				t.Errorf("%d nodes: no extra leg at all", size)
+			}
+			first, extra, from := 0, 0, 0
+			for _, l := range legs {
+				if l.extra {
+					extra++
+				} else {
+					first++
+				}
+				for l.at-legs[from].at > window {
+					if legs[from].extra {
+						extra--
+					} else {
+						first--
+					}
+					from++
+				}
+				if float64(extra) > 0.2*float64(first)+Allowance {
+					t.Fatalf("%d nodes, seed %d: %d extra legs and %d first ones in 10 s up to %v", size, seed, extra, first, l.at)
+				}
+			}
+		}
+	}
+}
--- a/proof/exact_test.go
+++ b/proof/exact_test.go
@@ -138,6 +138,25 @@
 	}
 }
 
+// When everything fails and clients ask on, extra legs stay within a fifth of
+// the traffic and the allowance.
+func TestExtraLegsBounded(t *testing.T) {
+	r := newRig(t)
+	var count []func() int
+	for i := range 3 {
+		count = append(count, r.rawBackendAs(1, fmt.Sprintf("raw-%d", i), func(int, net.Conn) {}))
+	}
+	const sent = 300
+	for range sent {
+		r.expect(r.send("GET", "/look/", ""), 502, "unknown")
+	}
+	runs := count[0]() + count[1]() + count[2]()
+	t.Logf("%d sent, %d legs", sent, runs)
+	if runs <= sent || float64(runs) > 1.2*sent+20 {
+		t.Errorf("%d inquiries came to %d legs", sent, runs)
+	}
+}
+
 // Past its expiry an inquiry is answered at once, and a slow backend is not
 // asked a second time.
 func TestExpiry(t *testing.T) {
--- a/proof/ledger/ledger.go
+++ b/proof/ledger/ledger.go
@@ -123,6 +123,8 @@
 // Verdict is a run's judgement.
 type Verdict struct {
 	Sent, Ran, Answered, Good, NotRun, Unknown int
+	// Cut counts inquiries that were handed over and got no answer at all.
+	Cut int
 	// Broken lists what must never happen and did.
 	Broken []string
 }
@@ -159,6 +161,8 @@
 			if n := len(l.ran[id]); n > 0 {
 				broken("%s was promised not to have run and ran %d times", id, n)
 			}
+		case a.Outcome == "cut":
+			v.Cut++
 		case a.Outcome != "":
 			v.Unknown++
 		default:
--- a/proof/main_test.go
+++ b/proof/main_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"curlewwalk/proof/fleet"
+	"curlewwalk/proof/ledger"
 )
 
 var bin fleet.Binaries
@@ -72,7 +73,7 @@
 }
 
 // judge fails the test on anything that must never happen.
-func judge(t *testing.T, f *fleet.Fleet) {
+func judge(t *testing.T, f *fleet.Fleet) ledger.Verdict {
 	t.Helper()
 	v := f.Ledger.Judge()
 	for i, b := range v.Broken {
@@ -83,5 +84,6 @@
 	if v.Good == 0 {
 		t.Error("nothing was answered")
 	}
-	t.Logf("sent %d, ran %d, good %d, not-run %d, unknown %d, broken %d", v.Sent, v.Ran, v.Good, v.NotRun, v.Unknown, len(v.Broken))
+	t.Logf("sent %d, ran %d, good %d, not-run %d, unknown %d, cut %d, broken %d", v.Sent, v.Ran, v.Good, v.NotRun, v.Unknown, v.Cut, len(v.Broken))
+	return v
 }
--- a/proof/rig_test.go
+++ b/proof/rig_test.go
@@ -91,6 +91,12 @@
 // rawBackend answers each connection by what speak writes after the request
 // was read; it counts the requests it saw.
 func (r *rig) rawBackend(machine int, speak func(n int, c net.Conn)) (count func() int) {
+	r.t.Helper()
+	return r.rawBackendAs(machine, "raw", speak)
+}
+
+// rawBackendAs is rawBackend under a name.
+func (r *rig) rawBackendAs(machine int, instance string, speak func(n int, c net.Conn)) (count func() int) {
 	r.t.Helper()
 	ln, err := net.Listen("tcp", net.JoinHostPort(r.Site.IP(machine), "0"))
 	must(r.t, err)
@@ -115,7 +121,7 @@
 			}()
 		}
 	}()
-	r.announce(machine, "raw", ln.Addr().String())
+	r.announce(machine, instance, ln.Addr().String())
 	return func() int { n := <-seen; seen <- n; return n }
 }
 
--- a/proof/standin/send.go
+++ b/proof/standin/send.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
+	"syscall"
 	"time"
 
 	"curlewwalk/proof/ledger"
@@ -37,7 +39,10 @@
 			a.Wrong = "a refusal without Retry-After"
 		}
 	}
-	if err != nil {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		a.Outcome = "not-run" // no sidecar is there: nothing was handed over
+	case err != nil:
 		a.Outcome = "cut"
 	}
 	a.At = time.Now()
--- a/relay/near.go
+++ b/relay/near.go
@@ -13,6 +13,7 @@
 
 	"curlewwalk/claim"
 	"curlewwalk/cohort"
+	"curlewwalk/contract"
 	"curlewwalk/desired"
 	"curlewwalk/launch"
 	"curlewwalk/lineage"
@@ -33,6 +34,7 @@
 	Queue    *trace.Queue
 	Lineage  *lineage.Keeper
 	Claims   *claim.Claims[Receipt]
+	Purses   *contract.Purses
 	// Life ends when the node must stop at once.
 	Life context.Context
 	// Draining tells whether new inquiries are still taken.
@@ -55,6 +57,9 @@
 // Handler serves inquiries of one caller: a backend service, or "" for clients.
 func (n *Near) Handler(caller string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if n.Draining() {
+			w.Header().Set("Connection", "close")
+		}
 		n.serve(caller, r).write(w, r.Method)
 	})
 }
@@ -162,7 +167,8 @@
 
 // run asks the decision and obeys, leg by leg.
 func (n *Near) run(ctx context.Context, q *inquiry) Receipt {
-	d := way.Decision{Way: q.way, Expiry: q.expiry, Locality: n.Locality, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+	d := way.Decision{Way: q.way, Expiry: q.expiry, Locality: n.Locality, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Spend: func() bool { return n.Purses.Spend(q.way.Service) }}
 	note := trace.Event{Way: q.way.Name, Service: q.way.Service, Caller: q.caller, Link: q.cause.Link, Candidates: q.cause.Candidates}
 	n.Queue.Put(q.span, trace.ClientStart, note)
 	var last LegReceipt
@@ -187,7 +193,9 @@
 // child span of its own. (DESIGN 2.1)
 func (n *Near) send(ctx context.Context, q *inquiry, t cohort.Target, num int) (way.Leg, LegReceipt) {
 	span := q.span
-	if num > 1 {
+	if num == 1 {
+		n.Purses.Earn(q.way.Service)
+	} else {
 		n.Counts.ExtraLegs.Add(1)
 		span = q.span.Child()
 		ctx = trace.With(ctx, span)
--- a/way/decision.go
+++ b/way/decision.go
@@ -22,7 +22,9 @@
 	Expiry   time.Time
 	Locality string
 	Rand     *rand.Rand
-	legs     []Leg
+	// Spend pays for an extra leg, if the contract's keeper lets it.
+	Spend func() bool
+	legs  []Leg
 }
 
 // Tell takes the fate of a leg.
@@ -57,6 +59,9 @@
 	if !ok {
 		return end(status(fate), fate, reason)
 	}
+	if len(d.legs) > 0 && !d.Spend() {
+		return end(status(fate), fate, "no means for another leg after: "+reason)
+	}
 	return Order{Send: true, Target: target}
 }
 
