Let legs stand in line at a full backend, by rank and only while in time

Cause: a full backend refused at once whoever came, so a burst became refusals and extra legs, and rank meant nothing. The far sidecar now keeps a line per backend: by rank, bounded, with learned run times; refused at once is whoever can't be served within its aim.

--- a/proof/cmd/fleet/main.go
+++ b/proof/cmd/fleet/main.go
@@ -18,6 +18,8 @@
 		Deployment string        `long:"deployment" choice:"association" choice:"heating" default:"association" description:"whose size to run"`
 		For        time.Duration `long:"for" default:"10s" description:"how long clients send"`
 		Rate       float64       `long:"rate" description:"inquiries a second instead of the deployment's own"`
+		Capacity   int           `long:"capacity" description:"slots of each backend instead of the deployment's own"`
+		Retry      int           `long:"retry" description:"how often clients ask again at once after a refusal"`
 	}
 	if _, err := flags.Parse(&opt); err != nil {
 		os.Exit(2)
@@ -29,13 +31,16 @@
 	if opt.Rate > 0 {
 		size.Rate = opt.Rate
 	}
-	if err := run(size, opt.For); err != nil {
+	if opt.Capacity > 0 {
+		size.Capacity = opt.Capacity
+	}
+	if err := run(size, opt.For, opt.Retry); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
 }
 
-func run(size fleet.Size, d time.Duration) error {
+func run(size fleet.Size, d time.Duration, retry int) error {
 	bin, err := fleet.Build()
 	if err != nil {
 		return err
@@ -58,7 +63,7 @@
 	r := &fleet.Report{}
 	callers := f.Callers()
 	for _, c := range callers {
-		c.Saw = r.Saw
+		c.Saw, c.Retry = r.Saw, retry
 	}
 	f.Load(load, callers...)
 	v := f.Ledger.Judge()
--- /dev/null
+++ b/proof/overload_test.go
@@ -0,0 +1,96 @@
+package proof
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"curlewwalk/proof/ledger"
+	"curlewwalk/proof/standin"
+)
+
+// Under overload, with clients that ask again at once, the higher rank keeps
+// its service and the lower one gives way; nothing else goes wrong.
+func TestOverloadByRank(t *testing.T) {
+	t.Parallel()
+	size := small()
+	size.Capacity, size.Rate = 1, 160
+	f, ctx := start(t, size)
+	load, stop := context.WithTimeout(ctx, 4*time.Second)
+	defer stop()
+	var mu sync.Mutex
+	sent, good := map[int]int{}, map[int]int{}
+	callers := f.Callers()
+	for _, c := range callers {
+		c.Retry = 2
+		c.Saw = func(p standin.Plan, a ledger.Answered, _ time.Duration) {
+			mu.Lock()
+			defer mu.Unlock()
+			sent[p.Rank]++
+			if a.Status == http.StatusOK {
+				good[p.Rank]++
+			}
+		}
+	}
+	f.Load(load, callers...)
+	judge(t, f)
+	t.Logf("good by rank: %v of %v", good, sent)
+	first, second := float64(good[1])/float64(sent[1]), float64(good[2])/float64(sent[2])
+	if first <= second || good[2] == sent[2] {
+		t.Errorf("rank 1 was served %.2f, rank 2 %.2f", first, second)
+	}
+}
+
+// A cold backend that is the only one, with everybody coming at once, never
+// gets more than one and a half times what it can bear; so also when its
+// sidecar was killed and started again.
+func TestColdBackend(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	var open, peak atomic.Int64
+	b := &standin.Backend{Instance: "cold", Service: "desk", Locality: r.Locality(1), Capacity: 10, Share: 0.4, Control: r.Sidecars[1].Control,
+		Ledger: r.Ledger, Client: r.Client, Handle: http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
+			n := open.Add(1)
+			defer open.Add(-1)
+			for old := peak.Load(); n > old && !peak.CompareAndSwap(old, n); old = peak.Load() {
+			}
+			hold := time.NewTimer(100 * time.Millisecond)
+			defer hold.Stop()
+			<-hold.C
+		})}
+	must(t, b.Start(r.Site.IP(1)+":8500"))
+	r.Backends = append(r.Backends, b)
+	must(t, r.AwaitServing(r.ctx, 1, 1))
+	flood := func() (good int64) {
+		var wg sync.WaitGroup
+		var n atomic.Int64
+		for range 60 {
+			wg.Go(func() {
+				if a := r.send("GET", "/look/", ""); a.StatusCode == 200 {
+					n.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+		return n.Load()
+	}
+	if good := flood(); good == 0 {
+		t.Error("nothing was served")
+	}
+	// What a killed sidecar had open may still be running.
+	var wg sync.WaitGroup
+	wg.Go(func() { flood() })
+	must(t, awaitRuns(r.ctx, open.Load, 3))
+	r.Sidecars[1].Kill()
+	must(t, r.Sidecars[1].Start())
+	must(t, r.AwaitServing(r.ctx, 1, 1))
+	flood()
+	wg.Wait()
+	if peak.Load() > 6 {
+		t.Errorf("%d at a time at a backend that can bear 4", peak.Load())
+	}
+	t.Logf("at most %d at a time", peak.Load())
+}
--- a/proof/standin/caller.go
+++ b/proof/standin/caller.go
@@ -21,6 +21,8 @@
 	Ledger *ledger.Ledger
 	Client *http.Client
 	Seed   uint64
+	// Retry is how often it asks again at once after a refusal.
+	Retry int
 
 	// Saw, if set, hears of each answer and how long it took.
 	Saw    func(p Plan, a ledger.Answered, took time.Duration)
@@ -31,7 +33,13 @@
 // Once sends one inquiry of a plan.
 func (c *Caller) Once(ctx context.Context, p Plan) ledger.Answered {
 	start := time.Now()
-	a := send(ctx, c.Client, c.Ledger, c.Addr, p, "", "", fmt.Sprintf("%s-%d", c.Name, c.serial.Add(1)))
+	var a ledger.Answered
+	for range c.Retry + 1 {
+		a = send(ctx, c.Client, c.Ledger, c.Addr, p, "", "", fmt.Sprintf("%s-%d", c.Name, c.serial.Add(1)))
+		if a.Outcome != "not-run" {
+			break
+		}
+	}
 	if c.Saw != nil {
 		c.Saw(p, a, time.Since(start))
 	}
--- a/relay/far.go
+++ b/relay/far.go
@@ -114,11 +114,21 @@
 	if why != roster.Open {
 		return refuse(why, 0)
 	}
-	give, ok := e.Take(time.Now())
-	if !ok {
-		return refuse(roster.Full, e.Desk.Open())
+	limit := func() int64 {
+		// The newest beat tells what the backend can bear now.
+		now, why := f.check(ctx, &leg)
+		if why != roster.Open {
+			now = e
+		}
+		return now.Limit(time.Now())
+	}
+	done, back := e.Desk.Enter(ctx, roster.Bid{Rank: leg.Rank, Way: leg.Way, Left: min(leg.Left, leg.Aim)}, limit)
+	if done == nil {
+		rc := refuse(roster.Full, e.Desk.Open())
+		rc.Back = back
+		return rc
 	}
-	defer give()
+	defer done()
 	if !ask(ctx, f.ledger.begin, leg.ID) {
 		if ctx.Err() != nil {
 			return refuse(roster.Expired, 0)
--- a/relay/leg.go
+++ b/relay/leg.go
@@ -24,13 +24,16 @@
 	Instance string        `msgpack:"i"`
 	Boot     uint64        `msgpack:"bt"`
 	Way      string        `msgpack:"w"`
+	Rank     int           `msgpack:"rk"`
 	Left     time.Duration `msgpack:"l"`
-	Caller   string        `msgpack:"c,omitempty"`
-	Method   string        `msgpack:"m"`
-	URI      string        `msgpack:"u"`
-	Host     string        `msgpack:"h"`
-	Header   http.Header   `msgpack:"hd"`
-	Body     []byte        `msgpack:"b"`
+	// Aim is the time left until the inquiry is late; it waits no longer.
+	Aim    time.Duration `msgpack:"am"`
+	Caller string        `msgpack:"c,omitempty"`
+	Method string        `msgpack:"m"`
+	URI    string        `msgpack:"u"`
+	Host   string        `msgpack:"h"`
+	Header http.Header   `msgpack:"hd"`
+	Body   []byte        `msgpack:"b"`
 }
 
 // LegReceipt is what the far sidecar tells of a leg.
@@ -43,6 +46,8 @@
 	Body   []byte      `msgpack:"b"`
 	// Open is how many inquiries the backend has open.
 	Open int `msgpack:"o"`
+	// Back is when a refused inquiry should come again.
+	Back time.Duration `msgpack:"bk,omitempty"`
 }
 
 // Recall asks a far sidecar, in one incarnation of it, to let a leg never run.
--- a/relay/near.go
+++ b/relay/near.go
@@ -48,6 +48,7 @@
 	way      desired.Way
 	contract desired.Contract
 	expiry   time.Time
+	aim      time.Time
 	span     trace.Span
 	cause    lineage.Cause
 	traced   bool // the client itself sent identifiers
@@ -90,7 +91,7 @@
 	}
 	h := endToEnd(r.Header)
 	h.Del(HeaderCaller)
-	q.leg = Leg{Service: q.way.Service, Way: q.way.Name, Caller: caller, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h, Body: body}
+	q.leg = Leg{Service: q.way.Service, Way: q.way.Name, Rank: q.contract.Rank, Caller: caller, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h, Body: body}
 	// The client's going away stops nothing: the inquiry was handed over.
 	ctx := context.WithoutCancel(r.Context())
 	n.begin(ctx, &q, r.Header)
@@ -120,6 +121,7 @@
 func (n *Near) begin(ctx context.Context, q *inquiry, h http.Header) {
 	told, traced := trace.ReadB3(h)
 	q.traced = traced
+	q.aim = time.Now().Add(q.contract.Aim.Duration)
 	q.expiry = time.Now().Add(q.contract.Expiry.Duration)
 	if q.caller != "" {
 		q.cause = n.Lineage.Link(ctx, q.caller, q.way.Name, told)
@@ -205,6 +207,7 @@
 	leg.ID = span.ID.String() + "/" + trace.NewID().String()
 	leg.N, leg.Instance, leg.Boot = num, t.Instance, t.Boot
 	leg.Left = time.Until(q.expiry) - grace
+	leg.Aim = time.Until(q.aim) - grace
 	t.Load.Legs.Add(1)
 	r := n.Net.Call(ctx, t.Node, wire.Traffic, KindLeg, leg)
 	t.Load.Legs.Add(-1)
@@ -218,7 +221,7 @@
 		l.Fate, l.Reason = way.NotRun, "node could not be reached"
 		t.Load.Shun(shunFor)
 	case r.Into(&rc) && rc.ID == leg.ID:
-		l.Fate, l.Reason, l.Expired = rc.Fate, rc.Reason, rc.Reason == string(roster.Expired)
+		l.Fate, l.Reason, l.Back, l.Expired = rc.Fate, rc.Reason, rc.Back, rc.Reason == string(roster.Expired)
 		t.Load.Tell(rc.Open)
 		if rc.Fate != way.Answered && rc.Reason != string(roster.Full) {
 			t.Load.Shun(shunFor)
--- a/roster/desk.go
+++ b/roster/desk.go
@@ -1,25 +1,79 @@
 package roster
 
-import "sync/atomic"
+import (
+	"context"
+	"sync"
+	"time"
+)
 
-// Desk counts a backend's open inquiries.
-type Desk struct{ open atomic.Int64 }
+// Desk is a backend's line with those who stand in it.
+type Desk struct {
+	mu    sync.Mutex
+	line  Line
+	wake  map[uint64]chan bool
+	start time.Time
+}
+
+// NewDesk makes an empty desk.
+func NewDesk() *Desk { return &Desk{wake: map[uint64]chan bool{}, start: time.Now()} }
+
+// Open is how many inquiries run or wait.
+func (d *Desk) Open() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.line.Full()
+}
 
-// Open is how many there are.
-func (d *Desk) Open() int64 { return d.open.Load() }
+// Enter asks for a place at the backend, and waits for it if the line says so.
+// done must be called when the run has ended; without it, back tells when to
+// come again. limit is asked at each change.
+func (d *Desk) Enter(ctx context.Context, b Bid, limit func() int64) (done func(), back time.Duration) {
+	d.mu.Lock()
+	v, id, back, s := d.line.Ask(b, limit(), time.Since(d.start))
+	var turn chan bool
+	if v == Wait {
+		turn = make(chan bool, 1)
+		d.wake[id] = turn
+	}
+	d.tell(s)
+	d.mu.Unlock()
+	if v == Refuse {
+		return nil, back
+	}
+	if v == Wait && !d.stand(ctx, id, turn) {
+		return nil, 0
+	}
+	began := time.Now()
+	return func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.tell(d.line.Done(b.Way, time.Since(began), limit(), time.Since(d.start)))
+	}, 0
+}
 
-// take opens one unless there are limit already.
-func (d *Desk) take(limit int64) bool {
-	for {
-		n := d.open.Load()
-		if n >= limit {
-			return false
-		}
-		if d.open.CompareAndSwap(n, n+1) {
-			return true
-		}
+// stand waits for the turn; false if it was refused or its time is over.
+func (d *Desk) stand(ctx context.Context, id uint64, turn chan bool) bool {
+	select {
+	case ok := <-turn:
+		return ok
+	case <-ctx.Done():
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.line.Quit(id) {
+		delete(d.wake, id)
+		return false
 	}
+	return <-turn // it was told in the meantime
 }
 
-// give closes one.
-func (d *Desk) give() { d.open.Add(-1) }
+func (d *Desk) tell(s Shift) {
+	for _, id := range s.Run {
+		d.wake[id] <- true
+		delete(d.wake, id)
+	}
+	for _, id := range s.Refused {
+		d.wake[id] <- false
+		delete(d.wake, id)
+	}
+}
--- a/roster/entry.go
+++ b/roster/entry.go
@@ -27,7 +27,14 @@
 	return e.Share + (1-e.Share)*done
 }
 
-// Limit is how many inquiries it may have open at a time.
+// Limit is how many inquiries it may run at a time.
 func (e Entry) Limit(now time.Time) int64 {
-	return max(1, int64(float64(e.Capacity)*e.ShareAt(now)))
+	bear := float64(e.Capacity) * e.ShareAt(now)
+	if now.Sub(started) < freshStart {
+		bear /= 2
+	}
+	return max(1, int64(bear))
 }
+
+// started is when this process was.
+var started = time.Now()
--- a/roster/gate.go
+++ b/roster/gate.go
@@ -39,11 +39,3 @@
 	}
 	return e, Open
 }
-
-// Take reserves a place at the backend; give returns it.
-func (e Entry) Take(now time.Time) (give func(), ok bool) {
-	if !e.Desk.take(e.Limit(now)) {
-		return nil, false
-	}
-	return e.Desk.give, true
-}
--- /dev/null
+++ b/roster/line_test.go
@@ -0,0 +1,93 @@
+package roster
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Under seeded overload, with limits that change: never more run than the limit
+// let in, nobody is let in past the time in which it could be served, and a
+// lower rank is never let in while a higher one waits.
+func TestLine(t *testing.T) {
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		var l Line
+		type bid struct {
+			rank   int
+			giveUp time.Duration
+		}
+		waiting := map[uint64]bid{}
+		var ends []time.Duration
+		ran, refused, waited := 0, 0, 0
+		limit := int64(4)
+		take := func(s Shift, now time.Duration) {
+			for _, id := range s.Run {
+				b := waiting[id]
+				delete(waiting, id)
+				if now > b.giveUp {
+					t.Fatalf("seed %d: let in %v after it could be served", seed, now-b.giveUp)
+				}
+				for _, o := range waiting {
+					if o.rank < b.rank {
+						t.Fatalf("seed %d: rank %d let in while rank %d waits", seed, b.rank, o.rank)
+					}
+				}
+				ends = append(ends, now+time.Duration(rng.Int64N(int64(40*time.Millisecond))))
+				ran++
+				waited++
+			}
+			for _, id := range s.Refused {
+				delete(waiting, id)
+				refused++
+			}
+			if len(s.Run) > 0 && int64(len(ends)) > limit {
+				t.Fatalf("seed %d: %d run under a limit of %d", seed, len(ends), limit)
+			}
+		}
+		for now := time.Duration(0); now < 3*time.Second; now += time.Millisecond {
+			if rng.IntN(200) == 0 {
+				limit = 1 + rng.Int64N(6)
+			}
+			kept := ends[:0]
+			over := 0
+			for _, e := range ends {
+				if e <= now {
+					over++
+				} else {
+					kept = append(kept, e)
+				}
+			}
+			ends = kept
+			for range over {
+				take(l.Done("w", 20*time.Millisecond, limit, now), now)
+			}
+			if rng.IntN(3) > 0 {
+				b := Bid{Rank: 1 + rng.IntN(3), Way: "w", Left: time.Duration(rng.Int64N(int64(150 * time.Millisecond)))}
+				v, id, back, s := l.Ask(b, limit, now)
+				switch v {
+				case Run:
+					if int64(len(ends)) >= limit {
+						t.Fatalf("seed %d: let in beyond the limit", seed)
+					}
+					ends = append(ends, now+20*time.Millisecond)
+					ran++
+				case Wait:
+					waiting[id] = bid{rank: b.Rank, giveUp: now + b.Left}
+				case Refuse:
+					refused++
+					if l.mean > 0 && back <= 0 {
+						t.Fatalf("seed %d: refused without a time to come back", seed)
+					}
+				}
+				take(s, now)
+			}
+			if l.Full() != int64(len(ends)+len(waiting)) {
+				t.Fatalf("seed %d: the line counts %d, there are %d and %d", seed, l.Full(), len(ends), len(waiting))
+			}
+		}
+		if ran == 0 || refused == 0 || waited == 0 {
+			t.Errorf("seed %d: ran %d, refused %d, waited %d", seed, ran, refused, waited)
+		}
+	}
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -38,7 +38,7 @@
 		Locality: cmp.Or(a.Locality, home), Leaving: a.Leaving,
 	}}
 	if e.Desk == nil || old.Address != a.Address || old.Service != a.Service {
-		e.Desk = new(Desk)
+		e.Desk = NewDesk()
 	}
 	switch {
 	case a.Leaving && !old.Leaving:
--- a/way/decision.go
+++ b/way/decision.go
@@ -35,7 +35,7 @@
 
 // Ask decides what comes next, on the snapshots as they are now.
 func (d *Decision) Ask(t *Table, v *cohort.View, now time.Time) Order {
-	fate, expired := NotRun, !now.Before(d.Expiry)
+	fate, expired, back := NotRun, !now.Before(d.Expiry), time.Second
 	reason := "no backend of " + d.Way.Service
 	if n := len(d.legs); n > 0 {
 		last := d.legs[n-1]
@@ -44,23 +44,24 @@
 		}
 		reason, expired = last.Reason, expired || last.Expired
 		for _, l := range d.legs {
+			back = max(back, l.Back)
 			if l.Fate == Unknown {
 				fate = Unknown
 			}
 		}
 	}
 	if expired {
-		return end(http.StatusGatewayTimeout, fate, reason)
+		return end(http.StatusGatewayTimeout, fate, reason, back)
 	}
 	if fate == Unknown && !d.Way.Repeatable || len(d.legs) >= mostLegs {
-		return end(status(fate), fate, reason)
+		return end(status(fate), fate, reason, back)
 	}
 	target, ok := d.choose(t, v)
 	if !ok {
-		return end(status(fate), fate, reason)
+		return end(status(fate), fate, reason, back)
 	}
 	if len(d.legs) > 0 && !d.Spend() {
-		return end(status(fate), fate, "no means for another leg after: "+reason)
+		return end(status(fate), fate, "no means for another leg after: "+reason, back)
 	}
 	return Order{Send: true, Target: target}
 }
@@ -72,8 +73,8 @@
 	return http.StatusBadGateway
 }
 
-func end(status int, f Fate, reason string) Order {
-	return Order{End: End{Status: status, Fate: f, Reason: reason, RetryAfter: time.Second}}
+func end(status int, f Fate, reason string, back time.Duration) Order {
+	return Order{End: End{Status: status, Fate: f, Reason: reason, RetryAfter: back}}
 }
 
 // choose takes the less busy of two random backends, of the own locality first.
--- a/way/leg.go
+++ b/way/leg.go
@@ -1,6 +1,10 @@
 package way
 
-import "curlewwalk/cohort"
+import (
+	"time"
+
+	"curlewwalk/cohort"
+)
 
 // Fate is what is known of a leg.
 type Fate string
@@ -17,6 +21,8 @@
 	Target cohort.Target
 	Fate   Fate
 	Reason string
+	// Back is when a refused inquiry should come again.
+	Back time.Duration
 	// Expired says that the leg ended because the inquiry's time was over.
 	Expired bool
 }
