--- /dev/null
+++ b/proof/cmd/day/main.go
@@ -0,0 +1,68 @@
+// Command day runs a day of either deployment, at its size and rate, with the
+// brief's failures in seeded order and one last fault, and prints a verdict.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"curlewwalk/proof/day"
+	"curlewwalk/proof/fleet"
+)
+
+func main() {
+	var opt struct {
+		Deployment string `long:"deployment" choice:"association" choice:"heating" default:"association" description:"whose day to run"`
+		Seed       uint64 `long:"seed" default:"1" description:"seed of the order of failures"`
+		Events     int    `long:"events" default:"17" description:"how many failures before the last one"`
+	}
+	if _, err := flags.Parse(&opt); err != nil {
+		os.Exit(2)
+	}
+	size := fleet.Association()
+	if opt.Deployment == "heating" {
+		size = fleet.Heating()
+	}
+	ok, err := run(size, opt.Seed, opt.Events)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	if err != nil || !ok {
+		fmt.Printf("replay: go run ./proof/cmd/day --deployment %s --seed %d --events %d\n", opt.Deployment, opt.Seed, opt.Events)
+		os.Exit(1)
+	}
+}
+
+func run(size fleet.Size, seed uint64, events int) (bool, error) {
+	bin, err := fleet.Build()
+	if err != nil {
+		return false, err
+	}
+	defer bin.Remove()
+	f, err := fleet.New(size, bin)
+	if err != nil {
+		return false, err
+	}
+	defer f.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(events+2)*45*time.Second)
+	defer cancel()
+	d := day.New(f, seed, os.Stdout)
+	v, err := d.Run(ctx, events)
+	if err != nil {
+		return false, err
+	}
+	service, spread := d.Slowest()
+	fmt.Printf("day of %s, seed %d: sent %d, ran %d, good %d, not-run %d, unknown %d, cut %d\n", size.Name, seed, v.Sent, v.Ran, v.Good, v.NotRun, v.Unknown, v.Cut)
+	fmt.Printf("slowest return of service %v, slowest configuration in force %v\n", service.Round(time.Millisecond), spread.Round(time.Millisecond))
+	for i, b := range v.Broken {
+		if i < 20 {
+			fmt.Println("BROKEN:", b)
+		}
+	}
+	fmt.Printf("%d things happened that must never\n", len(v.Broken))
+	return len(v.Broken) == 0, nil
+}
--- /dev/null
+++ b/proof/day/day.go
@@ -0,0 +1,209 @@
+// Package day runs a day of a deployment: its load, the brief's failures in
+// seeded order, one last fault, and a verdict. (DESIGN 14.5)
+package day
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"curlewwalk/proof/fleet"
+	"curlewwalk/proof/ledger"
+	"curlewwalk/proof/standin"
+)
+
+const (
+	returnWithin = 15 * time.Second
+	forceWithin  = 2 * time.Second
+)
+
+// Day is one run.
+type Day struct {
+	F   *fleet.Fleet
+	Out io.Writer
+	rng *rand.Rand
+	ctx context.Context
+
+	serial   int
+	acked    map[uint64][]byte
+	newest   uint64
+	broken   []string
+	slowest  time.Duration            // return of service after a fault
+	spread   time.Duration            // slowest configuration in force
+	standing map[*standin.Backend]int // running backends by machine
+}
+
+// New lays a day out over a fleet that is not started yet.
+func New(f *fleet.Fleet, seed uint64, out io.Writer) *Day {
+	return &Day{F: f, Out: out, rng: rand.New(rand.NewPCG(seed, 11)), acked: map[uint64][]byte{}, standing: map[*standin.Backend]int{}}
+}
+
+// Run runs it with so many events and returns what must never happen and did.
+func (d *Day) Run(ctx context.Context, events int) (v ledger.Verdict, err error) {
+	d.ctx = ctx
+	if err := d.F.Relay(); err != nil {
+		return v, err
+	}
+	if err := d.F.Start(ctx); err != nil {
+		return v, err
+	}
+	d.newest = d.F.First
+	d.acked[d.newest] = d.F.Configuration()
+	for i, b := range d.F.Backends {
+		d.standing[b] = i
+	}
+	load, stop := context.WithCancel(ctx)
+	defer stop()
+	var wg sync.WaitGroup
+	wg.Go(func() { d.F.Load(load, d.F.Callers()...) })
+	all := d.all()
+	order := d.rng.Perm(len(all))
+	for i := range events {
+		ev := all[order[i%len(all)]]
+		begin := time.Now()
+		if err := ev.do(); err != nil {
+			return v, fmt.Errorf("%s: %w", ev.name, err)
+		}
+		back := d.serviceReturns(ev.name)
+		d.say("%-34s %6.1fs, service back after %v", ev.name, time.Since(begin).Seconds(), back.Round(time.Millisecond))
+		if ctx.Err() != nil {
+			return v, ctx.Err()
+		}
+	}
+	last := all[order[events%len(all)]]
+	d.say("last fault: %s", last.name)
+	if err := last.do(); err != nil {
+		return v, err
+	}
+	d.serviceReturns(last.name)
+	d.readBack()
+	stop()
+	wg.Wait()
+	v = d.F.Ledger.Judge()
+	v.Broken = append(v.Broken, d.broken...)
+	return v, nil
+}
+
+// Slowest is the slowest return of service, and the slowest configuration.
+func (d *Day) Slowest() (service, configuration time.Duration) { return d.slowest, d.spread }
+
+func (d *Day) say(format string, args ...any) { fmt.Fprintf(d.Out, format+"\n", args...) }
+
+func (d *Day) wrong(format string, args ...any) {
+	d.broken = append(d.broken, fmt.Sprintf(format, args...))
+}
+
+// pause lets load run for a while.
+func (d *Day) pause(t time.Duration) {
+	tm := time.NewTimer(t)
+	defer tm.Stop()
+	select {
+	case <-tm.C:
+	case <-d.ctx.Done():
+	}
+}
+
+// serviceReturns waits until each kind of inquiry succeeds from every machine.
+func (d *Day) serviceReturns(after string) time.Duration {
+	begin := time.Now()
+	var wg sync.WaitGroup
+	late := make(chan string, len(d.F.Sidecars)*len(d.F.Size.Plans))
+	for i := range d.F.Sidecars {
+		d.serial++
+		c := d.F.NewCaller(i, 1)
+		c.Name = fmt.Sprintf("check-%d", d.serial)
+		wg.Go(func() {
+			for _, p := range d.F.Size.Plans {
+				for p.Share > 0 {
+					if a := c.Once(d.ctx, p); a.Status == http.StatusOK && a.Outcome == "" {
+						break
+					}
+					if time.Since(begin) > 2*returnWithin || d.ctx.Err() != nil {
+						late <- fmt.Sprintf("%s: %s from machine %d does not return", after, p.Name, i)
+						return
+					}
+					d.pause(20 * time.Millisecond)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	close(late)
+	for l := range late {
+		d.wrong("%s", l)
+	}
+	took := time.Since(begin)
+	if d.slowest = max(d.slowest, took); took > returnWithin {
+		d.wrong("%s: service returned only after %v", after, took)
+	}
+	return took
+}
+
+// put puts a configuration to any core; the day's own differ by a blank tail.
+func (d *Day) put() error {
+	d.serial++
+	body := append(d.F.Configuration(), bytes.Repeat([]byte(" "), d.serial%50)...)
+	return fleet.Await(d.ctx, "a configuration to be taken", func(ctx context.Context) bool {
+		ctx, cancel := context.WithTimeout(ctx, 6*time.Second)
+		defer cancel()
+		r, err := d.F.Operate(ctx, d.F.Cores[d.rng.IntN(len(d.F.Cores))], http.MethodPut, "/v1/desired", body)
+		if err != nil || r.Status != http.StatusOK {
+			return false
+		}
+		d.took(r.Stamp, body)
+		return true
+	})
+}
+
+func (d *Day) took(stamp uint64, body []byte) {
+	if old, ok := d.acked[stamp]; ok && !bytes.Equal(old, body) {
+		d.wrong("stamp %d was acknowledged for two configurations", stamp)
+	}
+	d.acked[stamp] = body
+	d.newest = max(d.newest, stamp)
+}
+
+// inForce waits until the newest configuration is in force on all sidecars.
+func (d *Day) inForce() error {
+	begin := time.Now()
+	for _, p := range d.F.Sidecars {
+		err := fleet.Await(d.ctx, p.Name+" to have the newest stamp", func(ctx context.Context) bool {
+			s, err := d.F.Stamp(ctx, p)
+			return err == nil && s >= d.newest
+		})
+		if err != nil {
+			return err
+		}
+	}
+	took := time.Since(begin)
+	if d.spread = max(d.spread, took); took > forceWithin {
+		d.wrong("stamp %d was in force only after %v", d.newest, took)
+	}
+	return nil
+}
+
+// readBack reads the configuration as operators do at day's end.
+func (d *Day) readBack() {
+	for _, p := range d.F.Cores {
+		var r fleet.Reply
+		err := fleet.Await(d.ctx, "the day's reading back", func(ctx context.Context) (ok bool) {
+			var err error
+			r, err = d.F.Operate(ctx, p, http.MethodGet, "/v1/desired", nil)
+			return err == nil && r.Status == http.StatusOK
+		})
+		want, known := d.acked[r.Stamp]
+		switch {
+		case err != nil:
+			d.wrong("%s does not read back: %v", p.Name, err)
+		case r.Stamp < d.newest:
+			d.wrong("%s reads back stamp %d, %d was acknowledged", p.Name, r.Stamp, d.newest)
+		case known && !bytes.Equal(r.Body, want):
+			d.wrong("%s reads back other bytes than were sent under stamp %d", p.Name, r.Stamp)
+		}
+	}
+}
--- a/proof/fault/relay.go
+++ b/proof/fault/relay.go
@@ -69,6 +69,7 @@
 	ln   net.Listener
 	to   string
 	host string
+	at   string
 	ctx  context.Context
 	end  context.CancelFunc
 }
@@ -80,21 +81,35 @@
 		return nil, err
 	}
 	host, _, _ := net.SplitHostPort(at)
-	r := &Relay{net: n, ln: ln, to: to, host: host}
+	r := &Relay{net: n, ln: ln, to: to, host: host, at: at}
 	r.ctx, r.end = context.WithCancel(context.Background())
-	go r.accept()
+	go r.accept(ln)
 	return r, nil
 }
 
+// Refuse makes the address refuse connections, as one whose process is dead.
+func (r *Relay) Refuse() { r.ln.Close() }
+
+// Accept ends Refuse.
+func (r *Relay) Accept() error {
+	ln, err := net.Listen("tcp", r.at)
+	if err != nil {
+		return err
+	}
+	r.ln = ln
+	go r.accept(ln)
+	return nil
+}
+
 // Close ends the relay and all it carries.
 func (r *Relay) Close() {
 	r.end()
 	r.ln.Close()
 }
 
-func (r *Relay) accept() {
+func (r *Relay) accept(ln net.Listener) {
 	for {
-		c, err := r.ln.Accept()
+		c, err := ln.Accept()
 		if err != nil {
 			return
 		}
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -30,8 +30,9 @@
 	Backends []*standin.Backend
 	Ledger   *ledger.Ledger
 	Client   *http.Client
-	Net      *fault.Net // set if relays stand between the machines
-	relays   []*fault.Relay
+	First    uint64                  // stamp of the configuration that Start put
+	Net      *fault.Net              // set if relays stand between the machines
+	relays   map[string]*fault.Relay // by machine
 }
 
 // ports on every machine
@@ -126,6 +127,7 @@
 	if err != nil {
 		return err
 	}
+	f.First = stamp
 	for i, svc := range f.Size.Backends {
 		if _, err := f.StartBackend(i, svc, fmt.Sprintf("%s-%d", svc, i), portBackend); err != nil {
 			return err
@@ -145,24 +147,64 @@
 // Relay puts a relay before every process, so that machines can be cut off.
 // It comes before Start.
 func (f *Fleet) Relay() error {
-	f.Net = fault.NewNet()
+	f.Net, f.relays = fault.NewNet(), map[string]*fault.Relay{}
 	for _, p := range f.Programs() {
-		r, err := f.Net.Listen(at(p.IP, portWire), at(p.IP, portBehind))
-		if err != nil {
+		if err := f.RelayBefore(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// RelayBefore puts a relay before one process.
+func (f *Fleet) RelayBefore(p *Program) error {
+	r, err := f.Net.Listen(at(p.IP, portWire), at(p.IP, portBehind))
+	if err != nil {
+		return err
+	}
+	f.relays[p.IP] = r
+	p.Args("--wire="+at(p.IP, portBehind), "--advertise="+at(p.IP, portWire))
+	return nil
+}
+
+// Kill ends processes at once; their addresses refuse connections then.
+func (f *Fleet) Kill(ps ...*Program) {
+	for _, p := range ps {
+		p.Kill()
+		if r := f.relays[p.IP]; r != nil {
+			r.Refuse()
+		}
+	}
+}
+
+// Revive starts processes again that were ended.
+func (f *Fleet) Revive(ps ...*Program) error {
+	for _, p := range ps {
+		if r := f.relays[p.IP]; r != nil {
+			r.Refuse() // one that stopped by itself still accepts
+			if err := r.Accept(); err != nil {
+				return err
+			}
+		}
+		if err := p.Start(); err != nil {
 			return err
 		}
-		f.relays = append(f.relays, r)
-		p.Args("--wire="+at(p.IP, portBehind), "--advertise="+at(p.IP, portWire))
 	}
 	return nil
 }
 
 // StartBackend starts a backend on the nth machine.
 func (f *Fleet) StartBackend(n int, service, instance string, port int) (*standin.Backend, error) {
-	b := &standin.Backend{Instance: instance, Service: service, Locality: f.Locality(n), Capacity: f.Size.Capacity,
+	return f.StartBackendOn(at(f.Site.IP(n), port), n, service, instance, 0)
+}
+
+// StartBackendOn starts a backend at an address of the nth machine; share is
+// how warm it says that it is, zero for warm.
+func (f *Fleet) StartBackendOn(addr string, n int, service, instance string, share float64) (*standin.Backend, error) {
+	b := &standin.Backend{Instance: instance, Service: service, Locality: f.Locality(n), Capacity: f.Size.Capacity, Share: share,
 		Control: f.Sidecars[n].Control, Plans: f.Size.Plans, Ledger: f.Ledger, Client: f.Client}
 	f.Backends = append(f.Backends, b)
-	return b, b.Start(at(f.Site.IP(n), port))
+	return b, b.Start(addr)
 }
 
 // sidecarNode is what is read of GET /v1/nodes.
--- a/proof/standin/send.go
+++ b/proof/standin/send.go
@@ -6,7 +6,9 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -17,7 +19,11 @@
 func send(ctx context.Context, c *http.Client, l *ledger.Ledger, addr string, p Plan, caller, cause, id string) ledger.Answered {
 	body := filler("inquiry "+id, p.Body)
 	uri := p.Prefix + "item/a%2Fb?id=" + url.QueryEscape(id)
-	req, err := http.NewRequestWithContext(context.WithoutCancel(ctx), p.Method, "http://"+addr+uri, bytes.NewReader(body))
+	// net/http tries some requests again by itself: a refusal then says nothing
+	// of the first try.
+	var reached atomic.Bool
+	seen := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { reached.Store(true) }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(context.WithoutCancel(ctx), seen), p.Method, "http://"+addr+uri, bytes.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
@@ -40,7 +46,7 @@
 		}
 	}
 	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
+	case errors.Is(err, syscall.ECONNREFUSED) && !reached.Load():
 		a.Outcome = "not-run" // no sidecar is there: nothing was handed over
 	case err != nil:
 		a.Outcome = "cut"
