--- /dev/null
+++ b/boot/boot_test.go
@@ -0,0 +1,106 @@
+package boot
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const good = `locality = north
+wire = 127.0.0.1:7400
+control = 127.0.0.1:7401
+inquiries = 127.0.0.1:7402
+seed = 10.0.0.1:7400
+seed = 10.0.0.2:7400
+outgoing = orders:127.0.0.1:7500
+drain = 3s
+`
+
+func file(t *testing.T, text string) string {
+	t.Helper()
+	name := filepath.Join(t.TempDir(), "settings.ini")
+	if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return name
+}
+
+// Settings come from the file; a flag wins over it.
+func TestFileAndFlags(t *testing.T) {
+	s, exit := ReadSidecar([]string{"--settings", file(t, good), "--drain=5s", "--seed=10.0.0.9:1", "--advertise=10.0.0.7:7400"})
+	if exit.Now {
+		t.Fatal(exit.Text)
+	}
+	if s.Locality != "north" || s.Drain != 5*time.Second || s.Advertise != "10.0.0.7:7400" || s.Wire != "127.0.0.1:7400" || s.Outgoing["orders"] != "127.0.0.1:7500" {
+		t.Errorf("%+v", s)
+	}
+	if d := cmp.Diff([]string{"10.0.0.9:1"}, s.Seeds); d != "" {
+		t.Error(d)
+	}
+	if s, _ := ReadSidecar([]string{"--settings", file(t, good)}); len(s.Seeds) != 2 || s.Advertise != s.Wire {
+		t.Errorf("%+v", s)
+	}
+}
+
+// A bad setting is one line that names the field, the value and what is
+// allowed; exit 2. Checking, help and version end with 0.
+func TestExits(t *testing.T) {
+	f := file(t, good)
+	core := []string{"--locality=n", "--wire=127.0.0.1:1", "--control=127.0.0.1:2", "--slot=1", "--data=x"}
+	for _, c := range []struct {
+		args  []string
+		core  bool
+		code  int
+		names []string
+	}{
+		{[]string{"--settings", f, "--wire=nowhere"}, false, 2, []string{"wire", `"nowhere"`, "IP address and port"}},
+		{[]string{"--settings", f, "--locality=No Where"}, false, 2, []string{"locality", `"No Where"`, "lower-case"}},
+		{[]string{"--settings", f, "--drain=soon"}, false, 2, []string{"drain", `"soon"`}},
+		{[]string{"--settings", f, "--trace-queue=0"}, false, 2, []string{"trace-queue", `"0"`, "at least 1"}},
+		{[]string{"--settings", f, "--seed=a:1"}, false, 2, []string{"seed", `"a:1"`}},
+		{[]string{"--settings", f, "--seed=1.1.1.1:1", "--seed=1.1.1.1:2", "--seed=1.1.1.1:3", "--seed=1.1.1.1:4"}, false, 2, []string{"seed", "three"}},
+		{[]string{"--settings", f, "--outgoing=orders:here"}, false, 2, []string{"outgoing orders", `"here"`}},
+		{[]string{"--settings", f + ".none"}, false, 2, []string{".none"}},
+		{[]string{"--settings", file(t, good+"colour = red\n")}, false, 2, []string{"colour"}},
+		{[]string{"--settings", f, "--colour=red"}, false, 2, []string{"colour"}},
+		{[]string{"--settings", f, "stray"}, false, 2, []string{`"stray"`}},
+		{nil, false, 2, []string{"locality", `""`}},
+		{append(core, "--slots=4"), true, 2, []string{"slots", `"4"`, "3"}},
+		{append(core, "--slots=3", "--slot=4"), true, 2, []string{"slot", `"4"`}},
+		{append(core, "--data="), true, 2, []string{"data"}},
+		{append(core, "--check"), true, 0, []string{"good"}},
+		{[]string{"--settings", f, "--check"}, false, 0, []string{"good"}},
+		{[]string{"--version"}, false, 0, []string{"curlewwalk"}},
+		{[]string{"--help"}, true, 0, []string{"--slot", "--data"}},
+	} {
+		var exit Exit
+		if c.core {
+			_, exit = ReadCore(c.args)
+		} else {
+			_, exit = ReadSidecar(c.args)
+		}
+		if !exit.Now || exit.Code != c.code || c.code == 2 && strings.Contains(exit.Text, "\n") {
+			t.Errorf("%v: %+v", c.args, exit)
+		}
+		for _, n := range c.names {
+			if !strings.Contains(exit.Text, n) {
+				t.Errorf("%v: %q does not name %s", c.args, exit.Text, n)
+			}
+		}
+	}
+}
+
+// A reload tells what it can put in force from what it can't.
+func TestCompare(t *testing.T) {
+	f := file(t, good)
+	old, _ := ReadSidecar([]string{"--settings", f})
+	next, _ := ReadSidecar([]string{"--settings", f, "--drain=9s", "--seed=10.0.0.9:1", "--inquiries=127.0.0.1:9"})
+	want := Reloaded{Applied: []string{"seed", "drain"}, Restart: []string{"inquiries"}}
+	if d := cmp.Diff(want, Compare(old, next)); d != "" {
+		t.Error(d)
+	}
+}
--- /dev/null
+++ b/collect/tree_test.go
@@ -0,0 +1,79 @@
+package collect
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"curlewwalk/trace"
+)
+
+// events makes the events of a root with two children, each on its own node
+// and in the order of the logical counter.
+func events() []trace.Event {
+	t := trace.TraceID{Lo: 9}
+	at := func(span, parent trace.ID, kind trace.Kind, counter uint64, node string) trace.Event {
+		return trace.Event{Trace: t, Span: span, Parent: parent, Kind: kind, Counter: counter, Node: node, Leg: 1}
+	}
+	return []trace.Event{
+		at(1, 0, trace.ClientStart, 1, "a"), at(1, 0, trace.ServerReceive, 2, "b"),
+		at(2, 1, trace.ClientStart, 3, "b"), at(2, 1, trace.ServerReceive, 4, "c"), at(2, 1, trace.ServerSend, 5, "c"), at(2, 1, trace.ClientReceive, 6, "b"),
+		at(3, 1, trace.ClientStart, 7, "b"), at(3, 1, trace.ServerReceive, 8, "d"), at(3, 1, trace.ServerSend, 9, "d"), at(3, 1, trace.ClientReceive, 10, "b"),
+		at(1, 0, trace.ServerSend, 11, "b"), at(1, 0, trace.ClientReceive, 12, "a"),
+	}
+}
+
+// Clocks that are skewed by hours either way, and events that come in any
+// order, change nothing of the tree.
+func TestSkewedClocks(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		evs := events()
+		skew := map[string]time.Duration{}
+		for i := range evs {
+			if _, ok := skew[evs[i].Node]; !ok {
+				skew[evs[i].Node] = time.Duration(rng.Int64N(int64(10*time.Hour))) - 5*time.Hour
+			}
+			evs[i].Since = skew[evs[i].Node] + time.Duration(evs[i].Counter)*time.Millisecond
+		}
+		rng.Shuffle(len(evs), func(i, j int) { evs[i], evs[j] = evs[j], evs[i] })
+		tr := Build(trace.TraceID{Lo: 9}, evs)
+		if !tr.Whole || tr.Spans != 3 || len(tr.Roots) != 1 || len(tr.Roots[0].Children) != 2 {
+			t.Fatalf("seed %d: %+v", seed, tr)
+		}
+		root := tr.Roots[0]
+		for i, want := range []string{trace.ID(2).String(), trace.ID(3).String()} {
+			if root.Children[i].Span != want {
+				t.Errorf("seed %d: child %d is %s", seed, i, root.Children[i].Span)
+			}
+		}
+		for _, n := range append(root.Children, root) {
+			for i, k := range []trace.Kind{trace.ClientStart, trace.ServerReceive, trace.ServerSend, trace.ClientReceive} {
+				if n.Events[i].Kind != k {
+					t.Errorf("seed %d: span %s has %+v", seed, n.Span, n.Events)
+				}
+			}
+		}
+	}
+}
+
+// Whatever is taken away is marked as missing.
+func TestMissingIsMarked(t *testing.T) {
+	all := events()
+	for i := range all {
+		evs := append(append([]trace.Event{}, all[:i]...), all[i+1:]...)
+		if tr := Build(trace.TraceID{Lo: 9}, evs); tr.Whole {
+			t.Errorf("without event %d the tree is called whole", i)
+		}
+	}
+	var evs []trace.Event
+	for _, e := range all {
+		if e.Span != 1 {
+			evs = append(evs, e)
+		}
+	}
+	tr := Build(trace.TraceID{Lo: 9}, evs)
+	if tr.Whole || len(tr.Roots) != 2 || !tr.Roots[0].Lost {
+		t.Errorf("without the root: %+v", tr)
+	}
+}
--- /dev/null
+++ b/relay/ledger_test.go
@@ -0,0 +1,41 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// A leg begins once; one that was refused or recalled before never begins; one
+// that has begun can't be refused any more.
+func TestLedger(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	l := newLedger()
+	go l.run(ctx)
+	if !ask(ctx, l.begin, "a") || ask(ctx, l.begin, "a") {
+		t.Error("a leg must begin once")
+	}
+	if ask(ctx, l.refuse, "a") {
+		t.Error("a leg that has begun was refused")
+	}
+	if !ask(ctx, l.refuse, "b") || !ask(ctx, l.refuse, "b") {
+		t.Error("a leg that was never seen could not be refused")
+	}
+	if ask(ctx, l.begin, "b") {
+		t.Error("a refused leg began")
+	}
+	cancel()
+	if ask(ctx, l.begin, "c") {
+		t.Error("a leg began without a ledger")
+	}
+}
+
+// The request target that net/http writes is the client's, byte for byte.
+func TestTarget(t *testing.T) {
+	for _, uri := range []string{"/", "/a%2Fb", "/a//b?x=%20", "//two/slashes?q", "//two?", "/?", "*", "/%e2%82%ac", "http://host/path?q=1"} {
+		if got := target("127.0.0.1:1", uri).RequestURI(); got != uri {
+			t.Errorf("%q became %q", uri, got)
+		}
+	}
+}
