Keep a running budget of lateness for each contract, summed over all nodes

Each sidecar keeps a rolling minute of how many inquiries of a contract ended and how late; the cores sum each node's newest tally and tell the sums with their hails. What is left (a twentieth of the room between aim and expiry for each inquiry, less the lateness) is spent as patience: an inquiry may be planned to end later than its aim by a hundredth of it.

--- a/cmd/core/control.go
+++ b/cmd/core/control.go
@@ -12,11 +12,13 @@
 
 	"curlewwalk/cohort"
 	"curlewwalk/collect"
+	"curlewwalk/contract"
 	"curlewwalk/desired"
 	"curlewwalk/feed"
 	"curlewwalk/process"
 	"curlewwalk/register"
 	"curlewwalk/trace"
+	"curlewwalk/way"
 	"curlewwalk/wire"
 )
 
@@ -61,6 +63,7 @@
 	mux.HandleFunc("GET /v1/traces/{id}", n.getTrace)
 	mux.HandleFunc("GET /v1/state", n.getState)
 	mux.Handle("GET /v1/reload", n.reload)
+	mux.HandleFunc("GET /v1/budgets", n.getBudgets)
 	return mux
 }
 
@@ -187,6 +190,17 @@
 	}
 }
 
+// getBudgets shows the budgets, summed over the nodes that this core hears.
+func (n *node) getBudgets(w http.ResponseWriter, r *http.Request) {
+	st, ok := n.directory.State(r.Context())
+	table, good := way.NewTable(st.Word)
+	if !ok || !good {
+		process.Error(w, http.StatusServiceUnavailable, "no configuration is known")
+		return
+	}
+	process.JSON(w, http.StatusOK, contract.Answer{Whole: st.Open, Budgets: table.Pages(n.directory.Budgets())})
+}
+
 // getTrace gathers a trace from all cores.
 func (n *node) getTrace(w http.ResponseWriter, r *http.Request) {
 	id, ok := trace.ParseTraceID(r.PathValue("id"))
--- a/cmd/core/node.go
+++ b/cmd/core/node.go
@@ -84,7 +84,11 @@
 	}
 	n.seeker.Hear(cohort.Hail{Seat: h.Seat, Know: h.Know})
 	s := n.seat()
-	return cohort.Hail{Seat: &s, Know: n.seeker.Seats().Known()}, ""
+	out := cohort.Hail{Seat: &s, Know: n.seeker.Seats().Known()}
+	if h.Node != nil {
+		out.Budgets = n.directory.Budgets()
+	}
+	return out, ""
 }
 
 // heard copies what another core has and this one lacks. (DESIGN 6.4)
--- a/cmd/sidecar/control.go
+++ b/cmd/sidecar/control.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"curlewwalk/cohort"
+	"curlewwalk/contract"
 	"curlewwalk/launch"
 	"curlewwalk/process"
 	"curlewwalk/relay"
@@ -65,6 +66,7 @@
 	})
 	mux.HandleFunc("GET /v1/stats", func(w http.ResponseWriter, _ *http.Request) { process.JSON(w, http.StatusOK, n.stats()) })
 	mux.Handle("GET /v1/reload", n.reload)
+	mux.HandleFunc("GET /v1/budgets", n.budgets)
 	return mux
 }
 
@@ -124,6 +126,13 @@
 	process.JSON(w, http.StatusOK, out)
 }
 
+// budgets shows the budgets of all contracts in force, summed over all nodes if
+// a core has told the sums lately.
+func (n *node) budgets(w http.ResponseWriter, _ *http.Request) {
+	sums, whole := n.steward.budgets.Sums()
+	process.JSON(w, http.StatusOK, contract.Answer{Whole: whole, Budgets: n.steward.table.Load().Pages(sums)})
+}
+
 func (n *node) stats() stats {
 	f := *n.steward.shown.Load()
 	return stats{Node: n.set.Advertise, Boot: n.p.Boot, Locality: n.set.Locality, Stamp: n.steward.table.Load().Stamp, Follows: f,
--- a/cmd/sidecar/node.go
+++ b/cmd/sidecar/node.go
@@ -54,10 +54,11 @@
 	n.seeker.Addr, n.seeker.Net, n.seeker.Launcher = set.Advertise, p.Net, p.Launcher
 	n.reload = &process.Reloader{Seeker: n.seeker}
 	n.reload.Apply(set.Common)
+	n.seeker.Budgets = n.steward.budgets.Hear
 	n.seeker.Heard = func(context.Context, cohort.Seat) {}
 	table := func() *way.Table { return n.steward.table.Load() }
 	n.near = &relay.Near{Addr: set.Advertise, Locality: set.Locality, Table: table, View: func() *cohort.View { return n.steward.view.Load() },
-		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log, Lineage: lin, Claims: claims, Purses: n.steward.purses, Life: p.Life, Draining: n.draining.Load}
+		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log, Lineage: lin, Claims: claims, Purses: n.steward.purses, Budgets: n.steward.budgets, Life: p.Life, Draining: n.draining.Load}
 	n.far = relay.NewFar(p.Life, p.Launcher)
 	n.far.Boot, n.far.Table, n.far.Queue, n.far.Lineage, n.far.Draining = p.Boot, table, n.queue, lin, n.draining.Load
 	n.far.Claimed = n.claimed
--- a/cmd/sidecar/steward.go
+++ b/cmd/sidecar/steward.go
@@ -25,6 +25,7 @@
 	locality string
 	hasten   func()
 	purses   *contract.Purses
+	budgets  *contract.Budgets
 
 	nodes map[string]cohort.Node
 
@@ -64,7 +65,7 @@
 
 func newSteward(l *launch.Launcher, addr string, boot uint64, locality string, hasten func()) *steward {
 	s := &steward{addr: addr, boot: boot, locality: locality, hasten: hasten, nodes: map[string]cohort.Node{}}
-	s.purses = contract.NewPurses(addr)
+	s.purses, s.budgets = contract.NewPurses(addr), contract.NewBudgets()
 	s.roster.Store(&roster.Roster{})
 	t, _ := way.NewTable(desired.Word{})
 	s.table.Store(t)
@@ -91,7 +92,7 @@
 // node is what this sidecar tells of itself.
 func (s *steward) node() cohort.Node {
 	r := s.roster.Load()
-	return cohort.Node{Addr: s.addr, Boot: s.boot, Rev: r.Rev, Locality: s.locality, Stamp: s.table.Load().Stamp, Backends: r.Backends()}
+	return cohort.Node{Addr: s.addr, Boot: s.boot, Rev: r.Rev, Locality: s.locality, Stamp: s.table.Load().Stamp, Backends: r.Backends(), Budgets: s.budgets.Own()}
 }
 
 func (s *steward) on(ctx context.Context, msg any) {
--- a/cohort/node.go
+++ b/cohort/node.go
@@ -1,5 +1,7 @@
 package cohort
 
+import "curlewwalk/contract"
+
 // Node is one sidecar's soft state. Rev counts changes within a boot.
 type Node struct {
 	Addr     string    `msgpack:"a" json:"address"`
@@ -8,4 +10,6 @@
 	Locality string    `msgpack:"l" json:"locality"`
 	Stamp    uint64    `msgpack:"s" json:"stamp"`
 	Backends []Backend `msgpack:"be" json:"backends"`
+	// Budgets is the node's own tally by contract; it changes without Rev.
+	Budgets map[string]contract.Tally `msgpack:"bu" json:"budgets,omitempty"`
 }
--- a/cohort/seeker.go
+++ b/cohort/seeker.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"curlewwalk/contract"
 	"curlewwalk/launch"
 	"curlewwalk/wire"
 )
@@ -20,6 +21,8 @@
 	Launcher *launch.Launcher
 	// Heard is told of each seat that spoke for itself; it must not wait.
 	Heard func(ctx context.Context, c Seat)
+	// Budgets, if set, is told of the sums in a receipt.
+	Budgets func(sums map[string]contract.Tally)
 
 	seeds  atomic.Pointer[[]string]
 	table  atomic.Pointer[Seats]
@@ -109,6 +112,9 @@
 			switch r := s.Net.Call(ctx, addr, wire.Control, KindHail, own); {
 			case r.Into(&h):
 				s.Hear(h)
+				if s.Budgets != nil && h.Budgets != nil {
+					s.Budgets(h.Budgets)
+				}
 			case r.Refused:
 				select {
 				case s.dead <- addr:
--- a/feed/directory.go
+++ b/feed/directory.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"curlewwalk/cohort"
+	"curlewwalk/contract"
 	"curlewwalk/desired"
 	"curlewwalk/launch"
 	"curlewwalk/wire"
@@ -19,6 +21,8 @@
 	held  []follower
 	// sure is as of when no newer word had been acknowledged; zero if never.
 	sure time.Time
+	// budgets are the sums over all nodes, for whoever hails.
+	budgets atomic.Pointer[map[string]contract.Tally]
 }
 
 // never is the age of what a core was never sure of.
@@ -49,11 +53,13 @@
 	Place uint64        `json:"place"`
 	Open  bool          `json:"open"`
 	Nodes []cohort.Node `json:"nodes"`
+	Word  desired.Word  `json:"-"`
 }
 
 // NewDirectory starts the directory's actor.
 func NewDirectory(l *launch.Launcher, boot uint64) *Directory {
 	d := &Directory{feed: New(boot, 0), start: time.Now()}
+	d.budgets.Store(&map[string]contract.Tally{})
 	d.box = l.Spawn("directory", d.on)
 	return d
 }
@@ -81,6 +87,9 @@
 // Sure takes that no newer word had been acknowledged as of a moment.
 func (d *Directory) Sure(ctx context.Context, at time.Time) { d.box.Send(ctx, msgSure{at}) }
 
+// Budgets are the sums over all nodes.
+func (d *Directory) Budgets() map[string]contract.Tally { return *d.budgets.Load() }
+
 // State shows the directory.
 func (d *Directory) State(ctx context.Context) (State, bool) {
 	return launch.Ask(ctx, d.box, func(r chan<- State) any { return msgState{r} })
@@ -110,6 +119,8 @@
 		d.sure = m.at
 	case msgTick:
 		d.feed.Tick(now)
+		sums := contract.Merge(d.feed.Budgets())
+		d.budgets.Store(&sums)
 	case msgFollow:
 		if !d.feed.Open(now) {
 			m.reply <- nil
@@ -119,7 +130,7 @@
 	case msgState:
 		st := State{Feed: d.feed.ID, Place: d.feed.place, Open: d.feed.Open(now), Nodes: d.feed.Nodes()}
 		if w := d.feed.Word(); w != nil {
-			st.Stamp = w.Stamp
+			st.Stamp, st.Word = w.Stamp, *w
 		}
 		m.reply <- st
 	}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"curlewwalk/cohort"
+	"curlewwalk/contract"
 	"curlewwalk/desired"
 )
 
@@ -65,6 +66,7 @@
 	if ok && old.Boot == n.Boot && old.Rev == n.Rev {
 		return false
 	}
+	n.Budgets = nil // they go another way
 	f.add(Item{Node: &n})
 	return true
 }
@@ -106,6 +108,7 @@
 	}
 	for _, addr := range slices.Sorted(maps.Keys(f.nodes)) {
 		node := f.nodes[addr]
+		node.Budgets = nil
 		n.Items = append(n.Items, Item{Node: &node})
 	}
 	return n, true
@@ -122,3 +125,11 @@
 	}
 	return out
 }
+
+// Budgets lists each node's newest tally.
+func (f *Feed) Budgets() (out []map[string]contract.Tally) {
+	for _, n := range f.nodes {
+		out = append(out, n.Budgets)
+	}
+	return out
+}
--- /dev/null
+++ b/proof/budget_test.go
@@ -0,0 +1,58 @@
+package proof
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"curlewwalk/proof/fleet"
+)
+
+// budgets is what is read of GET /v1/budgets.
+type budgets struct {
+	Whole   bool
+	Budgets []struct {
+		Contract, Left string
+		Inquiries      int64
+		Kept           bool
+	}
+}
+
+// Each core and each sidecar shows one budget for a contract, summed over all
+// nodes: what is late or refused anywhere is taken from it everywhere.
+func TestBudgetsAreSummed(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	r.backend(1, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	shows := func(inquiries int64, kept bool) {
+		t.Helper()
+		for _, p := range r.Programs() {
+			must(t, fleet.Await(r.ctx, p.Name+" to show the budget", func(ctx context.Context) bool {
+				var b budgets
+				_, err := p.Get(ctx, "/v1/budgets", &b)
+				if err != nil || !b.Whole {
+					return false
+				}
+				for _, c := range b.Budgets {
+					if c.Contract == "once" {
+						return c.Inquiries == inquiries && c.Kept == kept
+					}
+				}
+				return false
+			}))
+		}
+	}
+	for range 10 {
+		for i := range r.Sidecars {
+			if a := r.NewCaller(i, 1).Once(r.ctx, once); a.Status != 200 && a.Wrong == "" {
+				t.Errorf("%+v", a)
+			}
+		}
+	}
+	shows(20, true)
+	must(t, r.Backends[0].Leave(r.ctx))
+	for range 5 {
+		r.expect(r.send("POST", "/once/", "x"), 503, "not-run")
+	}
+	shows(25, false)
+}
--- a/relay/near.go
+++ b/relay/near.go
@@ -37,6 +37,7 @@
 	Lineage  *lineage.Keeper
 	Claims   *claim.Claims[Receipt]
 	Purses   *contract.Purses
+	Budgets  *contract.Budgets
 	// Life ends when the node must stop at once.
 	Life context.Context
 	// Draining tells whether new inquiries are still taken.
@@ -50,6 +51,7 @@
 	way      desired.Way
 	contract desired.Contract
 	expiry   time.Time
+	begun    time.Time
 	aim      time.Time
 	span     trace.Span
 	cause    lineage.Cause
@@ -57,6 +59,9 @@
 	leg      Leg
 }
 
+// room is how late the inquiry may be at all.
+func (q *inquiry) room() time.Duration { return q.contract.Expiry.Duration - q.contract.Aim.Duration }
+
 // Handler serves inquiries of one caller: a backend service, or "" for clients.
 func (n *Near) Handler(caller string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -123,8 +128,9 @@
 func (n *Near) begin(ctx context.Context, q *inquiry, h http.Header) {
 	told, traced := trace.ReadB3(h)
 	q.traced = traced
-	q.aim = time.Now().Add(q.contract.Aim.Duration)
-	q.expiry = time.Now().Add(q.contract.Expiry.Duration)
+	q.begun = time.Now()
+	q.aim = q.begun.Add(q.contract.Aim.Duration)
+	q.expiry = q.begun.Add(q.contract.Expiry.Duration)
 	if q.caller != "" {
 		q.cause = n.Lineage.Link(ctx, q.caller, q.way.Name, told)
 		if e := q.cause.Expiry; !e.IsZero() && e.Before(q.expiry) {
@@ -185,6 +191,7 @@
 					"status", o.End.Status, "outcome", o.End.Fate, "reason", o.End.Reason, "legs", len(d.Legs()))
 				rc = n.own(q, o.End.Status, o.End.Fate, o.End.Reason, o.End.RetryAfter)
 			}
+			n.Budgets.Ended(q.contract.Name, time.Since(q.begun), q.contract.Aim.Duration, q.contract.Expiry.Duration, rc.Fate == way.Answered)
 			note.Status, note.Outcome, note.Reason, note.Leg = rc.Status, string(rc.Fate), o.End.Reason, len(d.Legs())
 			n.Queue.Put(q.span, trace.ClientReceive, note)
 			return rc
@@ -211,7 +218,7 @@
 	leg.ID = span.ID.String() + "/" + trace.NewID().String()
 	leg.N, leg.Instance, leg.Boot = num, t.Instance, t.Boot
 	leg.Left = time.Until(q.expiry) - grace
-	leg.Aim = time.Until(q.aim) - grace
+	leg.Aim = time.Until(q.aim) + n.Budgets.Patience(q.contract.Name, q.room()) - grace
 	t.Load.Legs.Add(1)
 	r := n.Net.Call(ctx, t.Node, wire.Traffic, KindLeg, leg)
 	t.Load.Legs.Add(-1)
--- a/way/table.go
+++ b/way/table.go
@@ -4,10 +4,12 @@
 
 import (
 	"cmp"
+	"maps"
 	"net"
 	"slices"
 	"strings"
 
+	"curlewwalk/contract"
 	"curlewwalk/desired"
 )
 
@@ -57,5 +59,15 @@
 	return desired.Way{}, desired.Contract{}, false
 }
 
+// Pages shows the budget of each contract, given the tallies.
+func (t *Table) Pages(sums map[string]contract.Tally) []contract.Page {
+	out := []contract.Page{}
+	for _, name := range slices.Sorted(maps.Keys(t.contracts)) {
+		c := t.contracts[name]
+		out = append(out, contract.NewPage(name, c.Rank, c.Aim.Duration, c.Expiry.Duration, sums[name]))
+	}
+	return out
+}
+
 // Emptied tells whether the operator asked for a locality to be emptied.
 func (t *Table) Emptied(locality string) bool { return t.emptied[locality] }
