Refuse for half a second before idle connections are closed at a stop

The cuts were EOF or reset on requests that a client wrote on an idle connection just as it was closed; ruled out: anything that the sidecar had read. A drained sidecar now refuses with Connection: close for 0.5 s first. What is left is a connection unused for 0.5 s, written to in the moment it is closed.

--- a/cmd/sidecar/node.go
+++ b/cmd/sidecar/node.go
@@ -24,6 +24,10 @@
 	"curlewwalk/wire"
 )
 
+// linger is how long a drained sidecar still refuses inquiries before it closes
+// connections. (ours)
+const linger = 500 * time.Millisecond
+
 // workers is how many drain the trace queue. (ours)
 const workers = 2
 
@@ -151,6 +155,12 @@
 		}
 		break
 	}
+	// A client may be writing on an idle connection just as it is closed, and
+	// could not know whether that was read. So those in use are first told to
+	// close, with the answer to what they bring next.
+	idle, over := context.WithTimeout(ctx, linger)
+	defer over()
+	<-idle.Done()
 	for _, w := range n.webs {
 		w.Stop(ctx)
 	}
--- a/proof/cmd/day/main.go
+++ b/proof/cmd/day/main.go
@@ -19,6 +19,7 @@
 		Deployment string `long:"deployment" choice:"association" choice:"heating" default:"association" description:"whose day to run"`
 		Seed       uint64 `long:"seed" default:"1" description:"seed of the order of failures"`
 		Events     int    `long:"events" default:"17" description:"how many failures before the last one"`
+		Only       string `long:"only" description:"only failures whose names have this in them"`
 	}
 	if _, err := flags.Parse(&opt); err != nil {
 		os.Exit(2)
@@ -27,7 +28,7 @@
 	if opt.Deployment == "heating" {
 		size = fleet.Heating()
 	}
-	ok, err := run(size, opt.Seed, opt.Events)
+	ok, err := run(size, opt.Seed, opt.Events, opt.Only)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 	}
@@ -37,7 +38,7 @@
 	}
 }
 
-func run(size fleet.Size, seed uint64, events int) (bool, error) {
+func run(size fleet.Size, seed uint64, events int, only string) (bool, error) {
 	bin, err := fleet.Build()
 	if err != nil {
 		return false, err
@@ -51,6 +52,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(events+2)*45*time.Second)
 	defer cancel()
 	d := day.New(f, seed, os.Stdout)
+	d.Only = only
 	v, err := d.Run(ctx, events)
 	if err != nil {
 		return false, err
--- a/proof/day/day.go
+++ b/proof/day/day.go
@@ -9,6 +9,8 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -26,8 +28,10 @@
 type Day struct {
 	F   *fleet.Fleet
 	Out io.Writer
-	rng *rand.Rand
-	ctx context.Context
+	// Only, if set, leaves out all failures whose names lack it.
+	Only string
+	rng  *rand.Rand
+	ctx  context.Context
 
 	serial   int
 	acked    map[uint64][]byte
@@ -62,6 +66,9 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { d.F.Load(load, d.F.Callers()...) })
 	all := d.all()
+	if d.Only != "" {
+		all = slices.DeleteFunc(all, func(e event) bool { return !strings.Contains(e.name, d.Only) })
+	}
 	order := d.rng.Perm(len(all))
 	for i := range events {
 		ev := all[order[i%len(all)]]
--- a/proof/day/events.go
+++ b/proof/day/events.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -141,7 +142,7 @@
 	}
 	after := d.F.Ledger.Judge()
 	if n := after.Cut - before.Cut; n > 0 {
-		d.wrong("planned restarts dropped %d inquiries", n)
+		d.wrong("planned restarts dropped %d inquiries: %v", n, slices.DeleteFunc(after.Cuts, func(c string) bool { return slices.Contains(before.Cuts, c) }))
 	}
 	return nil
 }
--- a/proof/ledger/ledger.go
+++ b/proof/ledger/ledger.go
@@ -39,7 +39,9 @@
 	Outcome string
 	// Wrong says what is wrong with the answer, if anything.
 	Wrong string
-	At    time.Time
+	// Cut says how the connection ended, if it ended without an answer.
+	Cut string
+	At  time.Time
 }
 
 // Left is a backend that said it was leaving.
@@ -125,6 +127,8 @@
 	Sent, Ran, Answered, Good, NotRun, Unknown int
 	// Cut counts inquiries that were handed over and got no answer at all.
 	Cut int
+	// Cuts says how, for some of them.
+	Cuts []string
 	// Broken lists what must never happen and did.
 	Broken []string
 }
@@ -164,6 +168,7 @@
 			}
 		case a.Outcome == "cut":
 			v.Cut++
+			v.Cuts = append(v.Cuts, id+": "+a.Cut)
 		case a.Outcome != "":
 			v.Unknown++
 		default:
--- a/proof/standin/send.go
+++ b/proof/standin/send.go
@@ -49,7 +49,7 @@
 	case errors.Is(err, syscall.ECONNREFUSED) && !reached.Load():
 		a.Outcome = "not-run" // no sidecar is there: nothing was handed over
 	case err != nil:
-		a.Outcome = "cut"
+		a.Outcome, a.Cut = "cut", p.Method+" "+err.Error()
 	}
 	a.At = time.Now()
 	l.Answered(a)
