--- /dev/null
+++ b/cmd/planner/main.go
@@ -0,0 +1,80 @@
+// Command planner shows what a change would move, from a live core's state or
+// from a file, and changes nothing. Exit codes: 0 nothing moves, 1 something
+// moves, 2 bad input. (DESIGN 16)
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"curlewwalk/plan"
+)
+
+type options struct {
+	Core     string   `long:"core" description:"control address of a core to read the state from (IP:port)"`
+	State    string   `long:"state" description:"file to read the state from, as --save wrote it"`
+	Save     string   `long:"save" description:"write the state that was read to a file"`
+	Desired  string   `long:"desired" description:"file with a candidate configuration"`
+	Empty    []string `long:"empty" description:"a locality to be emptied"`
+	TakeBack []string `long:"take-back" description:"a locality to be taken back"`
+	Lose     []string `long:"lose" description:"wire address of a node or core that is lost"`
+	Gain     []string `long:"gain" description:"wire address of a node that comes"`
+	JSON     bool     `long:"json" description:"print the moves as JSON"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		var help *flags.Error
+		if errors.As(err, &help) && help.Type == flags.ErrHelp {
+			return
+		}
+		os.Exit(2)
+	}
+	m, err := run(o)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "planner:", err)
+		os.Exit(2)
+	}
+	if o.JSON {
+		enc := json.NewEncoder(os.Stdout)
+		enc.SetIndent("", "  ")
+		enc.Encode(m)
+	} else {
+		fmt.Print(m)
+	}
+	if m.Any() {
+		os.Exit(1)
+	}
+}
+
+func run(o options) (m plan.Moves, err error) {
+	s, err := read(o)
+	if err != nil {
+		return m, err
+	}
+	if o.Save != "" {
+		b, err := json.MarshalIndent(s, "", "  ")
+		if err != nil {
+			return m, err
+		}
+		if err := os.WriteFile(o.Save, b, 0o640); err != nil {
+			return m, err
+		}
+	}
+	c := plan.Change{Empty: o.Empty, TakeBack: o.TakeBack, Lose: o.Lose, Gain: o.Gain}
+	if o.Desired != "" {
+		if c.Desired, err = os.ReadFile(o.Desired); err != nil {
+			return m, err
+		}
+	}
+	m, faults := plan.Make(s, c)
+	for _, f := range faults {
+		err = errors.Join(err, fmt.Errorf("%s: %s", f.Path, f.Message))
+	}
+	return m, err
+}
--- /dev/null
+++ b/cmd/planner/read.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"curlewwalk/cohort"
+	"curlewwalk/plan"
+)
+
+// read takes the state from a file or from a live core.
+func read(o options) (s plan.Snapshot, err error) {
+	switch {
+	case (o.Core == "") == (o.State == ""):
+		return s, fmt.Errorf("one of --core and --state is needed")
+	case o.State != "":
+		b, err := os.ReadFile(o.State)
+		if err != nil {
+			return s, err
+		}
+		return s, json.Unmarshal(b, &s)
+	}
+	var state struct {
+		Cores     []cohort.Seat
+		Self      cohort.Seat
+		Directory struct{ Nodes []cohort.Node }
+	}
+	var words struct{ Emptied []string }
+	for path, into := range map[string]any{"/v1/state": &state, "/v1/localities": &words} {
+		b, status, err := get(o.Core, path)
+		if err != nil {
+			return s, err
+		}
+		if status != http.StatusOK {
+			return s, fmt.Errorf("%s: status %d", path, status)
+		}
+		if err := json.Unmarshal(b, into); err != nil {
+			return s, fmt.Errorf("%s: %w", path, err)
+		}
+	}
+	b, status, err := get(o.Core, "/v1/desired")
+	switch {
+	case err != nil:
+		return s, err
+	case status == http.StatusOK:
+		s.Desired = string(b)
+	case status != http.StatusNotFound:
+		return s, fmt.Errorf("/v1/desired: status %d", status)
+	}
+	s.Emptied, s.Nodes, s.Cores = words.Emptied, state.Directory.Nodes, withSelf(state.Cores, state.Self)
+	return s, nil
+}
+
+// withSelf puts the core that was asked among those that it knows, by slot.
+func withSelf(cores []cohort.Seat, self cohort.Seat) (out []cohort.Seat) {
+	placed := false
+	for _, c := range cores {
+		if !placed && self.Slot <= c.Slot {
+			out, placed = append(out, self), true
+		}
+		if c.Slot != self.Slot {
+			out = append(out, c)
+		}
+	}
+	if !placed {
+		out = append(out, self)
+	}
+	return out
+}
+
+func get(core, path string) ([]byte, int, error) {
+	client := http.Client{Timeout: 5 * time.Second}
+	resp, err := client.Get("http://" + core + path)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return b, resp.StatusCode, err
+}
--- a/proof/fleet/binaries.go
+++ b/proof/fleet/binaries.go
@@ -20,7 +20,7 @@
 	if race {
 		args = append(args, "-race")
 	}
-	out, err := exec.Command("go", append(args, "curlewwalk/cmd/core", "curlewwalk/cmd/sidecar")...).CombinedOutput()
+	out, err := exec.Command("go", append(args, "curlewwalk/cmd/core", "curlewwalk/cmd/sidecar", "curlewwalk/cmd/planner")...).CombinedOutput()
 	if err != nil {
 		return "", fmt.Errorf("build: %w\n%s", err, out)
 	}
