Have each node watched by three others that rendezvous hashing names

Cause: a dead sidecar stayed in all views until it had been silent towards the cores for 2 s. Three watchers probe each node and accuse it; a core that hears two of them and has not heard the node for 0.75 s takes it out. An accused node refutes by a higher incarnation. A node cut off from its watchers but not from the cores refutes and stays.

--- a/cmd/core/node.go
+++ b/cmd/core/node.go
@@ -87,6 +87,9 @@
 	out := cohort.Hail{Seat: &s, Know: n.seeker.Seats().Known()}
 	if h.Node != nil {
 		out.Budgets = n.directory.Budgets()
+		if inc, ok := n.directory.Accused(h.Node.Addr); ok {
+			out.Accused = &inc
+		}
 	}
 	return out, ""
 }
--- a/cmd/sidecar/node.go
+++ b/cmd/sidecar/node.go
@@ -58,7 +58,10 @@
 	n.seeker.Addr, n.seeker.Net, n.seeker.Launcher = set.Advertise, p.Net, p.Launcher
 	n.reload = &process.Reloader{Seeker: n.seeker}
 	n.reload.Apply(set.Common)
-	n.seeker.Budgets = n.steward.budgets.Hear
+	n.seeker.Told = n.steward.told
+	watcher := n.steward.watcher
+	watcher.Own, watcher.Net, watcher.Launcher, watcher.Changed = set.Advertise, p.Net, p.Launcher, n.seeker.Hasten
+	watcher.View = func() *cohort.View { return n.steward.view.Load() }
 	n.seeker.Heard = func(context.Context, cohort.Seat) {}
 	table := func() *way.Table { return n.steward.table.Load() }
 	n.near = &relay.Near{Addr: set.Advertise, Locality: set.Locality, Table: table, View: func() *cohort.View { return n.steward.view.Load() },
@@ -70,6 +73,7 @@
 	n.outgoing = &outgoing{p: p, near: n.near, host: netip.MustParseAddrPort(set.Advertise).Addr(), fixed: set.Outgoing, webs: map[string]*process.Web{}}
 
 	p.Host.Handlers[cohort.KindHail] = n.hail
+	p.Host.Handlers[cohort.KindProbe] = func(context.Context, wire.Inquiry) (any, string) { return cohort.Probe{Boot: p.Boot, Inc: n.steward.inc.Load()}, "" }
 	p.Host.Handlers[relay.KindLeg] = n.far.Leg
 	p.Host.Handlers[relay.KindRecall] = n.far.Recall
 	if err := p.Host.Listen(set.Wire); err != nil {
@@ -88,7 +92,7 @@
 		}}
 	for name, run := range map[string]func(context.Context){
 		"net": p.Net.Run, "host": p.Host.Run, "steward": n.steward.run, "seeker": n.seeker.Run,
-		"lineage": lin.Run, "claims": claims.Run, "follower": follower.Run,
+		"lineage": lin.Run, "claims": claims.Run, "follower": follower.Run, "watcher": watcher.Run,
 	} {
 		p.Launcher.Go(p.Life, name, run)
 	}
--- a/cmd/sidecar/steward.go
+++ b/cmd/sidecar/steward.go
@@ -26,6 +26,8 @@
 	hasten   func()
 	purses   *contract.Purses
 	budgets  *contract.Budgets
+	watcher  *cohort.Watcher
+	inc      atomic.Uint64
 
 	nodes map[string]cohort.Node
 
@@ -65,6 +67,7 @@
 
 func newSteward(l *launch.Launcher, addr string, boot uint64, locality string, hasten func()) *steward {
 	s := &steward{addr: addr, boot: boot, locality: locality, hasten: hasten, nodes: map[string]cohort.Node{}}
+	s.watcher = cohort.NewWatcher()
 	s.purses, s.budgets = contract.NewPurses(addr), contract.NewBudgets()
 	s.roster.Store(&roster.Roster{})
 	t, _ := way.NewTable(desired.Word{})
@@ -75,6 +78,18 @@
 	return s
 }
 
+// told takes a core's receipt to a hail. An accusation is refuted at once.
+func (s *steward) told(_ context.Context, h cohort.Hail) {
+	if h.Budgets != nil {
+		s.budgets.Hear(h.Budgets)
+	}
+	for own := s.inc.Load(); h.Accused != nil && *h.Accused >= own; own = s.inc.Load() {
+		if s.inc.CompareAndSwap(own, *h.Accused+1) {
+			s.hasten()
+		}
+	}
+}
+
 // run keeps time until ctx ends.
 func (s *steward) run(ctx context.Context) {
 	tick := time.NewTicker(cohort.Beat)
@@ -92,7 +107,8 @@
 // node is what this sidecar tells of itself.
 func (s *steward) node() cohort.Node {
 	r := s.roster.Load()
-	return cohort.Node{Addr: s.addr, Boot: s.boot, Rev: r.Rev, Locality: s.locality, Stamp: s.table.Load().Stamp, Backends: r.Backends(), Budgets: s.budgets.Own()}
+	return cohort.Node{Addr: s.addr, Boot: s.boot, Rev: r.Rev, Locality: s.locality, Stamp: s.table.Load().Stamp, Backends: r.Backends(), Inc: s.inc.Load(),
+		Accuses: s.watcher.Accused(), Budgets: s.budgets.Own()}
 }
 
 func (s *steward) on(ctx context.Context, msg any) {
--- a/cohort/hail.go
+++ b/cohort/hail.go
@@ -8,6 +8,9 @@
 	Node *Node  `msgpack:"n,omitempty"`
 	Seat *Seat  `msgpack:"s,omitempty"`
 	Know []Seat `msgpack:"k,omitempty"`
+	// Accused is set in a core's receipt to a sidecar that others accuse: the
+	// highest incarnation that they accuse.
+	Accused *uint64 `msgpack:"ac,omitempty"`
 	// Budgets are the sums over all nodes, in a core's receipt to a sidecar.
 	Budgets map[string]contract.Tally `msgpack:"bu,omitempty"`
 }
--- a/cohort/node.go
+++ b/cohort/node.go
@@ -10,6 +10,10 @@
 	Locality string    `msgpack:"l" json:"locality"`
 	Stamp    uint64    `msgpack:"s" json:"stamp"`
 	Backends []Backend `msgpack:"be" json:"backends"`
+	// Inc rises when the node refutes an accusation; Accuses lists whom it
+	// accuses itself. Both change without Rev.
+	Inc     uint64       `msgpack:"in" json:"incarnation"`
+	Accuses []Accusation `msgpack:"ac" json:"accuses,omitempty"`
 	// Budgets is the node's own tally by contract; it changes without Rev.
 	Budgets map[string]contract.Tally `msgpack:"bu" json:"budgets,omitempty"`
 }
--- a/cohort/seeker.go
+++ b/cohort/seeker.go
@@ -5,7 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"curlewwalk/contract"
 	"curlewwalk/launch"
 	"curlewwalk/wire"
 )
@@ -21,8 +20,8 @@
 	Launcher *launch.Launcher
 	// Heard is told of each seat that spoke for itself; it must not wait.
 	Heard func(ctx context.Context, c Seat)
-	// Budgets, if set, is told of the sums in a receipt.
-	Budgets func(sums map[string]contract.Tally)
+	// Told, if set, is handed each receipt; it must not wait.
+	Told func(ctx context.Context, h Hail)
 
 	seeds  atomic.Pointer[[]string]
 	table  atomic.Pointer[Seats]
@@ -112,8 +111,8 @@
 			switch r := s.Net.Call(ctx, addr, wire.Control, KindHail, own); {
 			case r.Into(&h):
 				s.Hear(h)
-				if s.Budgets != nil && h.Budgets != nil {
-					s.Budgets(h.Budgets)
+				if s.Told != nil {
+					s.Told(ctx, h)
 				}
 			case r.Refused:
 				select {
--- a/cohort/view.go
+++ b/cohort/view.go
@@ -24,6 +24,9 @@
 // Service lists the targets of a service.
 func (v *View) Service(name string) []Target { return v.byService[name] }
 
+// Addrs lists the addresses of all known nodes.
+func (v *View) Addrs() []string { return slices.Sorted(maps.Keys(v.nodes)) }
+
 // Nodes lists all known nodes by address.
 func (v *View) Nodes() []Node {
 	out := slices.Collect(maps.Values(v.nodes))
--- a/feed/directory.go
+++ b/feed/directory.go
@@ -23,6 +23,7 @@
 	sure time.Time
 	// budgets are the sums over all nodes, for whoever hails.
 	budgets atomic.Pointer[map[string]contract.Tally]
+	accused atomic.Pointer[map[string]uint64]
 }
 
 // never is the age of what a core was never sure of.
@@ -60,6 +61,7 @@
 func NewDirectory(l *launch.Launcher, boot uint64) *Directory {
 	d := &Directory{feed: New(boot, 0), start: time.Now()}
 	d.budgets.Store(&map[string]contract.Tally{})
+	d.accused.Store(&map[string]uint64{})
 	d.box = l.Spawn("directory", d.on)
 	return d
 }
@@ -90,6 +92,12 @@
 // Budgets are the sums over all nodes.
 func (d *Directory) Budgets() map[string]contract.Tally { return *d.budgets.Load() }
 
+// Accused is the incarnation in which others accuse a node, if they do.
+func (d *Directory) Accused(addr string) (uint64, bool) {
+	inc, ok := (*d.accused.Load())[addr]
+	return inc, ok
+}
+
 // State shows the directory.
 func (d *Directory) State(ctx context.Context) (State, bool) {
 	return launch.Ask(ctx, d.box, func(r chan<- State) any { return msgState{r} })
@@ -121,6 +129,8 @@
 		d.feed.Tick(now)
 		sums := contract.Merge(d.feed.Budgets())
 		d.budgets.Store(&sums)
+		accused := d.feed.Accused()
+		d.accused.Store(&accused)
 	case msgFollow:
 		if !d.feed.Open(now) {
 			m.reply <- nil
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -15,8 +15,13 @@
 	// SettleIn is how long after its start a core only listens: its directory
 	// must be told again before a snapshot of it means anything.
 	SettleIn = 1200 * time.Millisecond // (ours)
-	// goneAfter is when a silent node is taken out.
+	// goneAfter is when a silent node is taken out, whoever accuses it or not.
 	goneAfter = 2 * time.Second // (ours)
+	// quiet is how long a node that its watchers accuse must be silent towards
+	// this core too.
+	quiet = 750 * time.Millisecond // (ours)
+	// agreed is how many watchers must accuse it, if there are so many.
+	agreed = 2 // (ours)
 )
 
 // Feed is a core's directory and its numbered changes: a decision value that
@@ -66,7 +71,7 @@
 	if ok && old.Boot == n.Boot && old.Rev == n.Rev {
 		return false
 	}
-	n.Budgets = nil // they go another way
+	n.Budgets, n.Accuses = nil, nil // they go another way
 	f.add(Item{Node: &n})
 	return true
 }
@@ -81,7 +86,8 @@
 	f.last = now
 	news := false
 	for _, addr := range slices.Sorted(maps.Keys(f.nodes)) {
-		if now-f.heard[addr] > goneAfter {
+		silent := now - f.heard[addr]
+		if silent > goneAfter || silent > quiet && f.agreed(addr) {
 			delete(f.nodes, addr)
 			delete(f.heard, addr)
 			f.add(Item{Gone: addr})
@@ -108,7 +114,7 @@
 	}
 	for _, addr := range slices.Sorted(maps.Keys(f.nodes)) {
 		node := f.nodes[addr]
-		node.Budgets = nil
+		node.Budgets, node.Accuses = nil, nil
 		n.Items = append(n.Items, Item{Node: &node})
 	}
 	return n, true
@@ -133,3 +139,34 @@
 	}
 	return out
 }
+
+// accusers counts the nodes that accuse a node now, and tells the highest
+// incarnation that they accuse.
+func (f *Feed) accusers(addr string) (n int, inc uint64) {
+	for _, w := range f.nodes {
+		for _, a := range w.Accuses {
+			if a.Against(f.nodes[addr]) {
+				n++
+				inc = max(inc, a.Inc)
+			}
+		}
+	}
+	return n, inc
+}
+
+// agreed tells whether enough watchers accuse a node.
+func (f *Feed) agreed(addr string) bool {
+	n, _ := f.accusers(addr)
+	return n > 0 && n >= min(agreed, len(f.nodes)-1)
+}
+
+// Accused lists the accused nodes with the incarnations to refute.
+func (f *Feed) Accused() map[string]uint64 {
+	out := map[string]uint64{}
+	for addr := range f.nodes {
+		if n, inc := f.accusers(addr); n > 0 {
+			out[addr] = inc
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/proof/watch_test.go
@@ -0,0 +1,81 @@
+package proof
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"curlewwalk/proof/fleet"
+)
+
+// knows tells whether a sidecar has a node in its view.
+func knows(ctx context.Context, p *fleet.Program, addr string) (known, ok bool) {
+	var nodes []struct {
+		Address string `json:"address"`
+	}
+	_, err := p.Get(ctx, "/v1/nodes", &nodes)
+	for _, n := range nodes {
+		known = known || n.Address == addr
+	}
+	return known, err == nil
+}
+
+// A dead sidecar is taken out of all views when its watchers agree, before it
+// has been silent for long.
+func TestDeadNodeIsTakenOut(t *testing.T) {
+	f, ctx := start(t, small())
+	addr := f.Sidecars[3].IP + ":7400"
+	f.Sidecars[3].Kill()
+	dead := time.Now()
+	for _, p := range f.Sidecars[:3] {
+		must(t, fleet.Await(ctx, "the dead node to be gone", func(ctx context.Context) bool {
+			known, ok := knows(ctx, p, addr)
+			return ok && !known
+		}))
+	}
+	t.Logf("taken out everywhere after %v", time.Since(dead).Round(time.Millisecond))
+}
+
+// A node that its watchers can't reach, but the cores can, refutes them: it
+// stays in every view, and is accused in a later incarnation each time.
+func TestAccusedNodeRefutes(t *testing.T) {
+	f, ctx := begin(t, small())
+	must(t, f.Relay())
+	must(t, f.Start(ctx))
+	addr := f.Sidecars[3].IP + ":7400"
+	var others []string
+	for _, p := range f.Sidecars[:3] {
+		others = append(others, p.IP)
+	}
+	f.Net.Cut([]string{f.Sidecars[3].IP}, others)
+	refuted := func(ctx context.Context) bool {
+		if known, ok := knows(ctx, f.Sidecars[0], addr); ok && !known {
+			t.Error("it was taken out")
+			return true
+		}
+		var st struct {
+			Directory struct {
+				Nodes []struct {
+					Address     string `json:"address"`
+					Incarnation uint64 `json:"incarnation"`
+				} `json:"nodes"`
+			} `json:"directory"`
+		}
+		_, err := f.Cores[0].Get(ctx, "/v1/state", &st)
+		for _, n := range st.Directory.Nodes {
+			if err == nil && n.Address == addr && n.Incarnation >= 1 {
+				return true
+			}
+		}
+		return false
+	}
+	must(t, fleet.Await(ctx, "the node to refute", refuted))
+	cut := time.Now()
+	must(t, fleet.Await(ctx, "3 s to pass", func(ctx context.Context) bool {
+		if known, ok := knows(ctx, f.Sidecars[0], addr); ok && !known {
+			t.Error("it was taken out later")
+			return true
+		}
+		return time.Since(cut) > 3*time.Second
+	}))
+}
