--- a/cmd/sidecar/node.go
+++ b/cmd/sidecar/node.go
@@ -73,7 +73,9 @@
 	n.outgoing = &outgoing{p: p, near: n.near, host: netip.MustParseAddrPort(set.Advertise).Addr(), fixed: set.Outgoing, webs: map[string]*process.Web{}}
 
 	p.Host.Handlers[cohort.KindHail] = n.hail
-	p.Host.Handlers[cohort.KindProbe] = func(context.Context, wire.Inquiry) (any, string) { return cohort.Probe{Boot: p.Boot, Inc: n.steward.inc.Load()}, "" }
+	p.Host.Handlers[cohort.KindProbe] = func(context.Context, wire.Inquiry) (any, string) {
+		return cohort.Probe{Boot: p.Boot, Inc: n.steward.inc.Load()}, ""
+	}
 	p.Host.Handlers[relay.KindLeg] = n.far.Leg
 	p.Host.Handlers[relay.KindRecall] = n.far.Recall
 	if err := p.Host.Listen(set.Wire); err != nil {
