Report on an emptying; tell runs outside their sender's locality

Sidecars tell what is open at their backends and the stamp in force; a core shows what still runs in a locality, who is behind, and since when it is done. A feed that slept starts anew before it answers what piled up, not at its next tick.

--- a/cmd/core/control.go
+++ b/cmd/core/control.go
@@ -58,6 +58,7 @@
 	mux.HandleFunc("PUT /v1/desired", n.putDesired)
 	mux.HandleFunc("GET /v1/desired", n.getDesired)
 	mux.HandleFunc("GET /v1/localities", n.getLocalities)
+	mux.HandleFunc("GET /v1/localities/{name}", n.getDrain)
 	mux.HandleFunc("PUT /v1/localities/{name}/emptied", n.locality(register.Empty))
 	mux.HandleFunc("DELETE /v1/localities/{name}/emptied", n.locality(register.TakeBack))
 	mux.HandleFunc("GET /v1/traces/{id}", n.getTrace)
@@ -201,6 +202,13 @@
 	process.JSON(w, http.StatusOK, contract.Answer{Whole: st.Open, Budgets: table.Pages(n.directory.Budgets())})
 }
 
+// getDrain reports what still runs in a locality, and since when nothing does.
+func (n *node) getDrain(w http.ResponseWriter, r *http.Request) {
+	if d, ok := n.directory.Drain(r.Context(), r.PathValue("name")); ok {
+		process.JSON(w, http.StatusOK, d)
+	}
+}
+
 // getTrace gathers a trace from all cores.
 func (n *node) getTrace(w http.ResponseWriter, r *http.Request) {
 	id, ok := trace.ParseTraceID(r.PathValue("id"))
--- a/cmd/sidecar/steward.go
+++ b/cmd/sidecar/steward.go
@@ -107,7 +107,7 @@
 // node is what this sidecar tells of itself.
 func (s *steward) node() cohort.Node {
 	r := s.roster.Load()
-	return cohort.Node{Addr: s.addr, Boot: s.boot, Rev: r.Rev, Locality: s.locality, Stamp: s.table.Load().Stamp, Backends: r.Backends(), Inc: s.inc.Load(),
+	return cohort.Node{Addr: s.addr, Boot: s.boot, Rev: r.Rev, Locality: s.locality, Stamp: s.table.Load().Stamp, Backends: r.Backends(), Inc: s.inc.Load(), Open: r.Open(),
 		Accuses: s.watcher.Accused(), Budgets: s.budgets.Own()}
 }
 
--- a/cohort/node.go
+++ b/cohort/node.go
@@ -14,6 +14,8 @@
 	// accuses itself. Both change without Rev.
 	Inc     uint64       `msgpack:"in" json:"incarnation"`
 	Accuses []Accusation `msgpack:"ac" json:"accuses,omitempty"`
+	// Open counts what runs and waits at own backends, by locality.
+	Open map[string]int64 `msgpack:"op" json:"open,omitempty"`
 	// Budgets is the node's own tally by contract; it changes without Rev.
 	Budgets map[string]contract.Tally `msgpack:"bu" json:"budgets,omitempty"`
 }
--- a/feed/directory.go
+++ b/feed/directory.go
@@ -45,6 +45,10 @@
 		reply chan<- *News
 	}
 	msgState struct{ reply chan<- State }
+	msgDrain struct {
+		locality string
+		reply    chan<- Drain
+	}
 )
 
 // State is what the directory shows.
@@ -103,6 +107,11 @@
 	return launch.Ask(ctx, d.box, func(r chan<- State) any { return msgState{r} })
 }
 
+// Drain reports on a locality.
+func (d *Directory) Drain(ctx context.Context, locality string) (Drain, bool) {
+	return launch.Ask(ctx, d.box, func(r chan<- Drain) any { return msgDrain{locality, r} })
+}
+
 // Answer handles a Follow call.
 func (d *Directory) Answer(ctx context.Context, in wire.Inquiry) (any, string) {
 	var q Follow
@@ -118,6 +127,7 @@
 
 func (d *Directory) on(_ context.Context, msg any) {
 	now := time.Since(d.start)
+	d.feed.Wake(now)
 	switch m := msg.(type) {
 	case msgNode:
 		d.feed.Told(m.n, now)
@@ -137,6 +147,8 @@
 			return
 		}
 		d.held = append(d.held, follower{q: m.q, until: now + m.q.Wait, reply: m.reply})
+	case msgDrain:
+		m.reply <- d.feed.Drain(m.locality, now)
 	case msgState:
 		st := State{Feed: d.feed.ID, Place: d.feed.place, Open: d.feed.Open(now), Nodes: d.feed.Nodes()}
 		if w := d.feed.Word(); w != nil {
--- /dev/null
+++ b/feed/drain.go
@@ -0,0 +1,56 @@
+package feed
+
+import (
+	"slices"
+	"time"
+)
+
+// Drain is the report on a locality that is being emptied, or is.
+type Drain struct {
+	Locality string `json:"locality"`
+	Emptied  bool   `json:"emptied"`
+	Stamp    uint64 `json:"stamp"`
+	// Open is what still runs or waits there.
+	Open int64 `json:"open"`
+	// Behind lists the nodes that do not have the stamp in force yet.
+	Behind []string `json:"behind"`
+	// Done is set once nothing is open and nobody is behind; For is since when.
+	Done bool   `json:"done"`
+	For  string `json:"done_for,omitempty"`
+}
+
+// Drain reports on a locality.
+func (f *Feed) Drain(locality string, now time.Duration) Drain {
+	d := Drain{Locality: locality, Behind: []string{}}
+	if f.word != nil {
+		d.Stamp, d.Emptied = f.word.Stamp, slices.Contains(f.word.Emptied, locality)
+	}
+	for _, n := range f.Nodes() {
+		d.Open += n.Open[locality]
+		if n.Stamp < d.Stamp {
+			d.Behind = append(d.Behind, n.Addr)
+		}
+	}
+	if d.Done = d.Emptied && d.Open == 0 && len(d.Behind) == 0; d.Done {
+		d.For = (now - f.emptySince[locality]).String()
+	}
+	return d
+}
+
+// drained keeps since when each emptied locality is done.
+func (f *Feed) drained(now time.Duration) {
+	if f.word == nil {
+		return
+	}
+	since := map[string]time.Duration{}
+	for _, l := range f.word.Emptied {
+		if !f.Drain(l, now).Done {
+			continue
+		}
+		since[l] = now
+		if old, ok := f.emptySince[l]; ok {
+			since[l] = old
+		}
+	}
+	f.emptySince = since
+}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -33,8 +33,10 @@
 	word  *desired.Word
 	nodes map[string]cohort.Node
 	heard map[string]time.Duration
-	open  time.Duration // not before this is the feed served
-	last  time.Duration
+	// emptySince is since when an emptied locality has nothing open.
+	emptySince map[string]time.Duration
+	open       time.Duration // not before this is the feed served
+	last       time.Duration
 }
 
 // New makes an empty feed.
@@ -71,19 +73,24 @@
 	if ok && old.Boot == n.Boot && old.Rev == n.Rev {
 		return false
 	}
-	n.Budgets, n.Accuses = nil, nil // they go another way
+	n.Budgets, n.Accuses, n.Open = nil, nil, nil // they go another way
 	f.add(Item{Node: &n})
 	return true
 }
 
-// Tick takes out silent nodes; true if there was news. After a gap in its own
-// ticks (a freeze) it starts anew: nobody could be heard meanwhile.
-func (f *Feed) Tick(now time.Duration) bool {
+// Wake comes before anything else that happens. After a gap in the ticks (a
+// freeze) the feed starts anew: nobody could be heard meanwhile, and what piled
+// up must not be answered from what was known before.
+func (f *Feed) Wake(now time.Duration) {
 	if now-f.last > goneAfter/2 {
-		id := f.ID + 1
-		*f = Feed{ID: id, word: f.word, nodes: map[string]cohort.Node{}, heard: map[string]time.Duration{}, open: now + SettleIn}
+		*f = Feed{ID: f.ID + 1, word: f.word, nodes: map[string]cohort.Node{}, heard: map[string]time.Duration{}, open: now + SettleIn, last: now}
 	}
+}
+
+// Tick takes out silent nodes; true if there was news.
+func (f *Feed) Tick(now time.Duration) bool {
 	f.last = now
+	f.drained(now)
 	news := false
 	for _, addr := range slices.Sorted(maps.Keys(f.nodes)) {
 		silent := now - f.heard[addr]
@@ -114,7 +121,7 @@
 	}
 	for _, addr := range slices.Sorted(maps.Keys(f.nodes)) {
 		node := f.nodes[addr]
-		node.Budgets, node.Accuses = nil, nil
+		node.Budgets, node.Accuses, node.Open = nil, nil, nil
 		n.Items = append(n.Items, Item{Node: &node})
 	}
 	return n, true
--- a/proof/cmd/fleet/main.go
+++ b/proof/cmd/fleet/main.go
@@ -69,6 +69,7 @@
 	v := f.Ledger.Judge()
 	fmt.Print(r)
 	fmt.Printf("sent %d (inner calls included), ran %d, good %d, not-run %d, unknown %d\n", v.Sent, v.Ran, v.Good, v.NotRun, v.Unknown)
+	fmt.Printf("in another locality than the sender's: %.1f%%; runs by backend: %v\n", 100*float64(v.Crossed)/float64(v.Ran), v.Spread)
 	read, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	links, err := f.CountLinks(read, 500)
--- /dev/null
+++ b/proof/day_test.go
@@ -0,0 +1,26 @@
+package proof
+
+import (
+	"testing"
+
+	"curlewwalk/proof/day"
+	"curlewwalk/proof/fleet"
+)
+
+// A short day of a small fleet: some of the brief's failures in seeded order
+// under load, a last one, and the reading back. Whole days are proof/cmd/day.
+func TestShortDay(t *testing.T) {
+	t.Parallel()
+	f, err := fleet.New(small(), bin)
+	must(t, err)
+	t.Cleanup(f.Close)
+	d := day.New(f, 4, t.Output())
+	v, err := d.Run(t.Context(), 3)
+	must(t, err)
+	for _, b := range v.Broken {
+		t.Error("must never happen: ", b)
+	}
+	if v.Good == 0 {
+		t.Error("nothing was answered")
+	}
+}
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -318,7 +318,7 @@
 
 // NewCaller makes a client on the nth machine.
 func (f *Fleet) NewCaller(n int, rate float64) *standin.Caller {
-	return &standin.Caller{Name: fmt.Sprintf("caller-%d", n), Addr: f.Inquiries(n), Rate: rate, Plans: f.Size.Plans, Ledger: f.Ledger, Client: f.Client, Seed: uint64(n)}
+	return &standin.Caller{Name: fmt.Sprintf("caller-%d", n), Addr: f.Inquiries(n), Locality: f.Locality(n), Rate: rate, Plans: f.Size.Plans, Ledger: f.Ledger, Client: f.Client, Seed: uint64(n)}
 }
 
 // Load has clients on all machines send at the fleet's rate until ctx ends.
--- a/proof/gate_test.go
+++ b/proof/gate_test.go
@@ -14,9 +14,41 @@
 	"testing"
 	"time"
 
+	"curlewwalk/feed"
 	"curlewwalk/proof/fleet"
 )
 
+// While an emptied locality still runs something, the report says so.
+func TestDrainReport(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	running, release := make(chan struct{}, 1), make(chan struct{})
+	r.backend(1, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		io.Copy(io.Discard, q.Body)
+		running <- struct{}{}
+		<-release
+	}))
+	first := make(chan answer, 1)
+	go func() { first <- r.send("POST", "/once/", "x") }()
+	recv(r, running)
+	reply, err := r.Operate(r.ctx, r.Cores[0], "PUT", "/v1/localities/south/emptied", nil)
+	must(t, err)
+	shows := func(want func(d feed.Drain) bool) {
+		t.Helper()
+		must(t, awaitPage(r.ctx, func(ctx context.Context) bool {
+			var d feed.Drain
+			_, err := r.Cores[0].Get(ctx, "/v1/localities/south", &d)
+			return err == nil && d.Stamp == reply.Stamp && len(d.Behind) == 0 && want(d)
+		}))
+	}
+	shows(func(d feed.Drain) bool { return d.Open == 1 && !d.Done && d.For == "" })
+	close(release)
+	if a := recv(r, first); a.StatusCode != 200 {
+		t.Errorf("what ran there got %d", a.StatusCode)
+	}
+	shows(func(d feed.Drain) bool { return d.Open == 0 && d.Done && d.For != "" })
+}
+
 // A leaving backend gets nothing new from the moment its sidecar has its word;
 // what it is working on finishes. The other backend takes over.
 func TestLeaving(t *testing.T) {
@@ -127,6 +159,11 @@
 	closed := f.Backends[3].Runs.Load()
 	mark := f.Backends[0].Runs.Load()
 	must(t, awaitRuns(ctx, f.Backends[0].Runs.Load, mark+50))
+	must(t, awaitPage(ctx, func(ctx context.Context) bool {
+		var d feed.Drain
+		_, err := f.Cores[1].Get(ctx, "/v1/localities/west", &d)
+		return err == nil && d.Emptied && d.Done && d.For != "" && d.Open == 0
+	}))
 	if now := f.Backends[3].Runs.Load(); now > closed {
 		t.Errorf("the emptied locality ran %d more after every sidecar had the word (%d before)", now-closed, closed-before)
 	}
--- a/proof/ledger/ledger.go
+++ b/proof/ledger/ledger.go
@@ -14,6 +14,7 @@
 	Cause      string // the inquiry that a backend was working on, if one sent it
 	Caller     string // the calling service, or ""
 	Service    string
+	Locality   string // where its sender stands
 	Digest     string
 	Repeatable bool
 	At         time.Time
@@ -127,6 +128,10 @@
 	Sent, Ran, Answered, Good, NotRun, Unknown int
 	// Cut counts inquiries that were handed over and got no answer at all.
 	Cut int
+	// Crossed counts runs in another locality than their sender's.
+	Crossed int
+	// Spread is the most and the mean that one backend ran, by service.
+	Spread map[string]string
 	// Cuts says how, for some of them.
 	Cuts []string
 	// Broken lists what must never happen and did.
@@ -155,10 +160,14 @@
 			broken("%s must run once and ran %d times", id, len(runs))
 		}
 		for _, r := range runs {
+			if r.Locality != s.Locality {
+				v.Crossed++
+			}
 			l.judgeRun(s, r, broken)
 		}
 	}
 	l.judgeExtra(broken)
+	v.Spread = l.spread()
 	for id, a := range l.answered {
 		switch {
 		case a.Outcome == "not-run":
--- a/proof/standin/caller.go
+++ b/proof/standin/caller.go
@@ -14,13 +14,15 @@
 
 // Caller is a client on one machine. It sends at a rate, whatever comes back.
 type Caller struct {
-	Name   string
-	Addr   string // the sidecar's inquiries address
-	Rate   float64
-	Plans  []Plan
-	Ledger *ledger.Ledger
-	Client *http.Client
-	Seed   uint64
+	Name string
+	// Locality is where its machine stands.
+	Locality string
+	Addr     string // the sidecar's inquiries address
+	Rate     float64
+	Plans    []Plan
+	Ledger   *ledger.Ledger
+	Client   *http.Client
+	Seed     uint64
 	// Retry is how often it asks again at once after a refusal.
 	Retry int
 
@@ -35,7 +37,7 @@
 	start := time.Now()
 	var a ledger.Answered
 	for range c.Retry + 1 {
-		a = send(ctx, c.Client, c.Ledger, c.Addr, p, "", "", fmt.Sprintf("%s-%d", c.Name, c.serial.Add(1)))
+		a = send(ctx, c.Client, c.Ledger, c.Addr, p, "", c.Locality, "", fmt.Sprintf("%s-%d", c.Name, c.serial.Add(1)))
 		if a.Outcome != "not-run" {
 			break
 		}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -93,6 +93,15 @@
 	return out
 }
 
+// Open counts what runs and waits, by locality.
+func (r Roster) Open() map[string]int64 {
+	out := map[string]int64{}
+	for _, e := range r.entries {
+		out[e.Locality] += e.Desk.Open()
+	}
+	return out
+}
+
 // Backends lists what is told to others.
 func (r Roster) Backends() []cohort.Backend {
 	var out []cohort.Backend
