Make the guard of a leg's first write one atomic step

Cause: reading the change again. Between the gate's last yes and the write, a leg whose time ran out could be told not run and be written after. Brought about in a test it did not happen: net/http waits for its writer before it returns. That is its inside, not a promise, so the guard now moves once from idle to written or to shut, and not-run is only said by whoever shut it. The guard's test meets both 20000 times, under the race detector.

--- a/relay/far.go
+++ b/relay/far.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -135,20 +134,21 @@
 		}
 		return LegReceipt{ID: leg.ID, Fate: way.Unknown, Reason: "this leg came before"}
 	}
-	shut := roster.Open
-	g := &guard{open: func() bool {
-		now, reason := f.check(ctx, &leg)
-		if reason == roster.Open && now.Address != e.Address {
-			reason = roster.NoBackend
+	g := &guard{check: func() roster.Refusal {
+		now, why := f.check(ctx, &leg)
+		if why == roster.Open && now.Address != e.Address {
+			why = roster.NoBackend
 		}
-		shut = reason
-		return reason == roster.Open
+		return why
 	}}
 	f.Lineage.Enter(ctx, lineage.Open{Span: span, Service: leg.Service, Way: leg.Way, Since: time.Now(), Expiry: deadline(ctx)})
 	defer f.Lineage.Leave(context.WithoutCancel(ctx), span.ID)
 	rc := f.exchange(context.WithValue(ctx, guardKey{}, g), e, &leg, span)
-	if rc.Fate == way.Unknown && !g.wrote.Load() {
-		rc.Fate, rc.Reason = way.NotRun, cmp.Or(string(shut), rc.Reason)
+	if rc.Fate == way.Unknown && g.shut() {
+		rc.Fate = way.NotRun
+		if why := g.why.Load(); why != nil {
+			rc.Reason = string(*why)
+		}
 	}
 	rc.ID, rc.Open = leg.ID, int(e.Desk.Open())
 	return rc
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -6,18 +6,41 @@
 	"sync/atomic"
 
 	"github.com/rotisserie/eris"
+
+	"curlewwalk/roster"
 )
 
 var errShut = eris.New("the gate was shut before the write")
 
-// guard is asked immediately before the first byte goes to a backend, and
-// knows afterwards whether any did.
+// The states of a guard: it goes once from idle to one of the others.
+const (
+	guardIdle int32 = iota
+	guardWrote
+	guardShut
+)
+
+// guard is asked immediately before the first byte goes to a backend.
 type guard struct {
-	open  func() bool
-	wrote atomic.Bool
-	shut  atomic.Bool
+	check func() roster.Refusal
+	state atomic.Int32
+	why   atomic.Pointer[roster.Refusal]
+}
+
+// pass lets the first write through, unless the gate or the leg is shut.
+func (g *guard) pass() bool {
+	if g.state.Load() == guardWrote {
+		return true
+	}
+	if why := g.check(); why != roster.Open {
+		g.why.Store(&why)
+		return false
+	}
+	return g.state.CompareAndSwap(guardIdle, guardWrote)
 }
 
+// shut ends the leg. True if nothing was written: then nothing ever will be.
+func (g *guard) shut() bool { return g.state.CompareAndSwap(guardIdle, guardShut) }
+
 type guardKey struct{}
 
 // guarded is a backend's connection with its guard. (DESIGN 9.2)
@@ -28,12 +51,8 @@
 
 // Write implements net.Conn.
 func (c guarded) Write(b []byte) (int, error) {
-	if !c.g.wrote.Load() {
-		if !c.g.open() {
-			c.g.shut.Store(true)
-			return 0, errShut
-		}
-		c.g.wrote.Store(true)
+	if !c.g.pass() {
+		return 0, errShut
 	}
 	return c.Conn.Write(b)
 }
--- /dev/null
+++ b/relay/guard_test.go
@@ -0,0 +1,49 @@
+package relay
+
+import (
+	"sync"
+	"testing"
+
+	"curlewwalk/roster"
+)
+
+// Either the write goes first or the leg is shut first, never both, however the
+// two meet; and a leg that is shut while the gate is still being asked is not
+// written, whatever the gate says.
+func TestGuard(t *testing.T) {
+	open := func() roster.Refusal { return roster.Open }
+	wrote, shut := 0, 0
+	for range 20000 {
+		g := &guard{check: open}
+		var w, s bool
+		var both sync.WaitGroup
+		both.Go(func() { w = g.pass() })
+		both.Go(func() { s = g.shut() })
+		both.Wait()
+		if w == s {
+			t.Fatalf("written %v, shut %v", w, s)
+		}
+		if w {
+			wrote++
+		} else {
+			shut++
+		}
+	}
+	t.Logf("written first %d times, shut first %d", wrote, shut)
+
+	g := &guard{}
+	g.check = func() roster.Refusal {
+		if !g.shut() {
+			t.Error("it could not be shut before the write")
+		}
+		return roster.Open
+	}
+	if g.pass() {
+		t.Error("it was written after it was shut")
+	}
+
+	g = &guard{check: func() roster.Refusal { return roster.LeavingNow }}
+	if g.pass() || *g.why.Load() != roster.LeavingNow || !g.shut() || g.pass() {
+		t.Error("a shut gate let a write through")
+	}
+}
