--- a/proof/cmd/fleet/main.go
+++ b/proof/cmd/fleet/main.go
@@ -18,6 +18,7 @@
 		Deployment string        `long:"deployment" choice:"association" choice:"heating" default:"association" description:"whose size to run"`
 		For        time.Duration `long:"for" default:"10s" description:"how long clients send"`
 		Rate       float64       `long:"rate" description:"inquiries a second instead of the deployment's own"`
+		Machines   int           `long:"machines" description:"how many machines instead of the deployment's own, with a backend each"`
 		Capacity   int           `long:"capacity" description:"slots of each backend instead of the deployment's own"`
 		Retry      int           `long:"retry" description:"how often clients ask again at once after a refusal"`
 	}
@@ -31,6 +32,9 @@
 	if opt.Rate > 0 {
 		size.Rate = opt.Rate
 	}
+	if opt.Machines > 0 {
+		size.Machines, size.Backends = opt.Machines, fleet.Repeat(opt.Machines, size.Backends[:3]...)
+	}
 	if opt.Capacity > 0 {
 		size.Capacity = opt.Capacity
 	}
--- a/proof/fleet/size.go
+++ b/proof/fleet/size.go
@@ -22,8 +22,8 @@
 
 var four = []string{"north", "east", "south", "west"}
 
-// repeat lists services in turn until there are n.
-func repeat(n int, services ...string) []string {
+// Repeat lists services in turn until there are n.
+func Repeat(n int, services ...string) []string {
 	out := make([]string, n)
 	for i := range out {
 		out[i] = services[i%len(services)]
@@ -33,7 +33,7 @@
 
 // Association is the window and door association.
 func Association() Size {
-	return Size{Name: "association", Cores: 3, Machines: 13, Localities: four, Backends: repeat(13, "orders", "stock", "surveys"), Capacity: 9, Rate: 210,
+	return Size{Name: "association", Cores: 3, Machines: 13, Localities: four, Backends: Repeat(13, "orders", "stock", "surveys"), Capacity: 9, Rate: 210,
 		Plans: []standin.Plan{
 			{Name: "order-place", Method: "POST", Prefix: "/orders/", Service: "orders", Aim: 200 * time.Millisecond, Expiry: 2 * time.Second, Rank: 1, Share: 0.4, Work: 30 * time.Millisecond, Calls: []string{"stock-take"}, Body: 800},
 			{Name: "order-read", Method: "GET", Prefix: "/orders/", Service: "orders", Repeatable: true, Aim: 100 * time.Millisecond, Expiry: time.Second, Rank: 2, Share: 0.3, Work: 10 * time.Millisecond, Calls: []string{"stock-read"}},
@@ -45,7 +45,7 @@
 
 // Heating is the heating firm.
 func Heating() Size {
-	return Size{Name: "heating", Cores: 5, Machines: 12, Localities: four, Backends: repeat(12, "setpoints", "meters", "firmware"), Capacity: 9, Rate: 140,
+	return Size{Name: "heating", Cores: 5, Machines: 12, Localities: four, Backends: Repeat(12, "setpoints", "meters", "firmware"), Capacity: 9, Rate: 140,
 		Plans: []standin.Plan{
 			{Name: "setpoint-change", Method: "PUT", Prefix: "/setpoints/", Service: "setpoints", Aim: 200 * time.Millisecond, Expiry: 2 * time.Second, Rank: 1, Share: 0.5, Work: 30 * time.Millisecond, Calls: []string{"meter-read"}, Body: 200},
 			{Name: "meter-read", Method: "GET", Prefix: "/meters/", Service: "meters", Repeatable: true, Aim: 100 * time.Millisecond, Expiry: time.Second, Rank: 2, Share: 0.3, Work: 10 * time.Millisecond},
