--- /dev/null
+++ b/proof/simulator/claim.go
@@ -0,0 +1,242 @@
+package simulator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"curlewwalk/cohort"
+	"curlewwalk/desired"
+	"curlewwalk/feed"
+	"curlewwalk/register"
+	"curlewwalk/roster"
+)
+
+// Claims is a run of the claims: cores that look at one another and pass words
+// on, and sidecars that follow and admit, through delays, losses, cuts and
+// freezes. Feeds and claims are the production's.
+type Claims struct {
+	clock
+	rng   *rand.Rand
+	base  time.Time
+	cores []*claimCore
+	sides []*claimSide
+	acked []time.Duration // when each stamp was acknowledged; index is stamp-1
+	// Broken lists what must never happen and did; Admitted and Lapsed count.
+	Broken           []string
+	Admitted, Lapsed int
+}
+
+type claimCore struct {
+	frozen   time.Duration
+	cut      int
+	accepted uint64
+	feed     *feed.Feed
+	sure     time.Duration // as of when; negative if never
+	open     bool          // a look waits for its stamp to be settled
+	lookAt   time.Duration
+	lookTo   uint64
+}
+
+type claimSide struct {
+	frozen time.Duration
+	cut    int
+	core   int
+	place  feed.Follow
+	stamp  uint64
+	claim  roster.Claim
+}
+
+// NewClaims lays a run out.
+func NewClaims(seed uint64, cores, sides int) *Claims {
+	c := &Claims{rng: rand.New(rand.NewPCG(seed, 13)), base: time.Now()}
+	for i := range cores {
+		c.cores = append(c.cores, &claimCore{feed: feed.New(uint64(i)*1000+1, 0), sure: -1})
+	}
+	for i := range sides {
+		c.sides = append(c.sides, &claimSide{core: i % cores})
+	}
+	return c
+}
+
+func (c *Claims) some(d time.Duration) time.Duration {
+	return time.Duration(c.rng.Int64N(int64(d) + 1))
+}
+
+// every does something again and again, at about an interval.
+func (c *Claims) every(d time.Duration, do func()) {
+	c.after(c.some(2*d), func() { do(); c.every(d, do) })
+}
+
+// pass carries a message, late or lost; a frozen receiver gets it on waking.
+func (c *Claims) pass(fromCut, toCut *int, toFrozen *time.Duration, do func()) {
+	if c.rng.IntN(10) == 0 {
+		return
+	}
+	d := c.some(80 * time.Millisecond)
+	if c.rng.IntN(20) == 0 {
+		d = c.some(3 * time.Second)
+	}
+	c.after(d, func() {
+		if *fromCut != *toCut {
+			return
+		}
+		c.after(max(0, *toFrozen-c.now), do)
+	})
+}
+
+// Run runs it for a while of simulated time.
+func (c *Claims) Run(d time.Duration) {
+	c.every(700*time.Millisecond, c.write)
+	c.every(3*time.Second, c.disturb)
+	for _, k := range c.cores {
+		c.every(300*time.Millisecond, func() { c.when(k.frozen, func() { c.look(k) }) })
+		c.every(100*time.Millisecond, func() { c.when(k.frozen, func() { k.feed.Wake(c.now); k.feed.Tick(c.now) }) })
+	}
+	for _, s := range c.sides {
+		c.every(300*time.Millisecond, func() { c.when(s.frozen, func() { c.follow(s) }) })
+		c.every(50*time.Millisecond, func() { c.when(s.frozen, func() { c.admit(s) }) })
+	}
+	c.run(d)
+}
+
+func (c *Claims) when(frozen time.Duration, do func()) {
+	if frozen <= c.now {
+		do()
+	}
+}
+
+// write puts a word: each core accepts it when it comes, it is acknowledged
+// when a majority has, and then it is told.
+func (c *Claims) write() {
+	stamp := uint64(len(c.acked) + 1)
+	if stamp > 1 && c.acked[stamp-2] == 0 {
+		return // the one before is still on its way
+	}
+	c.acked = append(c.acked, 0)
+	from := c.cores[c.rng.IntN(len(c.cores))]
+	got := map[*claimCore]bool{}
+	var try func()
+	try = func() {
+		if c.acked[stamp-1] != 0 {
+			return
+		}
+		for _, k := range c.cores {
+			c.pass(&from.cut, &k.cut, &k.frozen, func() {
+				k.accepted = max(k.accepted, stamp)
+				c.pass(&k.cut, &from.cut, &from.frozen, func() {
+					if got[k] = true; len(got) >= register.Majority(len(c.cores)) && c.acked[stamp-1] == 0 {
+						c.acked[stamp-1] = c.now
+					}
+				})
+			})
+		}
+		c.after(400*time.Millisecond, try)
+	}
+	try()
+}
+
+// look asks a majority, and learns of settled words as cores do: late.
+func (c *Claims) look(k *claimCore) {
+	begin := c.now
+	votes := map[*claimCore]uint64{}
+	for _, o := range c.cores {
+		c.pass(&k.cut, &o.cut, &o.frozen, func() {
+			seen := o.accepted
+			c.pass(&o.cut, &k.cut, &k.frozen, func() {
+				votes[o] = seen
+				if len(votes) != register.Majority(len(c.cores)) {
+					return
+				}
+				var top uint64
+				for _, v := range votes {
+					top = max(top, v)
+				}
+				if !k.open || begin > k.lookAt && top <= k.lookTo {
+					k.open, k.lookAt, k.lookTo = true, begin, top
+				}
+				// The settled word of that stamp comes some time.
+				if top > 0 && c.acked[top-1] != 0 {
+					k.feed.Settled(desired.Word{Stamp: top})
+				}
+				c.confirm(k)
+			})
+		})
+	}
+}
+
+func (c *Claims) confirm(k *claimCore) {
+	var told uint64
+	if w := k.feed.Word(); w != nil {
+		told = w.Stamp
+	}
+	if k.open && told >= k.lookTo {
+		k.open, k.sure = false, k.lookAt
+	}
+}
+
+// follow asks the core; what it is sure of counts from when it was asked.
+func (c *Claims) follow(s *claimSide) {
+	asked, at := c.now, s.core
+	k := c.cores[at]
+	if c.rng.IntN(40) == 0 {
+		s.core, s.place = c.rng.IntN(len(c.cores)), feed.Follow{}
+		return
+	}
+	c.pass(&s.cut, &k.cut, &k.frozen, func() {
+		k.feed.Wake(c.now)
+		if !k.feed.Open(c.now) {
+			return
+		}
+		n, _ := k.feed.Since(s.place)
+		age := time.Hour
+		if k.sure >= 0 {
+			age = c.now - k.sure
+		}
+		c.pass(&k.cut, &s.cut, &s.frozen, func() {
+			if s.core != at {
+				return
+			}
+			s.place = feed.Follow{Feed: n.Feed, Place: n.Place}
+			for _, it := range n.Items {
+				if it.Word != nil {
+					s.stamp = max(s.stamp, it.Word.Stamp)
+				}
+			}
+			s.claim.Renew(c.base.Add(asked - age))
+		})
+	})
+}
+
+// admit checks the gate's promise at a moment at which it would admit.
+func (c *Claims) admit(s *claimSide) {
+	if s.claim.Age(c.base.Add(c.now)) > roster.ClaimFor {
+		c.Lapsed++
+		return
+	}
+	c.Admitted++
+	for i := s.stamp; i < uint64(len(c.acked)); i++ {
+		if at := c.acked[i]; at != 0 && c.now-at > roster.ClaimFor {
+			c.Broken = append(c.Broken, fmt.Sprintf("%v: admitted at stamp %d, %v after %d was acknowledged", c.now, s.stamp, c.now-at, i+1))
+		}
+	}
+}
+
+// disturb cuts, mends and freezes.
+func (c *Claims) disturb() {
+	for _, k := range c.cores {
+		k.cut = c.rng.IntN(4) / 3
+		if c.rng.IntN(6) == 0 {
+			k.frozen = c.now + c.some(8*time.Second)
+		}
+	}
+	for _, s := range c.sides {
+		s.cut = c.rng.IntN(4) / 3
+		if c.rng.IntN(6) == 0 {
+			s.frozen = c.now + c.some(8*time.Second)
+		}
+		for _, k := range c.cores {
+			k.feed.Told(cohort.Node{Addr: "any"}, c.now)
+		}
+	}
+}
--- a/proof/simulator/simulator_test.go
+++ b/proof/simulator/simulator_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"testing"
+	"time"
 )
 
 var (
@@ -39,3 +40,29 @@
 		t.Error("the faults or the work did not come about")
 	}
 }
+
+// Claims under delays up to seconds, losses, cuts and freezes of cores and
+// sidecars: whoever admits does so at most 4 s after a word that it has not
+// heard was acknowledged.
+func TestClaims(t *testing.T) {
+	admitted, lapsed := 0, 0
+	for seed := *first; seed < *first+uint64(*seeds); seed++ {
+		for _, cores := range []int{3, 5} {
+			c := NewClaims(seed, cores, 4)
+			c.Run(60 * time.Second)
+			for i, b := range c.Broken {
+				if i < 3 {
+					t.Errorf("seed %d with %d cores: %s", seed, cores, b)
+				}
+			}
+			if len(c.Broken) > 0 {
+				t.Errorf("replay: go test ./proof/simulator -run TestClaims -first %d -seeds 1", seed)
+			}
+			admitted, lapsed = admitted+c.Admitted, lapsed+c.Lapsed
+		}
+	}
+	t.Logf("admitted %d times, lapsed %d", admitted, lapsed)
+	if admitted == 0 || lapsed == 0 {
+		t.Error("the failures or the work did not come about")
+	}
+}
