Do not take beats that piled up during a freeze for new ones

Cause: a sidecar that was frozen read, on waking, the beats that its sockets had kept, and took a backend for alive that had died meanwhile and whose address had passed to another service. Once its claim was renewed, inquiries went there.

--- a/cmd/sidecar/steward.go
+++ b/cmd/sidecar/steward.go
@@ -28,6 +28,7 @@
 	budgets  *contract.Budgets
 	watcher  *cohort.Watcher
 	inc      atomic.Uint64
+	sleep    roster.Sleep
 
 	nodes map[string]cohort.Node
 
@@ -61,6 +62,7 @@
 		asked time.Time
 	}
 	msgTick  struct{}
+	msgPulse struct{}
 	msgDrain struct{}
 	msgLive  struct{ reply chan<- bool }
 )
@@ -92,14 +94,17 @@
 
 // run keeps time until ctx ends.
 func (s *steward) run(ctx context.Context) {
-	tick := time.NewTicker(cohort.Beat)
+	tick, pulse := time.NewTicker(cohort.Beat), time.NewTicker(roster.Pulse)
 	defer tick.Stop()
+	defer pulse.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
 			s.box.Send(ctx, msgTick{})
+		case <-pulse.C:
+			s.box.Send(ctx, msgPulse{})
 		}
 	}
 }
@@ -113,8 +118,15 @@
 
 func (s *steward) on(ctx context.Context, msg any) {
 	now := time.Now()
+	s.sleep.Seen(now)
 	switch m := msg.(type) {
 	case msgAnnounce:
+		if s.sleep.Drowsy(now) && !m.a.Leaving {
+			// It may have piled up while the process was frozen, and its sender
+			// be gone: the next beat will tell.
+			m.reply <- nil
+			return
+		}
 		next, faults := s.roster.Load().Announce(m.a, s.locality, now)
 		s.swapRoster(next)
 		m.reply <- faults
