Give a locality that is taken back its places little by little

A locality taken back was met by everybody at once. Its backends are now given a fifth of their places at first and all after 10 s, whatever words come meanwhile.

--- a/cmd/sidecar/steward.go
+++ b/cmd/sidecar/steward.go
@@ -192,6 +192,7 @@
 		return
 	}
 	if t, ok := way.NewTable(w); ok {
+		t.After(s.table.Load(), time.Now())
 		s.table.Store(t)
 		s.hasten()
 	}
--- a/relay/far.go
+++ b/relay/far.go
@@ -119,7 +119,8 @@
 		if why != roster.Open {
 			now = e
 		}
-		return now.Limit(time.Now())
+		at := time.Now()
+		return now.Limit(f.Table().Ramp(now.Locality, at), at)
 	}
 	done, back := e.Desk.Enter(ctx, roster.Bid{Rank: leg.Rank, Way: leg.Way, Left: min(leg.Left, leg.Aim)}, limit)
 	if done == nil {
--- a/roster/entry.go
+++ b/roster/entry.go
@@ -27,9 +27,10 @@
 	return e.Share + (1-e.Share)*done
 }
 
-// Limit is how many inquiries it may run at a time.
-func (e Entry) Limit(now time.Time) int64 {
-	bear := float64(e.Capacity) * e.ShareAt(now)
+// Limit is how many inquiries it may run at a time; ramp is the share of it
+// that its locality is given.
+func (e Entry) Limit(ramp float64, now time.Time) int64 {
+	bear := float64(e.Capacity) * e.ShareAt(now) * ramp
 	if now.Sub(started) < freshStart {
 		bear /= 2
 	}
--- a/way/table.go
+++ b/way/table.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"strings"
+	"time"
 
 	"curlewwalk/contract"
 	"curlewwalk/desired"
@@ -19,6 +20,39 @@
 	ways      []desired.Way
 	contracts map[string]desired.Contract
 	emptied   map[string]bool
+	// back is since when localities that were emptied are taken back.
+	back map[string]time.Time
+}
+
+const (
+	// rampFor is how long a locality that was taken back takes to be given all
+	// that its backends bear, and rampFrom what it begins with.
+	rampFor  = 10 * time.Second // (ours)
+	rampFrom = 0.2              // (ours)
+)
+
+// After notes which localities the table takes back, given the one before it.
+func (t *Table) After(old *Table, now time.Time) {
+	t.back = map[string]time.Time{}
+	for l, since := range old.back {
+		if !t.emptied[l] && now.Sub(since) < rampFor {
+			t.back[l] = since
+		}
+	}
+	for l := range old.emptied {
+		if !t.emptied[l] {
+			t.back[l] = now
+		}
+	}
+}
+
+// Ramp is the share of what a locality's backends bear that they are given now.
+func (t *Table) Ramp(locality string, now time.Time) float64 {
+	since, ok := t.back[locality]
+	if !ok {
+		return 1
+	}
+	return min(1, rampFrom+(1-rampFrom)*float64(now.Sub(since))/float64(rampFor))
 }
 
 // NewTable builds the table of a word; false if its bytes do not check.
