Wait until clients have let go of their connections before a stop

Half a second of refusing was not enough to retire all that a client keeps. A drained sidecar now refuses with Connection: close until no client connection is left, for 2 s at most. Ruled out: longer fixed waits, which would refuse for longer where nobody keeps connections.

--- a/cmd/sidecar/node.go
+++ b/cmd/sidecar/node.go
@@ -24,9 +24,9 @@
 	"curlewwalk/wire"
 )
 
-// linger is how long a drained sidecar still refuses inquiries before it closes
-// connections. (ours)
-const linger = 500 * time.Millisecond
+// linger is how long a drained sidecar still refuses inquiries, while clients
+// keep connections open, before it closes them. (ours)
+const linger = 2 * time.Second
 
 // workers is how many drain the trace queue. (ours)
 const workers = 2
@@ -162,11 +162,13 @@
 		break
 	}
 	// A client may be writing on an idle connection just as it is closed, and
-	// could not know whether that was read. So those in use are first told to
-	// close, with the answer to what they bring next.
+	// could not know whether that was read. So each is first told to close, with
+	// the answer to what it brings next.
 	idle, over := context.WithTimeout(ctx, linger)
 	defer over()
-	<-idle.Done()
+	for n.webs[1].Conns() > 0 && idle.Err() == nil {
+		<-tick.C
+	}
 	for _, w := range n.webs {
 		w.Stop(ctx)
 	}
--- a/process/web.go
+++ b/process/web.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -13,12 +14,27 @@
 type Web struct {
 	Listener net.Listener
 	server   *http.Server
+	conns    atomic.Int64
+}
+
+// Conns is how many connections are open.
+func (w *Web) Conns() int64 { return w.conns.Load() }
+
+// track counts connections.
+func (w *Web) track(_ net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		w.conns.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		w.conns.Add(-1)
+	}
 }
 
 // Serve starts an HTTP server on a listener. net/http starts a goroutine for
 // each connection itself: the one exception to launch. (DESIGN 13)
 func (p *Process) Serve(ln net.Listener, h http.Handler) *Web {
 	w := &Web{Listener: ln, server: &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute, MaxHeaderBytes: 1 << 20}}
+	w.server.ConnState = w.track
 	p.Launcher.Go(p.Life, "http", func(context.Context) { w.server.Serve(ln) })
 	return w
 }
