Clear what reading the whole change again showed

- how an inquiry or a leg ended was counted by two equal switches: one method of Counts now serves both sides;
- a feed stripped its nodes in two places: nodeItem does it;
- Near held an address that nothing read; the view sorted its nodes by hand beside its sorted addresses;
Left: a majority of slots is worked out in cohort as well as in register, which cohort should not import.

--- a/cmd/sidecar/node.go
+++ b/cmd/sidecar/node.go
@@ -64,7 +64,7 @@
 	watcher.View = func() *cohort.View { return n.steward.view.Load() }
 	n.seeker.Heard = func(context.Context, cohort.Seat) {}
 	table := func() *way.Table { return n.steward.table.Load() }
-	n.near = &relay.Near{Addr: set.Advertise, Locality: set.Locality, Table: table, View: func() *cohort.View { return n.steward.view.Load() },
+	n.near = &relay.Near{Locality: set.Locality, Table: table, View: func() *cohort.View { return n.steward.view.Load() },
 		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log, Lineage: lin, Claims: claims, Purses: n.steward.purses, Budgets: n.steward.budgets, Life: p.Life, Draining: n.draining.Load}
 	n.far = relay.NewFar(p.Life, p.Launcher)
 	n.far.Boot, n.far.Table, n.far.Queue, n.far.Lineage, n.far.Draining = p.Boot, table, n.queue, lin, n.draining.Load
--- a/cohort/view.go
+++ b/cohort/view.go
@@ -29,13 +29,10 @@
 
 // Nodes lists all known nodes by address.
 func (v *View) Nodes() []Node {
-	out := slices.Collect(maps.Values(v.nodes))
-	slices.SortFunc(out, func(a, b Node) int {
-		if a.Addr < b.Addr {
-			return -1
-		}
-		return 1
-	})
+	var out []Node
+	for _, addr := range v.Addrs() {
+		out = append(out, v.nodes[addr])
+	}
 	return out
 }
 
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -73,8 +73,7 @@
 	if ok && old.Boot == n.Boot && old.Rev == n.Rev {
 		return false
 	}
-	n.Budgets, n.Accuses, n.Open = nil, nil, nil // they go another way
-	f.add(Item{Node: &n})
+	f.add(nodeItem(n))
 	return true
 }
 
@@ -87,6 +86,12 @@
 	}
 }
 
+// nodeItem is a node as followers get it: without what only cores sum up.
+func nodeItem(n cohort.Node) Item {
+	n.Budgets, n.Accuses, n.Open = nil, nil, nil
+	return Item{Node: &n}
+}
+
 // Tick takes out silent nodes; true if there was news.
 func (f *Feed) Tick(now time.Duration) bool {
 	f.last = now
@@ -120,9 +125,7 @@
 		n.Items = append(n.Items, Item{Word: f.word})
 	}
 	for _, addr := range slices.Sorted(maps.Keys(f.nodes)) {
-		node := f.nodes[addr]
-		node.Budgets, node.Accuses, node.Open = nil, nil, nil
-		n.Items = append(n.Items, Item{Node: &node})
+		n.Items = append(n.Items, nodeItem(f.nodes[addr]))
 	}
 	return n, true
 }
--- a/proof/cmd/day/main.go
+++ b/proof/cmd/day/main.go
@@ -24,16 +24,13 @@
 	if _, err := flags.Parse(&opt); err != nil {
 		os.Exit(2)
 	}
-	size := fleet.Association()
-	if opt.Deployment == "heating" {
-		size = fleet.Heating()
-	}
+	size := fleet.Deployment(opt.Deployment)
 	ok, err := run(size, opt.Seed, opt.Events, opt.Only)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 	}
 	if err != nil || !ok {
-		fmt.Printf("replay: go run ./proof/cmd/day --deployment %s --seed %d --events %d\n", opt.Deployment, opt.Seed, opt.Events)
+		fmt.Printf("replay: go run ./proof/cmd/day --deployment %s --seed %d --events %d --only %q\n", opt.Deployment, opt.Seed, opt.Events, opt.Only)
 		os.Exit(1)
 	}
 }
--- a/proof/cmd/fleet/main.go
+++ b/proof/cmd/fleet/main.go
@@ -25,10 +25,7 @@
 	if _, err := flags.Parse(&opt); err != nil {
 		os.Exit(2)
 	}
-	size := fleet.Association()
-	if opt.Deployment == "heating" {
-		size = fleet.Heating()
-	}
+	size := fleet.Deployment(opt.Deployment)
 	if opt.Rate > 0 {
 		size.Rate = opt.Rate
 	}
--- a/proof/fleet/size.go
+++ b/proof/fleet/size.go
@@ -31,6 +31,14 @@
 	return out
 }
 
+// Deployment is the size of a deployment by its name.
+func Deployment(name string) Size {
+	if name == "heating" {
+		return Heating()
+	}
+	return Association()
+}
+
 // Association is the window and door association.
 func Association() Size {
 	return Size{Name: "association", Cores: 3, Machines: 13, Localities: four, Backends: Repeat(13, "orders", "stock", "surveys"), Capacity: 9, Rate: 210,
--- a/relay/counts.go
+++ b/relay/counts.go
@@ -1,6 +1,10 @@
 package relay
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"curlewwalk/way"
+)
 
 // Counts are a side's running totals, for /v1/stats.
 type Counts struct {
@@ -9,6 +13,18 @@
 	Inquiries, Answered, NotRun, Unknown, ExtraLegs, Joined atomic.Int64
 }
 
+// ended takes how one ended.
+func (c *Counts) ended(f way.Fate) {
+	switch f {
+	case way.Answered:
+		c.Answered.Add(1)
+	case way.NotRun:
+		c.NotRun.Add(1)
+	default:
+		c.Unknown.Add(1)
+	}
+}
+
 // Totals is a reading of Counts.
 type Totals struct {
 	Open      int64 `json:"open"`
--- a/relay/far.go
+++ b/relay/far.go
@@ -63,14 +63,7 @@
 	rc := f.carry(ctx, leg, span)
 	note.Status, note.Outcome, note.Reason = rc.Status, string(rc.Fate), rc.Reason
 	f.Queue.Put(span, trace.ServerSend, note)
-	switch rc.Fate {
-	case way.Answered:
-		f.Counts.Answered.Add(1)
-	case way.NotRun:
-		f.Counts.NotRun.Add(1)
-	default:
-		f.Counts.Unknown.Add(1)
-	}
+	f.Counts.ended(rc.Fate)
 	return rc, ""
 }
 
--- a/relay/near.go
+++ b/relay/near.go
@@ -26,7 +26,6 @@
 
 // Near is the executor beside the caller.
 type Near struct {
-	Addr     string
 	Locality string
 	Table    func() *way.Table
 	View     func() *cohort.View
@@ -113,14 +112,7 @@
 }
 
 func (n *Near) count(r Receipt) Receipt {
-	switch r.Fate {
-	case way.Answered:
-		n.Counts.Answered.Add(1)
-	case way.NotRun:
-		n.Counts.NotRun.Add(1)
-	default:
-		n.Counts.Unknown.Add(1)
-	}
+	n.Counts.ended(r.Fate)
 	return r
 }
 
