Make core and sidecar packages, with a dialect for callers and backends

An adapter must stand on the product without being imported by it: the parts that the two programs put together move from cmd/ to packages of their own, and what is said by callers and backends is worded by a relay.Dialect, of which today's own, Plain, is the first. The far sidecar judges a backend's answer by it.

--- a/boot/sidecar.go
+++ b/boot/sidecar.go
@@ -14,6 +14,7 @@
 	Common
 	Inquiries  string            `long:"inquiries" ini-name:"inquiries" description:"address where this machine's clients send requests (IP:port, required)"`
 	Outgoing   map[string]string `long:"outgoing" ini-name:"outgoing" description:"fixed address for the outgoing calls of a backend service (service:IP:port); else one is chosen and told to the backend"`
+	Caller     string            `long:"caller" ini-name:"caller" description:"service that all callers on this machine belong to, if they are one's; else each service has an address of its own"`
 	MaxBody    int64             `long:"max-body" ini-name:"max-body" default:"16777216" description:"largest body of an inquiry or an answer, in bytes"`
 	BodyMemory int64             `long:"body-memory" ini-name:"body-memory" default:"268435456" description:"bodies of inquiries that are held at a time, in bytes"`
 	TraceQueue int               `long:"trace-queue" ini-name:"trace-queue" default:"8192" description:"events that may wait to be published"`
--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -22,9 +22,9 @@
 var (
 	allowed = []string{"curlewwalk/clock", "curlewwalk/window"}
 	passers = map[string][]string{
-		"curlewwalk/cohort":   {"Wall"},
-		"curlewwalk/plan":     {"String"}, // of a window that is shown
-		"curlewwalk/cmd/core": {"seat", "wall", "windows"},
+		"curlewwalk/cohort": {"Wall"},
+		"curlewwalk/plan":   {"String"}, // of a window that is shown
+		"curlewwalk/core":   {"seat", "wall", "windows"},
 	}
 )
 
--- a/cmd/core/main.go
+++ b/cmd/core/main.go
@@ -3,21 +3,15 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
 	"curlewwalk/boot"
+	"curlewwalk/core"
 	"curlewwalk/process"
 )
 
 func main() {
 	set, exit := boot.ReadCore(os.Args[1:])
 	process.Exit(exit)
-	n := newNode(set)
-	fmt.Fprintf(os.Stdout, "started wire=%s control=%s\n", n.p.Host.Addr(), n.web.Listener.Addr())
-	n.p.Wait(func() {
-		next, exit := boot.ReadCore(os.Args[1:])
-		n.reload.Reload(n.p, set, next, next.Common, exit)
-	})
-	n.stop()
+	core.New(set, nil).Run(func() (boot.Core, boot.Exit) { return boot.ReadCore(os.Args[1:]) })
 }
--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -7,16 +7,11 @@
 
 	"curlewwalk/boot"
 	"curlewwalk/process"
+	"curlewwalk/sidecar"
 )
 
 func main() {
 	set, exit := boot.ReadSidecar(os.Args[1:])
 	process.Exit(exit)
-	n := newNode(set)
-	n.readyLine()
-	n.p.Wait(func() {
-		next, exit := boot.ReadSidecar(os.Args[1:])
-		n.reload.Reload(n.p, set, next, next.Common, exit)
-	})
-	n.stop()
+	sidecar.New(set, nil).Run(func() (boot.Sidecar, boot.Exit) { return boot.ReadSidecar(os.Args[1:]) })
 }
--- a/cmd/core/control.go
+++ b/core/control.go
@@ -1,4 +1,4 @@
-package main
+package core
 
 import (
 	"context"
@@ -56,7 +56,7 @@
 }
 
 // control serves a core's /v1, /live and /ready.
-func (n *node) control() http.Handler {
+func (n *Node) control() http.Handler {
 	mux := http.NewServeMux()
 	n.p.Common(mux, n.live, n.ready)
 	mux.HandleFunc("PUT /v1/desired", n.putDesired)
@@ -77,12 +77,12 @@
 	return mux
 }
 
-func (n *node) live(ctx context.Context) (bool, string) {
+func (n *Node) live(ctx context.Context) (bool, string) {
 	_, ok := n.directory.State(ctx)
 	return ok, "control thread"
 }
 
-func (n *node) ready(ctx context.Context) (bool, string) {
+func (n *Node) ready(ctx context.Context) (bool, string) {
 	st, ok := n.directory.State(ctx)
 	switch {
 	case n.draining.Load():
@@ -95,7 +95,7 @@
 	return true, "serving"
 }
 
-func (n *node) getState(w http.ResponseWriter, r *http.Request) {
+func (n *Node) getState(w http.ResponseWriter, r *http.Request) {
 	v := n.keeper.Voter()
 	st := state{Self: n.seat(), Phase: v.Phase, Promised: v.Promised, Mark: v.Mark, Seats: v.Seats, Duty: n.duty().Slot, Cores: n.seeker.Seats().Known()}
 	for _, c := range n.seeker.Seats().Live(time.Now()) {
@@ -119,7 +119,7 @@
 	return b, err == nil
 }
 
-func (n *node) putDesired(w http.ResponseWriter, r *http.Request) {
+func (n *Node) putDesired(w http.ResponseWriter, r *http.Request) {
 	body, ok := body(w, r, "configuration", "$", desired.MaxBytes)
 	if !ok {
 		return
@@ -136,7 +136,7 @@
 	n.order(w, r, register.Order{Kind: register.Put, Bytes: body})
 }
 
-func (n *node) locality(kind register.OrderKind) http.HandlerFunc {
+func (n *Node) locality(kind register.OrderKind) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		name := r.PathValue("name")
 		if !desired.IsName(name) {
@@ -148,7 +148,7 @@
 }
 
 // order has an order written and tells what is known of it.
-func (n *node) order(w http.ResponseWriter, r *http.Request, o register.Order) {
+func (n *Node) order(w http.ResponseWriter, r *http.Request, o register.Order) {
 	if m := r.Header.Get("If-Match"); m != "" {
 		stamp, err := strconv.ParseUint(strings.Trim(m, `"`), 10, 64)
 		if err != nil {
@@ -182,7 +182,7 @@
 }
 
 // read reads the newest word back from a majority.
-func (n *node) read(w http.ResponseWriter, r *http.Request) (desired.Word, bool) {
+func (n *Node) read(w http.ResponseWriter, r *http.Request) (desired.Word, bool) {
 	word, ok := n.keeper.ReadBack(r.Context(), n.refresh)
 	if !ok {
 		w.Header().Set("Retry-After", "1")
@@ -191,7 +191,7 @@
 	return word, ok
 }
 
-func (n *node) getDesired(w http.ResponseWriter, r *http.Request) {
+func (n *Node) getDesired(w http.ResponseWriter, r *http.Request) {
 	word, ok := n.read(w, r)
 	if !ok {
 		return
@@ -205,7 +205,7 @@
 	w.Write(word.Desired)
 }
 
-func (n *node) getLocalities(w http.ResponseWriter, r *http.Request) {
+func (n *Node) getLocalities(w http.ResponseWriter, r *http.Request) {
 	if word, ok := n.read(w, r); ok {
 		emptied := word.Shut()
 		if emptied == nil {
@@ -216,7 +216,7 @@
 }
 
 // getBudgets shows the budgets, summed over the nodes that this core hears.
-func (n *node) getBudgets(w http.ResponseWriter, r *http.Request) {
+func (n *Node) getBudgets(w http.ResponseWriter, r *http.Request) {
 	st, ok := n.directory.State(r.Context())
 	table, good := way.NewTable(st.Word)
 	if !ok || !good {
@@ -227,14 +227,14 @@
 }
 
 // getDrain reports what still runs in a locality, and since when nothing does.
-func (n *node) getDrain(w http.ResponseWriter, r *http.Request) {
+func (n *Node) getDrain(w http.ResponseWriter, r *http.Request) {
 	if d, ok := n.directory.Drain(r.Context(), r.PathValue("name")); ok {
 		process.JSON(w, http.StatusOK, d)
 	}
 }
 
 // getTrace gathers a trace from all cores.
-func (n *node) getTrace(w http.ResponseWriter, r *http.Request) {
+func (n *Node) getTrace(w http.ResponseWriter, r *http.Request) {
 	id, ok := trace.ParseTraceID(r.PathValue("id"))
 	if !ok {
 		process.Error(w, http.StatusBadRequest, "not a trace id: 16 or 32 hex digits")
--- a/cmd/core/node.go
+++ b/core/node.go
@@ -1,7 +1,10 @@
-package main
+// Package core puts the parts of the control plane together. (DESIGN 1)
+package core
 
 import (
 	"context"
+	"fmt"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -17,8 +20,11 @@
 	"curlewwalk/wire"
 )
 
-// node is a core with its parts.
-type node struct {
+// Doors opens further addresses of a core, for those who speak otherwise. (DESIGN 18)
+type Doors func(n *Node)
+
+// Node is a core with its parts.
+type Node struct {
 	p         *process.Process
 	set       boot.Core
 	keeper    *register.Keeper
@@ -31,10 +37,10 @@
 	draining  atomic.Bool
 }
 
-// newNode puts the parts together and opens the addresses.
-func newNode(set boot.Core) *node {
+// New puts the parts together and opens the addresses.
+func New(set boot.Core, doors Doors) *Node {
 	p := process.New("core", set.Common)
-	n := &node{p: p, set: set, store: collect.NewStore(), seeker: cohort.NewSeeker(), directory: feed.NewDirectory(p.Launcher, p.Boot)}
+	n := &Node{p: p, set: set, store: collect.NewStore(), seeker: cohort.NewSeeker(), directory: feed.NewDirectory(p.Launcher, p.Boot)}
 	v, err := vault.Open(set.Data)
 	if err != nil {
 		p.Fail("data", err)
@@ -64,18 +70,35 @@
 	} {
 		p.Launcher.Go(p.Life, name, run)
 	}
+	if doors != nil {
+		doors(n)
+	}
 	return n
 }
 
+// Run prints the signal of readiness and returns when the core has been warned and
+// stopped in order; read reads the settings again.
+func (n *Node) Run(read func() (boot.Core, boot.Exit)) {
+	fmt.Fprintf(os.Stdout, "started wire=%s control=%s\n", n.p.Host.Addr(), n.web.Listener.Addr())
+	n.p.Wait(func() {
+		next, exit := read()
+		n.reload.Reload(n.p, n.set, next, next.Common, exit)
+	})
+	n.stop()
+}
+
+// Process is the frame that the core hangs in.
+func (n *Node) Process() *process.Process { return n.p }
+
 // seat is what this core tells of itself.
-func (n *node) seat() cohort.Seat {
+func (n *Node) seat() cohort.Seat {
 	v := n.keeper.Voter()
 	return cohort.Seat{Slot: n.set.Slot, Slots: n.set.Slots, Addr: n.set.Advertise, Inc: v.Self.Inc, Boot: n.p.Boot,
 		Locality: n.set.Locality, Established: v.Phase == register.Established, Settled: v.Settled, Wall: clock.Wall().UnixNano()}
 }
 
 // hail answers another process.
-func (n *node) hail(ctx context.Context, in wire.Inquiry) (any, string) {
+func (n *Node) hail(ctx context.Context, in wire.Inquiry) (any, string) {
 	var h cohort.Hail
 	if !in.Into(&h) {
 		return nil, "not a hail"
@@ -96,20 +119,20 @@
 }
 
 // heard copies what another core has and this one lacks. (DESIGN 6.4)
-func (n *node) heard(ctx context.Context, c cohort.Seat) {
+func (n *Node) heard(ctx context.Context, c cohort.Seat) {
 	if v := n.keeper.Voter(); v.Phase == register.Established && c.Settled > v.Settled {
 		n.p.Launcher.Go(ctx, "catch", func(ctx context.Context) { n.keeper.Catch(ctx, c.Addr) })
 	}
 }
 
 // Addr implements register.Peers.
-func (n *node) Addr(slot int) (string, bool) {
+func (n *Node) Addr(slot int) (string, bool) {
 	c, ok := n.seeker.Seats().At(slot)
 	return c.Addr, ok
 }
 
 // duty is the first live core in the agreed order.
-func (n *node) duty() cohort.Seat {
+func (n *Node) duty() cohort.Seat {
 	own := n.seat()
 	for _, c := range n.seeker.Seats().Live(time.Now()) {
 		if c.Slot < own.Slot && c.Established {
@@ -123,10 +146,10 @@
 }
 
 // OnDuty implements register.Peers.
-func (n *node) OnDuty() bool { return n.duty().Slot == n.set.Slot }
+func (n *Node) OnDuty() bool { return n.duty().Slot == n.set.Slot }
 
 // write carries an order out on the core on duty.
-func (n *node) write(ctx context.Context, o register.Order) register.Answer {
+func (n *Node) write(ctx context.Context, o register.Order) register.Answer {
 	c := n.duty()
 	if c.Slot == n.set.Slot {
 		return n.keeper.Write(ctx, o)
@@ -144,12 +167,12 @@
 }
 
 // refresh makes sure that a majority holds the newest word.
-func (n *node) refresh(ctx context.Context) register.Answer {
+func (n *Node) refresh(ctx context.Context) register.Answer {
 	return n.write(ctx, register.Order{Kind: register.Refresh})
 }
 
 // stop ends the core in order.
-func (n *node) stop() {
+func (n *Node) stop() {
 	n.draining.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), n.reload.Drain())
 	defer cancel()
--- a/cmd/core/warden.go
+++ b/core/warden.go
@@ -1,4 +1,4 @@
-package main
+package core
 
 import (
 	"context"
@@ -15,7 +15,7 @@
 // warden has localities emptied and taken back as the maintenance windows say,
 // while this core is on duty: through orders like an operator's. (DESIGN 17)
 type warden struct {
-	n        *node
+	n        *Node
 	calendar window.Calendar
 	stamp    uint64 // of the calendar
 }
@@ -57,6 +57,6 @@
 }
 
 // wall is the middle one of the cores' wall clocks.
-func (n *node) wall() time.Time {
+func (n *Node) wall() time.Time {
 	return n.seeker.Seats().Wall(clock.Wall(), n.set.Slot, time.Now())
 }
--- a/cmd/core/windows.go
+++ b/core/windows.go
@@ -1,4 +1,4 @@
-package main
+package core
 
 import (
 	"net/http"
@@ -32,7 +32,7 @@
 	return window.Parse(b)
 }
 
-func (n *node) putWindows(w http.ResponseWriter, r *http.Request) {
+func (n *Node) putWindows(w http.ResponseWriter, r *http.Request) {
 	b, ok := body(w, r, "calendar", "line 1", window.MaxBytes)
 	if !ok {
 		return
@@ -44,7 +44,7 @@
 	n.order(w, r, register.Order{Kind: register.Calendar, Bytes: b})
 }
 
-func (n *node) getWindows(w http.ResponseWriter, r *http.Request) {
+func (n *Node) getWindows(w http.ResponseWriter, r *http.Request) {
 	word, ok := n.read(w, r)
 	if !ok {
 		return
--- a/relay/far.go
+++ b/relay/far.go
@@ -29,6 +29,7 @@
 	Draining func() bool
 	Counts   Counts
 	Bodies   *Bodies
+	Dialect  Dialect
 
 	started time.Time
 	ledger  *clerk
@@ -179,14 +180,22 @@
 	}
 	req := backendRequest(ctx, e.Address, leg)
 	trace.WriteB3(req.Header, span)
-	if leg.Caller != "" {
-		req.Header.Set(HeaderCaller, leg.Caller)
-	}
+	f.Dialect.Address(req.Header, leg, time.Until(deadline(ctx)))
 	resp, err := f.client.RoundTrip(req)
 	if err != nil {
 		return unknown("backend: " + cause(err))
 	}
 	defer resp.Body.Close()
+	switch f.Dialect.Judge(leg, resp.StatusCode, resp.Header) {
+	case Declined:
+		return LegReceipt{Fate: way.NotRun, Reason: "declined by the backend", Reached: true}
+	case Elsewhere:
+		return LegReceipt{Fate: way.NotRun, Reason: "another instance has the address", Reached: true}
+	case Stray:
+		return unknown("backend answered another inquiry")
+	case False:
+		return unknown("backend's answer claims what it can't")
+	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed && leg.Method != http.MethodHead {
 		// Its end is only the connection's end, which a dying backend has too.
 		return unknown("backend's answer does not tell its length")
--- a/relay/leg.go
+++ b/relay/leg.go
@@ -48,6 +48,8 @@
 	// Trailer is what the backend sent behind its body.
 	Trailer http.Header `msgpack:"tr,omitempty"`
 	Body    []byte      `msgpack:"b"`
+	// Reached says that the leg came to a backend, though it may not have run.
+	Reached bool `msgpack:"rd,omitempty"`
 	// Open is how many inquiries the backend has open.
 	Open int `msgpack:"o"`
 	// Back is when a refused inquiry should come again.
--- a/relay/near.go
+++ b/relay/near.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"errors"
@@ -46,6 +47,9 @@
 	// Draining tells whether new inquiries are still taken.
 	Draining func() bool
 	Counts   Counts
+	Dialect  Dialect
+	// Home is the service that all callers on this machine belong to, if one does.
+	Home string
 }
 
 // inquiry is one client's request on its way.
@@ -59,7 +63,9 @@
 	span     trace.Span
 	cause    lineage.Cause
 	traced   bool // the client itself sent identifiers
-	leg      Leg
+	// left is how long the client will wait; zero if it does not say.
+	left time.Duration
+	leg  Leg
 }
 
 // room is how late the inquiry may be at all.
@@ -82,7 +88,7 @@
 	defer n.Counts.Open.Add(-1)
 	// Calls of the own backends belong to inquiries that were handed over.
 	if caller == "" && n.Draining() {
-		return n.count(ownReceipt(http.StatusServiceUnavailable, way.NotRun, "this node is stopping", "", time.Second))
+		return n.count(n.word(http.StatusServiceUnavailable, way.NotRun, "this node is stopping", "", time.Second))
 	}
 	size := r.ContentLength
 	if size < 0 {
@@ -92,7 +98,7 @@
 		return n.tooLarge()
 	}
 	if !n.Bodies.Take(size) {
-		return n.count(ownReceipt(http.StatusServiceUnavailable, way.NotRun, "this node holds as many bodies as it can", "", time.Second))
+		return n.count(n.word(http.StatusServiceUnavailable, way.NotRun, "this node holds as many bodies as it can", "", time.Second))
 	}
 	defer n.Bodies.Give(size)
 	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, n.Bodies.Most))
@@ -101,28 +107,29 @@
 	case errors.As(err, &big):
 		return n.tooLarge()
 	case err != nil:
-		return n.count(ownReceipt(http.StatusBadRequest, way.NotRun, "body was cut short", "", 0))
+		return n.count(n.word(http.StatusBadRequest, way.NotRun, "body was cut short", "", 0))
 	}
 	if target("", r.RequestURI).RequestURI() != r.RequestURI {
-		return n.count(ownReceipt(http.StatusBadRequest, way.NotRun, "this path can't be passed on as it is", "", 0))
+		return n.count(n.word(http.StatusBadRequest, way.NotRun, "this path can't be passed on as it is", "", 0))
 	}
 	q := inquiry{caller: caller}
 	var ok bool
 	table := n.Table()
 	if q.way, q.contract, ok = table.Match(r.Host, r.URL.Path, r.Method); !ok && table.Stamp == 0 {
-		return n.count(ownReceipt(http.StatusServiceUnavailable, way.NotRun, "no configuration is known here yet", "", time.Second))
+		return n.count(n.word(http.StatusServiceUnavailable, way.NotRun, "no configuration is known here yet", "", time.Second))
 	} else if !ok {
-		return n.count(ownReceipt(http.StatusNotFound, way.NotRun, "no way takes this inquiry", "", 0))
+		return n.count(n.word(http.StatusNotFound, way.NotRun, "no way takes this inquiry", "", 0))
 	}
 	h := endToEnd(r.Header)
-	h.Del(HeaderCaller)
-	q.leg = Leg{Service: q.way.Service, Way: q.way.Name, Rank: q.contract.Rank, Caller: caller, Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h, Trailer: r.Trailer, Body: body}
+	said := n.Dialect.Hear(r, h)
+	q.left = said.Left
+	q.leg = Leg{Service: q.way.Service, Way: q.way.Name, Rank: q.contract.Rank, Caller: cmp.Or(caller, n.Home), Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h, Trailer: r.Trailer, Body: body}
 	// The client's going away stops nothing: the inquiry was handed over.
 	ctx := context.WithoutCancel(r.Context())
 	n.begin(ctx, &q, r.Header)
 	ctx, cancel := context.WithDeadline(trace.With(ctx, q.span), q.expiry)
 	defer cancel()
-	rc := n.claimed(ctx, &q, r.Header.Get(HeaderKey))
+	rc := n.claimed(ctx, &q, said.Key)
 	if q.traced {
 		rc.Header = rc.Header.Clone()
 		trace.WriteB3(rc.Header, q.span)
@@ -131,7 +138,12 @@
 }
 
 func (n *Near) tooLarge() Receipt {
-	return n.count(ownReceipt(http.StatusRequestEntityTooLarge, way.NotRun, fmt.Sprintf("body is over %d bytes", n.Bodies.Most), "", 0))
+	return n.count(n.word(http.StatusRequestEntityTooLarge, way.NotRun, fmt.Sprintf("body is over %d bytes", n.Bodies.Most), "", 0))
+}
+
+// word words an answer of our own.
+func (n *Near) word(status int, f way.Fate, reason, trace string, back time.Duration) Receipt {
+	return n.Dialect.Word(Own{Status: status, Fate: f, Reason: reason, Trace: trace, Back: back})
 }
 
 func (n *Near) count(r Receipt) Receipt {
@@ -146,6 +158,9 @@
 	q.begun = time.Now()
 	q.aim = q.begun.Add(q.contract.Aim.Duration)
 	q.expiry = q.begun.Add(q.contract.Expiry.Duration)
+	if q.left > 0 && q.left < q.contract.Expiry.Duration {
+		q.expiry = q.begun.Add(q.left)
+	}
 	if q.caller != "" {
 		q.cause = n.Lineage.Link(ctx, q.caller, q.way.Name, told)
 		if e := q.cause.Expiry; !e.IsZero() && e.Before(q.expiry) {
@@ -222,13 +237,13 @@
 func (n *Near) restored(e custody.Entry) Receipt {
 	rc, ok := unpack(e.Receipt)
 	if !ok {
-		rc = ownReceipt(http.StatusBadGateway, way.Unknown, "this node was restarted before the first inquiry of this key was answered", "", time.Second)
+		rc = n.word(http.StatusBadGateway, way.Unknown, "this node was restarted before the first inquiry of this key was answered", "", time.Second)
 	}
 	return rc
 }
 
 func (n *Near) own(q *inquiry, status int, f way.Fate, reason string, retry time.Duration) Receipt {
-	return ownReceipt(status, f, reason, q.span.Trace.String(), retry)
+	return n.word(status, f, reason, q.span.Trace.String(), retry)
 }
 
 // run asks the decision and obeys, leg by leg.
--- a/cmd/sidecar/control.go
+++ b/sidecar/control.go
@@ -1,4 +1,4 @@
-package main
+package sidecar
 
 import (
 	"context"
@@ -65,7 +65,7 @@
 }
 
 // control serves a sidecar's /v1, /live and /ready.
-func (n *node) control() http.Handler {
+func (n *Node) control() http.Handler {
 	mux := http.NewServeMux()
 	n.p.Common(mux, n.live, n.ready)
 	mux.HandleFunc("POST /v1/backends", n.announce)
@@ -81,17 +81,17 @@
 	return mux
 }
 
-func (n *node) live(ctx context.Context) (bool, string) {
+func (n *Node) live(ctx context.Context) (bool, string) {
 	_, ok := launch.Ask(ctx, n.steward.box, func(r chan<- bool) any { return msgLive{r} })
 	return ok, "control thread"
 }
 
 // known tells whether anybody has told this node a configuration and the nodes.
-func (n *node) known() bool {
+func (n *Node) known() bool {
 	return n.steward.shown.Load().Core != "" || n.steward.spoken.Load() != nil
 }
 
-func (n *node) ready(context.Context) (bool, string) {
+func (n *Node) ready(context.Context) (bool, string) {
 	switch {
 	case n.draining.Load():
 		return false, "stopping"
@@ -103,7 +103,7 @@
 	return true, "serving"
 }
 
-func (n *node) announce(w http.ResponseWriter, r *http.Request) {
+func (n *Node) announce(w http.ResponseWriter, r *http.Request) {
 	var a roster.Announcement
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 64<<10)).Decode(&a); err != nil {
 		process.Error(w, http.StatusBadRequest, "not an announcement: "+err.Error())
@@ -125,7 +125,7 @@
 	process.JSON(w, http.StatusOK, got)
 }
 
-func (n *node) leave(w http.ResponseWriter, r *http.Request) {
+func (n *Node) leave(w http.ResponseWriter, r *http.Request) {
 	ok, heard := launch.Ask(r.Context(), n.steward.box, func(c chan<- bool) any { return msgLeave{r.PathValue("instance"), c} })
 	if heard && !ok {
 		process.Error(w, http.StatusNotFound, "no such backend")
@@ -134,7 +134,7 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (n *node) backends(w http.ResponseWriter, _ *http.Request) {
+func (n *Node) backends(w http.ResponseWriter, _ *http.Request) {
 	now := time.Now()
 	out := []entryView{}
 	for _, e := range n.steward.roster.Load().Entries() {
@@ -146,12 +146,12 @@
 
 // budgets shows the budgets of all contracts in force, summed over all nodes if
 // a core has told the sums lately.
-func (n *node) budgets(w http.ResponseWriter, _ *http.Request) {
+func (n *Node) budgets(w http.ResponseWriter, _ *http.Request) {
 	sums, whole := n.steward.budgets.Sums()
 	process.JSON(w, http.StatusOK, contract.Answer{Whole: whole, Budgets: n.steward.table.Load().Pages(sums)})
 }
 
-func (n *node) stats() stats {
+func (n *Node) stats() stats {
 	f := *n.steward.shown.Load()
 	held, settled := n.holder.Count()
 	return stats{Node: n.set.Advertise, Boot: n.p.Boot, Locality: n.set.Locality, Stamp: n.steward.table.Load().Stamp, Follows: f,
--- a/cmd/sidecar/node.go
+++ b/sidecar/node.go
@@ -1,4 +1,5 @@
-package main
+// Package sidecar puts the parts of the data plane together. (DESIGN 1)
+package sidecar
 
 import (
 	"context"
@@ -33,8 +34,16 @@
 // workers is how many drain the trace queue. (ours)
 const workers = 2
 
-// node is a sidecar with its parts.
-type node struct {
+// Doors are how others than the project's own speak to a sidecar. (DESIGN 18)
+type Doors struct {
+	// Dialect words what callers and backends say.
+	Dialect relay.Dialect
+	// Open opens further addresses.
+	Open func(n *Node)
+}
+
+// Node is a sidecar with its parts.
+type Node struct {
 	p        *process.Process
 	set      boot.Sidecar
 	steward  *steward
@@ -49,10 +58,10 @@
 	webs     []*process.Web
 }
 
-// newNode puts the parts together and opens the addresses.
-func newNode(set boot.Sidecar) *node {
+// New puts the parts together and opens the addresses.
+func New(set boot.Sidecar, doors *Doors) *Node {
 	p := process.New("sidecar", set.Common)
-	n := &node{p: p, set: set, queue: trace.NewQueue(set.Advertise, p.Boot, set.TraceQueue)}
+	n := &Node{p: p, set: set, queue: trace.NewQueue(set.Advertise, p.Boot, set.TraceQueue)}
 	n.seeker = cohort.NewSeeker()
 	n.steward = newSteward(p.Launcher, set.Advertise, p.Boot, set.Locality, n.seeker.Hasten)
 	lin := lineage.NewKeeper()
@@ -69,6 +78,10 @@
 	table := func() *way.Table { return n.steward.table.Load() }
 	n.near = &relay.Near{Locality: set.Locality, Table: table, View: func() *cohort.View { return n.steward.view.Load() },
 		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log, Lineage: lin, Claims: claims, Purses: n.steward.purses, Budgets: n.steward.budgets, Costs: way.NewCosts(), Life: p.Life, Draining: n.draining.Load}
+	n.near.Home, n.near.Dialect = set.Caller, relay.Plain{}
+	if doors != nil {
+		n.near.Dialect = doors.Dialect
+	}
 	holder := custody.NewHolder()
 	n.holder = holder
 	maps.Copy(p.Host.Handlers, holder.Handlers())
@@ -78,7 +91,7 @@
 	n.near.Custody.Begin()
 	n.far = relay.NewFar(p.Life, p.Launcher)
 	n.far.Boot, n.far.Table, n.far.Queue, n.far.Lineage, n.far.Draining = p.Boot, table, n.queue, lin, n.draining.Load
-	n.far.Claimed = n.claimed
+	n.far.Claimed, n.far.Dialect = n.claimed, n.near.Dialect
 	n.far.Bodies = &relay.Bodies{Most: set.MaxBody, All: set.BodyMemory}
 	rollcall := &cohort.Rollcall{Own: set.Advertise, Net: p.Net, Launcher: p.Launcher, Node: n.steward.node, View: watcher.View, Seeds: n.seeker.Seeds,
 		News: n.steward.news, Sure: n.steward.agreed.Renew,
@@ -119,24 +132,36 @@
 		w := &trace.Worker{Queue: n.queue, Choose: n.collector, Send: n.publish, Linger: 100 * time.Millisecond, MaxSize: 256}
 		p.Launcher.Go(p.Life, "trace-worker", w.Run)
 	}
+	if doors != nil {
+		doors.Open(n)
+	}
 	return n
 }
 
-// readyLine prints the signal of readiness: the addresses that really stand.
-func (n *node) readyLine() {
+// Run prints the signal of readiness, the addresses that really stand, and returns when
+// the sidecar has been warned and stopped in order; read reads the settings again.
+func (n *Node) Run(read func() (boot.Sidecar, boot.Exit)) {
 	fmt.Fprintf(os.Stdout, "started wire=%s control=%s inquiries=%s\n", n.p.Host.Addr(), n.webs[0].Listener.Addr(), n.webs[1].Listener.Addr())
+	n.p.Wait(func() {
+		next, exit := read()
+		n.reload.Reload(n.p, n.set, next, next.Common, exit)
+	})
+	n.stop()
 }
 
+// Process is the frame that the sidecar hangs in.
+func (n *Node) Process() *process.Process { return n.p }
+
 // claimed tells whether this sidecar may admit: its claim is young, or so many
 // cores are dead that no newer word can be acknowledged, and most sidecars agree
 // that there is none. (DESIGN 7.2, 7.4)
-func (n *node) claimed() bool {
+func (n *Node) claimed() bool {
 	now := time.Now()
 	return n.steward.claim.Age(now) <= roster.ClaimFor || n.steward.agreed.Age(now) <= roster.ClaimFor && n.seeker.Seats().NoMajority(now)
 }
 
 // muster answers another sidecar that hears no core.
-func (n *node) muster(ctx context.Context, in wire.Inquiry) (any, string) {
+func (n *Node) muster(ctx context.Context, in wire.Inquiry) (any, string) {
 	var m cohort.Muster
 	if !in.Into(&m) {
 		return nil, "not a muster"
@@ -146,7 +171,7 @@
 }
 
 // hail answers another process.
-func (n *node) hail(_ context.Context, in wire.Inquiry) (any, string) {
+func (n *Node) hail(_ context.Context, in wire.Inquiry) (any, string) {
 	var h cohort.Hail
 	if !in.Into(&h) {
 		return nil, "not a hail"
@@ -156,7 +181,7 @@
 }
 
 // collector is the first live core by rendezvous of the trace id.
-func (n *node) collector(id trace.TraceID) (string, bool) {
+func (n *Node) collector(id trace.TraceID) (string, bool) {
 	live := rendezvous.Rank(id.String(), n.seeker.Seats().Live(time.Now()), func(c cohort.Seat) string { return fmt.Sprint(c.Slot) })
 	if len(live) == 0 {
 		return "", false
@@ -164,7 +189,7 @@
 	return live[0].Addr, true
 }
 
-func (n *node) publish(ctx context.Context, collector string, batch []trace.Event) bool {
+func (n *Node) publish(ctx context.Context, collector string, batch []trace.Event) bool {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	var t collect.Taken
@@ -173,7 +198,7 @@
 
 // stop drains: unready at once, nothing new, what was handed over finishes.
 // (DESIGN 11.3)
-func (n *node) stop() {
+func (n *Node) stop() {
 	n.draining.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), n.reload.Drain())
 	defer cancel()
--- a/cmd/sidecar/outgoing_test.go
+++ b/sidecar/outgoing_test.go
@@ -1,4 +1,4 @@
-package main
+package sidecar
 
 import (
 	"fmt"
--- a/cmd/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -1,4 +1,4 @@
-package main
+package sidecar
 
 import (
 	"context"
@@ -116,7 +116,7 @@
 	}
 }
 
-// node is what this sidecar tells of itself.
+// Node is what this sidecar tells of itself.
 func (s *steward) node() cohort.Node {
 	r := s.roster.Load()
 	return cohort.Node{Addr: s.addr, Boot: s.boot, Rev: r.Rev, Locality: s.locality, Stamp: s.table.Load().Stamp, Backends: r.Backends(), Inc: s.inc.Load(), Open: r.Open(),
