Let configurations split ways, and say what holds for services and clients

Cause: a way could lead to one service only, and nothing could be said of a service's connections, of its cold start, or of what clients may send. Weighed: splits as services of their own (a name more that nobody announces); an open map of settings (no checks by path).

--- a/desired/desired_easyjson.go
+++ b/desired/desired_easyjson.go
@@ -82,6 +82,33 @@
 			} else {
 				out.Service = string(in.String())
 			}
+		case "split":
+			if in.IsNull() {
+				in.Skip()
+				out.Split = nil
+			} else {
+				in.Delim('[')
+				if out.Split == nil {
+					if !in.IsDelim(']') {
+						out.Split = make([]Portion, 0, 1)
+					} else {
+						out.Split = []Portion{}
+					}
+				} else {
+					out.Split = (out.Split)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v2 Portion
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v2).UnmarshalEasyJSON(in)
+					}
+					out.Split = append(out.Split, v2)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		case "contract":
 			if in.IsNull() {
 				in.Skip()
@@ -94,6 +121,12 @@
 			} else {
 				out.Repeatable = bool(in.Bool())
 			}
+		case "legs":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Legs = int(in.Int())
+			}
 		default:
 			out.UnmarshalUnknown(in, key)
 		}
@@ -128,20 +161,34 @@
 		out.RawString(prefix)
 		{
 			out.RawByte('[')
-			for v2, v3 := range in.Methods {
-				if v2 > 0 {
+			for v3, v4 := range in.Methods {
+				if v3 > 0 {
 					out.RawByte(',')
 				}
-				out.String(string(v3))
+				out.String(string(v4))
 			}
 			out.RawByte(']')
 		}
 	}
-	{
+	if in.Service != "" {
 		const prefix string = ",\"service\":"
 		out.RawString(prefix)
 		out.String(string(in.Service))
 	}
+	if len(in.Split) != 0 {
+		const prefix string = ",\"split\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v5, v6 := range in.Split {
+				if v5 > 0 {
+					out.RawByte(',')
+				}
+				(v6).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
 	{
 		const prefix string = ",\"contract\":"
 		out.RawString(prefix)
@@ -152,6 +199,11 @@
 		out.RawString(prefix)
 		out.Bool(bool(in.Repeatable))
 	}
+	if in.Legs != 0 {
+		const prefix string = ",\"legs\":"
+		out.RawString(prefix)
+		out.Int(int(in.Legs))
+	}
 	out.RawByte('}')
 }
 
@@ -208,13 +260,13 @@
 					out.Ways = (out.Ways)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v4 Way
+					var v7 Way
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v4).UnmarshalEasyJSON(in)
+						(v7).UnmarshalEasyJSON(in)
 					}
-					out.Ways = append(out.Ways, v4)
+					out.Ways = append(out.Ways, v7)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -235,17 +287,50 @@
 					out.Contracts = (out.Contracts)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v5 Contract
+					var v8 Contract
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v8).UnmarshalEasyJSON(in)
+					}
+					out.Contracts = append(out.Contracts, v8)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
+		case "services":
+			if in.IsNull() {
+				in.Skip()
+				out.Services = nil
+			} else {
+				in.Delim('[')
+				if out.Services == nil {
+					if !in.IsDelim(']') {
+						out.Services = make([]Service, 0, 1)
+					} else {
+						out.Services = []Service{}
+					}
+				} else {
+					out.Services = (out.Services)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v9 Service
 					if in.IsNull() {
 						in.Skip()
 					} else {
-						(v5).UnmarshalEasyJSON(in)
+						(v9).UnmarshalEasyJSON(in)
 					}
-					out.Contracts = append(out.Contracts, v5)
+					out.Services = append(out.Services, v9)
 					in.WantComma()
 				}
 				in.Delim(']')
 			}
+		case "limits":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.Limits).UnmarshalEasyJSON(in)
+			}
 		default:
 			out.UnmarshalUnknown(in, key)
 		}
@@ -267,11 +352,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v6, v7 := range in.Ways {
-				if v6 > 0 {
+			for v10, v11 := range in.Ways {
+				if v10 > 0 {
 					out.RawByte(',')
 				}
-				(v7).MarshalEasyJSON(out)
+				(v11).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -283,15 +368,34 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v8, v9 := range in.Contracts {
-				if v8 > 0 {
+			for v12, v13 := range in.Contracts {
+				if v12 > 0 {
+					out.RawByte(',')
+				}
+				(v13).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
+	if len(in.Services) != 0 {
+		const prefix string = ",\"services\":"
+		out.RawString(prefix)
+		{
+			out.RawByte('[')
+			for v14, v15 := range in.Services {
+				if v14 > 0 {
 					out.RawByte(',')
 				}
-				(v9).MarshalEasyJSON(out)
+				(v15).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
 	}
+	if (in.Limits).IsDefined() {
+		const prefix string = ",\"limits\":"
+		out.RawString(prefix)
+		(in.Limits).MarshalEasyJSON(out)
+	}
 	out.RawByte('}')
 }
 
@@ -318,7 +422,292 @@
 func (v *State) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjsonDced91f4DecodeCurlewwalkDesired1(l, v)
 }
-func easyjsonDced91f4DecodeCurlewwalkDesired2(in *jlexer.Lexer, out *Contract) {
+func easyjsonDced91f4DecodeCurlewwalkDesired2(in *jlexer.Lexer, out *Service) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "name":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Name = string(in.String())
+			}
+		case "connections":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Connections = int(in.Int())
+			}
+		case "cold":
+			if in.IsNull() {
+				in.Skip()
+				out.Cold = nil
+			} else {
+				if out.Cold == nil {
+					out.Cold = new(Cold)
+				}
+				if in.IsNull() {
+					in.Skip()
+				} else {
+					(*out.Cold).UnmarshalEasyJSON(in)
+				}
+			}
+		default:
+			out.UnmarshalUnknown(in, key)
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonDced91f4EncodeCurlewwalkDesired2(out *jwriter.Writer, in Service) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"name\":"
+		out.RawString(prefix[1:])
+		out.String(string(in.Name))
+	}
+	if in.Connections != 0 {
+		const prefix string = ",\"connections\":"
+		out.RawString(prefix)
+		out.Int(int(in.Connections))
+	}
+	if in.Cold != nil {
+		const prefix string = ",\"cold\":"
+		out.RawString(prefix)
+		(*in.Cold).MarshalEasyJSON(out)
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v Service) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjsonDced91f4EncodeCurlewwalkDesired2(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v Service) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjsonDced91f4EncodeCurlewwalkDesired2(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *Service) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjsonDced91f4DecodeCurlewwalkDesired2(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *Service) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjsonDced91f4DecodeCurlewwalkDesired2(l, v)
+}
+func easyjsonDced91f4DecodeCurlewwalkDesired3(in *jlexer.Lexer, out *Portion) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "service":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Service = string(in.String())
+			}
+		case "weight":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Weight = int(in.Int())
+			}
+		default:
+			out.UnmarshalUnknown(in, key)
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonDced91f4EncodeCurlewwalkDesired3(out *jwriter.Writer, in Portion) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"service\":"
+		out.RawString(prefix[1:])
+		out.String(string(in.Service))
+	}
+	{
+		const prefix string = ",\"weight\":"
+		out.RawString(prefix)
+		out.Int(int(in.Weight))
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v Portion) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjsonDced91f4EncodeCurlewwalkDesired3(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v Portion) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjsonDced91f4EncodeCurlewwalkDesired3(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *Portion) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjsonDced91f4DecodeCurlewwalkDesired3(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *Portion) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjsonDced91f4DecodeCurlewwalkDesired3(l, v)
+}
+func easyjsonDced91f4DecodeCurlewwalkDesired4(in *jlexer.Lexer, out *Limits) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "header_bytes":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.HeaderBytes = int(in.Int())
+			}
+		case "body_bytes":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.BodyBytes = int64(in.Int64())
+			}
+		case "header_wait":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.HeaderWait).UnmarshalEasyJSON(in)
+			}
+		case "idle":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.Idle).UnmarshalEasyJSON(in)
+			}
+		default:
+			out.UnmarshalUnknown(in, key)
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonDced91f4EncodeCurlewwalkDesired4(out *jwriter.Writer, in Limits) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	if in.HeaderBytes != 0 {
+		const prefix string = ",\"header_bytes\":"
+		first = false
+		out.RawString(prefix[1:])
+		out.Int(int(in.HeaderBytes))
+	}
+	if in.BodyBytes != 0 {
+		const prefix string = ",\"body_bytes\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		out.Int64(int64(in.BodyBytes))
+	}
+	if (in.HeaderWait).IsDefined() {
+		const prefix string = ",\"header_wait\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		(in.HeaderWait).MarshalEasyJSON(out)
+	}
+	if (in.Idle).IsDefined() {
+		const prefix string = ",\"idle\":"
+		if first {
+			first = false
+			out.RawString(prefix[1:])
+		} else {
+			out.RawString(prefix)
+		}
+		(in.Idle).MarshalEasyJSON(out)
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v Limits) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjsonDced91f4EncodeCurlewwalkDesired4(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v Limits) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjsonDced91f4EncodeCurlewwalkDesired4(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *Limits) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjsonDced91f4DecodeCurlewwalkDesired4(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *Limits) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjsonDced91f4DecodeCurlewwalkDesired4(l, v)
+}
+func easyjsonDced91f4DecodeCurlewwalkDesired5(in *jlexer.Lexer, out *Contract) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -366,7 +755,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonDced91f4EncodeCurlewwalkDesired2(out *jwriter.Writer, in Contract) {
+func easyjsonDced91f4EncodeCurlewwalkDesired5(out *jwriter.Writer, in Contract) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -396,23 +785,99 @@
 // MarshalJSON supports json.Marshaler interface
 func (v Contract) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
-	easyjsonDced91f4EncodeCurlewwalkDesired2(&w, v)
+	easyjsonDced91f4EncodeCurlewwalkDesired5(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v Contract) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonDced91f4EncodeCurlewwalkDesired2(w, v)
+	easyjsonDced91f4EncodeCurlewwalkDesired5(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
 func (v *Contract) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
-	easyjsonDced91f4DecodeCurlewwalkDesired2(&r, v)
+	easyjsonDced91f4DecodeCurlewwalkDesired5(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *Contract) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonDced91f4DecodeCurlewwalkDesired2(l, v)
+	easyjsonDced91f4DecodeCurlewwalkDesired5(l, v)
+}
+func easyjsonDced91f4DecodeCurlewwalkDesired6(in *jlexer.Lexer, out *Cold) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "for":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				(out.For).UnmarshalEasyJSON(in)
+			}
+		case "rate":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Rate = float64(in.Float64())
+			}
+		default:
+			out.UnmarshalUnknown(in, key)
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonDced91f4EncodeCurlewwalkDesired6(out *jwriter.Writer, in Cold) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"for\":"
+		out.RawString(prefix[1:])
+		(in.For).MarshalEasyJSON(out)
+	}
+	{
+		const prefix string = ",\"rate\":"
+		out.RawString(prefix)
+		out.Float64(float64(in.Rate))
+	}
+	out.RawByte('}')
+}
+
+// MarshalJSON supports json.Marshaler interface
+func (v Cold) MarshalJSON() ([]byte, error) {
+	w := jwriter.Writer{}
+	easyjsonDced91f4EncodeCurlewwalkDesired6(&w, v)
+	return w.Buffer.BuildBytes(), w.Error
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v Cold) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjsonDced91f4EncodeCurlewwalkDesired6(w, v)
+}
+
+// UnmarshalJSON supports json.Unmarshaler interface
+func (v *Cold) UnmarshalJSON(data []byte) error {
+	r := jlexer.Lexer{Data: data}
+	easyjsonDced91f4DecodeCurlewwalkDesired6(&r, v)
+	return r.Error()
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *Cold) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjsonDced91f4DecodeCurlewwalkDesired6(l, v)
 }
--- a/desired/duration.go
+++ b/desired/duration.go
@@ -26,3 +26,7 @@
 
 // MarshalEasyJSON implements easyjson.Marshaler.
 func (d Duration) MarshalEasyJSON(out *jwriter.Writer) { out.String(d.String()) }
+
+// IsDefined implements easyjson.Optional: where a duration may be left out, none
+// is written as none.
+func (d Duration) IsDefined() bool { return d.Duration != 0 || d.Bad != "" }
--- /dev/null
+++ b/desired/portion.go
@@ -0,0 +1,11 @@
+package desired
+
+// Portion is a service's part of a way's inquiries.
+//
+//easyjson:json
+type Portion struct {
+	Stray
+	Service string `json:"service"`
+	// Weight counts against the sum of the way's weights.
+	Weight int `json:"weight"`
+}
--- a/desired/state.go
+++ b/desired/state.go
@@ -2,6 +2,8 @@
 // (DESIGN 5)
 package desired
 
+import "github.com/mailru/easyjson/jwriter"
+
 // State is one whole configuration.
 //
 //easyjson:json
@@ -9,4 +11,14 @@
 	Stray
 	Ways      []Way      `json:"ways"`
 	Contracts []Contract `json:"contracts"`
+	Services  []Service  `json:"services,omitempty"`
+	Limits    Limits     `json:"limits,omitempty"`
+}
+
+// Bytes writes a configuration as Parse reads it.
+func (st State) Bytes() []byte {
+	out := jwriter.Writer{Flags: jwriter.NilSliceAsEmpty}
+	st.MarshalEasyJSON(&out)
+	b, _ := out.BuildBytes() // our writers never fail
+	return b
 }
--- a/desired/stray.go
+++ b/desired/stray.go
@@ -18,4 +18,7 @@
 	in.SkipRecursive()
 }
 
-func (s *Stray) sorted() []string { return slices.Sorted(slices.Values(s.names)) }
+func (s *Stray) sorted() []string {
+	slices.Sort(s.names)
+	return s.names
+}
--- a/desired/way.go
+++ b/desired/way.go
@@ -9,9 +9,24 @@
 	Host    string   `json:"host,omitempty"`
 	Prefix  string   `json:"prefix"`
 	Methods []string `json:"methods,omitempty"`
-	Service string   `json:"service"`
+	// Service takes the inquiries; or Split divides them among several.
+	Service string    `json:"service,omitempty"`
+	Split   []Portion `json:"split,omitempty"`
 	// Contract names the contract that the way's inquiries run under.
 	Contract string `json:"contract"`
 	// Repeatable says that running an inquiry twice does no harm.
 	Repeatable bool `json:"repeatable,omitempty"`
+	// Legs is how many legs an inquiry may have at most; 0 leaves it to us.
+	Legs int `json:"legs,omitempty"`
+}
+
+// Services lists the services that the way leads to.
+func (w *Way) Services() (out []string) {
+	if w.Service != "" {
+		out = append(out, w.Service)
+	}
+	for _, p := range w.Split {
+		out = append(out, p.Service)
+	}
+	return out
 }
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -140,12 +140,14 @@
 // with less than half of its places.
 func risks(before, after side) (out []Risk) {
 	for _, w := range after.state.Ways {
-		was, is := before.of(w.Service), after.of(w.Service)
-		switch {
-		case is == 0:
-			out = append(out, Risk{Contract: w.Contract, Why: fmt.Sprintf("way %s: no backend of %s", w.Name, w.Service)})
-		case 2*is < was:
-			out = append(out, Risk{Contract: w.Contract, Why: fmt.Sprintf("way %s: %s keeps %d of %d places", w.Name, w.Service, is, was)})
+		for _, service := range w.Services() {
+			was, is := before.of(service), after.of(service)
+			switch {
+			case is == 0:
+				out = append(out, Risk{Contract: w.Contract, Why: fmt.Sprintf("way %s: no backend of %s", w.Name, service)})
+			case 2*is < was:
+				out = append(out, Risk{Contract: w.Contract, Why: fmt.Sprintf("way %s: %s keeps %d of %d places", w.Name, service, is, was)})
+			}
 		}
 	}
 	return out
