Count what circuits carry by kind

Weighed: counting in each caller and handler (many places, and frames' bytes are not known there); a tap that is handed each frame (dear, and anything could be done with it). Change: Net and Host each have Counts, atomics by kind, whole frames in bytes; greetings and pings are kinds of their own, and a kind that nobody answers is counted as unknown, so that no far process can grow the table.

--- a/wire/circuit.go
+++ b/wire/circuit.go
@@ -25,6 +25,7 @@
 type Circuit struct {
 	conn  net.Conn
 	far   Greeting
+	count *Counts
 	calls chan *call
 	drop  chan *call
 	in    chan inbound
@@ -43,11 +44,16 @@
 	span   trace.Span
 	traced bool
 	msg    message
+	bytes  int
 	err    error
 }
 
 // Dial opens a circuit and exchanges greetings.
 func Dial(ctx context.Context, l *launch.Launcher, from net.IP, addr string, own Greeting) (*Circuit, error) {
+	return dial(ctx, l, from, addr, own, &Counts{})
+}
+
+func dial(ctx context.Context, l *launch.Launcher, from net.IP, addr string, own Greeting, count *Counts) (*Circuit, error) {
 	d := net.Dialer{Timeout: time.Second}
 	if from != nil {
 		d.LocalAddr = &net.TCPAddr{IP: from}
@@ -56,9 +62,9 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "dial")
 	}
-	c := &Circuit{conn: conn, calls: make(chan *call), drop: make(chan *call), in: make(chan inbound, 16), done: make(chan struct{})}
+	c := &Circuit{conn: conn, count: count, calls: make(chan *call), drop: make(chan *call), in: make(chan inbound, 16), done: make(chan struct{})}
 	r := bufio.NewReader(conn)
-	if c.far, err = exchange(conn, r, own); err != nil {
+	if c.far, err = exchange(conn, r, own, count.call, count.receipt); err != nil {
 		conn.Close()
 		return nil, err
 	}
@@ -68,8 +74,8 @@
 	return c, nil
 }
 
-// exchange sends the own greeting and reads the other's.
-func exchange(conn net.Conn, r *bufio.Reader, own Greeting) (Greeting, error) {
+// exchange sends the own greeting and reads the other's; sent and came count them.
+func exchange(conn net.Conn, r *bufio.Reader, own Greeting, sent, came func(kind string, bytes int)) (Greeting, error) {
 	var far Greeting
 	conn.SetDeadline(time.Now().Add(time.Second))
 	defer conn.SetDeadline(time.Time{})
@@ -80,10 +86,12 @@
 	if _, err := conn.Write(sealFrame(append(make([]byte, headLen), raw...))); err != nil {
 		return far, eris.Wrap(err, "greet")
 	}
+	sent(kindGreeting, headLen+len(raw))
 	b, err := readFrame(r)
 	if err != nil {
 		return far, eris.Wrap(err, "read greeting")
 	}
+	came(kindGreeting, headLen+len(b))
 	return far, eris.Wrap(msgpack.Unmarshal(b, &far), "greeting")
 }
 
@@ -130,6 +138,7 @@
 		b, err := readFrame(r)
 		if err == nil {
 			in.span, in.traced, in.msg, err = decode(b)
+			in.bytes = headLen + len(b)
 		}
 		in.err = err
 		select {
@@ -165,6 +174,9 @@
 		}
 		c.conn.SetWriteDeadline(time.Now().Add(writeLimit))
 		n, err := c.conn.Write(b)
+		if n == len(b) {
+			c.count.call(m.Kind, n)
+		}
 		return n == len(b), err == nil
 	}
 	for {
@@ -196,6 +208,7 @@
 			}
 			heard = time.Now()
 			if in.msg.Kind == kindPing {
+				c.count.receipt(kindPing, in.bytes)
 				continue
 			}
 			k, ok := open[in.msg.ID]
@@ -203,12 +216,14 @@
 				if !dropped[in.msg.ID] {
 					return // a receipt that nobody asked for: the circuit can't be trusted
 				}
+				c.count.receipt(kindDropped, in.bytes)
 				delete(dropped, in.msg.ID)
 				continue
 			}
 			if k.kind != in.msg.Kind {
 				return
 			}
+			c.count.receipt(k.kind, in.bytes)
 			delete(open, in.msg.ID)
 			k.reply <- Receipt{Fate: Answered, Fault: in.msg.Fault, Span: in.span, Traced: in.traced, body: in.msg.Body}
 		case <-tick.C:
--- a/wire/host.go
+++ b/wire/host.go
@@ -32,6 +32,8 @@
 	Launcher *launch.Launcher
 	// Listener is where circuits come in.
 	Listener net.Listener
+	// Counts are the calls that came and the receipts sent, by kind.
+	Counts Counts
 }
 
 // Addr is where the host listens.
@@ -53,7 +55,7 @@
 func (h *Host) serve(ctx context.Context, conn net.Conn) {
 	defer conn.Close()
 	r := bufio.NewReader(conn)
-	far, err := exchange(conn, r, h.Own)
+	far, err := exchange(conn, r, h.Own, h.Counts.receipt, h.Counts.call)
 	if err != nil {
 		return
 	}
@@ -84,6 +86,7 @@
 		if err != nil {
 			return
 		}
+		h.Counts.call(h.counted(m.Kind), headLen+len(b))
 		if m.Kind == kindPing {
 			h.reply(ctx, out, trace.Span{}, message{Kind: kindPing})
 			continue
@@ -126,8 +129,17 @@
 	if err != nil {
 		b, _ = encode(s, message{ID: m.ID, Kind: m.Kind, Fault: err.Error()})
 	}
+	h.Counts.receipt(h.counted(m.Kind), len(b))
 	select {
 	case out <- b:
 	case <-ctx.Done():
 	}
 }
+
+// counted is the kind that a call is counted as.
+func (h *Host) counted(kind string) string {
+	if _, ok := h.Handlers[kind]; ok || kind == kindPing {
+		return kind
+	}
+	return kindUnknown
+}
--- a/wire/net.go
+++ b/wire/net.go
@@ -21,6 +21,8 @@
 	want chan want
 	made chan dialled
 	gone chan *Circuit
+	// Counts are the calls sent and the receipts that came, by kind.
+	Counts Counts
 }
 
 // Lane keeps control traffic and inquiries out of each other's way.
@@ -102,7 +104,7 @@
 			}
 			if waiting[w.line] = append(waiting[w.line], w.reply); len(waiting[w.line]) == 1 {
 				n.l.Go(ctx, "dial", func(ctx context.Context) {
-					c, err := Dial(ctx, n.l, n.from, w.line.addr, n.own)
+					c, err := dial(ctx, n.l, n.from, w.line.addr, n.own, &n.Counts)
 					if err != nil {
 						c = nil
 					}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"curlewwalk/launch"
@@ -21,6 +22,8 @@
 	return ctx, launch.New(slog.New(slog.DiscardHandler), func(name string, cause any, stack []byte) { t.Errorf("%s: %v\n%s", name, cause, stack) })
 }
 
+func uncounted(string, int) {}
+
 type echo struct {
 	Text  string `msgpack:"t"`
 	Trace string `msgpack:"tr"`
@@ -77,7 +80,7 @@
 			return
 		}
 		r := bufio.NewReader(conn)
-		exchange(conn, r, Greeting{Version: 1})
+		exchange(conn, r, Greeting{Version: 1}, uncounted, uncounted)
 		for {
 			b, err := readFrame(r)
 			if err != nil {
@@ -167,7 +170,7 @@
 				}
 				defer conn.Close()
 				r := bufio.NewReader(conn)
-				exchange(conn, r, Greeting{})
+				exchange(conn, r, Greeting{}, uncounted, uncounted)
 				b, err := readFrame(r)
 				if err != nil {
 					return
@@ -203,7 +206,7 @@
 	}
 	defer conn.Close()
 	r := bufio.NewReader(conn)
-	exchange(conn, r, Greeting{})
+	exchange(conn, r, Greeting{}, uncounted, uncounted)
 	out, _ := encode(trace.Span{}, message{ID: 1, Kind: "run"})
 	conn.Write(append(append([]byte{}, out...), out...))
 	for {
@@ -224,3 +227,24 @@
 	}
 	return ln
 }
+
+// Both sides count the same frames, each kind by itself; a kind that nobody answers is
+// not kept by its name.
+func TestCounts(t *testing.T) {
+	ctx, l := begin(t)
+	h := host(t, ctx, l)
+	n := NewNet(l, Greeting{Version: Version, Node: "caller"}, nil)
+	l.Go(ctx, "net", n.Run)
+	for _, kind := range []string{"echo", "echo", "nobody"} {
+		n.Call(ctx, h.Addr().String(), Control, kind, echo{Text: kind})
+	}
+	called, answered := n.Counts.Read(), h.Counts.Read()
+	answered["nobody"] = answered[kindUnknown]
+	delete(answered, kindUnknown)
+	if d := cmp.Diff(called, answered); d != "" {
+		t.Error(d)
+	}
+	if c := called["echo"]; c.Calls != 2 || c.Receipts != 2 || c.CallBytes <= 2*headLen || called[kindGreeting].Calls != 1 || called["nobody"].Receipts != 1 {
+		t.Errorf("%+v", called)
+	}
+}
