Find ways by host and longest prefix; pick a split's service for all legs

Cause: each inquiry looked through all ways, and a way led to one service. Weighed: a tree of prefixes (a byte at a time, more code); a sorted search per host (must step back over longer neighbours).

--- a/relay/near.go
+++ b/relay/near.go
@@ -120,6 +120,7 @@
 	} else if !ok {
 		return n.count(n.word(http.StatusNotFound, way.NotRun, "no way takes this inquiry", "", 0))
 	}
+	q.way.Service = way.Pick(q.way, rand.IntN) // for all its legs
 	h := endToEnd(r.Header)
 	said := n.Dialect.Hear(r, h)
 	q.left = said.Left
--- a/way/decision.go
+++ b/way/decision.go
@@ -1,6 +1,7 @@
 package way
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -10,6 +11,7 @@
 )
 
 const (
+	// mostLegs is how many legs an inquiry has whose way does not say.
 	mostLegs = 3 // (ours)
 	// spillAt is how busy the own locality must be before others are used.
 	spillAt = 0.8 // (ours)
@@ -18,6 +20,7 @@
 // Decision is the object that is asked about one inquiry. The executor obeys
 // it and tells it what came of each leg. (DESIGN 4.2)
 type Decision struct {
+	// Way has as its Service the one that was picked for the inquiry.
 	Way      desired.Way
 	Expiry   time.Time
 	Locality string
@@ -29,6 +32,9 @@
 // Tell takes the fate of a leg.
 func (d *Decision) Tell(l Leg) { d.legs = append(d.legs, l) }
 
+// Service is the one service that all legs go to.
+func (d *Decision) Service() string { return d.Way.Service }
+
 // Legs lists the legs so far.
 func (d *Decision) Legs() []Leg { return d.legs }
 
@@ -52,7 +58,7 @@
 	if expired {
 		return end(http.StatusGatewayTimeout, fate, reason, back)
 	}
-	if fate == Unknown && !d.Way.Repeatable || len(d.legs) >= mostLegs {
+	if fate == Unknown && !d.Way.Repeatable || len(d.legs) >= cmp.Or(d.Way.Legs, mostLegs) {
 		return end(status(fate), fate, reason, back)
 	}
 	target, ok := d.choose(t, v, now)
--- /dev/null
+++ b/way/pick_test.go
@@ -0,0 +1,77 @@
+package way
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	"curlewwalk/cohort"
+	"curlewwalk/desired"
+)
+
+// A split's services get their parts; one of no weight gets nothing.
+func TestPick(t *testing.T) {
+	if got := Pick(desired.Way{Service: "one"}, nil); got != "one" {
+		t.Errorf("without a split: %q", got)
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	w, got := desired.Way{Split: []desired.Portion{{Service: "none"}, {Service: "most", Weight: 95}, {Service: "few", Weight: 5}, {Service: "never"}}}, map[string]int{}
+	for range 20000 {
+		got[Pick(w, rng.IntN)]++
+	}
+	if got["most"] < 18800 || got["most"] > 19200 || got["most"]+got["few"] != 20000 {
+		t.Errorf("%v", got)
+	}
+}
+
+// An inquiry has as many legs as its way says, three if it says nothing.
+func TestLegs(t *testing.T) {
+	nodes := map[string]cohort.Node{}
+	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		nodes[name] = cohort.Node{Addr: name, Backends: []cohort.Backend{{Instance: name, Service: "s", Capacity: 1, Share: 1}}}
+	}
+	view := cohort.NewView(nodes, nil)
+	table, _ := NewTable(desired.Word{})
+	for legs, want := range map[int]int{0: 3, 1: 1, 2: 2, 5: 5, 10: 6} {
+		now := time.Now()
+		d := Decision{Way: desired.Way{Name: "w", Service: "s", Legs: legs}, Expiry: now.Add(time.Second), Rand: rand.New(rand.NewPCG(1, 1)),
+			Means: Means{Cost: func(cohort.Target) Cost { return Cost{} }, Spend: func() bool { return true }}}
+		for {
+			o := d.Ask(table, view, now)
+			if !o.Send {
+				if o.End.Status != http.StatusServiceUnavailable {
+					t.Errorf("legs %d: ended with %+v", legs, o.End)
+				}
+				break
+			}
+			d.Tell(Leg{Target: o.Target, Fate: NotRun})
+		}
+		if got := len(d.Legs()); got != want {
+			t.Errorf("legs %d: %d were sent", legs, got)
+		}
+	}
+}
+
+// What is said of services and clients is to be had; a table of nothing has none.
+func TestSaid(t *testing.T) {
+	table, ok := NewTable(desired.Word{Stamp: 1, DesiredStamp: 1, Desired: []byte(`{"contracts": [{"name":"c","aim":"1s","expiry":"2s","rank":1}],
+		"services": [{"name":"b","connections":7},{"name":"a"},{"name":"z"}], "limits": {"body_bytes": 9},
+		"ways": [{"name":"w","prefix":"/","split":[{"service":"b","weight":1},{"service":"a","weight":1}],"contract":"c"}]}`)})
+	if !ok {
+		t.Fatal("no table")
+	}
+	if s, ok := table.Service("b"); !ok || s.Connections != 7 {
+		t.Errorf("b: %+v", s)
+	}
+	if got := table.Services(); len(got) != 3 || table.Limits().BodyBytes != 9 {
+		t.Errorf("%v, %+v", got, table.Limits())
+	}
+	none, _ := NewTable(desired.Word{})
+	if _, ok := none.Service("b"); ok || none.Limits().IsDefined() || len(none.Services()) != 0 {
+		t.Error("a table of nothing says something")
+	}
+	if _, _, ok := none.Match("x", "/", "GET"); ok {
+		t.Error("a table of nothing matches")
+	}
+}
--- a/way/table.go
+++ b/way/table.go
@@ -7,7 +7,6 @@
 	"maps"
 	"net"
 	"slices"
-	"strings"
 	"time"
 
 	"curlewwalk/contract"
@@ -18,7 +17,10 @@
 type Table struct {
 	Stamp     uint64
 	ways      []desired.Way
+	index     index
 	contracts map[string]desired.Contract
+	services  map[string]desired.Service
+	limits    desired.Limits
 	emptied   map[string]bool
 	// back is since when localities that were emptied are taken back.
 	back map[string]time.Time
@@ -68,7 +70,10 @@
 	if !ok || len(faults) > 0 {
 		return nil, false
 	}
-	t.ways = st.Ways
+	t.ways, t.limits, t.services = st.Ways, st.Limits, map[string]desired.Service{}
+	for _, s := range st.Services {
+		t.services[s.Name] = s
+	}
 	for _, c := range st.Contracts {
 		t.contracts[c.Name] = c
 	}
@@ -76,6 +81,7 @@
 	slices.SortStableFunc(t.ways, func(a, b desired.Way) int {
 		return cmp.Or(cmp.Compare(len(b.Host), len(a.Host)), cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(min(1, len(b.Methods)), min(1, len(a.Methods))))
 	})
+	t.index = newIndex(t.ways)
 	return t, true
 }
 
@@ -84,21 +90,31 @@
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
 	}
-	for _, w := range t.ways {
-		if (w.Host == "" || strings.EqualFold(w.Host, host)) && strings.HasPrefix(path, w.Prefix) &&
-			(len(w.Methods) == 0 || slices.Contains(w.Methods, method)) {
-			return w, t.contracts[w.Contract], true
-		}
+	w := t.index.find(host, path, method)
+	if w == nil {
+		return desired.Way{}, desired.Contract{}, false
 	}
-	return desired.Way{}, desired.Contract{}, false
+	return *w, t.contracts[w.Contract], true
+}
+
+// Service is what the operator said of a service; false if nothing.
+func (t *Table) Service(name string) (desired.Service, bool) {
+	s, ok := t.services[name]
+	return s, ok
 }
 
-// Services lists the services that ways lead to.
-func (t *Table) Services() (out []string) {
-	for _, w := range t.ways {
-		out = append(out, w.Service)
+// Limits bound what clients may send.
+func (t *Table) Limits() desired.Limits { return t.limits }
+
+// Services lists the services that ways lead to, and those that something was
+// said of.
+func (t *Table) Services() []string {
+	out := slices.Collect(maps.Keys(t.services))
+	for i := range t.ways {
+		out = append(out, t.ways[i].Services()...)
 	}
-	return out
+	slices.Sort(out)
+	return slices.Compact(out)
 }
 
 const (
