--- a/boot/core.go
+++ b/boot/core.go
@@ -9,9 +9,9 @@
 }
 
 // ReadCore reads and checks the settings of a core.
-func ReadCore(args []string) (Core, Exit) {
+func ReadCore(args []string, groups ...Group) (Core, Exit) {
 	var s Core
-	exit := read("core", &s, &s.Common, args, func(c *checker) {
+	exit := read("core", &s, &s.Common, args, groups, func(c *checker) {
 		if s.Slots < 1 || s.Slots > 7 || s.Slots%2 == 0 {
 			c.bad("slots", s.Slots, "1, 3, 5 or 7")
 		} else if s.Slot < 1 || s.Slot > s.Slots {
--- a/boot/read.go
+++ b/boot/read.go
@@ -12,11 +12,16 @@
 const Version = "curlewwalk 0.1"
 
 // read fills settings from the file that args name, then from args, and checks.
-func read(program string, settings any, common *Common, args []string, check func(*checker)) Exit {
+func read(program string, settings any, common *Common, args []string, groups []Group, check func(*checker)) Exit {
 	p := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
 	if _, err := p.AddGroup("Settings", "", settings); err != nil {
 		panic(err) // the settings' own tags are wrong
 	}
+	for _, g := range groups {
+		if _, err := p.AddGroup(g.Name, "", g.Data); err != nil {
+			panic(err)
+		}
+	}
 	fail := func(text string) Exit {
 		return Exit{Now: true, Code: 2, Text: program + ": settings: " + strings.ReplaceAll(text, "\n", "; ")}
 	}
--- a/boot/sidecar.go
+++ b/boot/sidecar.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"curlewwalk/wire"
 )
@@ -17,13 +18,15 @@
 	Caller     string            `long:"caller" ini-name:"caller" description:"service that all callers on this machine belong to, if they are one's; else each service has an address of its own"`
 	MaxBody    int64             `long:"max-body" ini-name:"max-body" default:"16777216" description:"largest body of an inquiry or an answer, in bytes"`
 	BodyMemory int64             `long:"body-memory" ini-name:"body-memory" default:"268435456" description:"bodies of inquiries that are held at a time, in bytes"`
+	ServeOn    time.Duration     `long:"serve-on" ini-name:"serve-on" default:"0s" description:"how long clients' inquiries are still taken after a warning to stop, at most half of drain"`
+	NoKeys     bool              `long:"no-keys" ini-name:"no-keys" description:"no client sends an Idempotency-Key: readiness need not wait for claims of an earlier life"`
 	TraceQueue int               `long:"trace-queue" ini-name:"trace-queue" default:"8192" description:"events that may wait to be published"`
 }
 
 // ReadSidecar reads and checks the settings of a sidecar.
-func ReadSidecar(args []string) (Sidecar, Exit) {
+func ReadSidecar(args []string, groups ...Group) (Sidecar, Exit) {
 	var s Sidecar
-	exit := read("sidecar", &s, &s.Common, args, func(c *checker) {
+	exit := read("sidecar", &s, &s.Common, args, groups, func(c *checker) {
 		c.address("inquiries", s.Inquiries, true)
 		for svc, addr := range s.Outgoing {
 			c.address("outgoing "+svc, addr, true)
@@ -34,6 +37,9 @@
 		if s.BodyMemory < s.MaxBody {
 			c.bad("body-memory", s.BodyMemory, "at least max-body")
 		}
+		if s.ServeOn < 0 {
+			c.bad("serve-on", s.ServeOn, "a duration of 0s or more")
+		}
 		c.atLeast("trace-queue", s.TraceQueue, 1)
 	})
 	return s, exit
--- a/proof/defects/all.go
+++ b/proof/defects/all.go
@@ -34,7 +34,7 @@
 	{whole, "relay/far.go", "case err != nil:\n\t\treturn unknown(\"backend's answer was cut short\")", "case false:", "./proof", "TestWrongAnswers", nil},
 	{whole, "wire/frame.go", "if crc32.Checksum(b, table) != binary.BigEndian.Uint32(head[4:]) {", "if false {", "./wire", "TestBadFramesBreakTheCircuit", nil},
 	{whole, "relay/receipt.go", "for k, v := range r.Trailer {", "for k, v := range http.Header(nil) {", "./proof", "TestTrailers", nil},
-	{altered, "relay/near.go", "h.Del(HeaderCaller)", "", "./proof", "TestUntouched", nil},
+	{altered, "relay/dialect.go", "h.Del(HeaderCaller)", "", "./proof", "TestUntouched", nil},
 	{altered, "sidecar/outgoing.go", "rendezvous.Score(\"outgoing\", service)%ports", "rendezvous.Score(\"outgoing\", service[:0])%ports", "./proof", "TestOutgoingOutlivesItsSidecar", nil},
 	{altered, "relay/far.go", "Method: leg.Method, URL: target(addr, leg.URI)", "Method: leg.Method, URL: target(addr, \"/\")", "./proof", "TestUntouched", nil},
 	{leaving, "roster/gate.go", "case e.Leaving:", "case false:", "./proof", "TestLeavingUnheard", nil},
@@ -54,7 +54,7 @@
 	{cold, "roster/entry.go", "bear := float64(e.Capacity) * e.ShareAt(now) * ramp", "bear := float64(e.Capacity) * ramp", "./proof", "TestColdBackend", nil},
 	{cold, "way/table.go", "longest = max(longest, min(freshMost, c.Expiry.Duration))", "longest = max(longest, min(0, c.Expiry.Duration))", "./proof/simulator", "TestColdThroughKills", nil},
 	{dropped, "sidecar/node.go", "for n.far.Counts.Open.Load() > 0 || n.near.Counts.Open.Load() > 0 {", "for false {", "./proof", "TestDrain", nil},
-	{dropped, "sidecar/node.go", "n.webs[1].Part(parting, relay.Farewell())", "", "./proof", "TestFarewell", nil},
+	{dropped, "sidecar/node.go", "n.webs[1].Part(parting, relay.Farewell(n.near.Dialect))", "", "./proof", "TestFarewell", nil},
 	{returns, "feed/feed.go", "SettleIn = 1200 * time.Millisecond", "SettleIn = 17 * time.Second", "./proof", "TestHerd", nil},
 	{waits, "trace/queue.go", "\tdefault:\n\t\tq.dropped.Add(1)\n", "", "./trace", "TestFullQueue", nil},
 }
--- a/relay/near.go
+++ b/relay/near.go
@@ -83,6 +83,7 @@
 }
 
 func (n *Near) serve(caller string, r *http.Request) Receipt {
+	begun := time.Now()
 	n.Counts.Inquiries.Add(1)
 	n.Counts.Open.Add(1)
 	defer n.Counts.Open.Add(-1)
@@ -112,7 +113,7 @@
 	if target("", r.RequestURI).RequestURI() != r.RequestURI {
 		return n.count(n.word(http.StatusBadRequest, way.NotRun, "this path can't be passed on as it is", "", 0))
 	}
-	q := inquiry{caller: caller}
+	q := inquiry{caller: caller, begun: begun}
 	var ok bool
 	table := n.Table()
 	if q.way, q.contract, ok = table.Match(r.Host, r.URL.Path, r.Method); !ok && table.Stamp == 0 {
@@ -156,7 +157,6 @@
 func (n *Near) begin(ctx context.Context, q *inquiry, h http.Header) {
 	told, traced := trace.ReadB3(h)
 	q.traced = traced
-	q.begun = time.Now()
 	q.aim = q.begun.Add(q.contract.Aim.Duration)
 	q.expiry = q.begun.Add(q.contract.Expiry.Duration)
 	if q.left > 0 && q.left < q.contract.Expiry.Duration {
--- a/relay/receipt.go
+++ b/relay/receipt.go
@@ -26,8 +26,8 @@
 // Farewell is the answer to whatever a client may be sending on an idle connection
 // that is about to be closed. A client that sends nothing takes it for the end of the
 // connection. (DESIGN 11.3)
-func Farewell() []byte {
-	rc := ownReceipt(http.StatusRequestTimeout, way.NotRun, "this node is stopping", "", time.Second)
+func Farewell(d Dialect) []byte {
+	rc := d.Word(Own{Status: http.StatusRequestTimeout, Fate: way.NotRun, Reason: "this node is stopping", Back: time.Second})
 	rc.Header.Set("Connection", "close")
 	resp := http.Response{StatusCode: rc.Status, ProtoMajor: 1, ProtoMinor: 1, Header: rc.Header, ContentLength: int64(len(rc.Body)), Body: io.NopCloser(bytes.NewReader(rc.Body))}
 	var b bytes.Buffer
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -67,7 +67,7 @@
 // control serves a sidecar's /v1, /live and /ready.
 func (n *Node) control() http.Handler {
 	mux := http.NewServeMux()
-	n.p.Common(mux, n.live, n.ready)
+	n.p.Common(mux, n.live, n.Ready)
 	mux.HandleFunc("POST /v1/backends", n.announce)
 	mux.HandleFunc("GET /v1/backends", n.backends)
 	mux.HandleFunc("DELETE /v1/backends/{instance}", n.leave)
@@ -91,25 +91,36 @@
 	return n.steward.shown.Load().Core != "" || n.steward.spoken.Load() != nil
 }
 
-func (n *Node) ready(context.Context) (bool, string) {
+// Ready tells whether clients may be sent here, or why not.
+func (n *Node) Ready(context.Context) (bool, string) {
 	switch {
 	case n.draining.Load():
 		return false, "stopping"
 	case !n.known():
 		return false, "no core followed yet, and no other sidecar has a configuration"
-	case !n.near.Custody.Settled():
+	case !n.set.NoKeys && !n.near.Custody.Settled():
 		return false, "claims on keys are still being handed over"
 	}
 	return true, "serving"
 }
 
+// Announce takes a backend's word; ok is false if it could not be taken in time.
+func (n *Node) Announce(ctx context.Context, a roster.Announcement) (faults []string, ok bool) {
+	return launch.Ask(ctx, n.steward.box, func(c chan<- []string) any { return msgAnnounce{a, c} })
+}
+
+// Leave takes that a backend is leaving; known is false if there is none such.
+func (n *Node) Leave(ctx context.Context, instance string) (known, ok bool) {
+	return launch.Ask(ctx, n.steward.box, func(c chan<- bool) any { return msgLeave{instance, c} })
+}
+
 func (n *Node) announce(w http.ResponseWriter, r *http.Request) {
 	var a roster.Announcement
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 64<<10)).Decode(&a); err != nil {
 		process.Error(w, http.StatusBadRequest, "not an announcement: "+err.Error())
 		return
 	}
-	faults, ok := launch.Ask(r.Context(), n.steward.box, func(c chan<- []string) any { return msgAnnounce{a, c} })
+	faults, ok := n.Announce(r.Context(), a)
 	if !ok {
 		return
 	}
@@ -126,7 +137,7 @@
 }
 
 func (n *Node) leave(w http.ResponseWriter, r *http.Request) {
-	ok, heard := launch.Ask(r.Context(), n.steward.box, func(c chan<- bool) any { return msgLeave{r.PathValue("instance"), c} })
+	ok, heard := n.Leave(r.Context(), r.PathValue("instance"))
 	if heard && !ok {
 		process.Error(w, http.StatusNotFound, "no such backend")
 		return
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -53,9 +53,10 @@
 	holder   *custody.Holder
 	queue    *trace.Queue
 	outgoing *outgoing
-	draining atomic.Bool
-	reload   *process.Reloader
-	webs     []*process.Web
+	// draining: not ready, and no new legs. closed: no new inquiries either.
+	draining, closed atomic.Bool
+	reload           *process.Reloader
+	webs             []*process.Web
 }
 
 // New puts the parts together and opens the addresses.
@@ -77,7 +78,7 @@
 	n.seeker.Heard = func(context.Context, cohort.Seat) {}
 	table := func() *way.Table { return n.steward.table.Load() }
 	n.near = &relay.Near{Locality: set.Locality, Table: table, View: func() *cohort.View { return n.steward.view.Load() },
-		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log, Lineage: lin, Claims: claims, Purses: n.steward.purses, Budgets: n.steward.budgets, Costs: way.NewCosts(), Life: p.Life, Draining: n.draining.Load}
+		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log, Lineage: lin, Claims: claims, Purses: n.steward.purses, Budgets: n.steward.budgets, Costs: way.NewCosts(), Life: p.Life, Draining: n.closed.Load}
 	n.near.Home, n.near.Dialect = set.Caller, relay.Plain{}
 	if doors != nil {
 		n.near.Dialect = doors.Dialect
@@ -203,6 +204,13 @@
 	ctx, cancel := context.WithTimeout(context.Background(), n.reload.Drain())
 	defer cancel()
 	n.steward.box.Send(ctx, msgDrain{})
+	// Whoever sends clients here learns only at its next look that this node is not
+	// ready: until then they are served.
+	select {
+	case <-time.After(min(n.set.ServeOn, n.reload.Drain()/2)):
+	case <-ctx.Done():
+	}
+	n.closed.Store(true)
 	tick := time.NewTicker(10 * time.Millisecond)
 	defer tick.Stop()
 	// A backend's outgoing calls belong to inquiries that were handed over.
@@ -218,7 +226,7 @@
 	// not know whether that was read: so it is told first, on the connection.
 	parting, over := context.WithTimeout(ctx, linger)
 	defer over()
-	n.webs[1].Part(parting, relay.Farewell())
+	n.webs[1].Part(parting, relay.Farewell(n.near.Dialect))
 	n.outgoing.part(parting)
 	for _, w := range n.webs {
 		w.Stop(ctx)
--- a/sidecar/outgoing.go
+++ b/sidecar/outgoing.go
@@ -69,7 +69,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, w := range o.webs {
-		w.Part(ctx, relay.Farewell())
+		w.Part(ctx, relay.Farewell(o.near.Dialect))
 	}
 }
 
