--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -78,7 +78,7 @@
 	n.seeker.Heard = func(context.Context, cohort.Seat) {}
 	table := func() *way.Table { return n.steward.table.Load() }
 	n.near = &relay.Near{Locality: set.Locality, Table: table, View: func() *cohort.View { return n.steward.view.Load() },
-		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log, Lineage: lin, Claims: claims, Purses: n.steward.purses, Budgets: n.steward.budgets, Costs: way.NewCosts(), Life: p.Life, Draining: n.closed.Load}
+		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log, Lineage: lin, Claims: claims, Purses: n.steward.purses, Budgets: n.steward.budgets, Costs: way.NewCosts(), Life: p.Life, Draining: n.shut}
 	n.near.Home, n.near.Dialect = set.Caller, relay.Plain{}
 	if doors != nil {
 		n.near.Dialect = doors.Dialect
@@ -161,6 +161,13 @@
 	return n.steward.claim.Age(now) <= roster.ClaimFor || n.steward.agreed.Age(now) <= roster.ClaimFor && n.seeker.Seats().NoMajority(now)
 }
 
+// shut tells whether clients' inquiries are refused. The calls of an own backend belong
+// to inquiries that were handed over: where they can't be told from clients', all are
+// taken while it runs one. (DESIGN 11.3)
+func (n *Node) shut() bool {
+	return n.closed.Load() && (n.set.Caller == "" || n.far.Counts.Open.Load() == 0)
+}
+
 // muster answers another sidecar that hears no core.
 func (n *Node) muster(ctx context.Context, in wire.Inquiry) (any, string) {
 	var m cohort.Muster
