Take an operator's own numbers; open the core's orders to adapters

Cause: operators that number their configurations could be overtaken by their own repeats, and what they sent in another form was not to be read back. Weighed: the stamp as such a number (it is ours, and shared with emptyings); a mismatch for an old number (a repeat after a lost receipt is no mistake). Change: an edition that is no higher than the held one is acknowledged and changes nothing; one that another word came in the way of is proposed again, since editions never fall. What was sent stays with the cores. Node.Put, Empty, TakeBack, Read, Ready, InForce; PUT takes Curlewwalk-Edition, GET tells it. The simulator holds every settled and read word to editions that never fall.

--- a/core/control.go
+++ b/core/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -22,8 +23,12 @@
 	"curlewwalk/wire"
 )
 
-// headerStamp carries a word's stamp.
-const headerStamp = "Curlewwalk-Stamp"
+const (
+	// headerStamp carries a word's stamp.
+	headerStamp = "Curlewwalk-Stamp"
+	// headerEdition carries the operator's own number of a configuration.
+	headerEdition = "Curlewwalk-Edition"
+)
 
 // written is the receipt of an operator's write.
 type written struct {
@@ -58,7 +63,7 @@
 // control serves a core's /v1, /live and /ready.
 func (n *Node) control() http.Handler {
 	mux := http.NewServeMux()
-	n.p.Common(mux, n.live, n.ready)
+	n.p.Common(mux, n.live, n.Ready)
 	mux.HandleFunc("PUT /v1/desired", n.putDesired)
 	mux.HandleFunc("GET /v1/desired", n.getDesired)
 	mux.HandleFunc("GET /v1/localities", n.getLocalities)
@@ -68,7 +73,7 @@
 	mux.HandleFunc("PUT /v1/windows", n.putWindows)
 	mux.HandleFunc("GET /v1/windows", n.getWindows)
 	mux.HandleFunc("DELETE /v1/windows", func(w http.ResponseWriter, r *http.Request) {
-		n.order(w, r, register.Order{Kind: register.Calendar})
+		n.calendar(w, r, nil)
 	})
 	mux.HandleFunc("GET /v1/traces/{id}", n.getTrace)
 	mux.HandleFunc("GET /v1/state", n.getState)
@@ -82,19 +87,6 @@
 	return ok, "control thread"
 }
 
-func (n *Node) ready(ctx context.Context) (bool, string) {
-	st, ok := n.directory.State(ctx)
-	switch {
-	case n.draining.Load():
-		return false, "stopping"
-	case n.keeper.Voter().Phase != register.Established:
-		return false, "not established in its slot"
-	case !ok || !st.Open:
-		return false, "still being told of the nodes"
-	}
-	return true, "serving"
-}
-
 func (n *Node) getState(w http.ResponseWriter, r *http.Request) {
 	v := n.keeper.Voter()
 	st := state{Self: n.seat(), Phase: v.Phase, Promised: v.Promised, Mark: v.Mark, Seats: v.Seats, Duty: n.duty().Slot, Cores: n.seeker.Seats().Known()}
@@ -120,20 +112,31 @@
 }
 
 func (n *Node) putDesired(w http.ResponseWriter, r *http.Request) {
-	body, ok := body(w, r, "configuration", "$", desired.MaxBytes)
+	bytes, ok := body(w, r, "configuration", "$", desired.MaxBytes)
 	if !ok {
 		return
 	}
-	_, faults, ok := desired.Parse(body)
-	if !ok {
+	e := Edition{Desired: bytes}
+	if e.IfMatch, ok = ifMatch(w, r); !ok {
+		return
+	}
+	if text := r.Header.Get(headerEdition); text != "" {
+		var err error
+		if e.Number, err = strconv.ParseUint(text, 10, 64); err != nil || e.Number == 0 {
+			process.Error(w, http.StatusBadRequest, headerEdition+" is no number from 1")
+			return
+		}
+	}
+	if !json.Valid(bytes) {
 		process.Error(w, http.StatusBadRequest, "not JSON")
 		return
 	}
+	a, faults := n.Put(r.Context(), e)
 	if len(faults) > 0 {
 		process.JSON(w, http.StatusUnprocessableEntity, faulty{Error: "configuration does not check", Faults: faults})
 		return
 	}
-	n.order(w, r, register.Order{Kind: register.Put, Bytes: body})
+	n.receipt(w, r, a)
 }
 
 func (n *Node) locality(kind register.OrderKind) http.HandlerFunc {
@@ -143,27 +146,33 @@
 			process.JSON(w, http.StatusUnprocessableEntity, faulty{Error: "no locality", Faults: []desired.Fault{{Path: name, Message: "must be " + desired.NameForm}}})
 			return
 		}
-		n.order(w, r, register.Order{Kind: kind, Locality: name})
+		if m, ok := ifMatch(w, r); ok {
+			n.receipt(w, r, n.obey(r.Context(), register.Order{Kind: kind, Locality: name, IfMatch: m}))
+		}
 	}
 }
 
-// order has an order written and tells what is known of it.
-func (n *Node) order(w http.ResponseWriter, r *http.Request, o register.Order) {
-	if m := r.Header.Get("If-Match"); m != "" {
-		stamp, err := strconv.ParseUint(strings.Trim(m, `"`), 10, 64)
-		if err != nil {
-			process.Error(w, http.StatusBadRequest, "If-Match is no stamp")
-			return
-		}
-		o.IfMatch = &stamp
+// ifMatch reads the stamp that an order is bound to; false if it is none.
+func ifMatch(w http.ResponseWriter, r *http.Request) (*uint64, bool) {
+	m := r.Header.Get("If-Match")
+	if m == "" {
+		return nil, true
 	}
-	a := n.write(context.WithoutCancel(r.Context()), o)
+	stamp, err := strconv.ParseUint(strings.Trim(m, `"`), 10, 64)
+	if err != nil {
+		process.Error(w, http.StatusBadRequest, "If-Match is no stamp")
+	}
+	return &stamp, err == nil
+}
+
+// receipt tells what is known of an order that was carried out.
+func (n *Node) receipt(w http.ResponseWriter, r *http.Request, a register.Answer) {
 	out := written{Taken: a.Result, Stamp: a.Word.Stamp}
 	status := http.StatusOK
 	switch a.Result {
 	case register.Taken:
 		stamped(w, a.Word.Stamp)
-		behind, known := n.directory.InForce(r.Context(), a.Word.Stamp)
+		behind, known := n.InForce(r.Context(), a.Word.Stamp)
 		inForce := known && len(behind) == 0
 		out.InForce, out.Behind = &inForce, behind
 	case register.Mismatch:
@@ -183,7 +192,7 @@
 
 // read reads the newest word back from a majority.
 func (n *Node) read(w http.ResponseWriter, r *http.Request) (desired.Word, bool) {
-	word, ok := n.keeper.ReadBack(r.Context(), n.refresh)
+	word, ok := n.Read(r.Context())
 	if !ok {
 		w.Header().Set("Retry-After", "1")
 		process.Error(w, http.StatusServiceUnavailable, "no majority of cores answers")
@@ -201,6 +210,9 @@
 		return
 	}
 	stamped(w, word.DesiredStamp)
+	if word.Edition != 0 {
+		w.Header().Set(headerEdition, strconv.FormatUint(word.Edition, 10))
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Write(word.Desired)
 }
--- a/core/door.go
+++ b/core/door.go
@@ -2,29 +2,67 @@
 
 import (
 	"context"
+	"fmt"
 
 	"curlewwalk/desired"
 	"curlewwalk/register"
 )
 
-// Edition is a configuration under the operator's own number.
-type Edition struct {
-	Number        uint64
-	Desired, Sent []byte
-}
+// What an operator may ask of a core, in whatever dialect. An order goes on though
+// whoever gave it goes away. (DESIGN 18)
 
+// Put has a configuration put, unless it has faults: then nothing is done.
 func (n *Node) Put(ctx context.Context, e Edition) (register.Answer, []desired.Fault) {
-	_, faults, _ := desired.Parse(e.Desired)
+	if len(e.Desired) > desired.MaxBytes || len(e.Sent) > desired.MaxBytes {
+		return register.Answer{Result: register.NotTaken}, []desired.Fault{{Path: "$", Message: fmt.Sprintf("over %d bytes", desired.MaxBytes)}}
+	}
+	_, faults, ok := desired.Parse(e.Desired)
+	if !ok {
+		faults = []desired.Fault{{Path: "$", Message: "not JSON"}}
+	}
 	if len(faults) > 0 {
-		return register.Answer{}, faults
+		return register.Answer{Result: register.NotTaken}, faults
 	}
-	return n.write(ctx, register.Order{Kind: register.Put, Bytes: e.Desired}), nil
+	return n.obey(ctx, register.Order{Kind: register.Put, Bytes: e.Desired, Edition: e.Number, Sent: e.Sent, IfMatch: e.IfMatch}), nil
+}
+
+// Empty has a locality emptied.
+func (n *Node) Empty(ctx context.Context, locality string) register.Answer {
+	return n.obey(ctx, register.Order{Kind: register.Empty, Locality: locality})
+}
+
+// TakeBack has a locality taken back.
+func (n *Node) TakeBack(ctx context.Context, locality string) register.Answer {
+	return n.obey(ctx, register.Order{Kind: register.TakeBack, Locality: locality})
 }
-func (n *Node) Empty(ctx context.Context, l string) register.Answer {
-	return n.write(ctx, register.Order{Kind: register.Empty, Locality: l})
+
+// obey carries an order out.
+func (n *Node) obey(ctx context.Context, o register.Order) register.Answer {
+	return n.write(context.WithoutCancel(ctx), o)
+}
+
+// Read reads the newest word back from a majority; false if none answers.
+func (n *Node) Read(ctx context.Context) (desired.Word, bool) {
+	return n.keeper.ReadBack(ctx, n.refresh)
 }
-func (n *Node) TakeBack(ctx context.Context, l string) register.Answer {
-	return n.write(ctx, register.Order{Kind: register.TakeBack, Locality: l})
+
+// Ready tells whether the core serves, and why not.
+func (n *Node) Ready(ctx context.Context) (bool, string) {
+	st, ok := n.directory.State(ctx)
+	switch {
+	case n.draining.Load():
+		return false, "stopping"
+	case n.keeper.Voter().Phase != register.Established:
+		return false, "not established in its slot"
+	case !ok || !st.Open:
+		return false, "still being told of the nodes"
+	}
+	return true, "serving"
+}
+
+// InForce waits until all sidecars have a stamp in force, or for a while, and
+// lists those that have not; known is false while that can't be told.
+// (DESIGN 6.6)
+func (n *Node) InForce(ctx context.Context, stamp uint64) (behind []string, known bool) {
+	return n.directory.InForce(ctx, stamp)
 }
-func (n *Node) Read(ctx context.Context) (desired.Word, bool) { return n.keeper.ReadBack(ctx, n.refresh) }
-func (n *Node) InForce(ctx context.Context, stamp uint64) ([]string, bool) { return n.directory.InForce(ctx, stamp) }
--- /dev/null
+++ b/core/edition.go
@@ -0,0 +1,13 @@
+package core
+
+// Edition is a configuration with the operator's own number.
+type Edition struct {
+	// Number is from 1 up; an edition that is no higher than one that was taken is
+	// acknowledged and changes nothing. Zero: the operator does not number them.
+	Number  uint64
+	Desired []byte
+	// Sent is what the operator sent, if Desired is another form of it.
+	Sent []byte
+	// IfMatch, if set, is the stamp that the newest configuration must have.
+	IfMatch *uint64
+}
--- a/core/windows.go
+++ b/core/windows.go
@@ -41,7 +41,14 @@
 		process.JSON(w, http.StatusUnprocessableEntity, faulty{Error: "calendar does not check", Faults: faults})
 		return
 	}
-	n.order(w, r, register.Order{Kind: register.Calendar, Bytes: b})
+	n.calendar(w, r, b)
+}
+
+// calendar has a calendar put; an empty one has no windows.
+func (n *Node) calendar(w http.ResponseWriter, r *http.Request, b []byte) {
+	if m, ok := ifMatch(w, r); ok {
+		n.receipt(w, r, n.obey(r.Context(), register.Order{Kind: register.Calendar, Bytes: b, IfMatch: m}))
+	}
 }
 
 func (n *Node) getWindows(w http.ResponseWriter, r *http.Request) {
--- a/desired/word.go
+++ b/desired/word.go
@@ -11,12 +11,23 @@
 	DesiredStamp uint64   `msgpack:"ds"`
 	Desired      []byte   `msgpack:"d"`
 	Emptied      []string `msgpack:"e"`
+	// Edition is the highest of the operator's own numbers; zero: none was given.
+	Edition uint64 `msgpack:"n,omitempty"`
+	// Sent is what the operator sent, byte for byte, if Desired is another form of
+	// it. Only cores keep it.
+	Sent []byte `msgpack:"st,omitempty"`
 	// CalendarStamp is the stamp under which Calendar was put.
 	CalendarStamp uint64    `msgpack:"cs,omitempty"`
 	Calendar      []byte    `msgpack:"c,omitempty"`
 	Closures      []Closure `msgpack:"cl,omitempty"`
 }
 
+// Bare is the word as sidecars get it.
+func (w Word) Bare() Word {
+	w.Sent = nil
+	return w
+}
+
 // Shut lists the localities that are to be empty now, whoever asked for it.
 func (w Word) Shut() []string {
 	out := slices.Clone(w.Emptied)
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -57,6 +57,7 @@
 	if f.word != nil && w.Stamp <= f.word.Stamp {
 		return false
 	}
+	w = w.Bare()
 	f.word = &w
 	f.add(Item{Word: &w})
 	return true
--- a/register/clerk.go
+++ b/register/clerk.go
@@ -148,6 +148,12 @@
 		return ans, true
 	case o.Kind == Begin && c.held.Noted(o.Window), o.Kind == End && !c.held.Noted(o.Window):
 		return ans, true // whoever had the duty before has seen to it
+	case o.Kind == Put && o.Edition != 0 && o.Edition <= c.held.Edition:
+		return ans, true // repeated, or overtaken by the operator itself
+	case o.Kind == Put && o.Edition != 0 && o.proposed.Stamp != 0 && o.IfMatch == nil:
+		// Editions never fall, so it was not taken, and a word under a later epoch
+		// stands in its way for good: it is proposed once more.
+		return ans, false
 	case o.proposed.Stamp != 0 && c.held.Stamp > o.proposed.Stamp:
 		ans.Result = Unknown
 		return ans, true
@@ -165,7 +171,7 @@
 func same(w desired.Word, o Order) bool {
 	switch o.Kind {
 	case Put:
-		return w.DesiredStamp == w.Stamp && bytes.Equal(w.Desired, o.Bytes)
+		return w.DesiredStamp == w.Stamp && bytes.Equal(w.Desired, o.Bytes) && (o.Edition == 0 || w.Edition == o.Edition)
 	case Calendar:
 		return w.CalendarStamp == w.Stamp && bytes.Equal(w.Calendar, o.Bytes)
 	case Empty:
@@ -185,7 +191,10 @@
 	open := func() { w.Emptied = slices.DeleteFunc(w.Emptied, func(l string) bool { return l == o.Locality }) }
 	switch o.Kind {
 	case Put:
-		w.Desired, w.DesiredStamp = o.Bytes, w.Stamp
+		w.Desired, w.DesiredStamp, w.Sent = o.Bytes, w.Stamp, nil
+		if o.Edition != 0 {
+			w.Edition, w.Sent = o.Edition, o.Sent
+		}
 	case Calendar:
 		w.Calendar, w.CalendarStamp = o.Bytes, w.Stamp
 	case Empty:
--- a/register/disk.go
+++ b/register/disk.go
@@ -47,6 +47,9 @@
 	CalendarStamp uint64            `json:"calendar_stamp,omitempty"`
 	Calendar      []byte            `json:"calendar,omitempty"`
 	Closures      []desired.Closure `json:"closures,omitempty"`
+
+	Edition uint64 `json:"edition,omitempty"`
+	Sent    []byte `json:"sent,omitempty"`
 }
 
 // Load reads a voter. One whose newest files can't be read whole has lost what
@@ -83,7 +86,8 @@
 		}
 		v.Mark = h.Mark
 		v.Word = desired.Word{Stamp: h.Stamp, DesiredStamp: h.DesiredStamp, Emptied: h.Emptied, Desired: body,
-			CalendarStamp: h.CalendarStamp, Calendar: h.Calendar, Closures: h.Closures}
+			CalendarStamp: h.CalendarStamp, Calendar: h.Calendar, Closures: h.Closures,
+			Edition: h.Edition, Sent: h.Sent}
 		v.Promised = max(v.Promised, h.Epoch)
 	}
 	return v, nil
@@ -104,7 +108,8 @@
 func (d *Disk) Save(v Voter) error {
 	if v.WordDirty {
 		head, err := json.Marshal(wordHead{Mark: v.Mark, DesiredStamp: v.Word.DesiredStamp, Emptied: v.Word.Emptied,
-			CalendarStamp: v.Word.CalendarStamp, Calendar: v.Word.Calendar, Closures: v.Word.Closures})
+			CalendarStamp: v.Word.CalendarStamp, Calendar: v.Word.Calendar, Closures: v.Word.Closures,
+			Edition: v.Word.Edition, Sent: v.Word.Sent})
 		if err != nil {
 			return eris.Wrap(err, "word")
 		}
--- /dev/null
+++ b/register/edition_test.go
@@ -0,0 +1,240 @@
+package register
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"curlewwalk/desired"
+	"curlewwalk/vault"
+)
+
+// bench is clerks and voters without a wire.
+type bench struct {
+	t       *testing.T
+	now     time.Duration
+	voters  []Voter
+	clerks  map[int]*Clerk
+	answers map[uint64]Answer
+	seq     uint64
+	// sent are the ballots of each clerk that are on their way.
+	sent map[int][]Outcome
+	// proposed counts the words that were proposed.
+	proposed int
+}
+
+func newBench(t *testing.T, slots int) *bench {
+	b := &bench{t: t, clerks: map[int]*Clerk{}, answers: map[uint64]Answer{}, sent: map[int][]Outcome{}}
+	chairs := map[int]Chair{}
+	for s := 1; s <= slots; s++ {
+		chairs[s] = Chair{Inc: 1, ID: uint64(s)}
+	}
+	for s := 1; s <= slots; s++ {
+		self := From{Slot: s, Inc: 1, ID: uint64(s)}
+		b.voters = append(b.voters, Voter{Self: self, Slots: slots, Phase: Established, Seats: chairs})
+		b.clerks[s] = &Clerk{Self: self, Slots: slots}
+	}
+	return b
+}
+
+// give hands a clerk an order.
+func (b *bench) give(slot int, o Order) uint64 {
+	b.seq++
+	o.ID, o.Until = b.seq, b.now+3*time.Second
+	b.obey(slot, b.clerks[slot].Take(o, b.now))
+	return o.ID
+}
+
+func (b *bench) obey(slot int, outs []Outcome) {
+	for _, o := range outs {
+		if o.Answer != nil {
+			b.answers[o.Answer.ID] = *o.Answer
+		}
+		if o.Ballot != nil {
+			b.sent[slot] = append(b.sent[slot], o)
+			if o.Ballot.Act == Propose {
+				b.proposed++
+			}
+		}
+	}
+}
+
+// step lets a clerk's ballots so far come to the voters, and their votes back;
+// false if there were none.
+func (b *bench) step(slot int) bool {
+	sent := b.sent[slot]
+	b.sent[slot] = nil
+	for _, o := range sent {
+		for _, s := range o.To {
+			next, vote := b.voters[s-1].On(*o.Ballot)
+			b.voters[s-1] = next
+			b.obey(slot, b.clerks[slot].Hear(vote, b.now))
+		}
+	}
+	return len(sent) > 0
+}
+
+// rest lets all that is on its way come, and a second pass.
+func (b *bench) rest() {
+	for range 10 {
+		for slot := range b.clerks {
+			for b.step(slot) {
+			}
+		}
+		b.now += 100 * time.Millisecond
+		for slot, c := range b.clerks {
+			c.Known(b.voters[slot-1].Promised)
+			b.obey(slot, c.Tick(b.now))
+		}
+	}
+}
+
+// newest is the word that a majority holds.
+func (b *bench) newest() desired.Word {
+	votes := map[int]Vote{}
+	for i := range b.voters {
+		_, votes[i+1] = b.voters[i].On(Ballot{Act: Read})
+	}
+	top, held := Newest(votes, len(b.voters))
+	if !held {
+		b.t.Fatal("no majority holds the newest word")
+	}
+	return top.Word
+}
+
+func (b *bench) expect(id uint64, want Result) desired.Word {
+	b.t.Helper()
+	a, ok := b.answers[id]
+	if !ok || a.Result != want {
+		b.t.Errorf("order %d: %q, want %q", id, a.Result, want)
+	}
+	return a.Word
+}
+
+func edition(n uint64, text string) Order {
+	return Order{Kind: Put, Edition: n, Bytes: []byte(text), Sent: []byte("sent " + text)}
+}
+
+// An edition is taken once; one that is no higher changes nothing; one without a
+// number keeps the number and clears what was sent.
+func TestEditions(t *testing.T) {
+	b := newBench(t, 3)
+	put := func(slot int, o Order) desired.Word {
+		t.Helper()
+		id := b.give(slot, o)
+		b.rest()
+		return b.expect(id, Taken)
+	}
+	w := put(1, edition(5, "five"))
+	if w.Edition != 5 || string(w.Desired) != "five" || string(w.Sent) != "sent five" || w.DesiredStamp != w.Stamp {
+		t.Errorf("%+v", w)
+	}
+	for _, n := range []uint64{5, 4, 1} {
+		if again := put(1, edition(n, "other")); again.Stamp != w.Stamp || string(again.Desired) != "five" {
+			t.Errorf("edition %d after 5: %+v", n, again)
+		}
+	}
+	stamp := w.DesiredStamp + 7
+	o := edition(5, "five")
+	o.IfMatch = &stamp
+	put(2, o) // repeated at another core, whatever it is bound to
+	o = edition(6, "six")
+	o.IfMatch = &stamp
+	id := b.give(2, o)
+	b.rest()
+	b.expect(id, Mismatch)
+	put(2, Order{Kind: Empty, Locality: "west"})
+	if w = b.newest(); w.Edition != 5 || string(w.Sent) != "sent five" {
+		t.Errorf("after another order: %+v", w)
+	}
+	put(3, Order{Kind: Put, Bytes: []byte("plain"), Sent: []byte("no")})
+	if w = b.newest(); w.Edition != 5 || w.Sent != nil || string(w.Desired) != "plain" {
+		t.Errorf("after one without a number: %+v", w)
+	}
+	put(1, edition(5, "late"))
+	if w = b.newest(); string(w.Desired) != "plain" {
+		t.Errorf("an old edition came back: %+v", w)
+	}
+	put(1, edition(6, "six"))
+	if w = b.newest(); w.Edition != 6 || string(w.Desired) != "six" {
+		t.Errorf("%+v", w)
+	}
+}
+
+// Two clerks race: whichever way their ballots fall among each other, both
+// editions are acknowledged, and the higher one is held.
+func TestEditionsRace(t *testing.T) {
+	for steps := range 64 {
+		b := newBench(t, 3)
+		low, high := b.give(1, edition(1, "low")), b.give(2, edition(2, "high"))
+		for bit := range 6 {
+			b.step(1 + steps>>bit&1)
+		}
+		for range 4 {
+			b.rest()
+		}
+		b.expect(low, Taken)
+		b.expect(high, Taken)
+		if w := b.newest(); w.Edition != 2 || string(w.Desired) != "high" {
+			t.Errorf("steps %b: %+v", steps, w)
+		}
+	}
+}
+
+// An edition whose ballots were lost, and that another clerk's word came in the
+// way of, is proposed again and not left in doubt.
+func TestEditionOvertaken(t *testing.T) {
+	b := newBench(t, 3)
+	first := b.give(1, Order{Kind: Empty, Locality: "west"})
+	b.rest()
+	b.expect(first, Taken)
+	overtaken := b.give(1, edition(1, "one"))
+	b.sent[1] = nil
+	b.clerks[2].Known(b.voters[1].Promised)
+	other := b.give(2, Order{Kind: Empty, Locality: "east"})
+	for b.step(2) {
+	}
+	b.expect(other, Taken)
+	if w := b.newest(); w.Edition != 0 || w.Stamp != 2 {
+		t.Errorf("%+v", w)
+	}
+	b.rest()
+	b.expect(overtaken, Taken)
+	if w := b.newest(); w.Edition != 1 || len(w.Emptied) != 2 {
+		t.Errorf("%+v", w)
+	}
+}
+
+// A word's edition, and what was sent, are read back from disk; a file from
+// before there were editions is read.
+func TestEditionOnDisk(t *testing.T) {
+	v, err := vault.Open(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := Disk{Vault: v}
+	voter, err := d.Load(1, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	voter.Phase, voter.Self.Inc = Established, 1
+	voter.Mark = Mark{Epoch: 2, Stamp: 3}
+	voter.Word = desired.Word{Stamp: 3, DesiredStamp: 3, Edition: 9, Desired: []byte("{\n}\n"), Sent: []byte("a\n\x00b")}
+	voter.OathDirty, voter.WordDirty = true, true
+	if err := d.Save(voter); err != nil {
+		t.Fatal(err)
+	}
+	got, err := (&Disk{Vault: v}).Load(1, 1)
+	if diff := cmp.Diff(voter.Word, got.Word, cmpopts.EquateEmpty()); diff != "" || err != nil {
+		t.Error(diff, err)
+	}
+	old := "{\"epoch\":4,\"stamp\":4,\"desired_stamp\":4,\"emptied\":[\"west\"]}\n{}"
+	if err := v.Save(kindWord, "00000000000000000004.00000000000000000004", []byte(old)); err != nil {
+		t.Fatal(err)
+	}
+	if got, err = (&Disk{Vault: v}).Load(1, 1); err != nil || got.Word.Edition != 0 || string(got.Word.Desired) != "{}" || got.Word.DesiredStamp != 4 {
+		t.Errorf("%+v %v", got.Word, err)
+	}
+}
--- a/register/order.go
+++ b/register/order.go
@@ -21,9 +21,13 @@
 
 // Order is one operator's write for the clerk.
 type Order struct {
-	ID       uint64        `msgpack:"i"`
-	Kind     OrderKind     `msgpack:"k"`
-	Bytes    []byte        `msgpack:"b"`
+	ID    uint64    `msgpack:"i"`
+	Kind  OrderKind `msgpack:"k"`
+	Bytes []byte    `msgpack:"b"`
+	// Edition is the operator's own number of what is put, from 1; zero: none.
+	Edition uint64 `msgpack:"ed,omitempty"`
+	// Sent is what the operator sent of an edition, if in another form.
+	Sent     []byte        `msgpack:"st,omitempty"`
 	Locality string        `msgpack:"l"`
 	Window   string        `msgpack:"w,omitempty"`
 	IfMatch  *uint64       `msgpack:"m"`
