--- a/boot/sidecar.go
+++ b/boot/sidecar.go
@@ -19,6 +19,8 @@
 	MaxBody    int64             `long:"max-body" ini-name:"max-body" default:"16777216" description:"largest body of an inquiry or an answer, in bytes"`
 	BodyMemory int64             `long:"body-memory" ini-name:"body-memory" default:"268435456" description:"bodies of inquiries that are held at a time, in bytes"`
 	ServeOn    time.Duration     `long:"serve-on" ini-name:"serve-on" default:"0s" description:"how long clients' inquiries are still taken after a warning to stop, at most half of drain"`
+	Hold       float64           `long:"hold" ini-name:"hold" default:"0" description:"part of its aim for which an inquiry may be held for a place when there is none, 0 to 0.5"`
+	ComeBack   time.Duration     `long:"come-back" ini-name:"come-back" default:"1s" description:"when a refused client may come again at the soonest"`
 	NoKeys     bool              `long:"no-keys" ini-name:"no-keys" description:"no client sends an Idempotency-Key: readiness need not wait for claims of an earlier life"`
 	TraceQueue int               `long:"trace-queue" ini-name:"trace-queue" default:"8192" description:"events that may wait to be published"`
 }
@@ -40,6 +42,12 @@
 		if s.ServeOn < 0 {
 			c.bad("serve-on", s.ServeOn, "a duration of 0s or more")
 		}
+		if !(s.Hold >= 0 && s.Hold <= 0.5) {
+			c.bad("hold", s.Hold, "from 0 to 0.5")
+		}
+		if s.ComeBack <= 0 {
+			c.bad("come-back", s.ComeBack, "a duration of more than 0s")
+		}
 		c.atLeast("trace-queue", s.TraceQueue, 1)
 	})
 	return s, exit
--- a/relay/far.go
+++ b/relay/far.go
@@ -161,7 +161,7 @@
 			rc.Reason = string(*why)
 		}
 	}
-	rc.ID, rc.Open = leg.ID, int(e.Desk.Open())
+	rc.ID, rc.Open, rc.Reached = leg.ID, int(e.Desk.Open()), g.state.Load() == guardWrote
 	return rc
 }
 
--- a/relay/near.go
+++ b/relay/near.go
@@ -50,6 +50,10 @@
 	Dialect  Dialect
 	// Home is the service that all callers on this machine belong to, if one does.
 	Home string
+	// Hold is the part of its aim for which an inquiry may be held for a place, and
+	// ComeBack when a refused one may come again at the soonest.
+	Hold     float64
+	ComeBack time.Duration
 }
 
 // inquiry is one client's request on its way.
@@ -251,13 +255,18 @@
 func (n *Near) run(ctx context.Context, q *inquiry) Receipt {
 	d := way.Decision{Way: q.way, Expiry: q.expiry, Locality: n.Locality, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Means: way.Means{Aim: q.aim, Room: q.room(), Patience: n.Budgets.Patience(q.contract.Name, q.room()),
-			Cost:  func(t cohort.Target) way.Cost { return n.Costs.Of(q.way.Name, t) },
+			Cost: func(t cohort.Target) way.Cost { return n.Costs.Of(q.way.Name, t) },
+			Hold: n.hold(q), Back: n.back(),
 			Spend: func() bool { return n.Purses.Spend(q.way.Service) }}}
 	note := trace.Event{Way: q.way.Name, Service: q.way.Service, Caller: q.caller, Link: q.cause.Link, Candidates: q.cause.Candidates}
 	n.Queue.Put(q.span, trace.ClientStart, note)
 	var last LegReceipt
 	for {
 		o := d.Ask(n.Table(), n.View(), time.Now())
+		if o.Wait > 0 {
+			pause(ctx, o.Wait)
+			continue
+		}
 		if !o.Send {
 			rc := Receipt{Status: last.Status, Header: last.Header, Trailer: last.Trailer, Body: last.Body, Fate: way.Answered}
 			if o.End.Status != 0 {
@@ -276,6 +285,27 @@
 	}
 }
 
+// pause waits, or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// hold is until when an inquiry may be held for a place. (DESIGN 15.4)
+func (n *Near) hold(q *inquiry) time.Time {
+	return q.begun.Add(time.Duration(n.Hold * float64(q.contract.Aim.Duration)))
+}
+
+// back is when a refused inquiry may come again at the soonest: spread, so that those
+// refused together do not come together.
+func (n *Near) back() time.Duration {
+	return n.ComeBack + time.Duration(rand.Int64N(int64(n.ComeBack)/2+1))
+}
+
 // send carries one leg. The first leg is the span's own; each further one is a
 // child span of its own. (DESIGN 2.1)
 func (n *Near) send(ctx context.Context, q *inquiry, t cohort.Target, num int) (way.Leg, LegReceipt) {
@@ -300,14 +330,14 @@
 	if r.Traced {
 		span.Hear(r.Span.Counter())
 	}
-	l := way.Leg{Target: t, Fate: way.Unknown, Reason: "lost on the way"}
+	l := way.Leg{Target: t, Fate: way.Unknown, Reason: "lost on the way", Reached: true}
 	var rc LegReceipt
 	switch {
 	case r.Fate == wire.Unsent:
-		l.Fate, l.Reason = way.NotRun, "node could not be reached"
+		l.Fate, l.Reason, l.Reached = way.NotRun, "node could not be reached", false
 		t.Load.Shun(shunFor)
 	case r.Into(&rc) && rc.ID == leg.ID:
-		l.Fate, l.Reason, l.Back, l.Expired = rc.Fate, rc.Reason, rc.Back, rc.Reason == string(roster.Expired)
+		l.Fate, l.Reason, l.Reached, l.Back, l.Expired = rc.Fate, rc.Reason, rc.Reached, rc.Back, rc.Reason == string(roster.Expired)
 		t.Load.Tell(rc.Open)
 		if rc.Fate != way.Answered && rc.Reason != string(roster.Full) {
 			t.Load.Shun(shunFor)
@@ -344,7 +374,7 @@
 	ctx, cancel := context.WithTimeout(ctx, recallFor)
 	defer cancel()
 	if rc, ok := ask(ctx); ok && rc.Fate == way.NotRun {
-		l.Fate, l.Reason = way.NotRun, rc.Reason
+		l.Fate, l.Reason, l.Reached = way.NotRun, rc.Reason, false
 	}
 	return l
 }
--- a/way/decision.go
+++ b/way/decision.go
@@ -13,6 +13,10 @@
 const (
 	// mostLegs is how many legs an inquiry has whose way does not say.
 	mostLegs = 3 // (ours)
+	// mostAsked is how many it has, those that came to no backend counted in.
+	mostAsked = 8 // (ours)
+	// askAgain is how long one that is held waits before it is asked about again.
+	askAgain = 25 * time.Millisecond // (ours)
 	// spillAt is how busy the own locality must be before others are used.
 	spillAt = 0.8 // (ours)
 )
@@ -27,6 +31,8 @@
 	Rand     *rand.Rand
 	Means    Means
 	legs     []Leg
+	// again is how many of the legs no longer tell against their targets.
+	again int
 }
 
 // Tell takes the fate of a leg.
@@ -40,7 +46,7 @@
 
 // Ask decides what comes next, on the snapshots as they are now.
 func (d *Decision) Ask(t *Table, v *cohort.View, now time.Time) Order {
-	fate, expired, back := NotRun, !now.Before(d.Expiry), time.Second
+	fate, expired, back, reached := NotRun, !now.Before(d.Expiry), cmp.Or(d.Means.Back, time.Second), 0
 	reason := "no backend of " + d.Way.Service
 	if n := len(d.legs); n > 0 {
 		last := d.legs[n-1]
@@ -53,22 +59,30 @@
 			if l.Fate == Unknown {
 				fate = Unknown
 			}
+			if l.Reached || l.Fate == Unknown {
+				reached++
+			}
 		}
 	}
 	if expired {
 		return end(http.StatusGatewayTimeout, fate, reason, back)
 	}
-	if fate == Unknown && !d.Way.Repeatable || len(d.legs) >= cmp.Or(d.Way.Legs, mostLegs) {
+	if fate == Unknown && !d.Way.Repeatable || reached >= cmp.Or(d.Way.Legs, mostLegs) || len(d.legs) >= mostAsked {
 		return end(status(fate), fate, reason, back)
 	}
 	target, ok := d.choose(t, v, now)
+	if !ok && now.Add(askAgain).Before(d.Means.Hold) {
+		// Those that refused it without a backend's having seen it may be asked again.
+		d.again = len(d.legs)
+		return Order{Wait: askAgain}
+	}
 	if !ok {
 		return end(status(fate), fate, reason, back)
 	}
 	if d.Means.vain(target, d.Expiry.Sub(now)) && d.Rand.IntN(trickle) > 0 {
 		return end(status(fate), fate, "the time left does not cover what it takes", back)
 	}
-	if len(d.legs) > 0 && !d.Means.Spend() {
+	if reached > 0 && !d.Means.Spend() {
 		return end(status(fate), fate, "no means for another leg after: "+reason, back)
 	}
 	return Order{Send: true, Target: target}
@@ -132,7 +146,10 @@
 }
 
 func (d *Decision) tried(t cohort.Target) bool {
-	for _, l := range d.legs {
+	for i, l := range d.legs {
+		if i < d.again && !l.Reached && l.Fate == NotRun {
+			continue
+		}
 		if l.Target.Node == t.Node && l.Target.Instance == t.Instance && l.Target.Boot == t.Boot {
 			return true
 		}
--- a/way/leg.go
+++ b/way/leg.go
@@ -23,6 +23,8 @@
 	Reason string
 	// Back is when a refused inquiry should come again.
 	Back time.Duration
+	// Reached says that it came to a backend, though it may not have run.
+	Reached bool
 	// Expired says that the leg ended because the inquiry's time was over.
 	Expired bool
 }
--- a/way/order.go
+++ b/way/order.go
@@ -6,11 +6,13 @@
 	"curlewwalk/cohort"
 )
 
-// Order is what the executor must do next: send a leg, or end the inquiry.
+// Order is what the executor must do next: send a leg, wait and ask again, or end the
+// inquiry.
 type Order struct {
 	Send   bool
 	Target cohort.Target
-	// End, when Send is false.
+	Wait   time.Duration
+	// End, when Send is false and Wait zero.
 	End End
 }
 
--- a/way/spend.go
+++ b/way/spend.go
@@ -16,7 +16,12 @@
 	Patience time.Duration
 	// Cost is what was learned of its way at a backend.
 	Cost func(t cohort.Target) Cost
-	// Spend pays for an extra leg.
+	// Hold is until when it may be held for a place where there is none now; zero: not
+	// at all.
+	Hold time.Time
+	// Back is when to come again at the soonest, if it is refused; zero: a second.
+	Back time.Duration
+	// Spend pays for an extra leg after one that came to a backend.
 	Spend func() bool
 }
 
