Measure what control costs as fleets grow, with hollow sidecars

Cause: nobody knew what control costs a node or a core beyond a hundred machines, nor which of its parts grow faster than the fleet. Weighed: hollow nodes that are whole sidecar.Nodes (three listeners, a queue of traces and a whole view each: some 400 to a machine); canned messages (would prove nothing about the protocol).

--- /dev/null
+++ b/proof/scale/parts.go
@@ -0,0 +1,144 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"curlewwalk/cohort"
+	"curlewwalk/contract"
+	"curlewwalk/desired"
+	"curlewwalk/feed"
+	"curlewwalk/proof/fleet"
+	"curlewwalk/way"
+)
+
+// parts measures production parts by themselves at numbers of nodes that no fleet here
+// could have: what they work out, how long it takes and how many bytes it comes to.
+func (r *Run) parts(ctx context.Context) error {
+	for _, n := range r.Exp.Parts {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		r.Say("parts at %d nodes", n)
+		r.line(Line{Version: "this", Phase: "parts", Sidecars: n, Services: r.Exp.PartsServices, What: "parts", Values: Parts(n, r.Exp.PartsServices, r.Exp.Zones)})
+	}
+	return nil
+}
+
+// ranked is of how many nodes the watchers are worked out, to stand for all.
+const ranked = 20
+
+// Parts measures the parts for a number of nodes, each with one backend, of a number
+// of services.
+func Parts(n, services int, zones []string) map[string]float64 {
+	v := map[string]float64{}
+	took := func(name string, do func()) {
+		begin := time.Now()
+		do()
+		v[name+"_ms"] = float64(time.Since(begin).Microseconds()) / 1000
+	}
+	size := func(name string, x any) []byte {
+		b, err := msgpack.Marshal(x)
+		if err != nil {
+			panic(err) // the types are the wire's own
+		}
+		v[name+"_bytes"] = float64(len(b))
+		return b
+	}
+	site := fleet.Site{}
+	f := feed.New(1, 0)
+	nodes := make([]cohort.Node, n)
+	var addrs []string
+	for i := range nodes {
+		ip := site.IP(firstHollow + i%mostNodes)
+		service := serviceName(i % services)
+		nodes[i] = cohort.Node{Addr: ip + ":7400", Boot: uint64(1)<<63 + uint64(i), Rev: 1, Locality: zones[i%len(zones)], Stamp: 1, Open: map[string]int64{zones[i%len(zones)]: 0}, Budgets: map[string]contract.Tally{},
+			Backends: []cohort.Backend{{Instance: service + "-" + ip, Service: service, Address: ip + ":8000", Locality: zones[i%len(zones)], Capacity: 9, Share: 1}}}
+		f.Told(nodes[i], 0)
+		addrs = append(addrs, nodes[i].Addr)
+	}
+	// What a sidecar hails with, and what a core answers, without traffic and with.
+	size("hail", cohort.Hail{Node: &nodes[0]})
+	tallies := map[string]contract.Tally{}
+	for i := range services {
+		tallies[serviceName(i)] = contract.Tally{N: 100000, Late: time.Hour}
+		if i+1 == min(10, services) {
+			busy := nodes[0]
+			busy.Budgets = tallies
+			size("hail_with_10_tallies", cohort.Hail{Node: &busy})
+		}
+	}
+	size("receipt_with_all_tallies", cohort.Hail{Budgets: tallies})
+	// The feed: a snapshot, from a core to a sidecar.
+	var news feed.News
+	var frame []byte
+	took("snapshot_made", func() { news, _ = f.Since(feed.Follow{}); frame = size("snapshot", &news) })
+	size("one_node", feed.Item{Node: &nodes[0]})
+	var got feed.News
+	took("snapshot_read", func() {
+		if err := msgpack.Unmarshal(frame, &got); err != nil {
+			panic(err)
+		}
+	})
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	got = feed.News{}
+	before := heap()
+	if err := msgpack.Unmarshal(frame, &got); err != nil {
+		panic(err)
+	}
+	c := feed.NewCopy()
+	took("copy_taken", func() { c.Take(got) })
+	got = feed.News{}
+	var view *cohort.View
+	took("view_made", func() { view = cohort.NewView(c.Nodes, nil) })
+	took("view_made_again", func() { view = cohort.NewView(c.Nodes, view) })
+	v["copy_and_view_bytes"] = float64(heap() - before)
+	for _, kept := range []any{c, view, news, frame, nodes, f} {
+		runtime.KeepAlive(kept)
+	}
+	// Who watches whom: each node works it out of all when one comes or goes.
+	took("watchers_of_20", func() {
+		for i := range min(n, ranked) {
+			cohort.WatchersOf(addrs[i*n/min(n, ranked)], addrs)
+		}
+	})
+	v["watchers_of_all_ms"] = v["watchers_of_20_ms"] / float64(min(n, ranked)) * float64(n)
+	// What a core does ten times a second.
+	took("core_tick", func() {
+		f.Tick(time.Millisecond)
+		contract.Merge(f.Budgets())
+		f.Accused()
+	})
+	// The word.
+	word := configuration(services)
+	v["configuration_bytes"] = float64(len(word))
+	w := desired.Word{Stamp: 1, DesiredStamp: 1, Desired: word}
+	size("word", feed.Item{Word: &w})
+	took("table_made", func() {
+		if _, ok := way.NewTable(w); !ok {
+			v["table_refused"] = 1
+		}
+	})
+	return v
+}
+
+// configuration is what an operator would put, without blanks.
+func configuration(services int) []byte {
+	f := fleet.Fleet{Size: fleet.Size{Plans: plans(services)}}
+	var any map[string]any
+	if err := json.Unmarshal(f.Configuration(), &any); err != nil {
+		panic(fmt.Sprint("a configuration that was just made: ", err))
+	}
+	b, _ := json.Marshal(any)
+	return b
+}
--- a/wire/circuit.go
+++ b/wire/circuit.go
@@ -17,7 +17,6 @@
 	pingAfter  = 500 * time.Millisecond // (ours)
 	breakAfter = 2 * time.Second        // (ours)
 	writeLimit = 5 * time.Second        // (ours)
-	kindPing   = "ping"
 )
 
 // Circuit is the calling side of one TCP connection: many calls at a time,
@@ -207,8 +206,8 @@
 				return
 			}
 			heard = time.Now()
-			if in.msg.Kind == kindPing {
-				c.count.receipt(kindPing, in.bytes)
+			if in.msg.Kind == KindPing {
+				c.count.receipt(KindPing, in.bytes)
 				continue
 			}
 			k, ok := open[in.msg.ID]
@@ -233,7 +232,7 @@
 			if time.Since(heard) > breakAfter {
 				return
 			}
-			if _, ok := write(trace.Span{}, message{Kind: kindPing}); !ok {
+			if _, ok := write(trace.Span{}, message{Kind: KindPing}); !ok {
 				return
 			}
 		}
--- a/wire/counts.go
+++ b/wire/counts.go
@@ -19,6 +19,7 @@
 // as a kind unless somebody here answers it; a dropped receipt came after its caller
 // had given up.
 const (
+	KindPing     = "ping"
 	kindGreeting = "greeting"
 	kindUnknown  = "unknown"
 	kindDropped  = "dropped"
--- a/wire/host.go
+++ b/wire/host.go
@@ -87,8 +87,8 @@
 			return
 		}
 		h.Counts.call(h.counted(m.Kind), headLen+len(b))
-		if m.Kind == kindPing {
-			h.reply(ctx, out, trace.Span{}, message{Kind: kindPing})
+		if m.Kind == KindPing {
+			h.reply(ctx, out, trace.Span{}, message{Kind: KindPing})
 			continue
 		}
 		if m.ID <= last {
@@ -138,7 +138,7 @@
 
 // counted is the kind that a call is counted as.
 func (h *Host) counted(kind string) string {
-	if _, ok := h.Handlers[kind]; ok || kind == kindPing {
+	if _, ok := h.Handlers[kind]; ok || kind == KindPing {
 		return kind
 	}
 	return kindUnknown
