Keep connections to backends, and carry many legs on each

Cause: each leg opened a connection, because net/http's client tries again by itself on reused ones. Where connections are priced and take a part of a slot, that is most of what a leg costs.

Weighed: net/http's pool (its second try can run a leg twice); trying again here on a connection closed before the answer (it may have run; and each arrival counts); reuse for orders however long idle (a backend that closes just then leaves it unknown).

Change: links of our own for each instance and address. The request is written by http.Request.Write through the guard, the answer read by http.ReadResponse, in full; a link is kept only if it is known to stand between two answers, and looked at before it is used. A write of which not a byte was taken leaves the guard idle, so the leg goes on a fresh link, or is not run. Stray answers are passed over. Leg tells whether it may be repeated. Far.Connections bounds the links to a backend.

--- /dev/null
+++ b/relay/exchange.go
@@ -0,0 +1,266 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"curlewwalk/roster"
+	"curlewwalk/trace"
+	"curlewwalk/way"
+)
+
+// elsewhere is the reason of a leg that another instance answered.
+const elsewhere = "another instance has the address"
+
+// exchange puts the inquiry to the backend and reads its whole answer. Where not a
+// byte went on a link that was kept, it goes on a fresh one, past the guard again.
+func (f *Far) exchange(ctx context.Context, e roster.Entry, leg *Leg, span trace.Span, g *guard) LegReceipt {
+	most, idle := f.most(e), freshOnly
+	if leg.Repeatable {
+		idle = keepFor
+	}
+	for {
+		l, err := f.links.take(ctx, e, most, idle)
+		if err != nil {
+			return lost(ctx, err)
+		}
+		req := backendRequest(ctx, e.Address, leg)
+		trace.WriteB3(req.Header, span)
+		f.Dialect.Address(req.Header, leg, time.Until(deadline(ctx)))
+		x := exchange{far: f, link: l, req: req, leg: leg, guard: g}
+		again := l.carried
+		l.carried = true
+		rc := x.run(ctx)
+		if rc.Reason == elsewhere {
+			f.links.drop(l.at)
+		}
+		f.links.put(l, most)
+		if !again || !x.unwritten {
+			return rc
+		}
+		idle = 0
+	}
+}
+
+// exchange is one leg on one link.
+type exchange struct {
+	far   *Far
+	link  *link
+	req   *http.Request
+	leg   *Leg
+	guard *guard
+	// unwritten says that the link failed before a byte was taken.
+	unwritten bool
+}
+
+// run writes the request and reads the answer. The link stays fit to be kept only if
+// it is known to stand between two answers.
+func (x *exchange) run(ctx context.Context) LegReceipt {
+	l, fit := x.link, x.link.keep
+	l.keep = 0
+	done := make(chan error, 1)
+	write := func(context.Context) {
+		err := x.write()
+		if err != nil && !x.guard.wrote() {
+			l.SetReadDeadline(time.Now()) // there will be no answer
+		}
+		done <- err
+	}
+	if len(x.leg.Body) <= straight {
+		write(ctx)
+	} else {
+		// What is long may be answered before it was read to its end.
+		x.far.links.launcher.Go(ctx, "inquiry-write", write)
+	}
+	rc, idle := x.answer(ctx)
+	var err error
+	select {
+	case err = <-done:
+	default:
+		l.SetDeadline(time.Now()) // ends the write
+		err = <-done
+	}
+	switch {
+	case err == nil:
+		l.keep, l.since = idle, time.Now()
+	case x.guard.wrote():
+	case x.guard.why.Load() != nil:
+		l.keep = fit // as before
+	default:
+		x.unwritten = true
+		rc = lost(ctx, err)
+	}
+	return rc
+}
+
+// write writes the request: what is not long, at once.
+func (x *exchange) write() error {
+	out := bufio.NewWriterSize(guarded{conn: x.link.Conn, g: x.guard}, roomForHead+min(len(x.leg.Body), straight))
+	if err := x.req.Write(out); err != nil {
+		return err
+	}
+	return out.Flush()
+}
+
+// answer reads the answer, and tells how long the link may then be idle.
+func (x *exchange) answer(ctx context.Context) (rc LegReceipt, idle time.Duration) {
+	unknown := func(reason string) (LegReceipt, time.Duration) {
+		if ctx.Err() != nil {
+			reason = string(roster.Expired)
+		}
+		return LegReceipt{Fate: way.Unknown, Reason: reason}, 0
+	}
+	for early, strays := 0, 0; ; {
+		x.link.left = mostHead
+		resp, err := x.head()
+		if err != nil {
+			return lost(ctx, err), 0
+		}
+		x.link.left = math.MaxInt64
+		switch {
+		case resp.StatusCode == http.StatusSwitchingProtocols:
+			return unknown("backend switched protocols")
+		case resp.StatusCode < 200:
+			if early++; early > mostEarly {
+				return unknown("backend does not come to its answer")
+			}
+			continue
+		}
+		switch x.far.Dialect.Judge(x.leg, resp.StatusCode, resp.Header) {
+		case Declined:
+			// The head proves it. What follows only decides whether the link is kept.
+			x.link.SetReadDeadline(earlier(deadline(ctx), time.Now().Add(restFor)))
+			_, _, fault := x.whole(resp)
+			return LegReceipt{Fate: way.NotRun, Reason: "declined by the backend", Reached: true}, keepAfter(resp, fault)
+		case Elsewhere:
+			return LegReceipt{Fate: way.NotRun, Reason: elsewhere, Reached: true}, 0
+		case Stray:
+			// It came late, in the place of the one that is due.
+			strays++
+			if _, _, fault := x.whole(resp); fault != "" || strays > mostStrays || resp.Close || x.leg.Method == http.MethodHead {
+				return unknown("backend answered another inquiry")
+			}
+			continue
+		case False:
+			return unknown("backend's answer claims what it can't")
+		}
+		body, trailer, fault := x.whole(resp)
+		if fault != "" {
+			return unknown(fault)
+		}
+		h := endToEnd(resp.Header)
+		if x.leg.Method == http.MethodHead && resp.Header.Get("Content-Length") != "" {
+			h["Content-Length"] = resp.Header["Content-Length"]
+		}
+		h.Del(HeaderOutcome) // only ours may promise
+		if strays == 0 {
+			idle = keepAfter(resp, "")
+		}
+		return LegReceipt{Fate: way.Answered, Status: resp.StatusCode, Header: h, Trailer: trailer, Body: body}, idle
+	}
+}
+
+// head reads the head of the next answer.
+func (x *exchange) head() (*http.Response, error) {
+	if _, err := x.link.in.Peek(1); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(x.link.in, x.req)
+}
+
+// whole reads an answer's body and what follows it, or tells why it can't be had.
+func (x *exchange) whole(resp *http.Response) (body []byte, trailer http.Header, fault string) {
+	most := x.far.Bodies.Most
+	switch {
+	case x.leg.Method == http.MethodHead:
+		return []byte{}, resp.Trailer, ""
+	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
+		// Its end is only the connection's end, which a dying backend has too.
+		return nil, nil, "backend's answer does not tell its length"
+	case resp.ContentLength > most:
+		return nil, nil, "backend's answer is too large"
+	}
+	b := bytes.NewBuffer(make([]byte, 0, max(bytes.MinRead, min(resp.ContentLength+bytes.MinRead, 1<<20))))
+	_, err := b.ReadFrom(io.LimitReader(resp.Body, most+1))
+	switch {
+	case err != nil:
+		return nil, nil, "backend's answer was cut short"
+	case int64(b.Len()) > most:
+		return nil, nil, "backend's answer is too large"
+	}
+	return b.Bytes(), resp.Trailer, ""
+}
+
+// keepAfter is how long a link may be idle after an answer, if it is of more use.
+func keepAfter(resp *http.Response, fault string) time.Duration {
+	if fault != "" || resp.Close || !resp.ProtoAtLeast(1, 1) {
+		return 0
+	}
+	for _, line := range resp.Header["Keep-Alive"] {
+		for part := range strings.SplitSeq(line, ",") {
+			name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+			if !strings.EqualFold(name, "timeout") {
+				continue
+			}
+			n, err := strconv.ParseUint(value, 10, 16)
+			if err != nil {
+				return 0
+			}
+			return min(keepFor, time.Duration(n)*time.Second/2)
+		}
+	}
+	return keepFor
+}
+
+// lost is what is known of a leg whose link failed.
+func lost(ctx context.Context, err error) LegReceipt {
+	reason := "backend: " + cause(err)
+	if end := deadline(ctx); ctx.Err() != nil || !end.IsZero() && errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(end) {
+		reason = string(roster.Expired)
+	}
+	return LegReceipt{Fate: way.Unknown, Reason: reason}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// backendRequest rebuilds the client's request as it was.
+func backendRequest(ctx context.Context, addr string, leg *Leg) *http.Request {
+	req := &http.Request{Method: leg.Method, URL: target(addr, leg.URI), Host: leg.Host, Header: leg.Header.Clone(), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
+	if req.Header == nil {
+		req.Header = http.Header{}
+	}
+	if _, ok := req.Header["User-Agent"]; !ok {
+		req.Header["User-Agent"] = nil // net/http would add its own
+	}
+	if len(leg.Body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(leg.Body))
+		req.ContentLength = int64(len(leg.Body))
+	}
+	if len(leg.Trailer) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(leg.Body))
+		req.ContentLength, req.Trailer = -1, leg.Trailer // trailers come behind chunks only
+	}
+	return req.WithContext(ctx)
+}
+
+// cause is the innermost reason of a connection's error.
+func cause(err error) string {
+	for next := err; next != nil; next = errors.Unwrap(next) {
+		err = next
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/relay/exchange_test.go
@@ -0,0 +1,510 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"curlewwalk/cohort"
+	"curlewwalk/launch"
+	"curlewwalk/roster"
+	"curlewwalk/trace"
+	"curlewwalk/way"
+)
+
+// told is a dialect of backends that name the inquiry they answer.
+type told struct{ Plain }
+
+func (told) Address(h http.Header, leg *Leg, _ time.Duration) { h.Set("Ask", leg.ID) }
+
+func (told) Judge(leg *Leg, _ int, h http.Header) Judgement {
+	switch {
+	case h.Get("For") != leg.ID:
+		return Stray
+	case h.Get("Declined") != "":
+		return Declined
+	case h.Get("Elsewhere") != "":
+		return Elsewhere
+	}
+	return Fair
+}
+
+// visit is one request at a stand-in backend.
+type visit struct {
+	*http.Request
+	id string
+	// conn and n count connections at the backend, and requests on this one.
+	conn, n int64
+	w       net.Conn
+}
+
+// say answers a visit, in the name of an inquiry.
+func (v visit) say(id, body string, header ...string) {
+	io.WriteString(v.w, answerTo(id, body, header...))
+}
+
+func answerTo(id, body string, header ...string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nFor: %s\r\n%sContent-Length: %d\r\n\r\n%s", id, strings.Join(append(header, ""), "\r\n"), len(body), body)
+}
+
+// bench is a far side with one stand-in backend, which answers by speak until that
+// is false; then it closes.
+type bench struct {
+	far   *Far
+	entry roster.Entry
+	opens atomic.Int64
+	mu    sync.Mutex
+	ran   map[string]int
+}
+
+func newBench(t testing.TB, speak func(v visit) bool) *bench {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{ran: map[string]int{}}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			n := b.opens.Add(1)
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for k := int64(1); ; k++ {
+					req, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					id := req.Header.Get("Ask")
+					b.mu.Lock()
+					b.ran[id]++
+					b.mu.Unlock()
+					if !speak(visit{req, id, n, k, c}) {
+						return
+					}
+					io.Copy(io.Discard, req.Body)
+				}
+			}()
+		}
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	l := launch.New(slog.New(slog.DiscardHandler), func(name string, cause any, _ []byte) { t.Errorf("%s: %v", name, cause) })
+	f := NewFar(ctx, l)
+	f.Bodies, f.Dialect = &Bodies{Most: 1 << 20, All: 1 << 30}, told{}
+	f.Roster = func() roster.Roster { return roster.Roster{} }
+	b.far = f
+	b.entry = roster.Entry{Backend: cohort.Backend{Instance: "a", Address: ln.Addr().String(), Capacity: 8}}
+	t.Cleanup(func() {
+		cancel()
+		ln.Close()
+		<-l.Idle()
+		l.Stop()
+	})
+	return b
+}
+
+var legs atomic.Int64
+
+// put puts a leg to the backend, as carry does.
+func (b *bench) put(leg Leg, check func() roster.Refusal) LegReceipt {
+	if leg.ID == "" {
+		leg.ID = fmt.Sprint("leg-", legs.Add(1))
+	}
+	if leg.Method == "" {
+		leg.Method = "POST"
+	}
+	if leg.Left == 0 {
+		leg.Left = 5 * time.Second
+	}
+	leg.Host, leg.URI = "desk", "/x"
+	ctx, cancel := context.WithTimeout(context.Background(), leg.Left)
+	defer cancel()
+	if check == nil {
+		check = func() roster.Refusal { return roster.Open }
+	}
+	g := &guard{check: check}
+	rc := b.far.exchange(ctx, b.entry, &leg, trace.Root(), g)
+	if rc.Fate == way.Unknown && g.shut() {
+		rc.Fate = way.NotRun
+	}
+	return rc
+}
+
+// good puts a leg that must be answered by its own answer.
+func (b *bench) good(t *testing.T, leg Leg) {
+	t.Helper()
+	leg.ID = fmt.Sprint("leg-", legs.Add(1))
+	rc := b.put(leg, nil)
+	if rc.Fate != way.Answered || rc.Header.Get("For") != leg.ID {
+		t.Fatalf("%s got %v %q, answer to %q", leg.ID, rc.Fate, rc.Reason, rc.Header.Get("For"))
+	}
+}
+
+// link is the one idle link.
+func (b *bench) link(t *testing.T) *link {
+	t.Helper()
+	b.far.links.mu.Lock()
+	defer b.far.links.mu.Unlock()
+	for _, s := range b.far.links.shelves {
+		if len(s.idle) == 1 && s.used == 0 {
+			return s.idle[0]
+		}
+	}
+	t.Fatal("there is not one idle link")
+	return nil
+}
+
+func plainly(v visit) bool { io.Copy(io.Discard, v.Body); v.say(v.id, "ok"); return true }
+
+// What is known to stand between two answers is used again, whatever their form.
+func TestLinkIsUsedAgain(t *testing.T) {
+	b := newBench(t, func(v visit) bool {
+		io.Copy(io.Discard, v.Body)
+		switch v.n % 6 {
+		case 0:
+			io.WriteString(v.w, "HTTP/1.1 204 No Content\r\nFor: "+v.id+"\r\n\r\n")
+		case 1:
+			io.WriteString(v.w, "HTTP/1.1 304 Not Modified\r\nContent-Length: 77\r\nFor: "+v.id+"\r\n\r\n")
+		case 2:
+			io.WriteString(v.w, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: Sum\r\nFor: "+v.id+"\r\n\r\n2\r\nok\r\n0\r\nSum: 7\r\n\r\n")
+		case 3:
+			v.say(v.id, "", "Declined: 1")
+		default:
+			v.say(v.id, "ok")
+		}
+		return true
+	})
+	for i := range 100 {
+		n := i%6 + 1
+		leg := Leg{ID: fmt.Sprint("again-", i), Body: []byte("x")}
+		rc := b.put(leg, nil)
+		want := way.Answered
+		if n == 3 {
+			want = way.NotRun
+		}
+		if rc.Fate != want || rc.Fate == way.Answered && rc.Header.Get("For") != leg.ID || rc.Reached != (n == 3) {
+			t.Fatalf("%d: %+v", i, rc)
+		}
+		if n == 2 && (string(rc.Body) != "ok" || rc.Trailer.Get("Sum") != "7") {
+			t.Fatalf("%q, trailer %v", rc.Body, rc.Trailer)
+		}
+	}
+	if n := b.opens.Load(); n != 1 || b.far.Opened() != 1 || b.far.Reused() != 99 {
+		t.Errorf("%d connections were opened for 100 legs; told %d and %d", n, b.far.Opened(), b.far.Reused())
+	}
+}
+
+// HEAD has a length and no body.
+func TestLinkAfterHead(t *testing.T) {
+	b := newBench(t, func(v visit) bool {
+		io.WriteString(v.w, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nFor: "+v.id+"\r\n\r\n")
+		if v.Method != "HEAD" {
+			io.WriteString(v.w, "ok")
+		}
+		return true
+	})
+	for _, m := range []string{"HEAD", "GET", "HEAD", "GET"} {
+		b.good(t, Leg{Method: m})
+	}
+	if n := b.opens.Load(); n != 1 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+// What says that it closes, or may, is not used again.
+func TestLinkIsNotUsedAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		text string
+		body bool
+	}{
+		"close":         {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\nFor: %s\r\n\r\nok", true},
+		"old version":   {"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 2\r\nFor: %s\r\n\r\nok", true},
+		"no time":       {"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0, max=5\r\nContent-Length: 2\r\nFor: %s\r\n\r\nok", true},
+		"odd time":      {"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=-x\r\nContent-Length: 2\r\nFor: %s\r\n\r\nok", true},
+		"more than it":  {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nFor: %s\r\n\r\nokay", true},
+		"other answers": {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nFor: %s\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 2\r\nFor: x\r\n\r\nno", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, func(v visit) bool { fmt.Fprintf(v.w, c.text, v.id); return true })
+			for range 5 {
+				b.good(t, Leg{Repeatable: true})
+			}
+			if n := b.opens.Load(); n != 5 {
+				t.Errorf("%d connections were opened for 5 legs", n)
+			}
+		})
+	}
+}
+
+// How long a link may be idle is the least of what the backend says and our own bound;
+// for an order it is less.
+func TestLinkIdle(t *testing.T) {
+	b := newBench(t, func(v visit) bool {
+		v.say(v.id, "ok", "Keep-Alive: timeout=6, max=9")
+		return true
+	})
+	b.good(t, Leg{})
+	age := func(d time.Duration) { l := b.link(t); l.since = time.Now().Add(-d) }
+	opens := func(want int64, why string) {
+		t.Helper()
+		if n := b.opens.Load(); n != want {
+			t.Errorf("%s: %d connections, want %d", why, n, want)
+		}
+	}
+	age(900 * time.Millisecond)
+	b.good(t, Leg{})
+	opens(1, "an order on a young one")
+	age(1100 * time.Millisecond)
+	b.good(t, Leg{Repeatable: true})
+	opens(1, "a look on an older one")
+	age(3100 * time.Millisecond)
+	b.good(t, Leg{Repeatable: true})
+	opens(2, "a look past half of what the backend said")
+	b.entry.Capacity = 1
+	age(1100 * time.Millisecond)
+	b.good(t, Leg{})
+	opens(3, "an order on an older one")
+	b.link(t) // only one: the older made room
+}
+
+// An answer to another inquiry, in the place of the one that is due, is passed over;
+// after it, the link is not used again.
+func TestStrayAnswers(t *testing.T) {
+	for strays, want := range []way.Fate{way.Answered, way.Answered, way.Answered, way.Unknown} {
+		b := newBench(t, func(v visit) bool {
+			if v.n == 2 {
+				for range strays {
+					v.say("earlier", "a late answer")
+				}
+			}
+			v.say(v.id, "ok")
+			return true
+		})
+		b.good(t, Leg{})
+		leg := Leg{ID: "second"}
+		rc := b.put(leg, nil)
+		if rc.Fate != want || want == way.Answered && (rc.Header.Get("For") != leg.ID || string(rc.Body) != "ok") {
+			t.Errorf("%d strays: %v %q %q", strays, rc.Fate, rc.Reason, rc.Body)
+		}
+		b.good(t, Leg{})
+		if n := b.opens.Load(); n != int64(min(strays, 1)+1) {
+			t.Errorf("%d strays: %d connections", strays, n)
+		}
+	}
+}
+
+// What comes while a link is idle spoils it.
+func TestLateBytes(t *testing.T) {
+	late := make(chan net.Conn, 9)
+	b := newBench(t, func(v visit) bool { v.say(v.id, "ok"); late <- v.w; return true })
+	b.good(t, Leg{})
+	l := b.link(t)
+	io.WriteString(<-late, answerTo("x", "no"))
+	for end := time.Now().Add(5 * time.Second); l.quiet() && time.Now().Before(end); {
+	}
+	b.good(t, Leg{})
+	if n := b.opens.Load(); n != 2 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+// A backend that closes its connections when it likes: nothing runs twice, and nobody
+// gets another's answer.
+func TestBackendCloses(t *testing.T) {
+	b := newBench(t, func(v visit) bool {
+		io.Copy(io.Discard, v.Body)
+		switch rand.IntN(8) {
+		case 0:
+			return false // read, and closed without a word
+		case 1:
+			v.say(v.id, "ok")
+			return false
+		case 2:
+			v.say(v.id, "ok")
+			v.w.(*net.TCPConn).SetLinger(0)
+			return false
+		case 3:
+			v.say(v.id, "ok")
+			v.say("nobody", "surplus")
+			return true
+		}
+		v.say(v.id, "ok")
+		return true
+	})
+	var answered, unknown atomic.Int64
+	var all sync.WaitGroup
+	for range 8 {
+		all.Go(func() {
+			for range 200 {
+				id := fmt.Sprint("order-", legs.Add(1))
+				rc := b.put(Leg{ID: id, Body: []byte("x")}, nil)
+				b.mu.Lock()
+				ran := b.ran[id]
+				b.mu.Unlock()
+				if rc.Fate == way.Answered {
+					answered.Add(1)
+				} else {
+					unknown.Add(1)
+				}
+				if ran > 1 || rc.Fate == way.NotRun && ran > 0 || rc.Fate == way.Answered && rc.Header.Get("For") != id {
+					t.Errorf("%s: %v %q, ran %d times, answer to %q", id, rc.Fate, rc.Reason, ran, rc.Header.Get("For"))
+				}
+			}
+		})
+	}
+	all.Wait()
+	t.Logf("%d answered, %d not, on %d connections", answered.Load(), unknown.Load(), b.opens.Load())
+	if answered.Load() < 1000 || b.opens.Load() > 1400 {
+		t.Error("little was answered, or little used again")
+	}
+}
+
+// A gate that shuts between two legs on one link lets not a byte through, and the link
+// stays good.
+func TestGateOnALink(t *testing.T) {
+	b := newBench(t, plainly)
+	b.good(t, Leg{})
+	for _, body := range []int{1, 100 << 10} {
+		rc := b.put(Leg{ID: "shut", Body: make([]byte, body)}, func() roster.Refusal { return roster.LeavingNow })
+		if rc.Fate != way.NotRun || rc.Reached {
+			t.Errorf("past a shut gate: %+v", rc)
+		}
+	}
+	b.good(t, Leg{})
+	if b.ran["shut"] != 0 || b.opens.Load() != 1 {
+		t.Errorf("ran %d times; %d connections", b.ran["shut"], b.opens.Load())
+	}
+}
+
+// A link that takes not a byte is proof that nothing went: a fresh one is taken, past
+// the gate again.
+func TestNotAByte(t *testing.T) {
+	hold := make(chan struct{})
+	b := newBench(t, func(v visit) bool {
+		v.say(v.id, "ok")
+		if v.conn == 1 {
+			<-hold
+		}
+		return true
+	})
+	defer close(hold)
+	b.good(t, Leg{})
+	if err := b.link(t).Conn.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	asked := 0
+	rc := b.put(Leg{ID: "fresh"}, func() roster.Refusal { asked++; return roster.Open })
+	if rc.Fate != way.Answered || b.ran["fresh"] != 1 || asked != 2 || b.opens.Load() != 2 {
+		t.Errorf("%+v, ran %d times, asked %d times, %d connections", rc, b.ran["fresh"], asked, b.opens.Load())
+	}
+}
+
+// A leg past its time closes its link.
+func TestLegPastItsTime(t *testing.T) {
+	gone := make(chan error, 1)
+	b := newBench(t, func(v visit) bool {
+		_, err := v.w.Read(make([]byte, 1))
+		gone <- err
+		return false
+	})
+	rc := b.put(Leg{ID: "late", Left: 30 * time.Millisecond}, nil)
+	if rc.Fate != way.Unknown || rc.Reason != string(roster.Expired) {
+		t.Errorf("%+v", rc)
+	}
+	if err := <-gone; err == nil {
+		t.Error("the link was not closed")
+	}
+	if n := b.far.links.idle(); n != 0 {
+		t.Errorf("%d are kept", n)
+	}
+}
+
+// What is long may be answered before it is read; nothing else goes on that link.
+func TestAnswerBeforeTheEnd(t *testing.T) {
+	b := newBench(t, func(v visit) bool {
+		v.say(v.id, "too long")
+		return v.ContentLength < 1<<20
+	})
+	b.far.Bodies.Most = 64 << 20
+	rc := b.put(Leg{ID: "long", Body: make([]byte, 32<<20)}, nil)
+	if rc.Fate != way.Answered || string(rc.Body) != "too long" {
+		t.Errorf("%v %q", rc.Fate, rc.Reason)
+	}
+	b.good(t, Leg{})
+	if n := b.opens.Load(); n != 2 {
+		t.Errorf("%d connections", n)
+	}
+}
+
+// Nobody there: not run, and no place is lost by it.
+func TestNobodyThere(t *testing.T) {
+	b := newBench(t, plainly)
+	there := b.entry.Address
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.entry.Address = ln.Addr().String()
+	ln.Close()
+	if rc := b.put(Leg{}, nil); rc.Fate != way.NotRun || rc.Reached {
+		t.Errorf("%+v", rc)
+	}
+	if len(b.far.links.shelves) != 0 {
+		t.Error("a place is kept for nobody")
+	}
+	b.entry.Address = there
+	b.good(t, Leg{})
+}
+
+// The sweep closes what is idle too long, what leads to a backend that takes nothing
+// more, and what an instance elsewhere answered.
+func TestSweep(t *testing.T) {
+	other := false
+	b := newBench(t, func(v visit) bool {
+		if other {
+			v.say(v.id, "ok", "Elsewhere: 1")
+		} else {
+			v.say(v.id, "ok")
+		}
+		return true
+	})
+	var stands atomic.Bool
+	stands.Store(true)
+	b.far.links.stands = func(place) bool { return stands.Load() }
+	idle := func(want int, why string) {
+		t.Helper()
+		if n := b.far.links.idle(); n != want {
+			t.Errorf("%s: %d are idle", why, n)
+		}
+	}
+	b.good(t, Leg{})
+	b.far.links.once(time.Now())
+	idle(1, "young")
+	b.far.links.once(time.Now().Add(keepFor))
+	idle(0, "too long")
+	b.good(t, Leg{})
+	stands.Store(false)
+	b.far.links.once(time.Now())
+	idle(0, "leaving")
+	stands.Store(true)
+	b.good(t, Leg{})
+	other = true
+	if rc := b.put(Leg{}, nil); rc.Fate != way.NotRun || !rc.Reached {
+		t.Errorf("%+v", rc)
+	}
+	idle(0, "elsewhere")
+}
--- a/relay/far.go
+++ b/relay/far.go
@@ -1,11 +1,7 @@
 package relay
 
 import (
-	"bytes"
 	"context"
-	"errors"
-	"io"
-	"net/http"
 	"time"
 
 	"curlewwalk/launch"
@@ -30,26 +26,44 @@
 	Counts   Counts
 	Bodies   *Bodies
 	Dialect  Dialect
+	// Connections is how many connections a backend of a service takes, 0 if that is not
+	// known. It may be nil.
+	Connections func(service string) int
 
 	started time.Time
 	ledger  *clerk
-	client  http.RoundTripper
+	links   *links
 }
 
 // NewFar makes the far side and starts its ledger.
 func NewFar(ctx context.Context, l *launch.Launcher) *Far {
 	f := &Far{started: time.Now(), ledger: newClerk()}
 	l.Go(ctx, "ledger", f.ledger.run)
-	// One connection a leg: no hidden second try on a reused one. Nothing is
-	// added, unpacked or followed. (DESIGN 10.1)
-	f.client = &http.Transport{DialContext: dialGuarded, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: 1 << 20}
+	f.links = newLinks(ctx, l, func(p place) bool { return f.Roster().Stands(p.instance, p.address) })
 	return f
 }
 
+// most is how many connections an own backend may have at a time.
+func (f *Far) most(e roster.Entry) int {
+	if f.Connections != nil {
+		if n := f.Connections(e.Service); n > 0 {
+			return min(n, e.Capacity)
+		}
+	}
+	return e.Capacity
+}
+
+// Opened and Reused count the connections to backends that were opened, and the legs
+// that found one open.
+func (f *Far) Opened() int64 { return f.links.opened.Load() }
+
+// Reused is told with Opened.
+func (f *Far) Reused() int64 { return f.links.reused.Load() }
+
 // Limit is how many inquiries an own backend may run at a time now.
 func (f *Far) Limit(e roster.Entry, at time.Time) int64 {
 	t := f.Table()
-	return e.Limit(t.Ramp(e.Locality, at), t.Fresh(at.Sub(f.started)), at)
+	return min(e.Limit(t.Ramp(e.Locality, at), t.Fresh(at.Sub(f.started)), at), int64(f.most(e)))
 }
 
 // Leg handles a leg.
@@ -154,7 +168,7 @@
 	}}
 	f.Lineage.Enter(ctx, lineage.Open{Span: span, Service: leg.Service, Way: leg.Way, Rank: leg.Rank, Since: time.Now(), Expiry: deadline(ctx)})
 	defer f.Lineage.Leave(context.WithoutCancel(ctx), span.ID)
-	rc := f.exchange(context.WithValue(ctx, guardKey{}, g), e, &leg, span)
+	rc := f.exchange(ctx, e, &leg, span, g)
 	if rc.Fate == way.Unknown && g.shut() {
 		rc.Fate = way.NotRun
 		if why := g.why.Load(); why != nil {
@@ -169,78 +183,3 @@
 	t, _ := ctx.Deadline()
 	return t
 }
-
-// exchange puts the inquiry to the backend and reads its whole answer.
-func (f *Far) exchange(ctx context.Context, e roster.Entry, leg *Leg, span trace.Span) LegReceipt {
-	unknown := func(reason string) LegReceipt {
-		if ctx.Err() != nil {
-			reason = string(roster.Expired)
-		}
-		return LegReceipt{Fate: way.Unknown, Reason: reason}
-	}
-	req := backendRequest(ctx, e.Address, leg)
-	trace.WriteB3(req.Header, span)
-	f.Dialect.Address(req.Header, leg, time.Until(deadline(ctx)))
-	resp, err := f.client.RoundTrip(req)
-	if err != nil {
-		return unknown("backend: " + cause(err))
-	}
-	defer resp.Body.Close()
-	switch f.Dialect.Judge(leg, resp.StatusCode, resp.Header) {
-	case Declined:
-		return LegReceipt{Fate: way.NotRun, Reason: "declined by the backend", Reached: true}
-	case Elsewhere:
-		return LegReceipt{Fate: way.NotRun, Reason: "another instance has the address", Reached: true}
-	case Stray:
-		return unknown("backend answered another inquiry")
-	case False:
-		return unknown("backend's answer claims what it can't")
-	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !resp.Uncompressed && leg.Method != http.MethodHead {
-		// Its end is only the connection's end, which a dying backend has too.
-		return unknown("backend's answer does not tell its length")
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, f.Bodies.Most+1))
-	switch {
-	case err != nil:
-		return unknown("backend's answer was cut short")
-	case int64(len(body)) > f.Bodies.Most:
-		return unknown("backend's answer is too large")
-	case resp.StatusCode == http.StatusSwitchingProtocols:
-		return unknown("backend switched protocols")
-	}
-	h := endToEnd(resp.Header)
-	if leg.Method == http.MethodHead && resp.Header.Get("Content-Length") != "" {
-		h["Content-Length"] = resp.Header["Content-Length"]
-	}
-	h.Del(HeaderOutcome) // only ours may promise
-	return LegReceipt{Fate: way.Answered, Status: resp.StatusCode, Header: h, Trailer: resp.Trailer, Body: body}
-}
-
-// backendRequest rebuilds the client's request as it was.
-func backendRequest(ctx context.Context, addr string, leg *Leg) *http.Request {
-	req := &http.Request{Method: leg.Method, URL: target(addr, leg.URI), Host: leg.Host, Header: leg.Header.Clone(), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
-	if req.Header == nil {
-		req.Header = http.Header{}
-	}
-	if _, ok := req.Header["User-Agent"]; !ok {
-		req.Header["User-Agent"] = nil // net/http would add its own
-	}
-	if len(leg.Body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(leg.Body))
-		req.ContentLength = int64(len(leg.Body))
-	}
-	if len(leg.Trailer) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(leg.Body))
-		req.ContentLength, req.Trailer = -1, leg.Trailer // trailers come behind chunks only
-	}
-	return req.WithContext(ctx)
-}
-
-// cause is the innermost reason of a transport's error.
-func cause(err error) string {
-	for next := err; next != nil; next = errors.Unwrap(next) {
-		err = next
-	}
-	return err.Error()
-}
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"net"
 	"sync/atomic"
 
@@ -12,7 +11,8 @@
 
 var errShut = eris.New("the gate was shut before the write")
 
-// The states of a guard: it goes once from idle to one of the others.
+// The states of a guard: it goes once from idle to one of the others, and back from
+// written only where not a byte was taken.
 const (
 	guardIdle int32 = iota
 	guardWrote
@@ -24,6 +24,8 @@
 	check func() roster.Refusal
 	state atomic.Int32
 	why   atomic.Pointer[roster.Refusal]
+	// begun tells the writer that a byte was taken.
+	begun bool
 }
 
 // pass lets the first write through, unless the gate or the leg is shut.
@@ -41,32 +43,25 @@
 // shut ends the leg. True if nothing was written: then nothing ever will be.
 func (g *guard) shut() bool { return g.state.CompareAndSwap(guardIdle, guardShut) }
 
-type guardKey struct{}
+// wrote tells that a byte may have gone.
+func (g *guard) wrote() bool { return g.state.Load() == guardWrote }
 
-// guarded is a backend's connection with its guard. (DESIGN 9.2)
+// guarded is what a leg writes to a backend's connection through. (DESIGN 9.2)
 type guarded struct {
-	net.Conn
-	g *guard
+	conn net.Conn
+	g    *guard
 }
 
-// Write implements net.Conn.
+// Write implements io.Writer. If not a byte of the first write was taken, as on a
+// connection that was reset before, nothing has gone, and the gate is asked anew.
 func (c guarded) Write(b []byte) (int, error) {
 	if !c.g.pass() {
 		return 0, errShut
 	}
-	return c.Conn.Write(b)
-}
-
-// dialGuarded dials a backend for one leg.
-func dialGuarded(ctx context.Context, network, addr string) (net.Conn, error) {
-	g, ok := ctx.Value(guardKey{}).(*guard)
-	if !ok {
-		panic("a backend was dialled without a guard")
-	}
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, network, addr)
-	if err != nil {
-		return nil, err
+	n, err := c.conn.Write(b)
+	if err != nil && n == 0 && !c.g.begun {
+		c.g.state.CompareAndSwap(guardWrote, guardIdle)
 	}
-	return guarded{Conn: conn, g: g}, nil
+	c.g.begun = c.g.begun || n > 0
+	return n, err
 }
--- a/relay/leg.go
+++ b/relay/leg.go
@@ -27,12 +27,14 @@
 	Rank     int           `msgpack:"rk"`
 	Left     time.Duration `msgpack:"l"`
 	// Aim is the time left until the inquiry is late; it waits no longer.
-	Aim    time.Duration `msgpack:"am"`
-	Caller string        `msgpack:"c,omitempty"`
-	Method string        `msgpack:"m"`
-	URI    string        `msgpack:"u"`
-	Host   string        `msgpack:"h"`
-	Header http.Header   `msgpack:"hd"`
+	Aim time.Duration `msgpack:"am"`
+	// Repeatable says that running it twice does no harm.
+	Repeatable bool        `msgpack:"rp,omitempty"`
+	Caller     string      `msgpack:"c,omitempty"`
+	Method     string      `msgpack:"m"`
+	URI        string      `msgpack:"u"`
+	Host       string      `msgpack:"h"`
+	Header     http.Header `msgpack:"hd"`
 	// Trailer is what the client sent behind its body.
 	Trailer http.Header `msgpack:"tr,omitempty"`
 	Body    []byte      `msgpack:"b"`
--- a/relay/limits.go
+++ b/relay/limits.go
@@ -14,4 +14,23 @@
 	grace = 20 * time.Millisecond // (ours)
 	// shunFor is how long a target that failed is left out.
 	shunFor = time.Second // (ours)
+	// keepFor is how long a connection to a backend may be idle.
+	keepFor = 4 * time.Second // (ours)
+	// freshOnly is how long it may have been idle for a leg that must not run twice:
+	// the backend may close it, or may have forgotten it, just as the leg is written.
+	freshOnly = time.Second // (ours)
+	// sweepEvery is how often idle connections are looked at.
+	sweepEvery = 250 * time.Millisecond // (ours)
+	// dialFor bounds the opening of a connection to a backend.
+	dialFor = 250 * time.Millisecond // (ours)
+	// restFor is how long the rest of an answer that declines is waited for.
+	restFor = 20 * time.Millisecond // (ours)
+	// straight is the largest body that is written before the answer is looked for,
+	// and roomForHead what is kept for the head before it.
+	straight    = 16 << 10 // (ours)
+	roomForHead = 2 << 10  // (ours)
+	// mostEarly bounds the 1xx answers before one that counts, mostStrays the answers to
+	// other inquiries.
+	mostEarly  = 5 // (ours)
+	mostStrays = 2 // (ours)
 )
--- a/relay/near.go
+++ b/relay/near.go
@@ -129,7 +129,7 @@
 	h := endToEnd(r.Header)
 	said := n.Dialect.Hear(r, h)
 	q.left = said.Left
-	q.leg = Leg{Service: q.way.Service, Way: q.way.Name, Rank: q.contract.Rank, Caller: cmp.Or(caller, n.Home), Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h, Trailer: r.Trailer, Body: body}
+	q.leg = Leg{Service: q.way.Service, Way: q.way.Name, Rank: q.contract.Rank, Repeatable: q.way.Repeatable, Caller: cmp.Or(caller, n.Home), Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h, Trailer: r.Trailer, Body: body}
 	// The client's going away stops nothing: the inquiry was handed over.
 	ctx := context.WithoutCancel(r.Context())
 	n.begin(ctx, &q, r.Header)
--- a/roster/gate.go
+++ b/roster/gate.go
@@ -39,3 +39,9 @@
 	}
 	return e, Open
 }
+
+// Stands tells whether an instance still has an address and is not leaving.
+func (r Roster) Stands(instance, address string) bool {
+	e, ok := r.entries[instance]
+	return ok && e.Address == address && !e.Leaving
+}
