Hold up what passes between zones in scale runs

Cause: a run on one machine has no ways between zones, and what a change takes to be in force everywhere is mostly those. Weighed: proof/fault's relays (they cut and stall, but keep no delay, and stand before every process); a delay in hollow nodes' own circuits (real ones would have none). Change: straits, relays that keep order, stand on the cores' addresses when an experiment names delays between zones; they refuse when their core is killed. The shoal tells how much its nodes know without waiting for them.

--- a/proof/scale/experiment.go
+++ b/proof/scale/experiment.go
@@ -23,6 +23,9 @@
 	Sizes []Size `toml:"sizes" comment:"one [[sizes]] for each size, in order"`
 	// Zones are where nodes and cores stand, in turn.
 	Zones []string `toml:"zones" comment:"where nodes and cores stand, in turn"`
+	// Delays are of what passes between cores and everybody else, by zone; what is not
+	// named is not held up.
+	Delays []Delay `toml:"delays" comment:"one [[delays]] for each pair of zones; of what passes between a core and others"`
 	// Shoals is how many processes the hollow nodes are spread over.
 	Shoals int `toml:"shoals" comment:"processes that the hollow nodes are spread over"`
 	// Every is the pause between the starts of two nodes of one shoal.
@@ -166,6 +169,18 @@
 			out = append(out, Fault{fmt.Sprintf("zones[%d]", i), fmt.Sprintf("%q must be %s", z, desired.NameForm)})
 		}
 	}
+	for i, d := range e.Delays {
+		at := fmt.Sprintf("delays[%d].", i)
+		if len(d.Between) != 2 {
+			out = append(out, Fault{at + "between", "must name two zones"})
+		}
+		for j, z := range d.Between {
+			if !slices.Contains(e.Zones, z) {
+				out = append(out, Fault{fmt.Sprintf("%sbetween[%d]", at, j), fmt.Sprintf("%q is none of the zones", z)})
+			}
+		}
+		span(at+"one-way", d.OneWay, 0, time.Second)
+	}
 	within("shoals", float64(e.Shoals), 1, 100)
 	span("every", e.Every, 0, 10*time.Second)
 	span("settle", e.Settle, 0, 10*time.Minute)
--- a/proof/scale/hollow.go
+++ b/proof/scale/hollow.go
@@ -48,7 +48,8 @@
 	agreed   roster.Claim
 	end      context.CancelFunc
 
-	mu   sync.Mutex // the copy is looked at by several loops
+	mu   sync.Mutex   // the copy is looked at by several loops
+	size atomic.Int64 // of the copy
 	copy *feed.Copy
 	view *cohort.View // of the copy, if it has not changed since
 }
@@ -153,6 +154,7 @@
 	defer h.mu.Unlock()
 	change()
 	h.copy.Nodes[h.addr] = h.node()
+	h.size.Store(int64(len(h.copy.Nodes)))
 	h.view = nil
 }
 
@@ -292,11 +294,7 @@
 	return cohort.NewView(few, nil)
 }
 
-func (h *hollow) known() int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return len(h.copy.Nodes)
-}
+func (h *hollow) known() int { return int(h.size.Load()) }
 
 // watches tells whom each node watches: what cohort.WatchersOf says of each, the other
 // way round, without sorting all for the sake of the first three.
--- a/proof/scale/run.go
+++ b/proof/scale/run.go
@@ -439,13 +439,13 @@
 	last := m.fleet.Cores[len(m.fleet.Cores)-1]
 	if rest := m.fleet.Cores[:len(m.fleet.Cores)-1]; len(rest) > 0 {
 		m.Say("  one core alone")
-		m.fleet.Kill(rest...)
+		m.kill(rest...)
 		if err := m.after(ctx, "alone"); err != nil {
 			return err
 		}
 	}
 	m.Say("  no core")
-	m.fleet.Kill(last)
+	m.kill(last)
 	return m.after(ctx, "coreless")
 }
 
--- a/proof/scale/scale_test.go
+++ b/proof/scale/scale_test.go
@@ -5,7 +5,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math"
+	"net"
 	"os"
 	"path/filepath"
 	"slices"
@@ -18,6 +20,7 @@
 	"curlewwalk/cohort"
 	"curlewwalk/custody"
 	"curlewwalk/feed"
+	"curlewwalk/proof/fleet"
 	"curlewwalk/wire"
 )
 
@@ -46,6 +49,7 @@
 	e := Default()
 	e.Shoals, e.Settle, e.Steady, e.Within, e.Tolerance, e.Parts = 2, Duration(time.Second), Duration(2*time.Second), Duration(20*time.Second), 0.5, []int{50}
 	e.PartsServices, e.Changes, e.ChangesAMinute, e.Failures, e.FailuresAnHour = 20, 2, 600, 1, 36000
+	e.Delays = []Delay{{Between: []string{"north", "east"}, OneWay: Duration(5 * time.Millisecond)}}
 	e.Sizes = []Size{{Sidecars: 6, Real: 2, Cores: 1, Services: 3, Handover: true, Herd: true}, {Sidecars: 9, Real: 3, Cores: 3, Services: 3, Alone: true}}
 	return e
 }
@@ -215,6 +219,54 @@
 	}
 }
 
+// A strait holds up both ways in order, and breaks and refuses once it is closed.
+func TestStrait(t *testing.T) {
+	site, err := fleet.NewSite()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer site.Close()
+	behind, at := site.IP(0)+":7399", site.IP(0)+":7400"
+	ln, err := net.Listen("tcp", behind)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() {
+		c, err := ln.Accept()
+		if err == nil {
+			io.Copy(c, c)
+		}
+	}()
+	s, err := newStrait(at, behind, func(string) time.Duration { return 20 * time.Millisecond })
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	begin := time.Now()
+	sent := strings.Repeat("in order ", 5000)
+	go io.WriteString(c, sent)
+	got := make([]byte, len(sent))
+	if _, err := io.ReadFull(c, got); err != nil || string(got) != sent {
+		t.Errorf("what came back is not what was sent: %v", err)
+	}
+	if took := time.Since(begin); took < 40*time.Millisecond {
+		t.Errorf("there and back in %v", took)
+	}
+	s.close()
+	if n, err := c.Read(got); err == nil {
+		t.Errorf("%d bytes came through a closed strait", n)
+	}
+	if _, err := net.Dial("tcp", at); err == nil {
+		t.Error("a closed strait takes connections")
+	}
+}
+
 // Rates count only what is in both readings, and a node's new boot from nothing.
 func TestRates(t *testing.T) {
 	node := func(addr string, calls uint64) NodePage {
@@ -263,7 +315,9 @@
 		"zones = [\"a\", \"No Way\"]": {"zones[1]"},
 		"[[sizes]]\nsidecars = 10\nreal = 2\ncores = 3\nservices = 1\n[[sizes]]\nsidecars = 2\nreal = 2\ncores = 4\nservices = 0": {"sizes[1].sidecars", "sizes[1].cores", "sizes[1].services"},
 		"[[sizes]]\nhue = 1": {"sizes.hue"},
-		"not toml":           {""},
+		"zones = [\"a\"]\n[[delays]]\nbetween = [\"a\", \"b\"]\none-way = \"9s\"": {"delays[0].between[1]", "delays[0].one-way"},
+		"[[delays]]\nbetween = [\"north\"]":                                       {"delays[0].between"},
+		"not toml":                                                                {""},
 	} {
 		_, faults := Parse([]byte(text))
 		var got []string
--- a/proof/scale/school.go
+++ b/proof/scale/school.go
@@ -34,6 +34,9 @@
 	exp    Experiment
 	shoals []*pod
 	pids   []int
+	// straits stand before the cores, by machine, if there are delays.
+	straits map[string]*strait
+	zones   map[string]string // of the machines
 }
 
 // pod is a shoal's process as the run holds it.
@@ -67,7 +70,11 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &school{fleet: f, size: size, exp: exp}
+	s := &school{fleet: f, size: size, exp: exp, straits: map[string]*strait{}, zones: map[string]string{}}
+	if err := s.layStraits(); err != nil {
+		s.close()
+		return nil, err
+	}
 	within, cancel := context.WithTimeout(ctx, time.Duration(exp.Within))
 	defer cancel()
 	if err := f.Start(within); err != nil {
@@ -158,8 +165,57 @@
 	}
 }
 
+// layStraits puts straits before the cores, if there are delays.
+func (s *school) layStraits() error {
+	if len(s.exp.Delays) == 0 {
+		return nil
+	}
+	for i := range s.size.Sidecars {
+		n := i
+		if i >= s.size.Real {
+			n += firstHollow - s.size.Real
+		}
+		s.zones[s.fleet.Site.IP(n)] = s.fleet.Locality(i)
+	}
+	for i, p := range s.fleet.Cores {
+		s.zones[p.IP] = s.fleet.Locality(i)
+	}
+	for _, p := range s.fleet.Cores {
+		at, behind := net.JoinHostPort(p.IP, "7400"), net.JoinHostPort(p.IP, "7399")
+		t, err := newStrait(at, behind, func(from string) time.Duration { return s.delay(s.zones[from], s.zones[p.IP]) })
+		if err != nil {
+			return err
+		}
+		s.straits[p.IP] = t
+		p.Args("--wire="+behind, "--advertise="+at)
+	}
+	return nil
+}
+
+func (s *school) delay(a, b string) time.Duration {
+	for _, d := range s.exp.Delays {
+		if d.Between[0] == a && d.Between[1] == b || d.Between[0] == b && d.Between[1] == a {
+			return time.Duration(d.OneWay)
+		}
+	}
+	return 0
+}
+
+// kill ends cores at once; their addresses refuse then.
+func (s *school) kill(cores ...*fleet.Program) {
+	s.fleet.Kill(cores...)
+	for _, p := range cores {
+		if t := s.straits[p.IP]; t != nil {
+			t.close()
+		}
+	}
+}
+
 // close ends all processes of the school.
 func (s *school) close() {
+	for _, t := range s.straits {
+		t.close()
+	}
 	for _, p := range s.shoals {
 		p.stdin.Close()
 		p.cmd.Process.Kill()
