--- a/cohort/seat.go
+++ b/cohort/seat.go
@@ -10,6 +10,11 @@
 	Locality    string `msgpack:"l" json:"locality"`
 	Established bool   `msgpack:"e" json:"established"`
 	Settled     uint64 `msgpack:"st" json:"settled"`
+	// Set is the set of slots of the newest word that it holds, whose stamp is Held;
+	// Before is the set before, while it is not known to be settled.
+	Set    []int  `msgpack:"set,omitempty" json:"set,omitempty"`
+	Before []int  `msgpack:"bef,omitempty" json:"before,omitempty"`
+	Held   uint64 `msgpack:"h,omitempty" json:"held,omitempty"`
 	// Wall is the core's wall clock, in nanoseconds, as it told this.
 	Wall int64 `msgpack:"w,omitempty" json:"-"`
 }
--- a/cohort/seats.go
+++ b/cohort/seats.go
@@ -20,6 +20,7 @@
 	refused    map[string]time.Time // addresses where nobody listened
 	candidates map[string]time.Time
 	told       map[int]Seat // by hearsay alone
+	set        Seat         // whose set is the newest told of
 }
 
 type heard struct {
@@ -42,7 +43,50 @@
 		next.bySlot = map[int]heard{}
 	}
 	next.bySlot[c.Slot] = heard{seat: c, at: now}
-	return next
+	return next.learn(c).prune(now)
+}
+
+// learn takes a set of slots, if it is newer than the one known.
+func (s Seats) learn(c Seat) Seats {
+	if c.Slots > 0 && (s.set.Slots == 0 || c.Held > s.set.Held || c.Held == s.set.Held &&
+		(len(s.set.Set) == 0 || c.Settled >= c.Held && s.set.Settled < s.set.Held)) {
+		s.set = c
+	}
+	return s
+}
+
+// prune forgets the cores of slots that were struck. One that waits for its slot to
+// be added is kept while it is live.
+func (s Seats) prune(now time.Time) Seats {
+	if len(s.set.Set) == 0 {
+		return s
+	}
+	keep := union(s.set.Set, s.set.Before)
+	stale := func(slot int) bool {
+		return !slices.Contains(keep, slot) && now.Sub(s.bySlot[slot].at) >= Silence
+	}
+	s.bySlot, s.told = maps.Clone(s.bySlot), maps.Clone(s.told)
+	maps.DeleteFunc(s.told, func(slot int, _ Seat) bool { return stale(slot) })
+	maps.DeleteFunc(s.bySlot, func(slot int, _ heard) bool { return stale(slot) })
+	return s
+}
+
+func union(a, b []int) []int {
+	out := slices.Concat(a, b)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// Set is the newest set of slots that any core told of, and the stamp of the word
+// that it is of.
+func (s Seats) Set() (set, before []int, held uint64) {
+	if len(s.set.Set) > 0 {
+		return s.set.Set, s.set.Before, s.set.Held
+	}
+	for i := range s.set.Slots { // an older version tells their number only
+		set = append(set, i+1)
+	}
+	return set, nil, 0
 }
 
 // Hearsay takes seats that another process knows of.
@@ -57,9 +101,10 @@
 		if old, ok := next.told[c.Slot]; !ok || c.Inc > old.Inc {
 			next.told[c.Slot] = c
 		}
+		next = next.learn(c)
 	}
 	maps.DeleteFunc(next.candidates, func(_ string, at time.Time) bool { return now.Sub(at) > forgetAfter })
-	return next
+	return next.prune(now)
 }
 
 // Refused takes that nobody listened at an address.
@@ -77,14 +122,24 @@
 // heard or silent, can't be a majority. A slot whose core never spoke to this
 // node is counted as others told of it. (DESIGN 7.2)
 func (s Seats) NoMajority(now time.Time) bool {
-	slots, dead := 0, 0
+	dead := map[int]bool{}
 	for _, c := range s.All() {
-		slots = c.Slots
 		if at, ok := s.refused[c.Addr]; ok && now.Sub(at) < Silence && at.After(s.bySlot[c.Slot].at) {
-			dead++
+			dead[c.Slot] = true
+		}
+	}
+	none := func(set []int) bool {
+		left := 0
+		for _, slot := range set {
+			if !dead[slot] {
+				left++
+			}
 		}
+		return left < len(set)/2+1
 	}
-	return slots > 0 && slots-dead < slots/2+1
+	set, before, _ := s.Set()
+	// While a change of the set may not have been settled, either set may decide.
+	return len(set) > 0 && none(set) && (len(before) == 0 || none(before))
 }
 
 // All lists the cores by slot: those that spoke for themselves, and, for other
@@ -139,15 +194,14 @@
 // while any slot lacks a live core.
 func (s Seats) Targets(own string, seeds []string, now time.Time) []string {
 	set := map[string]bool{}
-	slots := 0
 	for _, c := range s.All() {
 		set[c.Addr] = true
-		slots = c.Slots
 	}
 	for a := range s.candidates {
 		set[a] = true
 	}
-	if live := len(s.Live(now)); live == 0 || live < slots {
+	slots, _, _ := s.Set()
+	if live := len(s.Live(now)); live == 0 || live < len(slots) {
 		for _, a := range seeds {
 			set[a] = true
 		}
--- /dev/null
+++ b/core/applicant.go
@@ -0,0 +1,52 @@
+package core
+
+import (
+	"context"
+	"time"
+
+	"curlewwalk/cohort"
+	"curlewwalk/register"
+	"curlewwalk/wire"
+)
+
+// applyEvery is how often a core without a seat asks for one.
+const applyEvery = 200 * time.Millisecond // (ours)
+
+// apply asks for a seat while this core has none, until ctx ends. A core with a
+// static seat asks for none. (DESIGN 6.5)
+func (n *Node) apply(ctx context.Context) {
+	if n.set.Static() {
+		return
+	}
+	wait := time.NewTimer(applyEvery)
+	defer wait.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-wait.C:
+		}
+		next := cohort.Beat
+		if !n.keeper.Voter().Member() {
+			n.ask(ctx)
+			next = applyEvery
+		}
+		wait.Reset(next)
+	}
+}
+
+// ask asks the core on duty, or any that passes it on.
+func (n *Node) ask(ctx context.Context) {
+	a := register.Asker{ID: n.keeper.Voter().Self.ID, Addr: n.set.Advertise, Locality: n.set.Locality}
+	ctx, cancel := context.WithTimeout(ctx, seatLimit)
+	defer cancel()
+	to := n.duty().Addr
+	if to == n.set.Advertise {
+		live := n.seeker.Seats().Live(time.Now())
+		if len(live) == 0 {
+			return
+		}
+		to = live[0].Addr
+	}
+	n.p.Net.Call(ctx, to, wire.Control, register.KindSeat, a)
+}
--- a/core/control.go
+++ b/core/control.go
@@ -53,6 +53,7 @@
 	Phase     register.Phase         `json:"phase"`
 	Promised  uint64                 `json:"promised"`
 	Mark      register.Mark          `json:"mark"`
+	Slots     register.Sets          `json:"slots"`
 	Seats     map[int]register.Chair `json:"incarnations"`
 	Duty      int                    `json:"duty"`
 	Cores     []cohort.Seat          `json:"cores"`
@@ -89,7 +90,7 @@
 
 func (n *Node) getState(w http.ResponseWriter, r *http.Request) {
 	v := n.keeper.Voter()
-	st := state{Self: n.seat(), Phase: v.Phase, Promised: v.Promised, Mark: v.Mark, Seats: v.Seats, Duty: n.duty().Slot, Cores: n.seeker.Seats().Known()}
+	st := state{Self: n.seat(), Phase: v.Phase, Promised: v.Promised, Mark: v.Mark, Slots: v.Sets(), Seats: v.Seats, Duty: n.duty().Slot, Cores: n.seeker.Seats().Known()}
 	for _, c := range n.seeker.Seats().Live(time.Now()) {
 		st.Live = append(st.Live, c.Slot)
 	}
@@ -259,11 +260,12 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), time.Second)
 	defer cancel()
-	parts := make(chan part, n.set.Slots)
-	for slot := 1; slot <= n.set.Slots; slot++ {
+	set, own := n.slots(), n.keeper.Voter().Self.Slot
+	parts := make(chan part, len(set))
+	for _, slot := range set {
 		n.p.Launcher.Go(ctx, "trace-query", func(ctx context.Context) {
 			addr, known := n.Addr(slot)
-			if slot == n.set.Slot {
+			if slot == own {
 				addr, known = n.set.Advertise, true
 			}
 			var b collect.Batch
@@ -273,7 +275,7 @@
 	}
 	var events []trace.Event
 	var unasked []int
-	for range n.set.Slots {
+	for range set {
 		p := <-parts
 		events = append(events, p.events...)
 		if !p.ok {
--- a/core/door.go
+++ b/core/door.go
@@ -54,6 +54,8 @@
 		return false, "stopping"
 	case n.keeper.Voter().Phase != register.Established:
 		return false, "not established in its slot"
+	case !n.keeper.Voter().Member():
+		return false, "its slot was struck"
 	case !ok || !st.Open:
 		return false, "still being told of the nodes"
 	}
--- a/core/node.go
+++ b/core/node.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,7 @@
 	seeker    *cohort.Seeker
 	store     *collect.Store
 	warden    *warden
+	usher     *usher
 	reload    *process.Reloader
 	web       *process.Web
 	draining  atomic.Bool
@@ -45,14 +47,15 @@
 	if err != nil {
 		p.Fail("data", err)
 	}
-	if n.keeper, err = register.NewKeeper(p.Launcher, &register.Disk{Vault: v}, set.Slot, set.Slots); err != nil {
+	if n.keeper, err = register.NewKeeper(p.Launcher, &register.Disk{Vault: v}, start(set)); err != nil {
 		p.Fail("data", err)
 	}
 	n.warden = &warden{n: n}
 	n.keeper.Net, n.keeper.Log, n.keeper.Peers = p.Net, p.Log, n
+	n.usher = newUsher(n)
 	n.keeper.Settled = func(ctx context.Context, w desired.Word) { n.directory.Settled(ctx, w) }
 	n.keeper.Confirmed = n.directory.Sure
-	n.seeker.Own = func() cohort.Hail { s := n.seat(); return cohort.Hail{Seat: &s} }
+	n.seeker.Own = func() cohort.Hail { return cohort.Hail{Seat: n.told()} }
 	n.seeker.Addr, n.seeker.Net, n.seeker.Launcher, n.seeker.Heard = set.Advertise, p.Net, p.Launcher, n.heard
 	n.reload = &process.Reloader{Seeker: n.seeker}
 	n.reload.Apply(set.Common)
@@ -61,12 +64,13 @@
 	p.Host.Handlers[feed.KindFollow] = n.directory.Answer
 	p.Host.Handlers[register.KindBallot] = n.keeper.Ballot
 	p.Host.Handlers[register.KindOrder] = n.keeper.Order
+	p.Host.Handlers[register.KindSeat] = n.usher.asked
 	p.Host.Handlers[collect.KindPublish] = n.store.Publish
 	p.Host.Handlers[collect.KindTrace] = n.store.Trace
 	p.Host.Listener = p.Listen("wire", set.Wire)
 	n.web = p.Serve(p.Listen("control", set.Control), n.control())
 	for name, run := range map[string]func(context.Context){
-		"net": p.Net.Run, "host": p.Host.Run, "seeker": n.seeker.Run, "keeper": n.keeper.Run, "directory": n.directory.Run, "warden": n.warden.run, "store": n.store.Run,
+		"net": p.Net.Run, "host": p.Host.Run, "seeker": n.seeker.Run, "keeper": n.keeper.Run, "directory": n.directory.Run, "warden": n.warden.run, "usher": n.usher.run, "applicant": n.apply, "store": n.store.Run,
 	} {
 		p.Launcher.Go(p.Life, name, run)
 	}
@@ -93,8 +97,32 @@
 // seat is what this core tells of itself.
 func (n *Node) seat() cohort.Seat {
 	v := n.keeper.Voter()
-	return cohort.Seat{Slot: n.set.Slot, Slots: n.set.Slots, Addr: n.set.Advertise, Inc: v.Self.Inc, Boot: n.p.Boot,
+	s := cohort.Seat{Slot: v.Self.Slot, Addr: n.set.Advertise, Inc: v.Self.Inc, Boot: n.p.Boot,
 		Locality: n.set.Locality, Established: v.Phase == register.Established, Settled: v.Settled, Wall: clock.Wall().UnixNano()}
+	sets := v.Sets()
+	s.Set, s.Slots, s.Held = register.Slots(sets.Now), len(sets.Now), v.Mark.Stamp
+	if v.Settled < v.Mark.Stamp {
+		s.Before = register.Slots(sets.Before)
+	}
+	return s
+}
+
+// told is the seat that this core tells of: none while it has none.
+func (n *Node) told() *cohort.Seat {
+	s := n.seat()
+	if s.Slot == 0 || !s.Established && !n.set.Static() {
+		return nil
+	}
+	return &s
+}
+
+// start is what the settings say of this core's seat.
+func start(set boot.Core) register.Start {
+	s := register.Start{First: set.First, Founders: set.Founders, Addr: set.Advertise}
+	if set.Static() {
+		s.Slot, s.Slots = set.Slot, set.Slots
+	}
+	return s
 }
 
 // hail answers another process.
@@ -107,8 +135,7 @@
 		n.directory.Told(ctx, *h.Node)
 	}
 	n.seeker.Hear(cohort.Hail{Seat: h.Seat, Know: h.Know})
-	s := n.seat()
-	out := cohort.Hail{Seat: &s, Know: n.seeker.Seats().Known()}
+	out := cohort.Hail{Seat: n.told(), Know: n.seeker.Seats().Known()}
 	if h.Node != nil {
 		out.Budgets = n.directory.Budgets()
 		if inc, ok := n.directory.Accused(h.Node.Addr); ok {
@@ -120,7 +147,8 @@
 
 // heard copies what another core has and this one lacks. (DESIGN 6.4)
 func (n *Node) heard(ctx context.Context, c cohort.Seat) {
-	if v := n.keeper.Voter(); v.Phase == register.Established && c.Settled > v.Settled {
+	v := n.keeper.Voter()
+	if (v.Phase == register.Established || v.Phase == register.Seeking) && c.Settled > v.Settled {
 		n.p.Launcher.Go(ctx, "catch", func(ctx context.Context) { n.keeper.Catch(ctx, c.Addr) })
 	}
 }
@@ -133,25 +161,32 @@
 
 // duty is the first live core in the agreed order.
 func (n *Node) duty() cohort.Seat {
-	own := n.seat()
+	own, set := n.seat(), n.slots()
+	member := own.Established && slices.Contains(set, own.Slot)
 	for _, c := range n.seeker.Seats().Live(time.Now()) {
-		if c.Slot < own.Slot && c.Established {
-			return c
-		}
-		if c.Slot > own.Slot && !own.Established && c.Established {
+		if c.Established && c.Slot != own.Slot && slices.Contains(set, c.Slot) && (c.Slot < own.Slot || !member) {
 			return c
 		}
 	}
 	return own
 }
 
+// slots is the newest set of slots that this core knows of.
+func (n *Node) slots() []int {
+	v := n.keeper.Voter()
+	if set, _, held := n.seeker.Seats().Set(); len(set) > 0 && (held > v.Mark.Stamp || len(v.Sets().Now) == 0) {
+		return set
+	}
+	return register.Slots(v.Sets().Now)
+}
+
 // OnDuty implements register.Peers.
-func (n *Node) OnDuty() bool { return n.duty().Slot == n.set.Slot }
+func (n *Node) OnDuty() bool { return n.duty().Addr == n.set.Advertise }
 
 // write carries an order out on the core on duty.
 func (n *Node) write(ctx context.Context, o register.Order) register.Answer {
 	c := n.duty()
-	if c.Slot == n.set.Slot {
+	if c.Addr == n.set.Advertise {
 		return n.keeper.Write(ctx, o)
 	}
 	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
--- /dev/null
+++ b/core/usher.go
@@ -0,0 +1,138 @@
+package core
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"curlewwalk/cohort"
+	"curlewwalk/launch"
+	"curlewwalk/register"
+	"curlewwalk/wire"
+)
+
+// seatLimit is how long a core that asks for a seat waits for the answer.
+const seatLimit = 2 * time.Second // (ours)
+
+// usher gives slots to cores that ask for one while this core is on duty, and has
+// the set of slots changed. (DESIGN 6.5)
+type usher struct {
+	n     *Node
+	box   *launch.Mailbox
+	value register.Usher
+	start time.Time
+	busy  bool // an order for a change is under way
+}
+
+type (
+	msgAsk struct {
+		a register.Asker
+	}
+	msgLook struct{}
+	msgDone struct{}
+)
+
+// heed is the answer to a core that asks for a seat: its asking was heard.
+type heed struct {
+	Heard bool `msgpack:"h"`
+}
+
+func newUsher(n *Node) *usher {
+	// A core counts as not live once it was unheard for Silence; the usher waits out
+	// the rest.
+	u := &usher{n: n, start: time.Now(), value: register.Usher{GoneFor: max(0, n.set.GoneAfter-cohort.Silence)}}
+	u.box = n.p.Launcher.Spawn("usher", u.on)
+	return u
+}
+
+// run looks in rhythm until ctx ends.
+func (u *usher) run(ctx context.Context) {
+	tick := time.NewTicker(cohort.Beat)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			u.box.Send(ctx, msgLook{})
+		}
+	}
+}
+
+// asked answers a core that asks for a seat; what is not for this core is passed on
+// to the one on duty.
+func (u *usher) asked(ctx context.Context, in wire.Inquiry) (any, string) {
+	var a register.Asker
+	if !in.Into(&a) {
+		return nil, "does not ask for a seat"
+	}
+	ctx, cancel := context.WithTimeout(ctx, seatLimit)
+	defer cancel()
+	if duty := u.n.duty(); duty.Addr != u.n.set.Advertise {
+		var h heed
+		if a.Passed {
+			return nil, "not on duty"
+		}
+		a.Passed = true
+		if !u.n.p.Net.Call(ctx, duty.Addr, wire.Control, register.KindSeat, a).Into(&h) {
+			return nil, "the core on duty does not answer"
+		}
+		return h, ""
+	}
+	u.box.Send(ctx, msgAsk{a})
+	return heed{Heard: true}, ""
+}
+
+func (u *usher) on(ctx context.Context, msg any) {
+	now, v := time.Since(u.start), u.n.keeper.Voter()
+	switch m := msg.(type) {
+	case msgAsk:
+		if v.Member() && u.n.OnDuty() {
+			if o, ok := u.value.Seat(m.a, v, u.places(), now); ok {
+				u.order(ctx, o)
+			}
+		}
+	case msgLook:
+		u.value = u.value.Look(v.Sets().Now, u.places(), now)
+		if v.Member() && u.n.OnDuty() {
+			if o, ok := u.value.Strike(v, now); ok {
+				u.order(ctx, o)
+			}
+		}
+	case msgDone:
+		u.busy = false
+	}
+}
+
+// order has the set changed, one change at a time.
+func (u *usher) order(ctx context.Context, o register.Order) {
+	if u.busy {
+		return
+	}
+	u.busy = true
+	u.n.p.Launcher.Go(ctx, "change-set", func(ctx context.Context) {
+		a := u.n.keeper.Write(ctx, o)
+		u.n.p.Log.Info("the set of slots", "comes", o.Seat.Slot, "at", o.Seat.Addr, "goes", o.Out, "taken", string(a.Result), "stamp", a.Word.Stamp)
+		u.box.Send(ctx, msgDone{})
+	})
+}
+
+// places tells of each slot whether its core is live; the own one is.
+func (u *usher) places() map[int]register.Place {
+	out := places(u.n.seeker.Seats())
+	if v := u.n.keeper.Voter(); v.Self.Slot != 0 {
+		out[v.Self.Slot] = register.Place{Addr: u.n.set.Advertise, Live: true}
+	}
+	return out
+}
+
+func places(s cohort.Seats) map[int]register.Place {
+	now := time.Now()
+	live := s.Live(now)
+	out := map[int]register.Place{}
+	for _, c := range s.All() {
+		out[c.Slot] = register.Place{Addr: c.Addr,
+			Live: slices.ContainsFunc(live, func(l cohort.Seat) bool { return l.Slot == c.Slot })}
+	}
+	return out
+}
--- a/core/warden.go
+++ b/core/warden.go
@@ -58,5 +58,5 @@
 
 // wall is the middle one of the cores' wall clocks.
 func (n *Node) wall() time.Time {
-	return n.seeker.Seats().Wall(clock.Wall(), n.set.Slot, time.Now())
+	return n.seeker.Seats().Wall(clock.Wall(), n.keeper.Voter().Self.Slot, time.Now())
 }
--- a/desired/word.go
+++ b/desired/word.go
@@ -20,6 +20,12 @@
 	CalendarStamp uint64    `msgpack:"cs,omitempty"`
 	Calendar      []byte    `msgpack:"c,omitempty"`
 	Closures      []Closure `msgpack:"cl,omitempty"`
+	// Slots is the set of slots in force, sorted; empty is the founding set.
+	// Formerly is the set before, while a change of the set is the newest change.
+	// Top is the highest slot that any set ever had. (DESIGN 6.5)
+	Slots    []Member `msgpack:"sl,omitempty"`
+	Formerly []Member `msgpack:"fo,omitempty"`
+	Top      int      `msgpack:"to,omitempty"`
 }
 
 // Bare is the word as sidecars get it.
--- a/proof/defects/all.go
+++ b/proof/defects/all.go
@@ -43,7 +43,7 @@
 	{emptied, "roster/claim.go", "ClaimFor = 4 * time.Second", "ClaimFor = 40 * time.Second", "./proof", "TestEmptiedUnheard", nil},
 	{emptied, "cohort/round.go", "return r.agreed > r.known/2", "return true", "./proof/simulator", "TestClaims", nil},
 	{emptied, "feed/follower.go", "f.Take(ctx, core, n, asked)", "f.Take(ctx, core, n, asked.Add(n.Age))", "./proof", "TestEmptiedUnheard", nil},
-	{emptied, "core/warden.go", "return n.seeker.Seats().Wall(clock.Wall(), n.set.Slot, time.Now())", "return clock.Wall()", "./proof", "TestWindows", nil},
+	{emptied, "core/warden.go", "return n.seeker.Seats().Wall(clock.Wall(), n.keeper.Voter().Self.Slot, time.Now())", "return clock.Wall()", "./proof", "TestWindows", nil},
 	{force, "feed/feed.go", "\tf.word = &w\n\tf.add(Item{Word: &w})", "\tf.word = &w", "./proof", "TestStorm", nil},
 	{force, "feed/copy.go", "if w.Stamp <= c.stamp {", "if w.Stamp == c.stamp {", "./proof/simulator", "TestMembers", nil},
 	{readBack, "register/voter.go", "v.Mark, v.Word, v.WordDirty = m, w, true", "v.Mark, v.Word, v.WordDirty = m, w, false", "./proof", "TestWordOutlivesKills", nil},
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -73,7 +73,7 @@
 // Seeds are the seeds of every process: two cores and a sidecar.
 func (f *Fleet) Seeds() []string {
 	out := []string{at(f.CoreIP(1), portWire), at(f.Site.IP(0), portWire)}
-	if f.Size.Cores > 1 {
+	if f.Size.Cores != 1 {
 		out = append(out, at(f.CoreIP(2), portWire))
 	}
 	return out
@@ -92,6 +92,23 @@
 	return f.program(fmt.Sprintf("core-%d", slot), "core", ip, f.Locality(slot-1), fmt.Sprintf("--slot=%d", slot), fmt.Sprintf("--slots=%d", f.Size.Cores), "--data="+data)
 }
 
+// NewComer lays a core out that has no static seat: the nth machine of cores, which
+// asks the others for one. With founders it is of a system's first start.
+func (f *Fleet) NewComer(n int, data string, founders ...string) *Program {
+	p := f.program(fmt.Sprintf("core-%d", n), "core", f.CoreIP(n), f.Locality(n-1), "--data="+data)
+	f.Cores = append(f.Cores, p)
+	if len(founders) > 0 {
+		p.Args("--first")
+	}
+	for _, a := range founders {
+		p.Args("--founders=" + a)
+	}
+	return p
+}
+
+// CoreWire is the address of the nth machine of cores for the system's own processes.
+func (f *Fleet) CoreWire(n int) string { return at(f.CoreIP(n), portWire) }
+
 // Locality is where the nth machine stands.
 func (f *Fleet) Locality(n int) string { return f.Size.Localities[n%len(f.Size.Localities)] }
 
--- a/proof/fleet/program.go
+++ b/proof/fleet/program.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -59,6 +60,14 @@
 // Args adds flags for the next start.
 func (p *Program) Args(more ...string) { p.args = append(p.args, more...) }
 
+// Without takes flags away for the next start.
+func (p *Program) Without(names ...string) {
+	p.args = slices.DeleteFunc(p.args, func(a string) bool {
+		name, _, _ := strings.Cut(a, "=")
+		return slices.Contains(names, name)
+	})
+}
+
 // Start starts the process and returns once its addresses stand.
 func (p *Program) Start() error {
 	p.cmd = exec.Command(p.path, p.args...)
--- a/proof/simulator/register.go
+++ b/proof/simulator/register.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"curlewwalk/cohort"
 	"curlewwalk/desired"
 	"curlewwalk/register"
 )
@@ -18,6 +19,7 @@
 	Swap         time.Duration // about how often a disk is lost for good
 	Freeze       time.Duration // about how often a core is frozen
 	Cut          time.Duration // about how often the cores are split
+	Change       time.Duration // about how often a core comes, goes, is swapped or wiped
 	Until        time.Duration // the faults stop here
 }
 
@@ -25,6 +27,10 @@
 var Harsh = Faults{Loss: 0.1, Double: 0.1, Delay: 120 * time.Millisecond, Kill: 3 * time.Second, Swap: 9 * time.Second,
 	Freeze: 4 * time.Second, Cut: 5 * time.Second, Until: 40 * time.Second}
 
+// Shifting are the faults of runs whose cores come and go.
+var Shifting = Faults{Loss: 0.1, Double: 0.1, Delay: 120 * time.Millisecond, Kill: 6 * time.Second,
+	Freeze: 6 * time.Second, Cut: 8 * time.Second, Change: 4 * time.Second, Until: 60 * time.Second}
+
 // core is a simulated core process with its disk.
 type core struct {
 	slot   int
@@ -38,6 +44,13 @@
 	asked  register.From         // the claim of that search; zero while it only reads
 	told   uint64
 	life   int
+
+	// What follows is of runs without static seats.
+	addr  string
+	gone  bool // for good
+	seats cohort.Seats
+	usher register.Usher
+	busy  bool // a change of the set is under way
 }
 
 // Register is a run of the register.
@@ -57,18 +70,24 @@
 	// that was acknowledged.
 	editions map[uint64]uint64
 	edition  uint64
+	asking   bool                       // no seat is static: cores ask for them
+	begun    map[uint64][]register.Sets // of proposals, by stamp
+	word     desired.Word               // the highest that was settled
 	// Trace, if set, is told what goes on.
 	Trace func(string)
 	// Broken lists what must never happen and did.
 	Broken []string
 	// Acked, Reads, Refused and Swaps count what went on.
 	Acked, Reads, Refused, Swaps, Kills int
+	// Joins, Grown, Shrunk and Swapped count changes of the set, Struck those that
+	// learnt that they had no seat any more.
+	Joins, Grown, Shrunk, Swapped, Struck, Blackouts int
 }
 
 // NewRegister lays a run out.
 func NewRegister(seed uint64, slots int, f Faults) *Register {
 	r := &Register{rng: rand.New(rand.NewPCG(seed, 7)), slots: slots, faults: f, orders: map[uint64]register.Order{},
-		asks: map[uint64]func(register.Answer){}, settled: map[uint64][]byte{}, editions: map[uint64]uint64{}}
+		asks: map[uint64]func(register.Answer){}, settled: map[uint64][]byte{}, editions: map[uint64]uint64{}, begun: map[uint64][]register.Sets{}}
 	for s := 1; s <= slots; s++ {
 		c := &core{slot: s, disk: r.blank(s)}
 		r.cores = append(r.cores, c)
@@ -78,7 +97,7 @@
 }
 
 func (r *Register) blank(slot int) register.Voter {
-	return register.Voter{Self: register.From{Slot: slot, ID: r.rng.Uint64() | 1}, Slots: r.slots, Phase: register.Virgin, Seats: map[int]register.Chair{}}
+	return register.Voter{Self: register.From{Slot: slot, ID: r.rng.Uint64() | 1}, Founded: r.slots, Phase: register.Virgin, Seats: map[int]register.Chair{}}
 }
 
 func (r *Register) some(d time.Duration) time.Duration {
@@ -87,7 +106,7 @@
 
 func (r *Register) note(c *core, format string, args ...any) {
 	if r.Trace != nil {
-		r.Trace(fmt.Sprintf("%12v core %d.%d/%x ", r.now, c.slot, c.voter.Self.Inc, c.voter.Self.ID>>52) + fmt.Sprintf(format, args...))
+		r.Trace(fmt.Sprintf("%12v %s slot %d.%d/%x ", r.now, c.addr, c.voter.Self.Slot, c.voter.Self.Inc, c.voter.Self.ID>>52) + fmt.Sprintf(format, args...))
 	}
 }
 
@@ -100,13 +119,17 @@
 	r.repeat(250*time.Millisecond, r.faults.Until, r.write)
 	r.repeat(300*time.Millisecond, r.faults.Until, r.readBack)
 	r.repeat(r.faults.Kill, r.faults.Until, r.kill)
-	r.repeat(r.faults.Swap, r.faults.Until, r.swap)
+	if r.asking {
+		r.repeat(r.faults.Change, r.faults.Until, r.alter)
+	} else {
+		r.repeat(r.faults.Swap, r.faults.Until, r.swap)
+	}
 	r.repeat(r.faults.Freeze, r.faults.Until, r.freeze)
 	r.repeat(r.faults.Cut, r.faults.Until, r.split)
 	r.run(r.faults.Until)
 	for _, c := range r.cores {
 		c.cut = 0
-		if c == r.seat(c.slot) && !c.up {
+		if r.belongs(c) && !c.up {
 			r.boot(c)
 		}
 	}
@@ -122,11 +145,25 @@
 	if r.Acked == before || r.Reads == reads {
 		r.broken("it does not serve 15 s after the last fault: %s", r.show())
 	}
+	if r.asking {
+		r.converged()
+	}
+}
+
+// belongs tells whether a core is one that is to be up.
+func (r *Register) belongs(c *core) bool {
+	if r.asking {
+		return !c.gone
+	}
+	return c == r.seat(c.slot)
 }
 
 func (r *Register) show() (s string) {
 	for _, c := range r.cores {
-		s += fmt.Sprintf(" [%d.%d up=%v %s promised %d %v settled %d]", c.slot, c.voter.Self.Inc, c.up, c.voter.Phase, c.voter.Promised, c.voter.Mark, c.voter.Settled)
+		if !c.gone {
+			v := c.voter
+			s += fmt.Sprintf("\n%s [%d/%x up=%v %s promised %d %v settled %d of %v before %v top %d]", c.addr, v.Self.Slot, v.Self.ID>>52, c.up, v.Phase, v.Promised, v.Mark, v.Settled, register.Slots(v.Sets().Now), register.Slots(v.Sets().Before), v.Word.Top)
+		}
 	}
 	return s
 }
@@ -163,7 +200,9 @@
 	life := c.life
 	c.voter = c.disk
 	c.voter.Settled = 0
-	c.clerk = &register.Clerk{Self: c.voter.Self, Slots: r.slots}
+	c.clerk = &register.Clerk{}
+	c.clerk.Follow(c.voter, r.now)
+	c.seats, c.usher, c.votes, c.busy = cohort.Seats{}, register.Usher{GoneFor: time.Second}, nil, false
 	var tick func()
 	tick = func() {
 		if c.up && c.life == life {
@@ -172,6 +211,9 @@
 		}
 	}
 	tick()
+	if r.asking {
+		r.hailing(c, life)
+	}
 }
 
 // when runs do now, or once the core has woken, if it then still lives.
@@ -191,11 +233,14 @@
 }
 
 func (r *Register) tick(c *core) {
+	if r.asking && r.seek(c) {
+		return
+	}
 	if c.voter.Phase != register.Established {
 		r.lookForSeat(c)
 		return
 	}
-	c.clerk.Known(c.voter.Promised)
+	c.clerk.Follow(c.voter, r.now)
 	if c.voter.Mark.Stamp > c.voter.Settled && r.rng.IntN(20) == 0 {
 		r.order(c, register.Order{Kind: register.Refresh}, func(register.Answer) {})
 	}
@@ -225,35 +270,45 @@
 		b = register.Ballot{From: c.asked, Act: register.Sit}
 	}
 	votes := c.votes
-	for s := 1; s <= r.slots; s++ {
-		if s == c.slot {
-			continue
+	r.spread(c, b, true, votes, func(v register.Vote) {
+		if self := c.asked; self == b.From && b.Act == register.Sit {
+			if next, ok := c.voter.Seated(self, votes); ok {
+				r.save(c, next)
+				r.tell(c)
+			}
 		}
-		r.put(c, s, b, func(v register.Vote) {
-			votes[v.From.Slot] = v
-			if self := c.asked; self == b.From && b.Act == register.Sit {
-				if next, ok := c.voter.Seated(self, votes); ok {
-					r.save(c, next)
-					r.tell(c)
-				}
+	})
+}
+
+// spread puts a ballot to all slots that a core knows of, and that the votes tell
+// of, and gathers those.
+func (r *Register) spread(c *core, b register.Ballot, others bool, votes map[int]register.Vote, heard func(register.Vote)) {
+	asked := map[int]bool{}
+	var ask func(set []desired.Member)
+	ask = func(set []desired.Member) {
+		for _, s := range set {
+			if asked[s.Slot] || others && s.Slot == b.From.Slot {
+				continue
 			}
-		})
+			asked[s.Slot] = true
+			r.put(c, s, b, func(v register.Vote) {
+				votes[v.From.Slot] = v
+				ask(v.Sets.Union())
+				heard(v)
+			})
+		}
 	}
+	ask(c.voter.Sets().Union())
 }
 
 // put brings a ballot to a slot, and its vote back, through what may happen.
-func (r *Register) put(from *core, slot int, b register.Ballot, back func(register.Vote)) {
-	to := r.seat(slot)
-	if r.rng.IntN(5) == 0 { // news of a swapped core has not come round
-		for _, c := range r.cores {
-			if c.slot == slot {
-				to = c
-				break
-			}
-		}
+func (r *Register) put(from *core, m desired.Member, b register.Ballot, back func(register.Vote)) {
+	if b.Act == register.Propose && b.Mark.Stamp > r.word.Stamp && len(b.Word.Slots) > 0 {
+		r.begun[b.Mark.Stamp] = append(r.begun[b.Mark.Stamp], register.Sets{Now: b.Word.Slots, Before: b.Word.Formerly})
 	}
-	if from.slot == slot {
-		to = from
+	to := r.find(from, m)
+	if to == nil {
+		return
 	}
 	life := from.life
 	r.send(from, to, func() {
@@ -268,13 +323,35 @@
 		r.save(to, next)
 		r.tell(to)
 		r.send(to, from, func() {
-			if from.life == life {
-				back(vote)
+			if v := vote.By(m); v != nil && from.life == life {
+				back(*v)
 			}
 		})
 	})
 }
 
+// find is the core that one takes for a member.
+func (r *Register) find(from *core, m desired.Member) *core {
+	slot := m.Slot
+	if from.voter.Self.Slot == slot && (m.ID == 0 || m.ID == from.voter.Self.ID) {
+		return from
+	}
+	if r.asking {
+		if at, ok := from.seats.At(slot); ok {
+			return r.at(at.Addr)
+		}
+		return r.at(m.Addr)
+	}
+	if r.rng.IntN(5) == 0 { // news of a swapped core has not come round
+		for _, c := range r.cores {
+			if c.slot == slot {
+				return c
+			}
+		}
+	}
+	return r.seat(slot)
+}
+
 // send carries a message: late, lost, doubled, or to a core that is frozen.
 func (r *Register) send(from, to *core, do func()) {
 	if from == to {
@@ -300,10 +377,10 @@
 
 func (r *Register) save(c *core, next register.Voter) {
 	if next.Mark != c.voter.Mark || next.Promised != c.voter.Promised || next.Phase != c.voter.Phase {
-		r.note(c, "%s, promised %d, holds %v %q, seats %v", next.Phase, next.Promised, next.Mark, next.Word.Desired, next.Seats)
+		r.note(c, "%s, promised %d, holds %v %q of %v", next.Phase, next.Promised, next.Mark, next.Word.Desired, register.Slots(next.Sets().Now))
 	}
 	c.voter, c.disk = next, next
-	c.clerk.Self = next.Self
+	c.clerk.Follow(next, r.now)
 }
 
 // tell checks each word that a core takes for settled.
@@ -314,14 +391,19 @@
 	}
 	c.told = v.Settled
 	r.note(c, "takes stamp %d for settled", v.Settled)
-	r.check(v.Word, fmt.Sprintf("core %d", c.slot))
+	r.check(v.Word, fmt.Sprintf("core %d", c.voter.Self.Slot))
 }
 
 func (r *Register) check(w desired.Word, who string) {
-	if old, ok := r.settled[w.Stamp]; ok && !bytes.Equal(old, w.Desired) {
-		r.broken("%s has %q for stamp %d that was %q", who, w.Desired, w.Stamp, old)
+	is := fmt.Appendf(nil, "%s %v", w.Desired, w.Slots)
+	if old, ok := r.settled[w.Stamp]; ok && !bytes.Equal(old, is) {
+		r.broken("%s has %q for stamp %d that was %q", who, is, w.Stamp, old)
+	}
+	r.settled[w.Stamp] = is
+	if w.Stamp > r.word.Stamp {
+		r.grew(w)
+		r.word = w
 	}
-	r.settled[w.Stamp] = w.Desired
 	for stamp, e := range r.editions {
 		if stamp <= w.Stamp && e > w.Edition || stamp >= w.Stamp && e < w.Edition {
 			r.broken("%s has edition %d under stamp %d and there was %d under %d", who, w.Edition, w.Stamp, e, stamp)
@@ -347,6 +429,9 @@
 func (r *Register) order(c *core, o register.Order, back func(register.Answer)) {
 	r.seq++
 	o.ID, o.Until = r.seq, r.now+3*time.Second
+	if o.Kind == register.Reseat {
+		o.Until = r.now + 2*time.Second
+	}
 	r.asks[o.ID] = back
 	r.obey(c, c.clerk.Take(o, r.now))
 }
@@ -399,25 +484,23 @@
 		}
 	}
 	votes, done := map[int]register.Vote{}, false
-	for s := 1; s <= r.slots; s++ {
-		r.put(c, s, register.Ballot{From: c.voter.Self, Act: register.Read}, func(v register.Vote) {
-			votes[v.From.Slot] = v
-			counted := register.Counted(votes)
-			if done || len(counted) < register.Majority(r.slots) {
-				return
-			}
-			done = true
-			if top, held := register.Newest(counted, r.slots); held {
-				got(top.Word)
-			} else if c.voter.Phase == register.Established {
-				r.order(c, register.Order{Kind: register.Refresh}, func(a register.Answer) {
-					if a.Result == register.Taken {
-						got(a.Word)
-					}
-				})
-			}
-		})
-	}
+	own := c.voter.Sets()
+	r.spread(c, register.Ballot{From: c.voter.Self, Act: register.Read}, false, votes, func(register.Vote) {
+		counted := register.Counted(votes)
+		if done || !register.Complete(counted, own) {
+			return
+		}
+		done = true
+		if top, held := register.Newest(counted, own); held {
+			got(top.Word)
+		} else if c.voter.Phase == register.Established {
+			r.order(c, register.Order{Kind: register.Refresh}, func(a register.Answer) {
+				if a.Result == register.Taken {
+					got(a.Word)
+				}
+			})
+		}
+	})
 }
 
 func (r *Register) down(c *core) {
@@ -425,9 +508,9 @@
 	c.up = false
 	r.Kills++
 	c.life++
-	if c == r.seat(c.slot) {
+	if r.belongs(c) {
 		r.after(r.some(3*time.Second), func() {
-			if !c.up && c == r.seat(c.slot) {
+			if !c.up && r.belongs(c) {
 				r.boot(c)
 			}
 		})
--- a/proof/simulator/simulator_test.go
+++ b/proof/simulator/simulator_test.go
@@ -119,3 +119,35 @@
 		t.Error("the failures or the work did not come about")
 	}
 }
+
+// The same without static seats: founders are born at once, cores come, go for good,
+// are swapped by empty ones at other addresses, or wiped, singly and as many at once
+// as a minority allows, also as all others lose power. Nothing acknowledged is lost;
+// in the end all cores that live have seats, and it serves.
+func TestSlots(t *testing.T) {
+	var sum Register
+	for _, founders := range []int{1, 2, 3, 4, 5, 11} {
+		for seed := *first; seed < *first+uint64(*seeds); seed++ {
+			r := NewSlots(seed, founders, Shifting)
+			if *seeds == 1 {
+				r.Trace = func(s string) { t.Log(s) }
+			}
+			r.Run()
+			for i, b := range r.Broken {
+				if i < 3 {
+					t.Errorf("seed %d with %d founders: %s", seed, founders, b)
+				}
+			}
+			if len(r.Broken) > 0 {
+				t.Errorf("replay: go test ./proof/simulator -run TestSlots -first %d -seeds 1", seed)
+			}
+			sum.Acked, sum.Reads, sum.Kills, sum.Swaps, sum.Joins = sum.Acked+r.Acked, sum.Reads+r.Reads, sum.Kills+r.Kills, sum.Swaps+r.Swaps, sum.Joins+r.Joins
+			sum.Grown, sum.Shrunk, sum.Swapped, sum.Struck, sum.Blackouts = sum.Grown+r.Grown, sum.Shrunk+r.Shrunk, sum.Swapped+r.Swapped, sum.Struck+r.Struck, sum.Blackouts+r.Blackouts
+		}
+	}
+	t.Logf("%d writes acknowledged, %d reads, %d kills, %d disks lost, %d joined, %d grown, %d shrunk, %d swapped, %d struck, %d blackouts",
+		sum.Acked, sum.Reads, sum.Kills, sum.Swaps, sum.Joins, sum.Grown, sum.Shrunk, sum.Swapped, sum.Struck, sum.Blackouts)
+	if sum.Acked == 0 || sum.Grown == 0 || sum.Shrunk == 0 || sum.Swapped == 0 || sum.Struck == 0 || sum.Blackouts == 0 {
+		t.Error("the faults or the work did not come about")
+	}
+}
--- /dev/null
+++ b/proof/simulator/slots.go
@@ -0,0 +1,350 @@
+package simulator
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"curlewwalk/cohort"
+	"curlewwalk/desired"
+	"curlewwalk/register"
+)
+
+// epochOfTime is when simulated runs begin, for what counts in wall time.
+var epochOfTime = time.Unix(1_700_000_000, 0)
+
+// mostCores bounds how many cores are to be up at a time.
+const mostCores = 9
+
+// NewSlots lays out a run whose cores have no static seats: so many founders, and
+// others that come, go, are swapped and wiped.
+func NewSlots(seed uint64, founders int, f Faults) *Register {
+	r := NewRegister(seed, 0, f)
+	r.asking, r.slots = true, founders
+	var addrs []string
+	for i := range founders {
+		addrs = append(addrs, fmt.Sprintf("core %d", i))
+	}
+	for i := range founders {
+		c := &core{addr: addrs[i], disk: register.Start{First: true, Founders: addrs, Addr: addrs[i]}.Empty(r.rng.Uint64() | 1)}
+		r.cores = append(r.cores, c)
+		r.after(r.some(time.Second), func() { r.boot(c) })
+	}
+	return r
+}
+
+func (r *Register) at(addr string) *core {
+	i := slices.IndexFunc(r.cores, func(c *core) bool { return c.addr == addr })
+	if i < 0 {
+		return nil
+	}
+	return r.cores[i]
+}
+
+func (r *Register) wall() time.Time { return epochOfTime.Add(r.now) }
+
+// hailing has a core hail all others in rhythm.
+func (r *Register) hailing(c *core, life int) {
+	var hail func()
+	hail = func() {
+		if !c.up || c.life != life {
+			return
+		}
+		r.when(c, func() { r.hail(c) })
+		r.after(cohort.Beat, hail)
+	}
+	hail()
+}
+
+// tells is what a core tells of its seat.
+func (c *core) tells() cohort.Seat {
+	v := c.voter
+	s := cohort.Seat{Slot: v.Self.Slot, Slots: len(v.Sets().Now), Set: register.Slots(v.Sets().Now), Held: v.Mark.Stamp, Addr: c.addr, Inc: v.Self.Inc,
+		Established: v.Phase == register.Established, Settled: v.Settled}
+	if v.Settled < v.Mark.Stamp {
+		s.Before = register.Slots(v.Sets().Before)
+	}
+	return s
+}
+
+// hail tells a core's seat to the others, which tell theirs; then it looks how its
+// seat and the others' stand.
+func (r *Register) hail(c *core) {
+	know := c.seats.Known()
+	seat := c.tells()
+	for _, to := range r.cores {
+		if to == c || to.gone {
+			continue
+		}
+		r.send(c, to, func() {
+			to.seats = to.seats.Hearsay(know, r.wall())
+			if seat.Established {
+				r.heard(to, seat)
+			}
+			back, known := to.tells(), to.seats.Known()
+			r.send(to, c, func() {
+				c.seats = c.seats.Hearsay(known, r.wall())
+				if back.Established {
+					r.heard(c, back)
+				}
+			})
+		})
+	}
+	c.usher = c.usher.Look(c.voter.Sets().Now, c.places(r.wall()), r.now)
+	if c.voter.Member() && r.duty(c) == c {
+		if o, ok := c.usher.Strike(c.voter, r.now); ok {
+			r.reseat(c, o)
+		}
+	}
+}
+
+// heard takes what a core told of itself.
+func (r *Register) heard(c *core, s cohort.Seat) {
+	c.seats = c.seats.Hear(s, r.wall())
+	v := c.voter
+	switch {
+	case s.Settled > v.Settled:
+		from := r.at(s.Addr)
+		r.send(c, from, func() {
+			_, vote := from.voter.On(register.Ballot{From: v.Self, Act: register.Read})
+			r.send(from, c, func() {
+				if vote.Settled != vote.Mark.Stamp {
+					return
+				}
+				next, _ := c.voter.On(register.Ballot{From: c.voter.Self, Act: register.Settle, Epoch: vote.Mark.Epoch, Mark: vote.Mark, Word: vote.Word})
+				r.save(c, next)
+				r.tell(c)
+			})
+		})
+	}
+}
+
+func (c *core) places(now time.Time) map[int]register.Place {
+	out := map[int]register.Place{}
+	live := c.seats.Live(now)
+	for _, s := range c.seats.All() {
+		out[s.Slot] = register.Place{Addr: s.Addr, Live: slices.ContainsFunc(live, func(l cohort.Seat) bool { return l.Slot == s.Slot })}
+	}
+	if v := c.voter; v.Self.Slot != 0 {
+		out[v.Self.Slot] = register.Place{Addr: c.addr, Live: true}
+	}
+	return out
+}
+
+// duty is the core that one takes for the one on duty.
+func (r *Register) duty(c *core) *core {
+	set := register.Slots(c.voter.Sets().Now)
+	if s, _, held := c.seats.Set(); len(s) > 0 && (held > c.voter.Mark.Stamp || len(set) == 0) {
+		set = s
+	}
+	member := c.voter.Phase == register.Established && slices.Contains(set, c.voter.Self.Slot)
+	for _, s := range c.seats.Live(r.wall()) {
+		if s.Slot != c.voter.Self.Slot && slices.Contains(set, s.Slot) && (s.Slot < c.voter.Self.Slot || !member) {
+			return r.at(s.Addr)
+		}
+	}
+	return c
+}
+
+// seek is what a core does for its seat; it tells whether that is all for now.
+func (r *Register) seek(c *core) bool {
+	if c.voter.Struck() {
+		r.note(c, "is struck")
+		r.Struck++
+		r.save(c, c.voter.Afresh(r.rng.Uint64()|1))
+	}
+	if c.voter.Member() {
+		return false
+	}
+	if r.rng.IntN(4) == 0 {
+		if to := r.duty(c); to != c {
+			r.ask(c, to)
+		}
+	}
+	return c.voter.Phase != register.Established
+}
+
+func (r *Register) ask(c, to *core) {
+	a := register.Asker{ID: c.voter.Self.ID, Addr: c.addr}
+	r.send(c, to, func() {
+		if !to.voter.Member() || r.duty(to) != to {
+			return
+		}
+		if o, ok := to.usher.Seat(a, to.voter, to.places(r.wall()), r.now); ok {
+			r.reseat(to, o)
+		}
+	})
+}
+
+// reseat has the set changed, one change at a time.
+func (r *Register) reseat(c *core, o register.Order) {
+	if c.busy {
+		return
+	}
+	c.busy = true
+	r.note(c, "orders %s into %d, %d out", o.Seat.Addr, o.Seat.Slot, o.Out)
+	life := c.life
+	r.order(c, o, func(register.Answer) {
+		if c.life == life {
+			c.busy = false
+		}
+	})
+}
+
+// grew counts changes of the set.
+func (r *Register) grew(w desired.Word) {
+	switch {
+	case len(w.Formerly) == 0:
+	case len(w.Slots) > len(w.Formerly):
+		r.Grown++
+	case len(w.Slots) < len(w.Formerly):
+		r.Shrunk++
+	default:
+		r.Swapped++
+	}
+}
+
+// bears tells whether the cores' disks would still be enough with some of them lost:
+// a majority of each set that may decide.
+func (r *Register) bears(lost ...*core) bool {
+	sets := []register.Sets{{Now: r.word.Slots, Before: r.word.Formerly}}
+	for _, c := range r.cores {
+		if m := c.disk.Mark; len(r.word.Slots) == 0 || m.Stamp > r.word.Stamp {
+			sets = append(sets, c.disk.Sets())
+		}
+	}
+	for stamp, begun := range r.begun {
+		if stamp > r.word.Stamp {
+			sets = append(sets, begun...)
+		}
+	}
+	for _, s := range sets {
+		for _, set := range [][]desired.Member{s.Now, s.Before} {
+			n := 0
+			for _, m := range set {
+				if slices.ContainsFunc(r.cores, func(c *core) bool {
+					return !c.gone && c.disk.Self.ID == m.ID && !slices.Contains(lost, c)
+				}) {
+					n++
+				}
+			}
+			if len(set) > 0 && n < register.Majority(len(set)) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// alter has a core come, go for good, be swapped or wiped, or a minority of the
+// disks be lost at once, at times with the power of all others.
+func (r *Register) alter() {
+	var here []*core
+	for _, c := range r.cores {
+		if !c.gone {
+			here = append(here, c)
+		}
+	}
+	pick := func() *core { return here[r.rng.IntN(len(here))] }
+	switch r.rng.IntN(6) {
+	case 0:
+		if len(here) < mostCores {
+			r.join()
+		}
+	case 1:
+		if c := pick(); len(here) > 3 && r.bears(c) {
+			r.remove(c)
+		}
+	case 2:
+		if c := pick(); r.bears(c) {
+			r.remove(c)
+			r.join()
+		}
+	case 3:
+		if c := pick(); r.bears(c) {
+			r.wipe(c)
+		}
+	default:
+		lost := []*core{}
+		for _, i := range r.rng.Perm(len(here)) {
+			if r.bears(append(slices.Clone(lost), here[i])...) {
+				lost = append(lost, here[i])
+			}
+		}
+		if len(lost) == 0 {
+			return
+		}
+		r.Blackouts++
+		all := r.rng.IntN(2) == 0
+		for _, c := range here {
+			switch {
+			case slices.Contains(lost, c) && r.rng.IntN(2) == 0:
+				r.remove(c)
+				r.join()
+			case slices.Contains(lost, c):
+				r.wipe(c)
+			case all && c.up:
+				r.down(c)
+			}
+		}
+	}
+}
+
+func (r *Register) join() {
+	r.Joins++
+	c := &core{addr: fmt.Sprintf("core %d", len(r.cores)), disk: register.Start{}.Empty(r.rng.Uint64() | 1)}
+	r.cores = append(r.cores, c)
+	r.boot(c)
+}
+
+func (r *Register) remove(c *core) {
+	r.note(c, "goes for good")
+	r.Swaps++
+	c.gone, c.up = true, false
+	c.life++
+	c.disk = register.Voter{}
+}
+
+// wipe starts a core again at its address, with an empty disk.
+func (r *Register) wipe(c *core) {
+	r.note(c, "is wiped")
+	r.Swaps++
+	if c.up {
+		r.down(c)
+	}
+	c.disk = register.Start{}.Empty(r.rng.Uint64() | 1)
+}
+
+// converged checks what the set has come to in quiet: all cores that are up are
+// members, and no more are missing than an odd set may lack.
+func (r *Register) converged() {
+	var live []int
+	sets := map[string]bool{}
+	var set []int
+	for _, c := range r.cores {
+		if c.gone {
+			continue
+		}
+		if !c.voter.Member() {
+			r.broken("%s is no member in the end: %s", c.addr, r.show())
+			return
+		}
+		live = append(live, c.voter.Self.Slot)
+		set = register.Slots(c.voter.Sets().Now)
+		sets[fmt.Sprint(set)] = true
+	}
+	missing := 0
+	for _, s := range set {
+		if !slices.Contains(live, s) {
+			missing++
+		}
+	}
+	most := len(set) % 2
+	if len(set) <= max(3, r.slots) {
+		most = len(set) - register.Majority(len(set))
+	}
+	if len(sets) != 1 || missing > most || len(live)+missing != len(set) {
+		r.broken("in the end %d are missing in %v: %s", missing, slices.Sorted(maps.Keys(sets)), r.show())
+	}
+}
--- a/register/clerk.go
+++ b/register/clerk.go
@@ -11,6 +11,9 @@
 const (
 	resendAfter = 250 * time.Millisecond // (ours)
 	yieldFor    = 100 * time.Millisecond // (ours)
+	// comeWithin is how long a newcomer may take to hold the word that takes it in;
+	// others wait meanwhile.
+	comeWithin = 500 * time.Millisecond // (ours)
 )
 
 type clerkPhase int
@@ -24,22 +27,27 @@
 // Clerk writes the word on behalf of the duty core, one order at a time, under
 // an epoch that a majority has promised to. (DESIGN 6.3)
 type Clerk struct {
-	Self  From
-	Slots int
+	Self    From
+	Founded int
 
-	phase  clerkPhase
-	epoch  uint64 // zero: none held
-	known  uint64 // the highest epoch heard of
-	mark   Mark
-	word   desired.Word
-	base   Mark
-	held   desired.Word
-	own    bool // the proposal is the first order's, not a half-done one's
-	orders []Order
-	votes  map[int]Vote
-	sent   time.Duration
-	rest   time.Duration // no new epoch before this
-	began  time.Duration // when the epoch was asked for
+	founders []desired.Member
+	sets     Sets // of the own voter
+	asked    []desired.Member
+	opened   time.Duration    // when this round of votes was
+	later    []desired.Member // whom to ask once a newcomer holds the word that takes it in
+	phase    clerkPhase
+	epoch    uint64 // zero: none held
+	known    uint64 // the highest epoch heard of
+	mark     Mark
+	word     desired.Word
+	base     Mark
+	held     desired.Word
+	own      bool // the proposal is the first order's, not a half-done one's
+	orders   []Order
+	votes    map[int]Vote
+	sent     time.Duration
+	rest     time.Duration // no new epoch before this
+	began    time.Duration // when the epoch was asked for
 }
 
 // Take queues an order.
@@ -65,13 +73,22 @@
 		return nil
 	}
 	c.votes[v.From.Slot] = v
+	if len(c.later) > 0 {
+		c.asked, c.later = union(c.asked, c.later), nil
+		return c.send(now)
+	}
 	votes := Counted(c.votes)
 	// The own promise must be on disk first: it keeps a restarted clerk from
 	// taking the same epoch again. (DESIGN 6.3)
-	if _, self := votes[c.Self.Slot]; !self || len(votes) < Majority(c.Slots) {
-		return nil
-	}
+	_, self := votes[c.Self.Slot]
+	sets := c.setsOf(c.word)
 	if c.phase == preparing {
+		_, sets = Top(votes, c.sets)
+	}
+	switch {
+	case !self || !sets.Quorum(votes):
+		return c.further(v.Sets.Union())
+	case c.phase == preparing:
 		return c.prepared(votes, now)
 	}
 	return c.settled(now)
@@ -96,6 +113,13 @@
 		c.orders = slices.Delete(c.orders, i, i+1)
 		i--
 	}
+	if c.phase == proposing && len(c.later) > 0 && now-c.opened >= comeWithin {
+		// It does not come. Nobody else has the word, but under another epoch only may
+		// this stamp be used again.
+		out = append(out, Outcome{Answer: &Answer{ID: c.orders[0].ID, Result: NotTaken}})
+		c.orders = c.orders[1:]
+		c.drop(now)
+	}
 	if c.phase != idle && len(c.orders) == 0 {
 		c.drop(now)
 	}
@@ -106,8 +130,14 @@
 }
 
 func (c *Clerk) drop(now time.Duration) {
-	c.phase, c.epoch = idle, 0
-	c.rest = now + yieldFor*time.Duration(c.Self.Slot)
+	c.phase, c.epoch, c.later = idle, 0, nil
+	rank := 1
+	for _, m := range c.sets.Now {
+		if m.Slot < c.Self.Slot {
+			rank++
+		}
+	}
+	c.rest = now + yieldFor*time.Duration(rank)
 }
 
 func (c *Clerk) proceed(now time.Duration) []Outcome {
@@ -117,12 +147,16 @@
 			if now < c.rest {
 				return out
 			}
-			c.epoch = (c.known/uint64(c.Slots)+1)*uint64(c.Slots) + uint64(c.Self.Slot)
+			c.epoch = epochAfter(c.known, c.Self.Slot, c.Founded)
 			c.began = now
 			return append(out, c.begin(preparing, now)...)
 		}
 		o := &c.orders[0]
-		if ans, done := c.judge(*o); done {
+		ans, done := judgeReseat(c.held, c.setsOf(c.held).Now, *o)
+		if !done {
+			ans, done = c.judge(*o)
+		}
+		if done {
 			if c.began < o.at && (o.Kind == Refresh || ans.Result == Mismatch) {
 				// What is held may have been overtaken under a later epoch: only
 				// an epoch begun since the order came proves it the newest.
@@ -133,7 +167,7 @@
 			out = append(out, Outcome{Answer: &ans})
 			continue
 		}
-		c.mark, c.word, c.own = Mark{Epoch: c.epoch, Stamp: c.held.Stamp + 1}, next(c.held, *o), true
+		c.mark, c.word, c.own = Mark{Epoch: c.epoch, Stamp: c.held.Stamp + 1}, change(next(c.held, *o), c.setsOf(c.held).Now, *o), true
 		o.proposed = c.mark
 		out = append(out, c.begin(proposing, now)...)
 	}
@@ -157,7 +191,7 @@
 	case o.proposed.Stamp != 0 && c.held.Stamp > o.proposed.Stamp:
 		ans.Result = Unknown
 		return ans, true
-	case o.proposed.Stamp != 0 && c.held.Stamp == o.proposed.Stamp && same(c.held, o):
+	case o.proposed.Stamp != 0 && c.held.Stamp == o.proposed.Stamp && does(c.held, o):
 		return ans, true
 	case o.IfMatch != nil && o.Kind == Calendar && *o.IfMatch != c.held.CalendarStamp,
 		o.IfMatch != nil && o.Kind != Calendar && *o.IfMatch != c.held.DesiredStamp:
@@ -167,8 +201,8 @@
 	return ans, false
 }
 
-// same tells whether a held word is what the order asked for.
-func same(w desired.Word, o Order) bool {
+// does tells whether a held word is what the order asked for.
+func does(w desired.Word, o Order) bool {
 	switch o.Kind {
 	case Put:
 		return w.DesiredStamp == w.Stamp && bytes.Equal(w.Desired, o.Bytes) && (o.Edition == 0 || w.Edition == o.Edition)
@@ -180,6 +214,8 @@
 		return w.Noted(o.Window)
 	case End:
 		return !w.Noted(o.Window)
+	case Reseat:
+		return false // judgeReseat looks at that
 	}
 	return !slices.Contains(w.Shut(), o.Locality)
 }
@@ -236,38 +272,81 @@
 func (c *Clerk) settled(now time.Duration) []Outcome {
 	c.base, c.held = c.mark, c.word
 	c.phase = idle
-	out := []Outcome{{Ballot: &Ballot{From: c.Self, Act: Settle, Epoch: c.epoch, Mark: c.mark, Word: c.word}, To: c.all()}}
+	out := []Outcome{{Ballot: &Ballot{From: c.Self, Act: Settle, Epoch: c.epoch, Mark: c.mark, Word: c.word}, To: union(c.asked, c.sets.Union())}}
 	if c.own {
 		out = append(out, Outcome{Answer: &Answer{ID: c.orders[0].ID, Result: Taken, Word: c.word}})
 		c.orders = c.orders[1:]
 	}
+	if len(c.word.Formerly) > 0 {
+		// Until the next word majorities of both sets are needed: it is written at once.
+		c.mark.Stamp++
+		c.word, c.own = sealed(c.word), false
+		return append(out, c.begin(proposing, now)...)
+	}
 	return append(out, c.proceed(now)...)
 }
 
 // begin opens a new round of votes.
 func (c *Clerk) begin(p clerkPhase, now time.Duration) []Outcome {
-	c.phase, c.votes = p, map[int]Vote{}
+	c.phase, c.votes, c.opened = p, map[int]Vote{}, now
+	c.asked = union(c.sets.Union(), c.self())
+	if p == proposing {
+		c.asked = union(c.setsOf(c.word).Union(), c.self())
+	}
+	c.later = nil
+	if p == proposing && c.own && c.orders[0].Kind == Reseat && c.orders[0].Seat.Slot != 0 {
+		// The newcomer first: a set is not begun with one that has gone already.
+		c.asked, c.later = []desired.Member{c.orders[0].Seat}, c.asked
+	}
 	return c.send(now)
 }
 
+// self is the own voter, as far as no set names it.
+func (c *Clerk) self() []desired.Member {
+	if has(c.sets.Union(), c.Self) {
+		return nil
+	}
+	return []desired.Member{{Slot: c.Self.Slot, ID: c.Self.ID}}
+}
+
+// setsOf are the sets of a word.
+func (c *Clerk) setsOf(w desired.Word) Sets {
+	return Voter{Word: w, Founded: c.Founded, Founders: c.founders}.Sets()
+}
+
+// further puts the current ballot to members that a vote has told of as well.
+func (c *Clerk) further(told []desired.Member) []Outcome {
+	more := slices.DeleteFunc(told, func(m desired.Member) bool {
+		return slices.ContainsFunc(c.asked, func(a desired.Member) bool { return same(a, m) })
+	})
+	if c.phase != preparing || len(more) == 0 {
+		return nil
+	}
+	c.asked = union(c.asked, more)
+	return []Outcome{{Ballot: c.ballot(), To: more}}
+}
+
 // send puts the current ballot to every slot that has not voted for it.
 func (c *Clerk) send(now time.Duration) []Outcome {
+	c.sent = now
+	to := slices.DeleteFunc(slices.Clone(c.asked), func(m desired.Member) bool { _, ok := c.votes[m.Slot]; return ok })
+	return []Outcome{{Ballot: c.ballot(), To: to}}
+}
+
+func (c *Clerk) ballot() *Ballot {
 	b := &Ballot{From: c.Self, Act: Prepare, Epoch: c.epoch}
 	if c.phase == proposing {
 		b.Act, b.Mark, b.Word = Propose, c.mark, c.word
 	}
-	c.sent = now
-	to := slices.DeleteFunc(c.all(), func(s int) bool { _, ok := c.votes[s]; return ok })
-	return []Outcome{{Ballot: b, To: to}}
+	return b
 }
 
-func (c *Clerk) all() []int {
-	out := make([]int, c.Slots)
-	for i := range out {
-		out[i] = i + 1
+// Follow tells the clerk how the own voter stands. One without a seat can't go on
+// with what it began.
+func (c *Clerk) Follow(v Voter, now time.Duration) {
+	if v.Phase != Established && c.phase != idle {
+		c.drop(now)
 	}
-	return out
+	c.Self, c.Founded, c.founders, c.sets = v.Self, v.Founded, v.Founders, v.Sets()
+	c.known = max(c.known, v.Promised)
 }
-
-// Known tells the clerk of an epoch that the own voter has promised.
-func (c *Clerk) Known(epoch uint64) { c.known = max(c.known, epoch) }
--- a/register/disk.go
+++ b/register/disk.go
@@ -36,6 +36,11 @@
 	Phase    Phase         `json:"phase"`
 	Promised uint64        `json:"promised"`
 	Seats    map[int]Chair `json:"seats"`
+	// Slot, Founded and Founders are not in the files of older versions: their
+	// settings say them.
+	Slot     *int             `json:"slot,omitempty"`
+	Founded  int              `json:"founded,omitempty"`
+	Founders []desired.Member `json:"founders,omitempty"`
 }
 
 // wordHead is the first line of a word's file; the operator's bytes follow.
@@ -48,14 +53,17 @@
 	Calendar      []byte            `json:"calendar,omitempty"`
 	Closures      []desired.Closure `json:"closures,omitempty"`
 
-	Edition uint64 `json:"edition,omitempty"`
-	Sent    []byte `json:"sent,omitempty"`
+	Edition  uint64           `json:"edition,omitempty"`
+	Sent     []byte           `json:"sent,omitempty"`
+	Slots    []desired.Member `json:"slots,omitempty"`
+	Formerly []desired.Member `json:"formerly,omitempty"`
+	Top      int              `json:"top,omitempty"`
 }
 
 // Load reads a voter. One whose newest files can't be read whole has lost what
 // it promised: its files are set aside and it must take its seat anew.
-func (d *Disk) Load(slot, slots int) (Voter, error) {
-	v := Voter{Self: From{Slot: slot}, Slots: slots, Phase: Virgin, Seats: map[int]Chair{}}
+func (d *Disk) Load(s Start) (Voter, error) {
+	v := s.Empty(rand.Uint64() | 1)
 	oathName, oathData, oathTorn, err := d.Vault.Newest(kindOath)
 	if err != nil {
 		return v, err
@@ -65,41 +73,48 @@
 		return v, err
 	}
 	if oathName == "" && wordName == "" {
-		// An empty disk draws its identity before it says anything.
-		v.Self.ID, v.OathDirty = rand.Uint64()|1, true
+		// An empty disk has its identity, or a founder's seat, before it says anything.
 		return v, d.Save(v)
 	}
 	var o oath
 	if oathName == "" || oathTorn || wordTorn || json.Unmarshal(oathData, &o) != nil {
-		return d.lose(v)
+		return d.lose(s)
 	}
 	fmt.Sscanf(oathName, "%d", &d.oaths)
-	v.Self.ID, v.Self.Inc, v.Phase, v.Promised, v.Seats = o.ID, o.Inc, o.Phase, o.Promised, o.Seats
+	v = Voter{Self: From{Slot: s.Slot, ID: o.ID, Inc: o.Inc}, Founded: s.Slots, Phase: o.Phase, Promised: o.Promised, Seats: o.Seats}
+	if o.Slot != nil {
+		v.Self.Slot, v.Founded, v.Founders = *o.Slot, o.Founded, o.Founders
+	}
 	if v.Seats == nil {
 		v.Seats = map[int]Chair{}
 	}
-	if wordName != "" && v.Phase == Established {
+	if wordName != "" && (v.Phase == Established || v.Phase == Seeking) {
 		head, body, _ := bytes.Cut(wordData, []byte("\n"))
 		var h wordHead
 		if json.Unmarshal(head, &h) != nil {
-			return d.lose(v)
+			return d.lose(s)
 		}
 		v.Mark = h.Mark
 		v.Word = desired.Word{Stamp: h.Stamp, DesiredStamp: h.DesiredStamp, Emptied: h.Emptied, Desired: body,
 			CalendarStamp: h.CalendarStamp, Calendar: h.Calendar, Closures: h.Closures,
-			Edition: h.Edition, Sent: h.Sent}
+			Edition: h.Edition, Sent: h.Sent,
+			Slots: h.Slots, Formerly: h.Formerly, Top: h.Top}
 		v.Promised = max(v.Promised, h.Epoch)
 	}
 	return v, nil
 }
 
-func (d *Disk) lose(v Voter) (Voter, error) {
+func (d *Disk) lose(s Start) (Voter, error) {
 	for _, kind := range []string{kindWord, kindOath} {
 		if err := d.Vault.SetAside(kind); err != nil {
-			return v, err
+			return Voter{}, err
 		}
 	}
-	v = Voter{Self: From{Slot: v.Self.Slot, ID: rand.Uint64() | 1}, Slots: v.Slots, Phase: Lost, Seats: map[int]Chair{}, OathDirty: true}
+	s.First = false
+	v := s.Empty(rand.Uint64() | 1)
+	if v.Phase == Virgin {
+		v.Phase = Lost
+	}
 	return v, d.Save(v)
 }
 
@@ -109,7 +124,8 @@
 	if v.WordDirty {
 		head, err := json.Marshal(wordHead{Mark: v.Mark, DesiredStamp: v.Word.DesiredStamp, Emptied: v.Word.Emptied,
 			CalendarStamp: v.Word.CalendarStamp, Calendar: v.Word.Calendar, Closures: v.Word.Closures,
-			Edition: v.Word.Edition, Sent: v.Word.Sent})
+			Edition: v.Word.Edition, Sent: v.Word.Sent,
+			Slots: v.Word.Slots, Formerly: v.Word.Formerly, Top: v.Word.Top})
 		if err != nil {
 			return eris.Wrap(err, "word")
 		}
@@ -122,7 +138,8 @@
 		}
 	}
 	if v.OathDirty {
-		data, err := json.Marshal(oath{ID: v.Self.ID, Inc: v.Self.Inc, Phase: v.Phase, Promised: v.Promised, Seats: v.Seats})
+		data, err := json.Marshal(oath{ID: v.Self.ID, Inc: v.Self.Inc, Phase: v.Phase, Promised: v.Promised, Seats: v.Seats,
+			Slot: &v.Self.Slot, Founded: v.Founded, Founders: v.Founders})
 		if err != nil {
 			return eris.Wrap(err, "oath")
 		}
--- a/register/edition_test.go
+++ b/register/edition_test.go
@@ -33,8 +33,9 @@
 	}
 	for s := 1; s <= slots; s++ {
 		self := From{Slot: s, Inc: 1, ID: uint64(s)}
-		b.voters = append(b.voters, Voter{Self: self, Slots: slots, Phase: Established, Seats: chairs})
-		b.clerks[s] = &Clerk{Self: self, Slots: slots}
+		b.voters = append(b.voters, Voter{Self: self, Founded: slots, Phase: Established, Seats: chairs})
+		b.clerks[s] = &Clerk{}
+		b.clerks[s].Follow(b.voters[s-1], 0)
 	}
 	return b
 }
@@ -67,7 +68,8 @@
 	sent := b.sent[slot]
 	b.sent[slot] = nil
 	for _, o := range sent {
-		for _, s := range o.To {
+		for _, m := range o.To {
+			s := m.Slot
 			next, vote := b.voters[s-1].On(*o.Ballot)
 			b.voters[s-1] = next
 			b.obey(slot, b.clerks[slot].Hear(vote, b.now))
@@ -85,7 +87,7 @@
 		}
 		b.now += 100 * time.Millisecond
 		for slot, c := range b.clerks {
-			c.Known(b.voters[slot-1].Promised)
+			c.Follow(b.voters[slot-1], b.now)
 			b.obey(slot, c.Tick(b.now))
 		}
 	}
@@ -97,7 +99,7 @@
 	for i := range b.voters {
 		_, votes[i+1] = b.voters[i].On(Ballot{Act: Read})
 	}
-	top, held := Newest(votes, len(b.voters))
+	top, held := Newest(votes, b.voters[0].Sets())
 	if !held {
 		b.t.Fatal("no majority holds the newest word")
 	}
@@ -192,7 +194,7 @@
 	b.expect(first, Taken)
 	overtaken := b.give(1, edition(1, "one"))
 	b.sent[1] = nil
-	b.clerks[2].Known(b.voters[1].Promised)
+	b.clerks[2].Follow(b.voters[1], b.now)
 	other := b.give(2, Order{Kind: Empty, Locality: "east"})
 	for b.step(2) {
 	}
@@ -215,7 +217,7 @@
 		t.Fatal(err)
 	}
 	d := Disk{Vault: v}
-	voter, err := d.Load(1, 1)
+	voter, err := d.Load(Start{Slot: 1, Slots: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -226,7 +228,7 @@
 	if err := d.Save(voter); err != nil {
 		t.Fatal(err)
 	}
-	got, err := (&Disk{Vault: v}).Load(1, 1)
+	got, err := (&Disk{Vault: v}).Load(Start{Slot: 1, Slots: 1})
 	if diff := cmp.Diff(voter.Word, got.Word, cmpopts.EquateEmpty()); diff != "" || err != nil {
 		t.Error(diff, err)
 	}
@@ -234,7 +236,7 @@
 	if err := v.Save(kindWord, "00000000000000000004.00000000000000000004", []byte(old)); err != nil {
 		t.Fatal(err)
 	}
-	if got, err = (&Disk{Vault: v}).Load(1, 1); err != nil || got.Word.Edition != 0 || string(got.Word.Desired) != "{}" || got.Word.DesiredStamp != 4 {
+	if got, err = (&Disk{Vault: v}).Load(Start{Slot: 1, Slots: 1}); err != nil || got.Word.Edition != 0 || string(got.Word.Desired) != "{}" || got.Word.DesiredStamp != 4 {
 		t.Errorf("%+v %v", got.Word, err)
 	}
 }
--- /dev/null
+++ b/register/epoch.go
@@ -0,0 +1,19 @@
+package register
+
+// stride is how far a slot's epochs lie apart where slots come and go; MostSlots
+// bounds slot numbers, of which each disk gets a new one.
+const (
+	stride    = 1 << 16
+	MostSlots = stride - 1
+)
+
+// epochAfter is the next epoch of a slot after all known ones. No two slots ever
+// get the same: a system of static slots counts by their number, as older versions
+// do, and any other one by the stride. (DESIGN 6.5)
+func epochAfter(known uint64, slot, founded int) uint64 {
+	n := uint64(stride)
+	if founded > 0 {
+		n = uint64(founded)
+	}
+	return (known/n+1)*n + uint64(slot)
+}
--- a/register/keeper.go
+++ b/register/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,7 @@
 const (
 	KindBallot = "ballot"
 	KindOrder  = "order"
+	KindSeat   = "seat"
 )
 
 const (
@@ -23,6 +25,7 @@
 	seatEvery  = 300 * time.Millisecond // how often an empty core tries for its seat (ours)
 	voteLimit  = 2 * time.Second        // (ours)
 	orderLimit = 3 * time.Second        // how long an order may take (ours)
+	seatLimit  = 2 * time.Second        // how long a change of the set may hold up others (ours)
 	lookEvery  = 300 * time.Millisecond // how often a majority is asked for newer words (ours)
 )
 
@@ -91,13 +94,14 @@
 )
 
 // NewKeeper loads the voter from disk and starts the keeper's actor.
-func NewKeeper(l *launch.Launcher, d *Disk, slot, slots int) (*Keeper, error) {
-	v, err := d.Load(slot, slots)
+func NewKeeper(l *launch.Launcher, d *Disk, s Start) (*Keeper, error) {
+	v, err := d.Load(s)
 	if err != nil {
 		return nil, err
 	}
 	k := &Keeper{Launcher: l, disk: d, voter: v, start: time.Now(), orders: map[uint64]chan<- Answer{}}
-	k.clerk = &Clerk{Self: v.Self, Slots: slots}
+	k.clerk = &Clerk{}
+	k.clerk.Follow(v, 0)
 	k.show()
 	k.box = l.Spawn("keeper", k.on)
 	return k, nil
@@ -125,11 +129,14 @@
 func (k *Keeper) look(ctx context.Context) {
 	begin := time.Now()
 	self := k.Voter()
+	if self.Phase != Established {
+		return
+	}
 	votes := Counted(k.gather(ctx, Ballot{From: self.Self, Act: Look}, true))
-	if self.Phase != Established || len(votes) < Majority(self.Slots) {
+	if !Complete(votes, self.Sets()) {
 		return
 	}
-	top, _ := Newest(votes, self.Slots)
+	top, _ := Newest(votes, self.Sets())
 	k.box.Send(ctx, msgLooked{begin, top.Mark.Stamp})
 }
 
@@ -168,6 +175,9 @@
 func (k *Keeper) Write(ctx context.Context, o Order) Answer {
 	o.ID = rand.Uint64()
 	o.Until = time.Since(k.start) + orderLimit
+	if o.Kind == Reseat {
+		o.Until = time.Since(k.start) + seatLimit
+	}
 	ctx, cancel := context.WithTimeout(ctx, orderLimit+time.Second)
 	defer cancel()
 	if a, ok := launch.Ask(ctx, k.box, func(r chan<- Answer) any { return msgOrder{o, r} }); ok {
@@ -181,10 +191,10 @@
 func (k *Keeper) ReadBack(ctx context.Context, refresh func(ctx context.Context) Answer) (desired.Word, bool) {
 	self := k.Voter()
 	votes := Counted(k.gather(ctx, Ballot{From: self.Self, Act: Read}, true))
-	if len(votes) < Majority(self.Slots) {
+	if !Complete(votes, self.Sets()) {
 		return desired.Word{}, false
 	}
-	top, held := Newest(votes, self.Slots)
+	top, held := Newest(votes, self.Sets())
 	if held {
 		return top.Word, true
 	}
@@ -203,44 +213,69 @@
 	}
 }
 
-// gather puts a ballot to all slots and returns the votes that came in time,
-// or the first majority if that is enough.
+// gather puts a ballot to all slots known of, and those that votes tell of, and
+// returns the votes that came in time, or the first that are complete if that is
+// enough.
 func (k *Keeper) gather(ctx context.Context, b Ballot, enough bool) map[int]Vote {
 	ctx, cancel := context.WithTimeout(ctx, voteLimit/2)
 	defer cancel()
-	slots := k.Voter().Slots
-	in := make(chan *Vote, slots)
-	for s := 1; s <= slots; s++ {
-		k.Launcher.Go(ctx, "gather", func(ctx context.Context) { in <- k.put(ctx, s, b) })
+	own := k.Voter().Sets()
+	in, open, asked := make(chan *Vote), 0, []desired.Member{}
+	ask := func(set []desired.Member) {
+		for _, s := range set {
+			if slices.ContainsFunc(asked, func(a desired.Member) bool { return same(a, s) }) {
+				continue
+			}
+			asked = append(asked, s)
+			open++
+			k.Launcher.Go(ctx, "gather", func(ctx context.Context) {
+				v := k.put(ctx, s, b)
+				select {
+				case in <- v:
+				case <-ctx.Done():
+				}
+			})
+		}
 	}
+	ask(own.Union())
 	votes := map[int]Vote{}
-	for range slots {
-		if v := <-in; v != nil {
-			votes[v.From.Slot] = *v
+	for ; open > 0; open-- {
+		select {
+		case v := <-in:
+			if v != nil {
+				votes[v.From.Slot] = *v
+				ask(v.Sets.Union())
+			}
+		case <-ctx.Done():
+			return votes
 		}
-		if enough && len(Counted(votes)) >= Majority(slots) {
+		if enough && Complete(Counted(votes), own) {
 			break
 		}
 	}
 	return votes
 }
 
-// put brings a ballot to one slot.
-func (k *Keeper) put(ctx context.Context, slot int, b Ballot) *Vote {
-	if slot == k.Voter().Self.Slot {
+// put brings a ballot to one member.
+func (k *Keeper) put(ctx context.Context, m desired.Member, b Ballot) *Vote {
+	self := k.Voter().Self
+	if m.Slot == self.Slot && (m.ID == 0 || m.ID == self.ID) {
 		return k.vote(ctx, b)
 	}
-	addr, ok := k.Peers.Addr(slot)
+	addr, ok := k.Peers.Addr(m.Slot)
 	if !ok {
+		addr = m.Addr
+	}
+	if addr == "" {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, voteLimit)
 	defer cancel()
 	var v Vote
-	if k.Net.Call(ctx, addr, wire.Control, KindBallot, b).Into(&v) && v.From.Slot == slot {
-		return &v
+	if !k.Net.Call(ctx, addr, wire.Control, KindBallot, b).Into(&v) {
+		return nil
 	}
-	return nil
+	return v.By(m)
 }
 
 func (k *Keeper) on(ctx context.Context, msg any) {
@@ -278,7 +313,14 @@
 }
 
 func (k *Keeper) tick(ctx context.Context, now time.Duration) {
-	if k.voter.Phase != Established {
+	if k.voter.Struck() {
+		k.Log.Info("the slot was struck", "slot", k.voter.Self.Slot)
+		k.save(k.voter.Afresh(rand.Uint64() | 1))
+	}
+	switch k.voter.Phase {
+	case Seeking:
+		return // the core asks for a seat
+	case Virgin, Lost:
 		if now-k.seated >= seatEvery || k.seated == 0 {
 			k.seated = now
 			k.Launcher.Go(ctx, "look-for-seat", func(ctx context.Context) {
@@ -287,10 +329,10 @@
 		}
 		return
 	}
-	k.clerk.Known(k.voter.Promised)
+	k.clerk.Follow(k.voter, now)
 	// A word that no majority is known to hold is made sure of by the core on
 	// duty: after a cold start, or when a clerk stopped half way.
-	if k.voter.Mark.Stamp > k.voter.Settled && len(k.orders) == 0 && k.Peers.OnDuty() && now-k.seated >= seatEvery {
+	if (k.voter.Mark.Stamp > k.voter.Settled || len(k.voter.Word.Formerly) > 0) && len(k.orders) == 0 && k.Peers.OnDuty() && now-k.seated >= seatEvery {
 		k.seated = now
 		o := Order{ID: rand.Uint64(), Kind: Refresh, Until: now + orderLimit}
 		k.orders[o.ID] = make(chan Answer, 1)
@@ -311,7 +353,7 @@
 	}
 	if next, ok := k.voter.Born(votes); ok {
 		if k.save(next) {
-			k.Log.Info("born", "slot", next.Self.Slot, "slots", next.Slots)
+			k.Log.Info("born", "slot", next.Self.Slot, "slots", next.Founded)
 		}
 		return
 	}
@@ -341,7 +383,7 @@
 		return false
 	}
 	k.voter = next
-	k.clerk.Self = next.Self
+	k.clerk.Follow(next, time.Since(k.start))
 	k.show()
 	return true
 }
--- a/register/order.go
+++ b/register/order.go
@@ -1,6 +1,10 @@
 package register
 
-import "time"
+import (
+	"time"
+
+	"curlewwalk/desired"
+)
 
 // OrderKind is what an operator wants done to the word.
 type OrderKind string
@@ -17,6 +21,8 @@
 	Calendar OrderKind = "calendar"
 	Begin    OrderKind = "begin"
 	End      OrderKind = "end"
+	// Reseat changes the set of slots: one comes, one goes, or one comes for another.
+	Reseat OrderKind = "reseat"
 )
 
 // Order is one operator's write for the clerk.
@@ -27,11 +33,16 @@
 	// Edition is the operator's own number of what is put, from 1; zero: none.
 	Edition uint64 `msgpack:"ed,omitempty"`
 	// Sent is what the operator sent of an edition, if in another form.
-	Sent     []byte        `msgpack:"st,omitempty"`
-	Locality string        `msgpack:"l"`
-	Window   string        `msgpack:"w,omitempty"`
-	IfMatch  *uint64       `msgpack:"m"`
-	Until    time.Duration `msgpack:"-"`
+	Sent     []byte  `msgpack:"st,omitempty"`
+	Locality string  `msgpack:"l"`
+	Window   string  `msgpack:"w,omitempty"`
+	IfMatch  *uint64 `msgpack:"m"`
+	// Seat is who comes with a Reseat, Out the slot that goes; zero for none. Of is
+	// the set that it was decided on.
+	Seat  desired.Member   `msgpack:"sm"`
+	Out   int              `msgpack:"ou,omitempty"`
+	Of    []desired.Member `msgpack:"of,omitempty"`
+	Until time.Duration    `msgpack:"-"`
 	// at is when the clerk took it.
 	at time.Duration
 	// proposed is the mark under which the order went out, if it did.
--- a/register/outcome.go
+++ b/register/outcome.go
@@ -1,9 +1,11 @@
 package register
 
+import "curlewwalk/desired"
+
 // Outcome is what the clerk wants done.
 type Outcome struct {
-	// Ballot goes to every slot in To.
+	// Ballot goes to every member in To.
 	Ballot *Ballot
-	To     []int
+	To     []desired.Member
 	Answer *Answer
 }
--- a/register/phase.go
+++ b/register/phase.go
@@ -9,4 +9,7 @@
 	Virgin      Phase = "virgin"
 	Lost        Phase = "lost"
 	Established Phase = "established"
+	// A seeking one has no seat that it knows of. It votes all the same, since its
+	// disk never lost anything; only sets that name it count that.
+	Seeking Phase = "seeking"
 )
--- a/register/vote.go
+++ b/register/vote.go
@@ -14,4 +14,18 @@
 	Word     desired.Word  `msgpack:"w"`
 	Settled  uint64        `msgpack:"se"`
 	Seats    map[int]Chair `msgpack:"st"`
+	// Sets are those of the word that it holds.
+	Sets Sets `msgpack:"sg"`
+}
+
+// By checks that a vote came from a member. One that does not know of its slot yet
+// is told apart by its identity.
+func (v Vote) By(m desired.Member) *Vote {
+	if v.From.Slot == 0 && m.ID != 0 && v.From.ID == m.ID {
+		v.From.Slot = m.Slot
+	}
+	if v.From.Slot != m.Slot {
+		return nil
+	}
+	return &v
 }
--- a/register/voter.go
+++ b/register/voter.go
@@ -1,6 +1,8 @@
 package register
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
 	"maps"
 
 	"curlewwalk/desired"
@@ -9,8 +11,11 @@
 // Voter is one core's share of the register. On answers with the next state;
 // a state with Dirty set must be on disk before the vote is sent. (DESIGN 6.2)
 type Voter struct {
-	Self     From
-	Slots    int
+	Self From
+	// Founded is how many static slots there are; zero where slots come and go.
+	// Founders are those that it began with there, for one of them.
+	Founded  int
+	Founders []desired.Member
 	Phase    Phase
 	Promised uint64
 	Mark     Mark
@@ -49,14 +54,14 @@
 		if v.Mark.Compare(b.Mark) < 0 {
 			v = v.accept(b.Mark, b.Word)
 		}
-		v.Settled = max(v.Settled, b.Mark.Stamp)
+		v = v.settle(b.Mark.Stamp)
 	case b.Act == Sit:
 		if ok = b.From.Inc > v.Seats[b.From.Slot].Inc; ok {
 			v = v.seat(map[int]Chair{b.From.Slot: {Inc: b.From.Inc, ID: b.From.ID}})
 		}
 	}
 	vote := Vote{From: v.Self, Act: b.Act, Epoch: b.Epoch, OK: ok, Phase: v.Phase, Promised: v.Promised,
-		Mark: v.Mark, Settled: v.Settled, Seats: v.Seats}
+		Mark: v.Mark, Settled: v.Settled, Seats: v.Seats, Sets: v.Sets()}
 	if b.Act == Prepare || b.Act == Read || b.Act == Sit {
 		vote.Word = v.Word
 	}
@@ -68,12 +73,22 @@
 	if b.Act == Read || b.Act == Look {
 		return true
 	}
+	if v.Phase == Seeking {
+		return b.Act != Sit
+	}
 	return v.Phase == Established && (b.Act == Sit || b.From.holds(v.Seats[b.From.Slot]))
 }
 
 func (v Voter) accept(m Mark, w desired.Word) Voter {
 	v.Mark, v.Word, v.WordDirty = m, w, true
 	v.Promised = max(v.Promised, m.Epoch)
+	if v.Phase == Seeking {
+		for _, s := range w.Slots {
+			if s.ID == v.Self.ID {
+				v.Self, v.OathDirty = From{Slot: s.Slot, Inc: 1, ID: s.ID}, true
+			}
+		}
+	}
 	return v
 }
 
@@ -97,7 +112,7 @@
 // their birth: else it came in place of another, and takes its seat by Sit.
 // (DESIGN 6.5)
 func (v Voter) Born(votes map[int]Vote) (Voter, bool) {
-	if v.Phase != Virgin || len(votes) < v.Slots-1 {
+	if v.Phase != Virgin || len(votes) < v.Founded-1 {
 		return v, false
 	}
 	chairs := map[int]Chair{v.Self.Slot: {Inc: 1, ID: v.Self.ID}}
@@ -123,7 +138,7 @@
 	for _, o := range votes {
 		inc = max(inc, o.Seats[v.Self.Slot].Inc)
 	}
-	return From{Slot: v.Self.Slot, Inc: inc + 1, ID: v.Self.ID}, len(Counted(votes)) >= Majority(v.Slots)
+	return From{Slot: v.Self.Slot, Inc: inc + 1, ID: v.Self.ID}, len(Counted(votes)) >= Majority(v.Founded)
 }
 
 // Seated decides whether an empty core has copied from a majority of the
@@ -132,7 +147,7 @@
 	// A voter that was swapped out itself may not know it: it does not count.
 	copied := Counted(votes)
 	maps.DeleteFunc(copied, func(_ int, o Vote) bool { return !o.OK })
-	if v.Phase == Established || len(copied) < Majority(v.Slots) {
+	if v.Phase == Established || len(copied) < Majority(v.Founded) {
 		return v, false
 	}
 	v.Self = self
@@ -149,12 +164,11 @@
 	return v, true
 }
 
-// Counted leaves the votes that may be counted: those of established voters
-// that still hold their seats as far as any of the votes says.
+// Counted leaves the votes that may be counted: those of voters that still hold their seats as far as any of the votes says.
 func Counted(votes map[int]Vote) map[int]Vote {
 	out := map[int]Vote{}
 	for s, o := range votes {
-		ok := o.Phase == Established
+		ok := o.Phase == Established || o.Phase == Seeking
 		for _, p := range votes {
 			ok = ok && o.From.holds(p.Seats[o.From.Slot])
 		}
@@ -165,18 +179,68 @@
 	return out
 }
 
-// Newest finds the newest word among the counted votes of a majority; held
-// tells whether a majority is known to hold it.
-func Newest(votes map[int]Vote, slots int) (top Vote, held bool) {
-	same, settled := 0, false
-	for _, v := range votes {
-		switch c := top.Mark.Compare(v.Mark); {
-		case c < 0:
-			top, same, settled = v, 1, v.Settled == v.Mark.Stamp
-		case c == 0:
-			same++
+// Newest finds the newest word among counted votes that are complete; held tells
+// whether majorities are known to hold it.
+func Newest(votes map[int]Vote, own Sets) (top Vote, held bool) {
+	top, sets := Top(votes, own)
+	same, settled := map[int]Vote{}, false
+	for s, v := range votes {
+		if v.Mark == top.Mark {
+			same[s] = v
 			settled = settled || v.Settled == v.Mark.Stamp
 		}
 	}
-	return top, settled || same >= Majority(slots)
+	return top, settled || sets.Quorum(same)
+}
+
+// Sets are the sets that this voter knows of.
+func (v Voter) Sets() Sets {
+	switch {
+	case len(v.Word.Slots) > 0:
+		return Sets{Now: v.Word.Slots, Before: v.Word.Formerly}
+	case v.Founded > 0:
+		return Sets{Now: static(v.Founded)}
+	}
+	return Sets{Now: v.Founders}
+}
+
+// Member tells whether the set in force, as far as this voter knows, names it.
+func (v Voter) Member() bool { return v.Phase == Established && has(v.Sets().Now, v.Self) }
+
+// Struck tells whether a settled word has struck its slot.
+func (v Voter) Struck() bool {
+	return v.Founded == 0 && v.Phase == Established && v.Settled == v.Mark.Stamp && !v.Member()
+}
+
+// Founder is an empty core's first state as one of the founders, at the first start
+// of a whole system. All know the identities of all, so no word is needed between
+// them. (DESIGN 6.5)
+func (v Voter) Founder(slot int, addrs []string) Voter {
+	for i, a := range addrs {
+		v.Founders = append(v.Founders, desired.Member{Slot: i + 1, ID: founderID(a), Addr: a})
+	}
+	v.Self, v.Phase, v.OathDirty = From{Slot: slot, Inc: 1, ID: founderID(addrs[slot-1])}, Established, true
+	return v
+}
+
+// founderID is the identity of the founder at an address.
+func founderID(addr string) uint64 {
+	sum := sha256.Sum256([]byte("curlewwalk founder " + addr))
+	return binary.BigEndian.Uint64(sum[:]) | 1
+}
+
+// Afresh is what becomes of a voter whose slot was struck: it seeks a seat under a
+// new identity. What it holds it may keep: no set yet counts what that identity says.
+func (v Voter) Afresh(id uint64) Voter {
+	v.Phase, v.Self, v.OathDirty = Seeking, From{ID: id}, true
+	return v
+}
+
+// settle notes that the held word is settled; one that it names has its seat by it.
+func (v Voter) settle(stamp uint64) Voter {
+	v.Settled = max(v.Settled, stamp)
+	if v.Phase == Seeking && v.Settled == v.Mark.Stamp && v.Self.Slot != 0 && has(v.Sets().Now, v.Self) {
+		v.Phase, v.OathDirty = Established, true
+	}
+	return v
 }
