Write only the highest of the editions that wait; tell followers the newest word only

Cause: in a storm of configurations each was written in turn, each was kept 1024 changes long by the cores' feeds, told to every follower, and built there; a sidecar on a small share of a core would have fallen ever further behind, as its mailbox does not push back. Weighed: a bound on waiting orders (refuses what could be acknowledged); a pause between words at sidecars (late when there is no storm). Change: the highest edition that waits goes first, and the others are taken once it is settled; feeds keep and tell the newest word only; a sidecar asks for more once the last news is in force. Proof of 90 editions of 300 ways at once; two more defects.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -58,6 +58,11 @@
 		return false
 	}
 	w = w.Bare()
+	for i := range f.items {
+		if f.items[i].Word != nil {
+			f.items[i] = Item{} // nobody needs it any more, however far behind
+		}
+	}
 	f.word = &w
 	f.add(Item{Word: &w})
 	return true
@@ -118,7 +123,7 @@
 	n = News{Feed: f.ID, Place: f.place}
 	first := f.place - uint64(len(f.items))
 	if q.Feed == f.ID && q.Place >= first && q.Place <= f.place {
-		n.Items = slices.Clone(f.items[q.Place-first:])
+		n.Items = slices.DeleteFunc(slices.Clone(f.items[q.Place-first:]), Item.overtaken)
 		return n, len(n.Items) > 0
 	}
 	n.Snapshot = true
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -95,6 +95,45 @@
 	}
 }
 
+// Of words that came since a follower asked last, it is told the newest only, and
+// without what sidecars do not need; the others are not kept.
+func TestNewestWordOnly(t *testing.T) {
+	f, c := New(1, 0), NewCopy()
+	f.Settled(desired.Word{Stamp: 1})
+	n, _ := f.Since(Follow{})
+	place := Follow{Feed: n.Feed, Place: n.Place}
+	if w, _ := c.Take(n); w == nil || w.Stamp != 1 {
+		t.Errorf("%+v", w)
+	}
+	for s := range uint64(50) {
+		f.Settled(desired.Word{Stamp: s + 2, Desired: []byte("{}"), Sent: []byte("sent")})
+		f.Told(cohort.Node{Addr: fmt.Sprint("node-", s)}, 0)
+	}
+	n, fresh := f.Since(place)
+	words := 0
+	for _, it := range n.Items {
+		if it.Word != nil {
+			words++
+		}
+	}
+	w, _ := c.Take(n)
+	if !fresh || words != 1 || len(n.Items) != 51 || len(c.Nodes) != 50 || w == nil || w.Stamp != 51 || w.Sent != nil {
+		t.Errorf("%d words of %d items, %d nodes, %+v", words, len(n.Items), len(c.Nodes), w)
+	}
+	kept := 0
+	for _, it := range f.items {
+		if it.Word != nil {
+			kept++
+		}
+	}
+	if kept != 1 {
+		t.Errorf("%d words are kept", kept)
+	}
+	if n, fresh = f.Since(Follow{Feed: n.Feed, Place: n.Place}); fresh {
+		t.Errorf("news again: %+v", n)
+	}
+}
+
 // A core that slept answers nothing from before; nor does one just started.
 func TestWokenFeed(t *testing.T) {
 	f := New(1, 0)
--- a/feed/item.go
+++ b/feed/item.go
@@ -13,3 +13,6 @@
 	Node *cohort.Node  `msgpack:"n,omitempty"`
 	Gone string        `msgpack:"g,omitempty"`
 }
+
+// overtaken tells whether the item was a word that a newer one came after.
+func (it Item) overtaken() bool { return it == Item{} }
--- a/proof/defects/all.go
+++ b/proof/defects/all.go
@@ -46,6 +46,8 @@
 	{emptied, "core/warden.go", "return n.seeker.Seats().Wall(clock.Wall(), n.keeper.Voter().Self.Slot, time.Now())", "return clock.Wall()", "./proof", "TestWindows", nil},
 	{force, "feed/feed.go", "\tf.word = &w\n\tf.add(Item{Word: &w})", "\tf.word = &w", "./proof", "TestStorm", nil},
 	{force, "feed/copy.go", "if w.Stamp <= c.stamp {", "if w.Stamp == c.stamp {", "./proof/simulator", "TestMembers", nil},
+	{force, "register/clerk.go", "case o.Kind == Put && o.Edition != 0 && o.Edition <= c.held.Edition:", "case false:", "./proof/simulator", "TestRegister", nil},
+	{force, "feed/item.go", "return it == Item{}", "return it.Word == nil", "./feed", "TestNewestWordOnly", nil},
 	{readBack, "register/voter.go", "v.Mark, v.Word, v.WordDirty = m, w, true", "v.Mark, v.Word, v.WordDirty = m, w, false", "./proof", "TestWordOutlivesKills", nil},
 	{readBack, "register/voter.go", "func Majority(n int) int { return n/2 + 1 }", "func Majority(n int) int { return n / 2 }", "./proof/simulator", "TestRegister", nil},
 	{readBack, "register/clerk.go", "if c.base.Compare(v.Mark) < 0 {", "if c.base.Compare(v.Mark) > 0 {", "./proof/simulator", "TestRegister", nil},
--- /dev/null
+++ b/proof/edition_test.go
@@ -0,0 +1,113 @@
+package proof
+
+import (
+	"bytes"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"curlewwalk/desired"
+	"curlewwalk/proof/fleet"
+)
+
+// many is a configuration of n ways, told from others by a number.
+func many(n, number int) []byte {
+	st := desired.State{Contracts: []desired.Contract{{Name: "c", Aim: desired.Duration{Duration: time.Second}, Expiry: desired.Duration{Duration: 2 * time.Second}, Rank: 1}}}
+	for i := range n {
+		st.Services = append(st.Services, desired.Service{Name: fmt.Sprint("s", i), Connections: number})
+		st.Ways = append(st.Ways, desired.Way{Name: fmt.Sprint("w", i), Prefix: fmt.Sprint("/", i), Contract: "c",
+			Split: []desired.Portion{{Service: fmt.Sprint("s", i), Weight: 95}, {Service: "s0", Weight: 5}}[:min(2, 1+i)]})
+	}
+	return st.Bytes()
+}
+
+// Editions come through any core; an old one changes nothing, whoever repeats it,
+// also after the herd of cores has died.
+func TestEditions(t *testing.T) {
+	f, ctx := start(t, coresOnly(3))
+	put := func(core int, body []byte, header ...string) fleet.Reply {
+		t.Helper()
+		r, err := f.Operate(ctx, f.Cores[core], "PUT", "/v1/desired", body, header...)
+		must(t, err)
+		return r
+	}
+	numbered := func(core int, n uint64, body []byte) fleet.Reply {
+		t.Helper()
+		r := put(core, body, "Curlewwalk-Edition", fmt.Sprint(n))
+		if r.Status != 200 || r.Taken != "taken" {
+			t.Errorf("edition %d: %d %s", n, r.Status, r.Body)
+		}
+		return r
+	}
+	reads := func(core int, edition, stamp uint64, body []byte) {
+		t.Helper()
+		r, err := f.Operate(ctx, f.Cores[core], "GET", "/v1/desired", nil)
+		must(t, err)
+		if r.Edition != edition || r.Stamp != stamp || !bytes.Equal(r.Body, body) {
+			t.Errorf("%d: stamp %d, edition %d, %.80s", r.Status, r.Stamp, r.Edition, r.Body)
+		}
+	}
+	reads(1, 0, put(0, configuration(1)).Stamp, configuration(1))
+	seven := numbered(2, 7, configuration(7)).Stamp
+	numbered(1, 7, configuration(8))
+	numbered(0, 6, configuration(6))
+	reads(2, 7, seven, configuration(7))
+	for _, bad := range []string{"0", "-1", "x", "18446744073709551616"} {
+		if r := put(0, configuration(9), "Curlewwalk-Edition", bad); r.Status != 400 {
+			t.Errorf("edition %s: %d %s", bad, r.Status, r.Body)
+		}
+	}
+	if r := put(0, configuration(9), "Curlewwalk-Edition", "9", "If-Match", `"1"`); r.Status != 412 {
+		t.Errorf("bound to an old stamp: %d %s", r.Status, r.Body)
+	}
+	for _, p := range f.Cores {
+		p.Kill()
+	}
+	for _, p := range f.Cores {
+		must(t, p.Start())
+	}
+	for _, p := range f.Cores {
+		must(t, p.Ready(ctx))
+	}
+	numbered(1, 7, configuration(8))
+	reads(0, 7, seven, configuration(7))
+	reads(2, 8, numbered(0, 8, configuration(8)).Stamp, configuration(8))
+}
+
+// A storm of editions, all at once and in no order, is taken without piling up:
+// each is acknowledged, and the highest is held, in force and read back.
+func TestEditionStorm(t *testing.T) {
+	f, ctx := start(t, small())
+	const storm = 90 // what 3 s bring at 30 a second
+	bodies := make([][]byte, storm+1)
+	for n := range bodies {
+		bodies[n] = many(300, n)
+	}
+	begin := time.Now()
+	var wg sync.WaitGroup
+	for n := 1; n <= storm; n++ {
+		wg.Go(func() {
+			r, err := f.Operate(ctx, f.Cores[n%3], "PUT", "/v1/desired", bodies[n], "Curlewwalk-Edition", fmt.Sprint(n))
+			if err != nil || r.Status != 200 {
+				t.Errorf("edition %d: %d %s %v", n, r.Status, r.Body, err)
+			}
+		})
+	}
+	wg.Wait()
+	took := time.Since(begin)
+	r, err := f.Operate(ctx, f.Cores[1], "GET", "/v1/desired", nil)
+	must(t, err)
+	if r.Edition != storm || !bytes.Equal(r.Body, bodies[storm]) {
+		t.Errorf("edition %d under stamp %d is read back", r.Edition, r.Stamp)
+	}
+	for _, p := range f.Sidecars {
+		if s, err := f.Stamp(ctx, p); err != nil || s < r.Stamp {
+			t.Errorf("%s has %d in force: %v", p.Name, s, err)
+		}
+	}
+	if took > 3*time.Second {
+		t.Errorf("it took %v", took)
+	}
+	t.Logf("%d editions of 300 ways (%d KiB each) acknowledged and in force in %v, by %d words", storm, len(bodies[storm])>>10, took, r.Stamp)
+}
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -324,8 +324,10 @@
 type Reply struct {
 	Status int
 	Stamp  uint64
-	Taken  string
-	Body   []byte
+	// Edition is the operator's own number of what was read.
+	Edition uint64
+	Taken   string
+	Body    []byte
 }
 
 // Operate sends an operator's request to a core.
@@ -347,6 +349,7 @@
 		return r, err
 	}
 	r.Stamp, _ = strconv.ParseUint(resp.Header.Get("Curlewwalk-Stamp"), 10, 64)
+	r.Edition, _ = strconv.ParseUint(resp.Header.Get("Curlewwalk-Edition"), 10, 64)
 	var out struct{ Taken string }
 	json.Unmarshal(r.Body, &out)
 	r.Taken = out.Taken
--- a/register/clerk.go
+++ b/register/clerk.go
@@ -105,7 +105,7 @@
 		res := NotTaken
 		if o.proposed != (Mark{}) {
 			res = Unknown
-			if c.phase == proposing && c.own {
+			if i == 0 && c.phase == proposing && c.own {
 				c.drop(now) // the half-done word is found or superseded by the next epoch
 			}
 		}
@@ -151,6 +151,7 @@
 			c.began = now
 			return append(out, c.begin(preparing, now)...)
 		}
+		c.overtake()
 		o := &c.orders[0]
 		ans, done := judgeReseat(c.held, c.setsOf(c.held).Now, *o)
 		if !done {
@@ -174,6 +175,26 @@
 	return out
 }
 
+// overtake has the highest of the editions that wait go before the first, if that
+// is one: once it is settled, the others need no write. Whoever gave them has no
+// receipt yet, so any order among them is as good.
+func (c *Clerk) overtake() {
+	waits := func(o Order) bool { return o.Kind == Put && o.Edition != 0 && o.IfMatch == nil }
+	if !waits(c.orders[0]) {
+		return
+	}
+	top := 0
+	for i, o := range c.orders {
+		if waits(o) && o.Edition > c.orders[top].Edition {
+			top = i
+		}
+	}
+	if first := c.orders[top]; top > 0 {
+		copy(c.orders[1:top+1], c.orders[:top])
+		c.orders[0] = first
+	}
+}
+
 // judge ends an order that needs no write.
 func (c *Clerk) judge(o Order) (Answer, bool) {
 	ans := Answer{ID: o.ID, Result: Taken, Word: c.held}
--- a/register/edition_test.go
+++ b/register/edition_test.go
@@ -106,6 +106,11 @@
 	return top.Word
 }
 
+func (b *bench) has(id uint64) bool {
+	_, ok := b.answers[id]
+	return ok
+}
+
 func (b *bench) expect(id uint64, want Result) desired.Word {
 	b.t.Helper()
 	a, ok := b.answers[id]
@@ -209,6 +214,68 @@
 	}
 }
 
+// Of editions that pile up while one is being written, the highest only is
+// written; all are acknowledged, the others once that is settled.
+func TestEditionsPileUp(t *testing.T) {
+	b := newBench(t, 3)
+	first := b.give(1, edition(1, "1"))
+	for b.step(1) && b.proposed == 0 {
+	}
+	var ids []uint64
+	for _, n := range []uint64{3, 2, 30, 4, 29} { // while the first is proposed
+		ids = append(ids, b.give(1, edition(n, "later")))
+	}
+	empty := b.give(1, Order{Kind: Empty, Locality: "west"})
+	stamp := uint64(1)
+	bound := edition(31, "bound")
+	bound.IfMatch = &stamp
+	mismatch := b.give(1, bound)
+	for !b.has(ids[2]) && b.step(1) {
+	}
+	b.expect(first, Taken)
+	if w := b.expect(ids[2], Taken); w.Edition != 30 || w.Stamp != 2 {
+		t.Errorf("%+v", w)
+	}
+	b.rest()
+	for _, id := range append(ids, empty) {
+		b.expect(id, Taken)
+	}
+	b.expect(mismatch, Mismatch)
+	if w := b.newest(); w.Edition != 30 || w.Stamp != 3 || b.proposed != 3 {
+		t.Errorf("%d words were proposed, %+v", b.proposed, w)
+	}
+}
+
+// An edition that waits for a higher one is not acknowledged if that is not
+// settled in time: it was never proposed, so it surely was not taken.
+func TestEditionsUnsettled(t *testing.T) {
+	b := newBench(t, 3)
+	first := b.give(1, edition(1, "1"))
+	for b.step(1) && b.proposed == 0 {
+	}
+	low := b.give(1, edition(2, "2"))
+	b.now += time.Second
+	high := b.give(1, edition(3, "3"))
+	for !b.has(first) {
+		b.step(1)
+	}
+	b.sent[1] = nil // the ballots for 3 are lost, and all that come after
+	for range 40 {
+		b.now += 50 * time.Millisecond
+		b.obey(1, b.clerks[1].Tick(b.now))
+		b.sent[1] = nil
+		if b.has(low) && !b.has(high) {
+			b.expect(low, NotTaken)
+		}
+	}
+	b.rest()
+	b.rest()
+	b.expect(low, NotTaken)
+	if !b.has(high) {
+		t.Error("the higher one has no answer")
+	}
+}
+
 // A word's edition, and what was sent, are read back from disk; a file from
 // before there were editions is read.
 func TestEditionOnDisk(t *testing.T) {
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -17,6 +17,7 @@
 	"curlewwalk/collect"
 	"curlewwalk/custody"
 	"curlewwalk/feed"
+	"curlewwalk/launch"
 	"curlewwalk/lineage"
 	"curlewwalk/process"
 	"curlewwalk/relay"
@@ -121,7 +122,9 @@
 	}
 	follower := &feed.Follower{Own: set.Advertise, Seats: n.seeker.Seats, Net: p.Net, Hasten: n.seeker.Hasten,
 		Take: func(ctx context.Context, c cohort.Seat, news feed.News, asked time.Time) {
-			n.steward.box.Send(ctx, msgNews{c, news, asked})
+			// No more is asked for before it is in force: of words that come faster
+			// than that, the core then tells the newest only. (DESIGN 8.2)
+			launch.Ask(ctx, n.steward.box, func(r chan<- bool) any { return msgNews{c, news, asked, r} })
 		}}
 	for name, run := range map[string]func(context.Context){
 		"net": p.Net.Run, "host": p.Host.Run, "steward": n.steward.run, "seeker": n.seeker.Run,
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -64,6 +64,7 @@
 		core  cohort.Seat
 		n     feed.News
 		asked time.Time
+		taken chan<- bool
 	}
 	msgMustered struct{ m cohort.Mustered }
 	msgCaller   struct{ n cohort.Node }
@@ -155,6 +156,7 @@
 	case msgNews:
 		s.take(m.core, m.n)
 		s.claim.Renew(m.asked.Add(-m.n.Age))
+		m.taken <- true
 	case msgMustered:
 		s.mustered(m.m)
 	case msgCaller:
