Let a cold backend have its rate over any second, and no more

Cause: a backend that has just started bears a number of inquiries a second; a share of its places bounds what runs at a time, and short inquiries flood it all the same.

Weighed: even gaps between arrivals (slower for nothing); counting when a leg arrives here (what waits or is refused later would be counted, what is written late would not).

Change: warmup.left says for how much longer a backend is cold; a drip, asked with the gate just before the write, holds it to the rate that the configuration gives its service, as if full in the first second after the sidecar's start. Refused legs are not run and told when to come again. The limit at a time follows the rate, and the share that others are told too. Connections of a service now come from the configuration.

--- /dev/null
+++ b/relay/cold_test.go
@@ -0,0 +1,79 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"curlewwalk/desired"
+	"curlewwalk/lineage"
+	"curlewwalk/roster"
+	"curlewwalk/trace"
+	"curlewwalk/way"
+)
+
+// A cold backend is let have its service's rate over any second, from the sidecar's
+// start on; what is refused was not run, and is told when to come again. So many run at
+// a time, too.
+func TestColdRate(t *testing.T) {
+	b := newBench(t, plainly)
+	f := b.far
+	f.Draining, f.Claimed = func() bool { return false }, func() bool { return true }
+	f.Lineage = lineage.NewKeeper()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f.links.launcher.Go(ctx, "lineage", f.Lineage.Run)
+	table, ok := way.NewTable(desired.Word{Stamp: 1, DesiredStamp: 1, Desired: []byte(`{"ways": [{"name": "w", "prefix": "/", "service": "desk", "contract": "c"}],
+		"contracts": [{"name": "c", "rank": 1, "aim": "1s", "expiry": "2s"}],
+		"services": [{"name": "desk", "connections": 6, "cold": {"for": "5s", "rate": 4}}]}`)})
+	if !ok {
+		t.Fatal("the configuration is not taken")
+	}
+	f.Table = func() *way.Table { return table }
+	announce := func(left string) {
+		r, faults := roster.Roster{}.Announce(roster.Announcement{Instance: "a", Service: "desk", Address: b.entry.Address, Capacity: 20, Warmup: &roster.Warmup{Left: left}}, "north", time.Now())
+		if len(faults) > 0 {
+			t.Fatal(faults)
+		}
+		f.Roster = func() roster.Roster { return r }
+	}
+	n := 0
+	put := func() LegReceipt {
+		n++
+		ctx, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		return f.carry(ctx, Leg{ID: fmt.Sprint(n), Service: "desk", Instance: "a", Way: "w", Method: "GET", URI: "/", Host: "x", Left: time.Second, Aim: time.Second}, trace.Root())
+	}
+	answered := func() (count int) {
+		for range 20 {
+			rc := put()
+			switch {
+			case rc.Fate == way.Answered:
+				count++
+			case rc.Fate != way.NotRun || rc.Reason != string(roster.Full) || rc.Back <= 0 || rc.Reached:
+				t.Fatalf("%+v", rc)
+			}
+		}
+		return count
+	}
+	announce("5s")
+	if got := answered(); got != 0 {
+		t.Errorf("%d just after the sidecar's start", got)
+	}
+	f.started = time.Now().Add(-time.Minute)
+	if got := answered(); got != 4 {
+		t.Errorf("%d within a second", got)
+	}
+	if got := len(b.ran); got != 4 {
+		t.Errorf("the backend saw %d", got)
+	}
+	limit := f.Limit(f.Roster().Entries()[0], time.Now())
+	announce("0s")
+	if warm := f.Limit(f.Roster().Entries()[0], time.Now()); limit != 4 || warm != 6 {
+		t.Errorf("cold it runs %d at a time, warm %d", limit, warm)
+	}
+	if got := answered(); got != 20 {
+		t.Errorf("warm: %d of 20", got)
+	}
+}
--- a/relay/exchange_test.go
+++ b/relay/exchange_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"curlewwalk/cohort"
+	"curlewwalk/desired"
 	"curlewwalk/launch"
 	"curlewwalk/roster"
 	"curlewwalk/trace"
@@ -106,6 +107,8 @@
 	f := NewFar(ctx, l)
 	f.Bodies, f.Dialect = &Bodies{Most: 1 << 20, All: 1 << 30}, told{}
 	f.Roster = func() roster.Roster { return roster.Roster{} }
+	table, _ := way.NewTable(desired.Word{})
+	f.Table = func() *way.Table { return table }
 	b.far = f
 	b.entry = roster.Entry{Backend: cohort.Backend{Instance: "a", Address: ln.Addr().String(), Capacity: 8}}
 	t.Cleanup(func() {
--- a/relay/far.go
+++ b/relay/far.go
@@ -26,9 +26,6 @@
 	Counts   Counts
 	Bodies   *Bodies
 	Dialect  Dialect
-	// Connections is how many connections a backend of a service takes, 0 if that is not
-	// known. It may be nil.
-	Connections func(service string) int
 
 	started time.Time
 	ledger  *clerk
@@ -45,14 +42,18 @@
 
 // most is how many connections an own backend may have at a time.
 func (f *Far) most(e roster.Entry) int {
-	if f.Connections != nil {
-		if n := f.Connections(e.Service); n > 0 {
-			return min(n, e.Capacity)
-		}
+	if s, _ := f.Table().Service(e.Service); s.Connections > 0 {
+		return min(s.Connections, e.Capacity)
 	}
 	return e.Capacity
 }
 
+// cold is the rate a second that an own backend bears now, if it is cold.
+func (f *Far) cold(e roster.Entry, at time.Time) (rate float64, ok bool) {
+	rate = f.Table().ColdRate(e.Service)
+	return rate, rate > 0 && e.Cold(at)
+}
+
 // Opened and Reused count the connections to backends that were opened, and the legs
 // that found one open.
 func (f *Far) Opened() int64 { return f.links.opened.Load() }
@@ -63,7 +64,11 @@
 // Limit is how many inquiries an own backend may run at a time now.
 func (f *Far) Limit(e roster.Entry, at time.Time) int64 {
 	t := f.Table()
-	return min(e.Limit(t.Ramp(e.Locality, at), t.Fresh(at.Sub(f.started)), at), int64(f.most(e)))
+	limit := min(e.Limit(t.Ramp(e.Locality, at), t.Fresh(at.Sub(f.started)), at), int64(f.most(e)))
+	if rate, ok := f.cold(e, at); ok {
+		limit = max(1, min(limit, int64(rate)))
+	}
+	return limit
 }
 
 // Leg handles a leg.
@@ -159,11 +164,17 @@
 		}
 		return LegReceipt{ID: leg.ID, Fate: way.Unknown, Reason: "this leg came before"}
 	}
+	var free time.Duration // when a cold backend may bear the next
 	g := &guard{check: func() roster.Refusal {
 		now, why := f.check(ctx, &leg)
 		if why == roster.Open && now.Address != e.Address {
 			why = roster.NoBackend
 		}
+		if rate, cold := f.cold(now, time.Now()); cold && why == roster.Open {
+			if ok, back := e.Desk.Drip(rate, time.Since(f.started)); !ok {
+				free, why = back, roster.Full
+			}
+		}
 		return why
 	}}
 	f.Lineage.Enter(ctx, lineage.Open{Span: span, Service: leg.Service, Way: leg.Way, Rank: leg.Rank, Since: time.Now(), Expiry: deadline(ctx)})
@@ -172,7 +183,7 @@
 	if rc.Fate == way.Unknown && g.shut() {
 		rc.Fate = way.NotRun
 		if why := g.why.Load(); why != nil {
-			rc.Reason = string(*why)
+			rc.Reason, rc.Back = string(*why), free
 		}
 	}
 	rc.ID, rc.Open, rc.Reached = leg.ID, int(e.Desk.Open()), g.state.Load() == guardWrote
--- a/roster/announcement.go
+++ b/roster/announcement.go
@@ -23,17 +23,21 @@
 }
 
 // Warmup is how much of its capacity a cold backend can bear now, and how long
-// until it can bear all of it.
+// until it can bear all of it; or how much longer it bears only its service's rate.
 type Warmup struct {
 	Share float64 `json:"share"`
 	Ramp  string  `json:"ramp"`
+	Left  string  `json:"left"`
 }
 
+// mostLeft bounds for how long a backend may say that it is cold. (ours)
+const mostLeft = time.Hour
+
 // mostCapacity bounds what a backend may say that it can bear. (ours)
 const mostCapacity = 100000
 
-// check lists what is wrong and reads the ramp.
-func (a *Announcement) check() (share float64, ramp time.Duration, faults []string) {
+// check lists what is wrong and reads the warmup.
+func (a *Announcement) check() (share float64, ramp, left time.Duration, faults []string) {
 	fault := func(format string, args ...any) { faults = append(faults, fmt.Sprintf(format, args...)) }
 	if a.Instance == "" || len(a.Instance) > 128 {
 		fault("instance: must have 1 to 128 bytes")
@@ -52,7 +56,10 @@
 	}
 	share = 1
 	if w := a.Warmup; w != nil {
-		if share = w.Share; math.IsNaN(share) || share <= 0 || share > 1 {
+		if share = w.Share; share == 0 && w.Left != "" {
+			share = 1
+		}
+		if math.IsNaN(share) || share <= 0 || share > 1 {
 			fault("warmup.share: %v is not above 0 and at most 1", w.Share)
 		}
 		if w.Ramp != "" {
@@ -61,6 +68,12 @@
 				fault("warmup.ramp: %q is no duration", w.Ramp)
 			}
 		}
+		if w.Left != "" {
+			var err error
+			if left, err = time.ParseDuration(w.Left); err != nil || left < 0 || left > mostLeft {
+				fault("warmup.left: %q is no duration of at most %v", w.Left, mostLeft)
+			}
+		}
 	}
-	return share, ramp, faults
+	return share, ramp, left, faults
 }
--- a/roster/desk.go
+++ b/roster/desk.go
@@ -10,6 +10,7 @@
 type Desk struct {
 	mu    sync.Mutex
 	line  Line
+	drip  Drip
 	wake  map[uint64]chan bool
 	start time.Time
 }
@@ -51,6 +52,14 @@
 	}, 0
 }
 
+// Drip lets a leg in to a cold backend, of a rate a second, or tells when to come
+// again. up is how long the sidecar has been up.
+func (d *Desk) Drip(rate float64, up time.Duration) (ok bool, back time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.drip.Ask(rate, time.Since(d.start), up)
+}
+
 // stand waits for the turn; false if it was refused or its time is over.
 func (d *Desk) stand(ctx context.Context, id uint64, turn chan bool) bool {
 	select {
--- a/roster/entry.go
+++ b/roster/entry.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"cmp"
 	"time"
 
 	"curlewwalk/cohort"
@@ -14,19 +15,27 @@
 	// LeftAt is when it said that it was leaving.
 	LeftAt time.Time
 	ramp   time.Duration
+	// share is what it said that it bears; Share is what others are told.
+	share float64
+	// coldUntil is when it is warm by its own word.
+	coldUntil time.Time
 	// Desk counts its open inquiries; all snapshots share it.
 	Desk *Desk
 }
 
 // ShareAt is the part of its capacity that the backend can bear at a time.
 func (e Entry) ShareAt(now time.Time) float64 {
+	share := cmp.Or(e.share, e.Share)
 	if e.ramp <= 0 {
-		return e.Share
+		return share
 	}
 	done := min(1, float64(now.Sub(e.Heard))/float64(e.ramp))
-	return e.Share + (1-e.Share)*done
+	return share + (1-share)*done
 }
 
+// Cold tells whether the backend bears no more than its service's rate yet.
+func (e Entry) Cold(now time.Time) bool { return now.Before(e.coldUntil) }
+
 // Limit is how many inquiries it may run at a time; ramp is the share of it
 // that its locality is given. fresh tells that runs which a killed sidecar had let
 // in may still be going on. (DESIGN 15.2)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -28,18 +28,21 @@
 
 // Announce takes a backend's word and returns the next roster, or the faults.
 func (r Roster) Announce(a Announcement, home string, now time.Time) (Roster, []string) {
-	share, ramp, faults := a.check()
+	share, ramp, left, faults := a.check()
 	if len(faults) > 0 {
 		return r, faults
 	}
 	old, known := r.entries[a.Instance]
-	e := Entry{Heard: now, ramp: ramp, Desk: old.Desk, LeftAt: old.LeftAt, Backend: cohort.Backend{
+	e := Entry{Heard: now, ramp: ramp, share: share, coldUntil: now.Add(left), Desk: old.Desk, LeftAt: old.LeftAt, Backend: cohort.Backend{
 		Instance: a.Instance, Service: a.Service, Address: a.Address, Capacity: a.Capacity, Share: share,
 		Locality: cmp.Or(a.Locality, home), Leaving: a.Leaving,
 	}}
 	if e.Desk == nil || old.Address != a.Address || old.Service != a.Service {
 		e.Desk = NewDesk()
 	}
+	if old.share == share {
+		e.Share = old.Share // as it is shaded
+	}
 	switch {
 	case a.Leaving && !old.Leaving:
 		e.LeftAt = now
@@ -84,6 +87,31 @@
 	return next
 }
 
+// shadeFor is the stretch of its rate that a cold backend's share is told as: about
+// what may run there at a time. (ours)
+const shadeFor = 0.3
+
+// Shade lets the share that others are told of cold backends be what the rates of their
+// services come to; rate is 0 for a service without one.
+func (r Roster) Shade(rate func(service string) float64, now time.Time) Roster {
+	next := Roster{Rev: r.Rev, entries: maps.Clone(r.entries)}
+	for k, e := range next.entries {
+		share := e.share
+		if n := rate(e.Service); n > 0 && e.Cold(now) {
+			share = min(share, n*shadeFor/float64(e.Capacity))
+		}
+		if e.Share != share {
+			e.Share = share
+			next.entries[k] = e
+			next.Rev = r.Rev + 1
+		}
+	}
+	if next.Rev == r.Rev {
+		return r
+	}
+	return next
+}
+
 // Entries lists the backends by instance.
 func (r Roster) Entries() []Entry {
 	var out []Entry
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -178,6 +178,7 @@
 }
 
 func (s *steward) swapRoster(next roster.Roster) {
+	next = next.Shade(s.table.Load().ColdRate, time.Now())
 	changed := next.Rev != s.roster.Load().Rev
 	s.roster.Store(&next)
 	if changed {
--- a/way/table.go
+++ b/way/table.go
@@ -103,6 +103,15 @@
 	return s, ok
 }
 
+// ColdRate is how many inquiries a second a cold backend of a service bears; 0 if the
+// operator said nothing of it.
+func (t *Table) ColdRate(service string) float64 {
+	if s := t.services[service]; s.Cold != nil {
+		return s.Cold.Rate
+	}
+	return 0
+}
+
 // Limits bound what clients may send.
 func (t *Table) Limits() desired.Limits { return t.limits }
 
