Measure collectors' events too; tell a node's lives apart in scale runs

Cause: a node that came back between two readings was counted from its earlier life, and sums ran below zero; what a collector's events cost was not known; a shoal that does not come up was waited for without a bound. Change: a node's page names its boot; batches are published over a circuit to a store and their bytes and processor time told; words and way tables are measured among the parts; a shoal's start is bounded.

--- a/proof/scale/page.go
+++ b/proof/scale/page.go
@@ -27,6 +27,7 @@
 // NodePage is what one node has carried; in a shoal there are many nodes.
 type NodePage struct {
 	Addr string `json:"address"`
+	Boot uint64 `json:"boot"`
 	// Known and Stamp are told by hollow nodes only.
 	Known int    `json:"known"`
 	Stamp uint64 `json:"stamp"`
--- a/proof/scale/parts.go
+++ b/proof/scale/parts.go
@@ -4,26 +4,39 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"log/slog"
+	"net"
 	"runtime"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
 	"curlewwalk/cohort"
+	"curlewwalk/collect"
 	"curlewwalk/contract"
 	"curlewwalk/desired"
 	"curlewwalk/feed"
+	"curlewwalk/launch"
 	"curlewwalk/proof/fleet"
+	"curlewwalk/trace"
 	"curlewwalk/way"
+	"curlewwalk/wire"
 )
 
 // parts measures production parts by themselves at numbers of nodes that no fleet here
 // could have: what they work out, how long it takes and how many bytes it comes to.
 func (r *Run) parts(ctx context.Context) error {
-	for _, n := range r.Exp.Parts {
+	for i, n := range r.Exp.Parts {
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		if i == 0 {
+			c, err := Collected(ctx, 400)
+			if err != nil {
+				return err
+			}
+			r.line(Line{Version: "this", Phase: "parts", Sidecars: n, Services: r.Exp.PartsServices, What: "collector", Values: c})
+		}
 		r.Say("parts at %d nodes", n)
 		r.line(Line{Version: "this", Phase: "parts", Sidecars: n, Services: r.Exp.PartsServices, What: "parts", Values: Parts(n, r.Exp.PartsServices, r.Exp.Zones)})
 	}
@@ -77,7 +90,8 @@
 	// The feed: a snapshot, from a core to a sidecar.
 	var news feed.News
 	var frame []byte
-	took("snapshot_made", func() { news, _ = f.Since(feed.Follow{}); frame = size("snapshot", &news) })
+	took("snapshot_picked", func() { news, _ = f.Since(feed.Follow{}) })
+	took("snapshot_made", func() { frame = size("snapshot", &news) })
 	size("one_node", feed.Item{Node: &nodes[0]})
 	var got feed.News
 	took("snapshot_read", func() {
@@ -123,20 +137,75 @@
 	word := configuration(services)
 	v["configuration_bytes"] = float64(len(word))
 	w := desired.Word{Stamp: 1, DesiredStamp: 1, Desired: word}
-	size("word", feed.Item{Word: &w})
+	v["configuration_indented_bytes"] = float64(len(indented(services)))
+	var told []byte
+	took("word_made", func() { told = size("word", feed.News{Items: []feed.Item{{Word: &w}}}) })
+	took("word_read", func() {
+		if err := msgpack.Unmarshal(told, &got); err != nil {
+			panic(err)
+		}
+	})
+	before = heap()
+	var table *way.Table
 	took("table_made", func() {
-		if _, ok := way.NewTable(w); !ok {
+		var ok bool
+		if table, ok = way.NewTable(w); !ok {
 			v["table_refused"] = 1
 		}
 	})
+	v["table_bytes"] = float64(heap() - before)
+	runtime.KeepAlive(table)
+	runtime.KeepAlive(told)
 	return v
 }
 
+// Collected measures what a collector's events cost: batches published to a store over
+// a circuit.
+func Collected(ctx context.Context, batches int) (map[string]float64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	l := launch.New(slog.New(slog.DiscardHandler), func(name string, cause any, stack []byte) { panic(fmt.Sprint(name, cause, string(stack))) })
+	store := collect.NewStore()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	h := &wire.Host{Launcher: l, Listener: ln, Handlers: map[string]wire.Handler{collect.KindPublish: store.Publish}}
+	n := wire.NewNet(l, wire.Greeting{Version: wire.Version}, nil)
+	for name, run := range map[string]func(context.Context){"store": store.Run, "host": h.Run, "net": n.Run} {
+		l.Go(ctx, name, run)
+	}
+	const in = 256 // events of a batch, as workers publish at most
+	before, begin := used(), time.Now()
+	root := trace.Root()
+	for b := range batches {
+		batch := collect.Batch{Events: make([]trace.Event, in)}
+		for i := range batch.Events {
+			if i%16 == 0 {
+				root = trace.Root() // 4 calls a trace
+			}
+			batch.Events[i] = trace.Event{Trace: root.Trace, Span: trace.NewID(), Parent: root.ID, Kind: trace.ServerReceive, Counter: uint64(i), Node: "127.10.2.1:7400", Boot: uint64(1)<<63 + uint64(b),
+				Since: time.Since(begin), Way: serviceName(b), Service: serviceName(i), Caller: serviceName(b), Instance: "service-1-127.10.2.1", Status: 200}
+		}
+		var t collect.Taken
+		if !n.Call(ctx, ln.Addr().String(), wire.Control, collect.KindPublish, batch).Into(&t) || t.N != in {
+			return nil, fmt.Errorf("batch %d was not taken", b)
+		}
+	}
+	after, c, all := used(), n.Counts.Read()[collect.KindPublish], float64(batches*in)
+	return map[string]float64{"events": all, "event_bytes": float64(c.CallBytes) / all, "event_processor_us": (after.Processor - before.Processor) * 1e6 / all,
+		"event_ms": time.Since(begin).Seconds() * 1000 / all}, nil
+}
+
+func indented(services int) []byte {
+	f := fleet.Fleet{Size: fleet.Size{Plans: plans(services)}}
+	return f.Configuration()
+}
+
 // configuration is what an operator would put, without blanks.
 func configuration(services int) []byte {
-	f := fleet.Fleet{Size: fleet.Size{Plans: plans(services)}}
 	var any map[string]any
-	if err := json.Unmarshal(f.Configuration(), &any); err != nil {
+	if err := json.Unmarshal(indented(services), &any); err != nil {
 		panic(fmt.Sprint("a configuration that was just made: ", err))
 	}
 	b, _ := json.Marshal(any)
--- a/proof/scale/program.go
+++ b/proof/scale/program.go
@@ -47,7 +47,7 @@
 }
 
 func nodePage(addr string, n *wire.Net, h *wire.Host) NodePage {
-	return NodePage{Addr: addr, Net: n.Counts.Read(), Host: h.Counts.Read()}
+	return NodePage{Addr: addr, Boot: h.Own.Boot, Net: n.Counts.Read(), Host: h.Counts.Read()}
 }
 
 // Programs makes a folder in which an executable that calls Be stands under the names
--- a/proof/scale/sample.go
+++ b/proof/scale/sample.go
@@ -101,11 +101,11 @@
 		}
 		nodes++
 		was := of(old)
+		if old.Boot != n.Boot {
+			was = nil // another life of the node
+		}
 		for kind, c := range of(n) {
 			r, w := out[kind], was[kind]
-			if c.Calls < w.Calls {
-				w = wire.Count{} // another boot of the node
-			}
 			r.Calls += float64(c.Calls - w.Calls)
 			r.CallBytes += float64(c.CallBytes - w.CallBytes)
 			r.Receipts += float64(c.Receipts - w.Receipts)
--- a/proof/scale/scale_test.go
+++ b/proof/scale/scale_test.go
@@ -269,10 +269,10 @@
 
 // Rates count only what is in both readings, and a node's new boot from nothing.
 func TestRates(t *testing.T) {
-	node := func(addr string, calls uint64) NodePage {
-		return NodePage{Addr: addr, Net: map[string]wire.Count{"hail": {Calls: calls, CallBytes: 10 * calls}}}
+	node := func(addr string, boot, calls uint64) NodePage {
+		return NodePage{Addr: addr, Boot: boot, Net: map[string]wire.Count{"hail": {Calls: calls, CallBytes: 10 * calls}}}
 	}
-	got, n := rates([]NodePage{node("a", 10), node("b", 100), node("gone", 7)}, []NodePage{node("a", 30), node("b", 20), node("new", 9)}, 2,
+	got, n := rates([]NodePage{node("a", 1, 10), node("b", 1, 10), node("gone", 1, 7)}, []NodePage{node("a", 1, 30), node("b", 2, 20), node("new", 1, 9)}, 2,
 		func(p NodePage) map[string]wire.Count { return p.Net })
 	if r := got["hail"]; n != 2 || r.Calls != 10 || r.CallBytes != 100 {
 		t.Errorf("%d nodes, %+v", n, got)
--- a/proof/scale/school.go
+++ b/proof/scale/school.go
@@ -90,10 +90,12 @@
 			return nil, err
 		}
 	}
+	starting, stop := context.WithTimeout(ctx, time.Duration(exp.Within)+time.Duration(exp.Every)*time.Duration(hollow/pods+1))
+	defer stop()
 	for _, p := range s.shoals {
-		if err := p.started(ctx); err != nil {
+		if err := p.started(starting); err != nil {
 			s.close()
-			return nil, err
+			return nil, fmt.Errorf("a shoal's start: %w", err)
 		}
 	}
 	r, err := s.read(ctx)
