--- a/relay/exchange_test.go
+++ b/relay/exchange_test.go
@@ -106,7 +106,7 @@
 	l := launch.New(slog.New(slog.DiscardHandler), func(name string, cause any, _ []byte) { t.Errorf("%s: %v", name, cause) })
 	f := NewFar(ctx, l)
 	f.Bodies, f.Dialect = &Bodies{Most: 1 << 20, All: 1 << 30}, told{}
-	f.Roster = func() roster.Roster { return roster.Roster{} }
+	f.links.stands = func(place) bool { return true }
 	table, _ := way.NewTable(desired.Word{})
 	f.Table = func() *way.Table { return table }
 	b.far = f
@@ -317,7 +317,10 @@
 	b.good(t, Leg{})
 	l := b.link(t)
 	io.WriteString(<-late, answerTo("x", "no"))
-	for end := time.Now().Add(5 * time.Second); l.quiet() && time.Now().Before(end); {
+	for end := l.since.Add(keepFor / 2); l.quiet(); {
+		if time.Now().After(end) {
+			t.Fatal("bytes that nobody asked for were not noticed")
+		}
 	}
 	b.good(t, Leg{})
 	if n := b.opens.Load(); n != 2 {
