--- a/boot/common.go
+++ b/boot/common.go
@@ -16,5 +16,6 @@
 	Control   string        `long:"control" ini-name:"control" description:"address for /v1, /live and /ready (IP:port, required)"`
 	Seeds     []string      `long:"seed" ini-name:"seed" description:"wire address of another process; up to three"`
 	Drain     time.Duration `long:"drain" ini-name:"drain" default:"10s" description:"how long what was handed over may take to finish after a warning"`
+	Echo      bool          `long:"echo" ini-name:"echo" description:"write each log line to standard error too, as it comes"`
 	LogLines  int           `long:"log-lines" ini-name:"log-lines" default:"4096" description:"lines kept in the log ring"`
 }
--- a/process/process.go
+++ b/process/process.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -50,7 +51,11 @@
 
 // New makes the frame: ring log, launcher, circuits, host.
 func New(name string, s boot.Common) *Process {
-	r := ring.New(s.LogLines)
+	var echo io.Writer
+	if s.Echo {
+		echo = os.Stderr
+	}
+	r := ring.New(s.LogLines, echo)
 	p := &Process{Name: name, Boot: rand.Uint64(), Ring: r, Log: slog.New(r)}
 	p.Life, p.end = context.WithCancel(context.Background())
 	p.Launcher = launch.New(p.Log, p.broken)
--- a/ring/ring.go
+++ b/ring/ring.go
@@ -21,11 +21,14 @@
 	mu   sync.Mutex
 	kept [][]byte
 	next int
+	// echo is written to too, if set.
+	echo io.Writer
 }
 
-// New makes a ring of the given number of lines.
-func New(size int) *Ring {
-	l := &lines{kept: make([][]byte, size)}
+// New makes a ring of the given number of lines; each is written to echo too, if that
+// is not nil.
+func New(size int, echo io.Writer) *Ring {
+	l := &lines{kept: make([][]byte, size), echo: echo}
 	return &Ring{Handler: slog.NewTextHandler(l, &slog.HandlerOptions{Level: slog.LevelInfo}), lines: l}
 }
 
@@ -59,5 +62,8 @@
 	defer l.mu.Unlock()
 	l.kept[l.next] = bytes.Clone(b)
 	l.next = (l.next + 1) % len(l.kept)
+	if l.echo != nil {
+		l.echo.Write(b)
+	}
 	return len(b), nil
 }
