Let those that can only be late stand aside in line, and get what the others leave

Change: within a rank, who has to begin first goes first; who can't be in time may, where the settings say that late is worth something (late), stand aside after two refusals and is let in when nobody waits who can be in time.

--- a/boot/sidecar.go
+++ b/boot/sidecar.go
@@ -20,6 +20,7 @@
 	BodyMemory int64             `long:"body-memory" ini-name:"body-memory" default:"268435456" description:"bodies of inquiries that are held at a time, in bytes"`
 	ServeOn    time.Duration     `long:"serve-on" ini-name:"serve-on" default:"0s" description:"how long clients' inquiries are still taken after a warning to stop, at most half of drain"`
 	Hold       float64           `long:"hold" ini-name:"hold" default:"0" description:"part of its aim for which an inquiry may be held for a place when there is none, 0 to 0.5"`
+	Late       bool              `long:"late" ini-name:"late" description:"an answer past its aim is better than none: inquiries that can only be late wait for what the others leave"`
 	ComeBack   time.Duration     `long:"come-back" ini-name:"come-back" default:"1s" description:"when a refused client may come again at the soonest"`
 	NoKeys     bool              `long:"no-keys" ini-name:"no-keys" description:"no client sends an Idempotency-Key: readiness need not wait for claims of an earlier life"`
 	TraceQueue int               `long:"trace-queue" ini-name:"trace-queue" default:"8192" description:"events that may wait to be published"`
--- a/relay/far.go
+++ b/relay/far.go
@@ -151,7 +151,7 @@
 		}
 		return f.Limit(now, time.Now())
 	}
-	done, back := e.Desk.Enter(ctx, roster.Bid{Rank: leg.Rank, Way: leg.Way, Left: min(leg.Left, leg.Aim)}, limit)
+	done, back := e.Desk.Enter(ctx, roster.Bid{Rank: leg.Rank, Way: leg.Way, Left: min(leg.Left, leg.Aim), Last: leg.late()}, limit)
 	if done == nil {
 		rc := refuse(roster.Full, e.Desk.Open())
 		rc.Back = back
--- a/relay/leg.go
+++ b/relay/leg.go
@@ -28,6 +28,8 @@
 	Left     time.Duration `msgpack:"l"`
 	// Aim is the time left until the inquiry is late; it waits no longer.
 	Aim time.Duration `msgpack:"am"`
+	// Patient says that it rather waits to be late than be refused.
+	Patient bool `msgpack:"pt,omitempty"`
 	// Repeatable says that running it twice does no harm.
 	Repeatable bool        `msgpack:"rp,omitempty"`
 	Caller     string      `msgpack:"c,omitempty"`
@@ -40,6 +42,14 @@
 	Body    []byte      `msgpack:"b"`
 }
 
+// late is the time left in which a late answer is still worth something.
+func (l *Leg) late() time.Duration {
+	if !l.Patient {
+		return 0
+	}
+	return l.Left
+}
+
 // LegReceipt is what the far sidecar tells of a leg.
 type LegReceipt struct {
 	ID     string      `msgpack:"id"`
--- a/relay/near.go
+++ b/relay/near.go
@@ -54,6 +54,8 @@
 	// ComeBack when a refused one may come again at the soonest.
 	Hold     float64
 	ComeBack time.Duration
+	// Late says that an answer past the aim is better than none.
+	Late bool
 }
 
 // inquiry is one client's request on its way.
@@ -256,7 +258,7 @@
 	d := way.Decision{Way: q.way, Expiry: q.expiry, Locality: n.Locality, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Means: way.Means{Aim: q.aim, Room: q.room(), Patience: n.Budgets.Patience(q.contract.Name, q.room()),
 			Cost: func(t cohort.Target) way.Cost { return n.Costs.Of(q.way.Name, t) },
-			Hold: n.hold(q), Back: n.back(),
+			Hold: n.hold(q), Back: n.back(), Late: n.Late,
 			Spend: func() bool { return n.Purses.Spend(q.way.Service) }}}
 	note := trace.Event{Way: q.way.Name, Service: q.way.Service, Caller: q.caller, Link: q.cause.Link, Candidates: q.cause.Candidates}
 	n.Queue.Put(q.span, trace.ClientStart, note)
@@ -280,7 +282,7 @@
 			return rc
 		}
 		var l way.Leg
-		l, last = n.send(ctx, q, o.Target, len(d.Legs())+1)
+		l, last = n.send(ctx, q, o, len(d.Legs())+1)
 		d.Tell(l)
 	}
 }
@@ -308,8 +310,8 @@
 
 // send carries one leg. The first leg is the span's own; each further one is a
 // child span of its own. (DESIGN 2.1)
-func (n *Near) send(ctx context.Context, q *inquiry, t cohort.Target, num int) (way.Leg, LegReceipt) {
-	span := q.span
+func (n *Near) send(ctx context.Context, q *inquiry, o way.Order, num int) (way.Leg, LegReceipt) {
+	span, t := q.span, o.Target
 	if num == 1 {
 		n.Purses.Earn(q.way.Service)
 	} else {
@@ -320,7 +322,7 @@
 	}
 	leg := q.leg
 	leg.ID = span.ID.String() + "/" + trace.NewID().String()
-	leg.N, leg.Instance, leg.Boot = num, t.Instance, t.Boot
+	leg.N, leg.Instance, leg.Boot, leg.Patient = num, t.Instance, t.Boot, o.Patient
 	leg.Left = time.Until(q.expiry) - grace
 	leg.Aim = time.Until(q.aim) + n.Budgets.Patience(q.contract.Name, q.room()) - grace
 	t.Load.Legs.Add(1)
--- a/roster/line.go
+++ b/roster/line.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -12,8 +13,11 @@
 type Bid struct {
 	Rank int
 	Way  string
-	// Left is the time left in which the answer is worth waiting for.
+	// Left is the time left in which the answer is in time.
 	Left time.Duration
+	// Last is the time left in which a late answer is still worth something; zero:
+	// it is worth nothing.
+	Last time.Duration
 }
 
 // Verdict is what a line decides on a bid.
@@ -27,11 +31,13 @@
 )
 
 // Line is who runs at a backend and who waits: a decision value. Higher ranks
-// go before lower ones; nobody waits who could no longer be served in time.
-// (DESIGN 15.2)
+// go before lower ones, and within a rank who has to begin first; nobody waits who could
+// no longer be served in time. Those that can only be late, if that is worth something
+// to them, stand aside and get what the others leave. (DESIGN 15.2)
 type Line struct {
 	open    int64
 	waiting []place
+	aside   []place
 	next    uint64
 	mean    time.Duration            // of a run
 	costs   map[string]time.Duration // of a run, by way
@@ -41,6 +47,7 @@
 	id     uint64
 	rank   int
 	giveUp time.Duration // when it can't be served in time any more
+	last   time.Duration // when it is not worth serving any more
 }
 
 // Shift is what a change of the line means for those who waited: some run now,
@@ -56,21 +63,38 @@
 		l.open++
 		return Run, 0, 0, s
 	}
-	at, _ := slices.BinarySearchFunc(l.waiting, b.Rank, func(p place, rank int) int {
-		if p.rank <= rank {
-			return -1
-		}
-		return 1
-	})
-	if b.Left < l.until(at, limit)+l.costs[b.Way] || at >= deepest*int(limit) {
+	cost := l.costs[b.Way]
+	p := place{id: l.next + 1, rank: b.Rank, giveUp: now + b.Left - cost, last: now + b.Last - cost}
+	at, _ := slices.BinarySearchFunc(l.waiting, p, place.before)
+	switch {
+	case b.Left >= l.until(at, limit)+cost && at < deepest*int(limit):
+		l.waiting = slices.Insert(l.waiting, at, p)
+	case b.Last <= 0 || !l.stand(p, limit, now):
 		return Refuse, 0, l.until(len(l.waiting), limit), s
 	}
 	l.next++
-	l.waiting = slices.Insert(l.waiting, at, place{id: l.next, rank: b.Rank, giveUp: now + b.Left - l.costs[b.Way]})
 	s = l.shift(limit, now)
 	return Wait, l.next, 0, s
 }
 
+// before orders places: by rank, then by who has to begin first, then by arrival.
+func (p place) before(q place) int {
+	if c := cmp.Or(cmp.Compare(p.rank, q.rank), cmp.Compare(p.giveUp, q.giveUp)); c != 0 {
+		return c
+	}
+	return -1
+}
+
+// stand has a place stand aside, if it is worth it and there is room.
+func (l *Line) stand(p place, limit int64, now time.Duration) bool {
+	if p.last <= now || len(l.aside) >= deepest*int(limit) {
+		return false
+	}
+	at, _ := slices.BinarySearchFunc(l.aside, p, place.before)
+	l.aside = slices.Insert(l.aside, at, p)
+	return true
+}
+
 // until is how long the place at an index waits, as far as is known.
 func (l *Line) until(at int, limit int64) time.Duration {
 	return time.Duration(int64(l.mean) * int64(at+1) / limit)
@@ -96,22 +120,28 @@
 
 // Quit takes one who no longer waits; false if it does not wait any more.
 func (l *Line) Quit(id uint64) bool {
-	n := len(l.waiting)
-	l.waiting = slices.DeleteFunc(l.waiting, func(p place) bool { return p.id == id })
-	return len(l.waiting) < n
+	n := len(l.waiting) + len(l.aside)
+	own := func(p place) bool { return p.id == id }
+	l.waiting, l.aside = slices.DeleteFunc(l.waiting, own), slices.DeleteFunc(l.aside, own)
+	return len(l.waiting)+len(l.aside) < n
 }
 
 // Full is how many run and wait.
-func (l *Line) Full() int64 { return l.open + int64(len(l.waiting)) }
+func (l *Line) Full() int64 { return l.open + int64(len(l.waiting)+len(l.aside)) }
 
 // shift lets run whom there is room for, and refuses whom time or depth has
 // run out for.
 func (l *Line) shift(limit int64, now time.Duration) (s Shift) {
+	late := func(p place) {
+		if !l.stand(p, limit, now) {
+			s.Refused = append(s.Refused, p.id)
+		}
+	}
 	for len(l.waiting) > 0 && l.open < limit {
 		p := l.waiting[0]
 		l.waiting = l.waiting[1:]
 		if now > p.giveUp {
-			s.Refused = append(s.Refused, p.id)
+			late(p)
 			continue
 		}
 		l.open++
@@ -120,11 +150,21 @@
 	kept := l.waiting[:0]
 	for _, p := range l.waiting {
 		if len(kept) >= deepest*int(limit) || now+l.until(len(kept), limit) > p.giveUp {
-			s.Refused = append(s.Refused, p.id)
+			late(p)
 			continue
 		}
 		kept = append(kept, p)
 	}
 	l.waiting = kept
+	for len(l.aside) > 0 && l.open < limit {
+		p := l.aside[0]
+		l.aside = l.aside[1:]
+		if now > p.last {
+			s.Refused = append(s.Refused, p.id)
+			continue
+		}
+		l.open++
+		s.Run = append(s.Run, p.id)
+	}
 	return s
 }
--- a/roster/line_test.go
+++ b/roster/line_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -91,3 +92,46 @@
 		}
 	}
 }
+
+// One who can only be late stands aside, behind all who can be in time, whatever their
+// rank, and is let in as long as it is worth something; who says that late is worth
+// nothing is refused at once. Within a rank, who has to begin first goes first.
+func TestAside(t *testing.T) {
+	const ms = time.Millisecond
+	var l Line
+	bid := func(rank int, left, last time.Duration, now time.Duration) (Verdict, uint64) {
+		v, id, _, s := l.Ask(Bid{Rank: rank, Way: "w", Left: left, Last: last}, 1, now)
+		if len(s.Run) > 0 || len(s.Refused) > 0 {
+			t.Errorf("asking shifted %+v", s)
+		}
+		return v, id
+	}
+	bid(1, ms, 0, 0)
+	l.Done("w", 100*ms, 1, 0) // a run takes 100 ms
+	if v, _ := bid(1, 100*ms, 0, 0); v != Run {
+		t.Fatal("the first does not run")
+	}
+	if v, _ := bid(1, 150*ms, 0, 0); v != Refuse {
+		t.Error("one that can't be in time waits")
+	}
+	_, late := bid(1, 150*ms, 900*ms, 0)
+	_, soon := bid(2, 500*ms, 900*ms, 0)
+	_, sooner := bid(2, 400*ms, 900*ms, 0)
+	_, dead := bid(3, 10*ms, 250*ms, 0)
+	if l.Full() != 5 {
+		t.Errorf("%d stand in line", l.Full())
+	}
+	var order []uint64
+	for now := 100 * ms; now <= 500*ms; now += 100 * ms {
+		s := l.Done("w", 100*ms, 1, now)
+		order = append(order, s.Run...)
+		for _, id := range s.Refused {
+			if id != dead || now <= 150*ms {
+				t.Errorf("%d was refused at %v", id, now)
+			}
+		}
+	}
+	if want := []uint64{sooner, soon, late}; !slices.Equal(order, want) {
+		t.Errorf("ran %v, want %v", order, want)
+	}
+}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -80,7 +80,7 @@
 	table := func() *way.Table { return n.steward.table.Load() }
 	n.near = &relay.Near{Locality: set.Locality, Table: table, View: func() *cohort.View { return n.steward.view.Load() },
 		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log, Lineage: lin, Claims: claims, Purses: n.steward.purses, Budgets: n.steward.budgets, Costs: way.NewCosts(), Life: p.Life, Draining: n.shut}
-	n.near.Home, n.near.Dialect, n.near.Hold, n.near.ComeBack = set.Caller, relay.Plain{}, set.Hold, set.ComeBack
+	n.near.Home, n.near.Dialect, n.near.Hold, n.near.ComeBack, n.near.Late = set.Caller, relay.Plain{}, set.Hold, set.ComeBack, set.Late
 	if doors != nil {
 		n.near.Dialect = doors.Dialect
 	}
--- a/way/decision.go
+++ b/way/decision.go
@@ -15,6 +15,9 @@
 	mostLegs = 3 // (ours)
 	// mostAsked is how many it has, those that came to no backend counted in.
 	mostAsked = 8 // (ours)
+	// turnedAway is after how many refusals an inquiry rather stands in line to be
+	// late.
+	turnedAway = 2 // (ours)
 	// askAgain is how long one that is held waits before it is asked about again.
 	askAgain = 25 * time.Millisecond // (ours)
 	// spillAt is how busy the own locality must be before others are used.
@@ -46,7 +49,7 @@
 
 // Ask decides what comes next, on the snapshots as they are now.
 func (d *Decision) Ask(t *Table, v *cohort.View, now time.Time) Order {
-	fate, expired, back, reached := NotRun, !now.Before(d.Expiry), cmp.Or(d.Means.Back, time.Second), 0
+	fate, expired, back, reached, turned := NotRun, !now.Before(d.Expiry), cmp.Or(d.Means.Back, time.Second), 0, 0
 	reason := "no backend of " + d.Way.Service
 	if n := len(d.legs); n > 0 {
 		last := d.legs[n-1]
@@ -61,6 +64,8 @@
 			}
 			if l.Reached || l.Fate == Unknown {
 				reached++
+			} else {
+				turned++
 			}
 		}
 	}
@@ -70,7 +75,15 @@
 	if fate == Unknown && !d.Way.Repeatable || reached >= cmp.Or(d.Way.Legs, mostLegs) || len(d.legs) >= mostAsked {
 		return end(status(fate), fate, reason, back)
 	}
+	patient := d.Means.Late && turned >= turnedAway
+	if patient {
+		d.again = len(d.legs)
+	}
 	target, ok := d.choose(t, v, now)
+	if !ok && d.Means.Late && turned > 0 {
+		patient, d.again = true, len(d.legs)
+		target, ok = d.choose(t, v, now)
+	}
 	if !ok && now.Add(askAgain).Before(d.Means.Hold) {
 		// Those that refused it without a backend's having seen it may be asked again.
 		d.again = len(d.legs)
@@ -85,7 +98,7 @@
 	if reached > 0 && !d.Means.Spend() {
 		return end(status(fate), fate, "no means for another leg after: "+reason, back)
 	}
-	return Order{Send: true, Target: target}
+	return Order{Send: true, Target: target, Patient: patient}
 }
 
 func status(f Fate) int {
--- a/way/order.go
+++ b/way/order.go
@@ -11,7 +11,9 @@
 type Order struct {
 	Send   bool
 	Target cohort.Target
-	Wait   time.Duration
+	// Patient says that the leg rather waits to be late than be refused.
+	Patient bool
+	Wait    time.Duration
 	// End, when Send is false and Wait zero.
 	End End
 }
