--- a/roster/line.go
+++ b/roster/line.go
@@ -47,7 +47,9 @@
 	id     uint64
 	rank   int
 	giveUp time.Duration // when it can't be served in time any more
-	last   time.Duration // when it is not worth serving any more
+	// last is when it is not worth serving any more. Nobody stands aside for more than
+	// half of the time left: it had better be told, and come again.
+	last time.Duration
 }
 
 // Shift is what a change of the line means for those who waited: some run now,
@@ -64,7 +66,7 @@
 		return Run, 0, 0, s
 	}
 	cost := l.costs[b.Way]
-	p := place{id: l.next + 1, rank: b.Rank, giveUp: now + b.Left - cost, last: now + b.Last - cost}
+	p := place{id: l.next + 1, rank: b.Rank, giveUp: now + b.Left - cost, last: now + min(b.Last-cost, b.Last/2)}
 	at, _ := slices.BinarySearchFunc(l.waiting, p, place.before)
 	switch {
 	case b.Left >= l.until(at, limit)+cost && at < deepest*int(limit):
@@ -87,10 +89,10 @@
 
 // stand has a place stand aside, if it is worth it and there is room.
 func (l *Line) stand(p place, limit int64, now time.Duration) bool {
-	if p.last <= now || len(l.aside) >= deepest*int(limit) {
+	at, _ := slices.BinarySearchFunc(l.aside, p, place.before)
+	if now+l.until(len(l.waiting)+at, limit) > p.last || len(l.aside) >= deepest*int(limit) {
 		return false
 	}
-	at, _ := slices.BinarySearchFunc(l.aside, p, place.before)
 	l.aside = slices.Insert(l.aside, at, p)
 	return true
 }
