Found the cores from the seeds of the first start, on the users' platform

No number of cores stands in the settings any more; the nodes that all are given at the first start are the founders.

--- a/boot/group.go
+++ b/boot/group.go
@@ -5,4 +5,7 @@
 type Group struct {
 	Name string
 	Data any
+	// Fill, if set, is handed the program's settings once all is read, before they are
+	// checked.
+	Fill func(settings any)
 }
--- a/boot/read.go
+++ b/boot/read.go
@@ -49,6 +49,11 @@
 			return fail(err.Error())
 		}
 	}
+	for _, g := range groups {
+		if g.Fill != nil {
+			g.Fill(settings)
+		}
+	}
 	c := &checker{}
 	c.common(common)
 	check(c)
