--- a/core/node.go
+++ b/core/node.go
@@ -57,6 +57,7 @@
 	n.keeper.Confirmed = n.directory.Sure
 	n.seeker.Own = func() cohort.Hail { return cohort.Hail{Seat: n.told()} }
 	n.seeker.Addr, n.seeker.Net, n.seeker.Launcher, n.seeker.Heard = set.Advertise, p.Net, p.Launcher, n.heard
+	n.seeker.Hear(cohort.Hail{Know: remembered(n.keeper.Voter())})
 	n.reload = &process.Reloader{Seeker: n.seeker}
 	n.reload.Apply(set.Common)
 
@@ -116,6 +117,17 @@
 	return &s
 }
 
+// remembered are the members that a disk tells of: they are hailed first, whatever
+// the seeds are now.
+func remembered(v register.Voter) (out []cohort.Seat) {
+	for _, m := range v.Sets().Union() {
+		if m.Addr != "" && m.ID != v.Self.ID {
+			out = append(out, cohort.Seat{Slot: m.Slot, Addr: m.Addr})
+		}
+	}
+	return out
+}
+
 // start is what the settings say of this core's seat.
 func start(set boot.Core) register.Start {
 	s := register.Start{First: set.First, Founders: set.Founders, Addr: set.Advertise}
--- a/proof/simulator/register.go
+++ b/proof/simulator/register.go
@@ -70,7 +70,8 @@
 	// that was acknowledged.
 	editions map[uint64]uint64
 	edition  uint64
-	asking   bool                       // no seat is static: cores ask for them
+	asking   bool // no seat is static: cores ask for them
+	founders []string
 	begun    map[uint64][]register.Sets // of proposals, by stamp
 	word     desired.Word               // the highest that was settled
 	// Trace, if set, is told what goes on.
--- a/proof/simulator/slots.go
+++ b/proof/simulator/slots.go
@@ -22,12 +22,11 @@
 func NewSlots(seed uint64, founders int, f Faults) *Register {
 	r := NewRegister(seed, 0, f)
 	r.asking, r.slots = true, founders
-	var addrs []string
 	for i := range founders {
-		addrs = append(addrs, fmt.Sprintf("core %d", i))
+		r.founders = append(r.founders, fmt.Sprintf("core %d", i))
 	}
 	for i := range founders {
-		c := &core{addr: addrs[i], disk: register.Start{First: true, Founders: addrs, Addr: addrs[i]}.Empty(r.rng.Uint64() | 1)}
+		c := &core{addr: r.founders[i], disk: register.Start{First: true, Founders: r.founders, Addr: r.founders[i]}.Empty(r.rng.Uint64() | 1)}
 		r.cores = append(r.cores, c)
 		r.after(r.some(time.Second), func() { r.boot(c) })
 	}
@@ -313,7 +312,7 @@
 	if c.up {
 		r.down(c)
 	}
-	c.disk = register.Start{}.Empty(r.rng.Uint64() | 1)
+	c.disk = register.Start{Founders: r.founders, Addr: c.addr}.Empty(r.rng.Uint64() | 1)
 }
 
 // converged checks what the set has come to in quiet: all cores that are up are
--- a/register/change.go
+++ b/register/change.go
@@ -38,11 +38,10 @@
 		return Answer{}, false
 	}
 	ans := Answer{ID: o.ID, Result: Taken, Word: held}
-	isIn := func(slot int, id uint64) bool {
-		return slices.ContainsFunc(now, func(m desired.Member) bool { return m.Slot == slot || id != 0 && m.ID == id })
-	}
+	out := !slices.Contains(Slots(now), o.Out)
+	in := o.Seat.Slot == 0 || slices.ContainsFunc(now, func(m desired.Member) bool { return same(m, o.Seat) })
 	switch {
-	case (o.Out == 0 || !isIn(o.Out, 0)) && (o.Seat.Slot == 0 || isIn(o.Seat.Slot, o.Seat.ID)):
+	case out && in:
 		return ans, true
 	case !slices.EqualFunc(now, o.Of, same), o.Seat.Slot != 0 && o.Seat.Slot <= max(held.Top, now[len(now)-1].Slot), len(now) == 1 && o.Seat.Slot == 0:
 		ans.Result = NotTaken
--- a/register/voter.go
+++ b/register/voter.go
@@ -76,6 +76,9 @@
 	if v.Phase == Seeking {
 		return b.Act != Sit
 	}
+	if b.Act == Sit && v.Founded == 0 {
+		return false // slots that come and go are given by the word
+	}
 	return v.Phase == Established && (b.Act == Sit || b.From.holds(v.Seats[b.From.Slot]))
 }
 
