--- a/plan/moves.go
+++ b/plan/moves.go
@@ -13,6 +13,10 @@
 type Moves struct {
 	Ways      []string `json:"ways"`
 	Contracts []string `json:"contracts"`
+	// Services lists those of which something else is said; Limits tells whether
+	// clients are bound otherwise.
+	Services []string `json:"services,omitempty"`
+	Limits   bool     `json:"limits,omitempty"`
 	// Capacity lists services and localities whose places change.
 	Capacity []Capacity `json:"capacity"`
 	// Followers lists nodes that would follow another core.
@@ -57,7 +61,7 @@
 
 // Any tells whether anything moves.
 func (m Moves) Any() bool {
-	return len(m.Ways)+len(m.Contracts)+len(m.Capacity)+len(m.Followers)+len(m.AtRisk) > 0 || m.Duty != nil || m.Collectors > 0
+	return m.Limits || len(m.Ways)+len(m.Contracts)+len(m.Services)+len(m.Capacity)+len(m.Followers)+len(m.AtRisk) > 0 || m.Duty != nil || m.Collectors > 0
 }
 
 // String is the moves as text.
@@ -69,6 +73,12 @@
 	for _, c := range m.Contracts {
 		fmt.Fprintf(&b, "contract %s\n", c)
 	}
+	for _, s := range m.Services {
+		fmt.Fprintf(&b, "service %s\n", s)
+	}
+	if m.Limits {
+		fmt.Fprintf(&b, "limits: changed\n")
+	}
 	for _, c := range m.Capacity {
 		fmt.Fprintf(&b, "places of %s in %s: %d -> %d\n", c.Service, c.Locality, c.Before, c.After)
 	}
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -55,6 +56,8 @@
 	}
 	m.Ways = differ(before.state.Ways, after.state.Ways, func(w desired.Way) string { return w.Name })
 	m.Contracts = differ(before.state.Contracts, after.state.Contracts, func(k desired.Contract) string { return k.Name })
+	m.Services = differ(before.state.Services, after.state.Services, func(x desired.Service) string { return x.Name })
+	m.Limits = text(before.state.Limits) != text(after.state.Limits)
 	m.Capacity = capacities(before, after)
 	m.AtRisk = risks(before, after)
 	m.follow(before, after)
@@ -74,18 +77,24 @@
 	return st, faults
 }
 
+// text is what is compared of a part of a configuration.
+func text(x any) string {
+	b, _ := json.Marshal(x) // our types never fail
+	return string(b)
+}
+
 // differ tells which of two lists' items came, went or changed, by name.
 func differ[T any](before, after []T, name func(T) string) (out []string) {
 	old := map[string]string{}
 	for _, x := range before {
-		old[name(x)] = fmt.Sprintf("%+v", x)
+		old[name(x)] = text(x)
 	}
 	for _, x := range after {
 		was, had := old[name(x)]
 		switch {
 		case !had:
 			out = append(out, name(x)+": new")
-		case was != fmt.Sprintf("%+v", x):
+		case was != text(x):
 			out = append(out, name(x)+": changed")
 		}
 		delete(old, name(x))
