--- a/way/index_test.go
+++ b/way/index_test.go
@@ -136,3 +136,24 @@
 		}
 	}
 }
+
+// BenchmarkNewTable makes the table of a word, reading included.
+func BenchmarkNewTable(b *testing.B) {
+	for _, n := range []int{310, 3000} {
+		st := desired.State{}
+		if err := json.Unmarshal([]byte(`{"contracts":[{"name":"c","aim":"1s","expiry":"2s","rank":1}]}`), &st); err != nil {
+			b.Fatal(err)
+		}
+		for i := range n {
+			st.Ways = append(st.Ways, desired.Way{Name: fmt.Sprint("w", i), Host: fmt.Sprintf("host-%d.example", i%50), Prefix: fmt.Sprintf("/part-%d/of/it", i), Service: "s", Contract: "c"})
+		}
+		w := desired.Word{Stamp: 1, DesiredStamp: 1, Desired: st.Bytes()}
+		b.Run(fmt.Sprintf("%d ways", n), func(b *testing.B) {
+			for range b.N {
+				if _, ok := NewTable(w); !ok {
+					b.Fatal("no table")
+				}
+			}
+		})
+	}
+}
