--- a/core/applicant.go
+++ b/core/applicant.go
@@ -27,7 +27,7 @@
 		case <-wait.C:
 		}
 		next := cohort.Beat
-		if !n.keeper.Voter().Member() {
+		if n.keeper.Voter().Phase == register.Seeking {
 			n.ask(ctx)
 			next = applyEvery
 		}
--- a/proof/simulator/slots.go
+++ b/proof/simulator/slots.go
@@ -153,7 +153,7 @@
 		r.Struck++
 		r.save(c, c.voter.Afresh(r.rng.Uint64()|1))
 	}
-	if c.voter.Member() {
+	if c.voter.Phase != register.Seeking {
 		return false
 	}
 	if r.rng.IntN(4) == 0 {
@@ -161,7 +161,7 @@
 			r.ask(c, to)
 		}
 	}
-	return c.voter.Phase != register.Established
+	return true
 }
 
 func (r *Register) ask(c, to *core) {
--- a/register/sets_test.go
+++ b/register/sets_test.go
@@ -167,6 +167,10 @@
 	x := w
 	x.Stamp, x.Slots, x.Formerly = 2, w.Slots[:1], w.Slots
 	v, _ = v.On(Ballot{Act: Settle, Epoch: m.Epoch, Mark: Mark{m.Epoch, 2}, Word: x})
+	if v.Struck() || v.Member() {
+		t.Errorf("goes before the change is sealed: %+v", v)
+	}
+	v, _ = v.On(Ballot{Act: Settle, Epoch: m.Epoch, Mark: Mark{m.Epoch, 3}, Word: sealed(x)})
 	if !v.Struck() {
 		t.Errorf("struck: %+v", v)
 	}
--- a/register/voter.go
+++ b/register/voter.go
@@ -210,9 +210,10 @@
 // Member tells whether the set in force, as far as this voter knows, names it.
 func (v Voter) Member() bool { return v.Phase == Established && has(v.Sets().Now, v.Self) }
 
-// Struck tells whether a settled word has struck its slot.
+// Struck tells whether a settled word has struck its slot. While a majority of the
+// set before is still needed, its vote is.
 func (v Voter) Struck() bool {
-	return v.Founded == 0 && v.Phase == Established && v.Settled == v.Mark.Stamp && !v.Member()
+	return v.Founded == 0 && v.Phase == Established && v.Settled == v.Mark.Stamp && !has(v.Sets().Union(), v.Self)
 }
 
 // Founder is an empty core's first state as one of the founders, at the first start
