--- a/boot/sidecar.go
+++ b/boot/sidecar.go
@@ -20,6 +20,7 @@
 	BodyMemory int64             `long:"body-memory" ini-name:"body-memory" default:"268435456" description:"bodies of inquiries that are held at a time, in bytes"`
 	ServeOn    time.Duration     `long:"serve-on" ini-name:"serve-on" default:"0s" description:"how long clients' inquiries are still taken after a warning to stop, at most half of drain"`
 	Hold       float64           `long:"hold" ini-name:"hold" default:"0" description:"part of its aim for which an inquiry may be held for a place when there is none, 0 to 0.5"`
+	Crossing   float64           `long:"crossing" ini-name:"crossing" default:"0" description:"price of carrying a usual inquiry to another locality, as a part of what being in time is worth, 0 to 1; 0 leaves the own one as soon as it is busy"`
 	Late       bool              `long:"late" ini-name:"late" description:"an answer past its aim is better than none: inquiries that can only be late wait for what the others leave"`
 	ComeBack   time.Duration     `long:"come-back" ini-name:"come-back" default:"1s" description:"when a refused client may come again at the soonest"`
 	NoKeys     bool              `long:"no-keys" ini-name:"no-keys" description:"no client sends an Idempotency-Key: readiness need not wait for claims of an earlier life"`
@@ -46,6 +47,9 @@
 		if !(s.Hold >= 0 && s.Hold <= 0.5) {
 			c.bad("hold", s.Hold, "from 0 to 0.5")
 		}
+		if !(s.Crossing >= 0 && s.Crossing <= 1) {
+			c.bad("crossing", s.Crossing, "from 0 to 1")
+		}
 		if s.ComeBack <= 0 {
 			c.bad("come-back", s.ComeBack, "a duration of more than 0s")
 		}
--- a/relay/limits.go
+++ b/relay/limits.go
@@ -12,6 +12,8 @@
 	// grace is what the far side gets back from to answer before the near side
 	// stops listening.
 	grace = 20 * time.Millisecond // (ours)
+	// usual is about how much an inquiry carries with its answer.
+	usual = 8 << 10 // (ours)
 	// shunFor is how long a target that failed is left out.
 	shunFor = time.Second // (ours)
 	// keepFor is how long a connection to a backend may be idle.
--- a/relay/near.go
+++ b/relay/near.go
@@ -56,6 +56,9 @@
 	ComeBack time.Duration
 	// Late says that an answer past the aim is better than none.
 	Late bool
+	// Crossing is the price of leaving the own locality with a usual inquiry, as a part
+	// of what being in time is worth.
+	Crossing float64
 }
 
 // inquiry is one client's request on its way.
@@ -258,7 +261,7 @@
 	d := way.Decision{Way: q.way, Expiry: q.expiry, Locality: n.Locality, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Means: way.Means{Aim: q.aim, Room: q.room(), Patience: n.Budgets.Patience(q.contract.Name, q.room()),
 			Cost: func(t cohort.Target) way.Cost { return n.Costs.Of(q.way.Name, t) },
-			Hold: n.hold(q), Back: n.back(), Late: n.Late,
+			Hold: n.hold(q), Back: n.back(), Late: n.Late, Crossing: n.crossing(q),
 			Spend: func() bool { return n.Purses.Spend(q.way.Service) }}}
 	note := trace.Event{Way: q.way.Name, Service: q.way.Service, Caller: q.caller, Link: q.cause.Link, Candidates: q.cause.Candidates}
 	n.Queue.Put(q.span, trace.ClientStart, note)
@@ -302,6 +305,11 @@
 	return q.begun.Add(time.Duration(n.Hold * float64(q.contract.Aim.Duration)))
 }
 
+// crossing is the price of leaving the own locality, by how much would be carried.
+func (n *Near) crossing(q *inquiry) float64 {
+	return n.Crossing * (1 + float64(len(q.leg.Body))/usual)
+}
+
 // back is when a refused inquiry may come again at the soonest: spread, so that those
 // refused together do not come together.
 func (n *Near) back() time.Duration {
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -32,8 +32,12 @@
 // connections. (ours)
 const linger = 2 * time.Second
 
-// workers is how many drain the trace queue. (ours)
-const workers = 2
+const (
+	// workers is how many drain the trace queue. (ours)
+	workers = 2
+	// publishEvery is how long events wait for others to be published with. (ours)
+	publishEvery = 300 * time.Millisecond
+)
 
 // Doors are how others than the project's own speak to a sidecar. (DESIGN 18)
 type Doors struct {
@@ -80,7 +84,7 @@
 	table := func() *way.Table { return n.steward.table.Load() }
 	n.near = &relay.Near{Locality: set.Locality, Table: table, View: func() *cohort.View { return n.steward.view.Load() },
 		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log, Lineage: lin, Claims: claims, Purses: n.steward.purses, Budgets: n.steward.budgets, Costs: way.NewCosts(), Life: p.Life, Draining: n.shut}
-	n.near.Home, n.near.Dialect, n.near.Hold, n.near.ComeBack, n.near.Late = set.Caller, relay.Plain{}, set.Hold, set.ComeBack, set.Late
+	n.near.Home, n.near.Dialect, n.near.Hold, n.near.ComeBack, n.near.Late, n.near.Crossing = set.Caller, relay.Plain{}, set.Hold, set.ComeBack, set.Late, set.Crossing
 	if doors != nil {
 		n.near.Dialect = doors.Dialect
 	}
@@ -133,7 +137,7 @@
 		p.Launcher.Go(p.Life, name, run)
 	}
 	for range workers {
-		w := &trace.Worker{Queue: n.queue, Choose: n.collector, Send: n.publish, Linger: 100 * time.Millisecond, MaxSize: 256}
+		w := &trace.Worker{Queue: n.queue, Choose: n.collector, Send: n.publish, Linger: publishEvery, MaxSize: 256}
 		p.Launcher.Go(p.Life, "trace-worker", w.Run)
 	}
 	if doors != nil {
@@ -191,9 +195,15 @@
 	return cohort.Hail{Know: n.seeker.Seats().Known()}, ""
 }
 
-// collector is the first live core by rendezvous of the trace id.
+// collector is the first live core by rendezvous of the trace id, of those of the own
+// locality if there are any. (DESIGN 2.6)
 func (n *Node) collector(id trace.TraceID) (string, bool) {
-	live := rendezvous.Rank(id.String(), n.seeker.Seats().Live(time.Now()), func(c cohort.Seat) string { return fmt.Sprint(c.Slot) })
+	live := n.seeker.Seats().Live(time.Now())
+	own := slices.DeleteFunc(slices.Clone(live), func(c cohort.Seat) bool { return c.Locality != n.set.Locality })
+	if len(own) > 0 {
+		live = own
+	}
+	live = rendezvous.Rank(id.String(), live, func(c cohort.Seat) string { return fmt.Sprint(c.Slot) })
 	if len(live) == 0 {
 		return "", false
 	}
--- a/way/spend.go
+++ b/way/spend.go
@@ -16,6 +16,9 @@
 	Patience time.Duration
 	// Cost is what was learned of its way at a backend.
 	Cost func(t cohort.Target) Cost
+	// Crossing is the price of leaving the own locality, as a part of what being in time
+	// is worth; zero: nearly none. It is weighed against the chance of being late.
+	Crossing float64
 	// Hold is until when it may be held for a place where there is none now; zero: not
 	// at all.
 	Hold time.Time
@@ -47,6 +50,15 @@
 	return c.Lateness(m.Aim.Sub(now), m.Room)
 }
 
+// inTime is the chance of being in time at a place.
+func (m *Means) inTime(t cohort.Target, now time.Time) float64 {
+	c := m.Cost(t)
+	if !c.Known() {
+		return 1
+	}
+	return c.Within(m.Aim.Sub(now))
+}
+
 // bears tells whether the budget bears a place.
 func (m *Means) bears(t cohort.Target, now time.Time) bool {
 	return m.late(t, now) <= m.Patience/forPlaces
@@ -73,6 +85,10 @@
 
 // crosses tells whether to leave the own locality for a place in another.
 func (m *Means) crosses(near, far cohort.Target, now time.Time) bool {
+	if m.Crossing > 0 {
+		// A place that is full refuses, and then one crosses all the same.
+		return m.inTime(far, now)-m.inTime(near, now) > m.Crossing
+	}
 	c := m.Cost(near)
 	if c.Known() && m.bears(near, now) && fill(near) < 1 {
 		return false
