Leave a followed core that is unsure for a second; leave lateness to the line

Ruled out: the acknowledging side (a majority had it) and the sidecars' table. TestFollowedCoreCutOff failed before and passes now.

--- a/feed/follower.go
+++ b/feed/follower.go
@@ -14,6 +14,9 @@
 	holdFor   = 500 * time.Millisecond // how long a core may hold a Follow (ours)
 	giveUp    = 900 * time.Millisecond // how long a follower waits for it (ours)
 	pauseOnNo = 100 * time.Millisecond // (ours)
+	// unsure is how old a core's certainty may be before another is followed: one that
+	// is cut off from the others answers as ever, but hears of no newer word. (DESIGN 8.2)
+	unsure = time.Second // (ours)
 )
 
 // Follower follows one core's feed and changes core on loss. (DESIGN 8.2)
@@ -32,6 +35,7 @@
 	var place Follow
 	var core cohort.Seat
 	bad := map[string]time.Time{}
+	served := false // the last call was answered
 	pause := time.NewTimer(0)
 	defer pause.Stop()
 	<-pause.C
@@ -40,6 +44,9 @@
 		if !ok {
 			f.Hasten()
 		} else {
+			if served && time.Since(bad[next.Addr]) < unsure {
+				next = core // the others are no better
+			}
 			if next.Addr != core.Addr || next.Boot != core.Boot {
 				core, place = next, Follow{Wait: holdFor}
 			}
@@ -48,10 +55,12 @@
 			var n News
 			ok = f.Net.Call(call, core.Addr, wire.Feed, KindFollow, place).Into(&n)
 			cancel()
-			if ok {
+			if served = ok; ok {
 				place.Feed, place.Place = n.Feed, n.Place
 				f.Take(ctx, core, n, asked)
-				continue
+				if n.Age <= unsure {
+					continue
+				}
 			}
 			bad[core.Addr] = time.Now() // until another failed later, it comes last
 		}
--- a/way/decision.go
+++ b/way/decision.go
@@ -92,7 +92,7 @@
 	if !ok {
 		return end(status(fate), fate, reason, back)
 	}
-	if d.Means.vain(target, d.Expiry.Sub(now)) && d.Rand.IntN(trickle) > 0 {
+	if !d.Means.Late && d.Means.vain(target, d.Expiry.Sub(now)) && d.Rand.IntN(trickle) > 0 {
 		return end(status(fate), fate, "the time left does not cover what it takes", back)
 	}
 	if reached > 0 && !d.Means.Spend() {
--- a/way/spend.go
+++ b/way/spend.go
@@ -22,7 +22,8 @@
 	// Hold is until when it may be held for a place where there is none now; zero: not
 	// at all.
 	Hold time.Time
-	// Late says that an answer past the aim is better than none.
+	// Late says that an answer past the aim is better than none. Then the line at the
+	// backend decides, which knows more of now than what was learned does.
 	Late bool
 	// Back is when to come again at the soonest, if it is refused; zero: a second.
 	Back time.Duration
