Let bounds be settings: beat, shun, ramp, fresh halving, memory

Cause: other platforms' backends beat at another pace, and their machines, failures and takings back are of another size; these were constants.

Change: values handed in (roster.Pace, way.Climb, Near.Shun, Far.Halving), whose defaults are what the constants were. memory lets Go's collector keep to 85% of it, and bodies, if their bound is not given, to a quarter. Nothing of an answer counts on a link that the gate let nothing onto: bytes unasked for, come just then, would have been taken for one.

--- a/boot/boot_test.go
+++ b/boot/boot_test.go
@@ -64,6 +64,14 @@
 		{[]string{"--settings", f, "--max-body=10"}, false, 2, []string{"max-body", `"10"`, "1024"}},
 		{[]string{"--settings", f, "--max-body=999999999"}, false, 2, []string{"max-body", "67108864"}},
 		{[]string{"--settings", f, "--body-memory=1"}, false, 2, []string{"body-memory", "max-body"}},
+		{[]string{"--settings", f, "--memory=63"}, false, 2, []string{"memory", `"63"`, "max-body"}},
+		{[]string{"--settings", f, "--memory=-1"}, false, 2, []string{"memory", `"-1"`}},
+		{[]string{"--settings", f, "--beat=10ms"}, false, 2, []string{"beat", `"10ms"`, "50ms"}},
+		{[]string{"--settings", f, "--shun=-1s"}, false, 2, []string{"shun", `"-1s"`, "0s"}},
+		{[]string{"--settings", f, "--fresh-halving=2h"}, false, 2, []string{"fresh-halving", "1m"}},
+		{[]string{"--settings", f, "--ramp=soon"}, false, 2, []string{"ramp", `"soon"`}},
+		{[]string{"--settings", f, "--ramp-from=0"}, false, 2, []string{"ramp-from", `"0"`, "above 0"}},
+		{[]string{"--settings", f, "--ramp-from=NaN"}, false, 2, []string{"ramp-from", `"NaN"`}},
 		{[]string{"--settings", f, "--seed=a:1"}, false, 2, []string{"seed", `"a:1"`}},
 		{[]string{"--settings", f, "--seed=1.1.1.1:1", "--seed=1.1.1.1:2", "--seed=1.1.1.1:3", "--seed=1.1.1.1:4"}, false, 2, []string{"seed", "three"}},
 		{[]string{"--settings", f, "--outgoing=orders:here"}, false, 2, []string{"outgoing orders", `"here"`}},
@@ -97,6 +105,20 @@
 	}
 }
 
+// What is not given is as it always was; bodies may have a quarter of a bounded memory.
+func TestBounds(t *testing.T) {
+	f := file(t, good)
+	s, exit := ReadSidecar([]string{"--settings", f})
+	if exit.Now || s.Beat != 500*time.Millisecond || s.Halving != 10*time.Second || s.Shun != time.Second || s.Ramp != 10*time.Second || s.RampFrom != 0.2 || s.Memory != 0 || s.BodyMemory != 256<<20 {
+		t.Errorf("%+v %+v", s, exit)
+	}
+	for flags, want := range map[string]int64{"--memory=64": 16 << 20, "--memory=500": 125 << 20, "--memory=4096": 256 << 20, "--memory=500 --body-memory=300000000": 300000000} {
+		if s, exit := ReadSidecar(append([]string{"--settings", f}, strings.Fields(flags)...)); exit.Now || s.BodyMemory != want {
+			t.Errorf("%s: %d, want %d: %+v", flags, s.BodyMemory, want, exit)
+		}
+	}
+}
+
 // A reload tells what it can put in force from what it can't.
 func TestCompare(t *testing.T) {
 	f := file(t, good)
--- a/relay/cold_test.go
+++ b/relay/cold_test.go
@@ -73,6 +73,15 @@
 	if warm := f.Limit(f.Roster().Entries()[0], time.Now()); limit != 4 || warm != 6 {
 		t.Errorf("cold it runs %d at a time, warm %d", limit, warm)
 	}
+	for halving, want := range map[time.Duration]int64{0: 6, 10 * time.Second: 5} {
+		// Half of ten, or no more than the connections that it takes.
+		f.Halving, f.started = halving, time.Now()
+		e := f.Roster().Entries()[0]
+		e.Capacity = 10
+		if got := f.Limit(e, time.Now()); got != want {
+			t.Errorf("at the start, halving for %v: %d", halving, got)
+		}
+	}
 	if got := answered(); got != 20 {
 		t.Errorf("warm: %d of 20", got)
 	}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -95,6 +95,7 @@
 	case x.guard.wrote():
 	case x.guard.why.Load() != nil:
 		l.keep = fit // as before
+		rc = lost(ctx, err)
 	default:
 		x.unwritten = true
 		rc = lost(ctx, err)
--- a/relay/far.go
+++ b/relay/far.go
@@ -26,6 +26,8 @@
 	Counts   Counts
 	Bodies   *Bodies
 	Dialect  Dialect
+	// Halving is for how long after the start a backend is given half, at most.
+	Halving time.Duration
 
 	started time.Time
 	ledger  *clerk
@@ -64,7 +66,8 @@
 // Limit is how many inquiries an own backend may run at a time now.
 func (f *Far) Limit(e roster.Entry, at time.Time) int64 {
 	t := f.Table()
-	limit := min(e.Limit(t.Ramp(e.Locality, at), t.Fresh(at.Sub(f.started)), at), int64(f.most(e)))
+	up := at.Sub(f.started)
+	limit := min(e.Limit(t.Ramp(e.Locality, at), up < f.Halving && t.Fresh(up), at), int64(f.most(e)))
 	if rate, ok := f.cold(e, at); ok {
 		limit = max(1, min(limit, int64(rate)))
 	}
--- a/relay/limits.go
+++ b/relay/limits.go
@@ -14,8 +14,6 @@
 	grace = 20 * time.Millisecond // (ours)
 	// usual is about how much an inquiry carries with its answer.
 	usual = 8 << 10 // (ours)
-	// shunFor is how long a target that failed is left out.
-	shunFor = time.Second // (ours)
 	// keepFor is how long a connection to a backend may be idle.
 	keepFor = 4 * time.Second // (ours)
 	// freshOnly is how long it may have been idle for a leg that must not run twice:
--- a/relay/near.go
+++ b/relay/near.go
@@ -48,6 +48,8 @@
 	Draining func() bool
 	Counts   Counts
 	Dialect  Dialect
+	// Shun is how long a target that failed is left out.
+	Shun time.Duration
 	// Home is the service that all callers on this machine belong to, if one does.
 	Home string
 	// Hold is the part of its aim for which an inquiry may be held for a place, and
@@ -345,15 +347,15 @@
 	switch {
 	case r.Fate == wire.Unsent:
 		l.Fate, l.Reason, l.Reached = way.NotRun, "node could not be reached", false
-		t.Load.Shun(shunFor)
+		t.Load.Shun(n.Shun)
 	case r.Into(&rc) && rc.ID == leg.ID:
 		l.Fate, l.Reason, l.Reached, l.Back, l.Expired = rc.Fate, rc.Reason, rc.Reached, rc.Back, rc.Reason == string(roster.Expired)
 		t.Load.Tell(rc.Open)
 		if rc.Fate != way.Answered && rc.Reason != string(roster.Full) {
-			t.Load.Shun(shunFor)
+			t.Load.Shun(n.Shun)
 		}
 	default:
-		t.Load.Shun(shunFor)
+		t.Load.Shun(n.Shun)
 		l = n.recall(ctx, l, leg)
 	}
 	if expired := l.Expired || ctx.Err() != nil; expired || l.Fate == way.Answered {
--- a/roster/gate.go
+++ b/roster/gate.go
@@ -30,7 +30,7 @@
 	switch {
 	case !ok || e.Service != a.Service:
 		return e, NoBackend
-	case now.Sub(e.Heard) > FreshFor:
+	case now.Sub(e.Heard) > r.Pace.Fresh():
 		return e, Stale
 	case e.Leaving:
 		return e, LeavingNow
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -9,20 +9,15 @@
 	"curlewwalk/cohort"
 )
 
-const (
-	// FreshFor is how old a backend's last beat may be for new admissions:
-	// addresses pass to other services after about 2 s.
-	FreshFor = 1500 * time.Millisecond // (ours)
-	// forgetAfter is when a silent backend is taken off the roster.
-	forgetAfter = 5 * time.Second // (ours)
-	// leftFor is how long a leaving backend stays so whatever it says, so that
-	// a beat that was overtaken can't call it back.
-	leftFor = 2 * time.Second // (ours)
-)
+// leftFor is how long a leaving backend stays so whatever it says, so that a beat that
+// was overtaken can't call it back.
+const leftFor = 2 * time.Second // (ours)
 
 // Roster is an immutable table of own backends by instance.
 type Roster struct {
-	Rev     uint64
+	Rev uint64
+	// Pace is how often they announce themselves.
+	Pace    Pace
 	entries map[string]Entry
 }
 
@@ -49,7 +44,7 @@
 	case !a.Leaving && old.Leaving && now.Sub(old.LeftAt) < leftFor:
 		e.Leaving = true
 	}
-	next := Roster{Rev: r.Rev, entries: maps.Clone(r.entries)}
+	next := Roster{Rev: r.Rev, Pace: r.Pace, entries: maps.Clone(r.entries)}
 	if next.entries == nil {
 		next.entries = map[string]Entry{}
 	}
@@ -71,15 +66,15 @@
 		return r, ok
 	}
 	e.Leaving, e.LeftAt = true, now
-	next := Roster{Rev: r.Rev + 1, entries: maps.Clone(r.entries)}
+	next := Roster{Rev: r.Rev + 1, Pace: r.Pace, entries: maps.Clone(r.entries)}
 	next.entries[instance] = e
 	return next, true
 }
 
 // Tick takes silent backends off.
 func (r Roster) Tick(now time.Time) Roster {
-	next := Roster{Rev: r.Rev, entries: maps.Clone(r.entries)}
-	maps.DeleteFunc(next.entries, func(_ string, e Entry) bool { return now.Sub(e.Heard) > forgetAfter })
+	next := Roster{Rev: r.Rev, Pace: r.Pace, entries: maps.Clone(r.entries)}
+	maps.DeleteFunc(next.entries, func(_ string, e Entry) bool { return now.Sub(e.Heard) > r.Pace.Forget() })
 	if len(next.entries) == len(r.entries) {
 		return r
 	}
@@ -94,7 +89,7 @@
 // Shade lets the share that others are told of cold backends be what the rates of their
 // services come to; rate is 0 for a service without one.
 func (r Roster) Shade(rate func(service string) float64, now time.Time) Roster {
-	next := Roster{Rev: r.Rev, entries: maps.Clone(r.entries)}
+	next := Roster{Rev: r.Rev, Pace: r.Pace, entries: maps.Clone(r.entries)}
 	for k, e := range next.entries {
 		share := e.share
 		if n := rate(e.Service); n > 0 && e.Cold(now) {
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -128,7 +128,7 @@
 		process.Error(w, http.StatusUnprocessableEntity, faults...)
 		return
 	}
-	got := announced{Every: cohort.Beat.String()}
+	got := announced{Every: n.set.Beat.String()}
 	var err error
 	if got.Outgoing, err = n.outgoing.addr(a.Service); err != nil {
 		got.Fault = "outgoing address: " + err.Error()
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/netip"
 	"os"
+	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -70,6 +71,11 @@
 	n := &Node{p: p, set: set, queue: trace.NewQueue(set.Advertise, p.Boot, set.TraceQueue)}
 	n.seeker = cohort.NewSeeker()
 	n.steward = newSteward(p.Launcher, set.Advertise, p.Boot, set.Locality, n.seeker.Hasten)
+	n.steward.roster.Store(&roster.Roster{Pace: roster.Pace{Beat: set.Beat}})
+	n.steward.climb = way.Climb{For: set.Ramp, From: set.RampFrom}
+	if set.Memory > 0 {
+		debug.SetMemoryLimit(set.Memory << 20 * 85 / 100)
+	}
 	lin := lineage.NewKeeper()
 	claims := claim.New(func(r relay.Receipt) int { return len(r.Body) })
 	n.seeker.Own = func() cohort.Hail { nd := n.steward.node(); return cohort.Hail{Node: &nd} }
@@ -84,6 +90,7 @@
 	table := func() *way.Table { return n.steward.table.Load() }
 	n.near = &relay.Near{Locality: set.Locality, Table: table, View: func() *cohort.View { return n.steward.view.Load() },
 		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log, Lineage: lin, Claims: claims, Purses: n.steward.purses, Budgets: n.steward.budgets, Costs: way.NewCosts(), Life: p.Life, Draining: n.shut}
+	n.near.Shun = set.Shun
 	n.near.Home, n.near.Dialect, n.near.Hold, n.near.ComeBack, n.near.Late, n.near.Crossing = set.Caller, relay.Plain{}, set.Hold, set.ComeBack, set.Late, set.Crossing
 	if doors != nil {
 		n.near.Dialect = doors.Dialect
@@ -97,7 +104,7 @@
 	n.near.Custody.Begin()
 	n.far = relay.NewFar(p.Life, p.Launcher)
 	n.far.Boot, n.far.Table, n.far.Queue, n.far.Lineage, n.far.Draining = p.Boot, table, n.queue, lin, n.draining.Load
-	n.far.Claimed, n.far.Dialect = n.claimed, n.near.Dialect
+	n.far.Claimed, n.far.Dialect, n.far.Halving = n.claimed, n.near.Dialect, set.Halving
 	n.far.Bodies = &relay.Bodies{Most: set.MaxBody, All: set.BodyMemory}
 	rollcall := &cohort.Rollcall{Own: set.Advertise, Net: p.Net, Launcher: p.Launcher, Node: n.steward.node, View: watcher.View, Seeds: n.seeker.Seeds,
 		News: n.steward.news, Sure: n.steward.agreed.Renew,
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -41,6 +41,8 @@
 	agreed roster.Claim
 	// spoken is the word that the table was made of.
 	spoken atomic.Pointer[desired.Word]
+	// climb is how localities are taken back.
+	climb way.Climb
 }
 
 // follows is what the steward shows of the feed.
@@ -246,6 +248,7 @@
 // word puts a word in force.
 func (s *steward) word(w desired.Word) {
 	if t, ok := way.NewTable(w); ok {
+		t.Climb = s.climb
 		t.After(s.table.Load(), time.Now())
 		s.table.Store(t)
 		s.spoken.Store(&w)
--- a/way/table.go
+++ b/way/table.go
@@ -22,22 +22,17 @@
 	services  map[string]desired.Service
 	limits    desired.Limits
 	emptied   map[string]bool
+	// Climb is how localities are taken back. It is set before After is called.
+	Climb Climb
 	// back is since when localities that were emptied are taken back.
 	back map[string]time.Time
 }
 
-const (
-	// rampFor is how long a locality that was taken back takes to be given all
-	// that its backends bear, and rampFrom what it begins with.
-	rampFor  = 10 * time.Second // (ours)
-	rampFrom = 0.2              // (ours)
-)
-
 // After notes which localities the table takes back, given the one before it.
 func (t *Table) After(old *Table, now time.Time) {
 	t.back = map[string]time.Time{}
 	for l, since := range old.back {
-		if !t.emptied[l] && now.Sub(since) < rampFor {
+		if !t.emptied[l] && now.Sub(since) < t.Climb.For {
 			t.back[l] = since
 		}
 	}
@@ -54,12 +49,12 @@
 	if !ok {
 		return 1
 	}
-	return min(1, rampFrom+(1-rampFrom)*float64(now.Sub(since))/float64(rampFor))
+	return t.Climb.At(now.Sub(since))
 }
 
 // NewTable builds the table of a word; false if its bytes do not check.
 func NewTable(w desired.Word) (*Table, bool) {
-	t := &Table{Stamp: w.Stamp, contracts: map[string]desired.Contract{}, emptied: map[string]bool{}}
+	t := &Table{Stamp: w.Stamp, Climb: UsualClimb, contracts: map[string]desired.Contract{}, emptied: map[string]bool{}}
 	for _, l := range w.Shut() {
 		t.emptied[l] = true
 	}
