Begin no change of the set that its sets can't settle

Weighed: the newcomer first only, as it was (no help where one goes). Change: the clerk asks all of both sets for their promise again before it proposes, and gives up after 0.5 s.

--- a/proof/simulator/register.go
+++ b/proof/simulator/register.go
@@ -312,7 +312,7 @@
 
 // put brings a ballot to a slot, and its vote back, through what may happen.
 func (r *Register) put(from *core, m desired.Member, b register.Ballot, back func(register.Vote)) {
-	if b.Act == register.Propose && b.Mark.Stamp > r.word.Stamp && len(b.Word.Slots) > 0 {
+	if b.Mark.Stamp > r.word.Stamp && len(b.Word.Slots) > 0 {
 		r.begun[b.Mark.Stamp] = append(r.begun[b.Mark.Stamp], register.Sets{Now: b.Word.Slots, Before: b.Word.Formerly})
 	}
 	to := r.find(from, m)
--- a/register/clerk.go
+++ b/register/clerk.go
@@ -11,8 +11,8 @@
 const (
 	resendAfter = 250 * time.Millisecond // (ours)
 	yieldFor    = 100 * time.Millisecond // (ours)
-	// comeWithin is how long a newcomer may take to hold the word that takes it in;
-	// others wait meanwhile.
+	// comeWithin is how long those that a changed set needs may take to answer; other
+	// orders wait meanwhile.
 	comeWithin = 500 * time.Millisecond // (ours)
 )
 
@@ -22,6 +22,7 @@
 	idle clerkPhase = iota
 	preparing
 	proposing
+	probing // whether what a changed set needs is there
 )
 
 // Clerk writes the word on behalf of the duty core, one order at a time, under
@@ -33,8 +34,7 @@
 	founders []desired.Member
 	sets     Sets // of the own voter
 	asked    []desired.Member
-	opened   time.Duration    // when this round of votes was
-	later    []desired.Member // whom to ask once a newcomer holds the word that takes it in
+	opened   time.Duration // when this round of votes was
 	phase    clerkPhase
 	epoch    uint64 // zero: none held
 	known    uint64 // the highest epoch heard of
@@ -60,7 +60,7 @@
 // Hear takes a vote.
 func (c *Clerk) Hear(v Vote, now time.Duration) []Outcome {
 	c.known = max(c.known, v.Promised)
-	if c.phase == idle || v.Epoch != c.epoch || (c.phase == preparing) != (v.Act == Prepare) || (c.phase == proposing) != (v.Act == Propose) {
+	if c.phase == idle || v.Epoch != c.epoch || (c.phase == preparing || c.phase == probing) != (v.Act == Prepare) || (c.phase == proposing) != (v.Act == Propose) {
 		return nil
 	}
 	if c.phase == proposing && v.OK && v.Mark != c.mark {
@@ -73,10 +73,6 @@
 		return nil
 	}
 	c.votes[v.From.Slot] = v
-	if len(c.later) > 0 {
-		c.asked, c.later = union(c.asked, c.later), nil
-		return c.send(now)
-	}
 	votes := Counted(c.votes)
 	// The own promise must be on disk first: it keeps a restarted clerk from
 	// taking the same epoch again. (DESIGN 6.3)
@@ -88,6 +84,12 @@
 	switch {
 	case !self || !sets.Quorum(votes):
 		return c.further(v.Sets.Union())
+	case c.phase == probing:
+		if s := c.orders[0].Seat; s.Slot != 0 && !has([]desired.Member{s}, votes[s.Slot].From) {
+			return nil
+		}
+		c.orders[0].proposed = c.mark
+		return c.begin(proposing, now)
 	case c.phase == preparing:
 		return c.prepared(votes, now)
 	}
@@ -109,13 +111,14 @@
 				c.drop(now) // the half-done word is found or superseded by the next epoch
 			}
 		}
+		if c.phase == probing && i == 0 {
+			c.phase = idle // nobody has its word
+		}
 		out = append(out, Outcome{Answer: &Answer{ID: o.ID, Result: res}})
 		c.orders = slices.Delete(c.orders, i, i+1)
 		i--
 	}
-	if c.phase == proposing && len(c.later) > 0 && now-c.opened >= comeWithin {
-		// It does not come. Nobody else has the word, but under another epoch only may
-		// this stamp be used again.
+	if c.phase == probing && now-c.opened >= comeWithin {
 		out = append(out, Outcome{Answer: &Answer{ID: c.orders[0].ID, Result: NotTaken}})
 		c.orders = c.orders[1:]
 		c.drop(now)
@@ -130,7 +133,7 @@
 }
 
 func (c *Clerk) drop(now time.Duration) {
-	c.phase, c.epoch, c.later = idle, 0, nil
+	c.phase, c.epoch = idle, 0
 	rank := 1
 	for _, m := range c.sets.Now {
 		if m.Slot < c.Self.Slot {
@@ -169,6 +172,11 @@
 			continue
 		}
 		c.mark, c.word, c.own = Mark{Epoch: c.epoch, Stamp: c.held.Stamp + 1}, change(next(c.held, *o), c.setsOf(c.held).Now, *o), true
+		if o.Kind == Reseat {
+			// A change that its sets can't settle would hold up all that comes after: who
+			// is needed for it must be there, the newcomer above all.
+			return append(out, c.begin(probing, now)...)
+		}
 		o.proposed = c.mark
 		out = append(out, c.begin(proposing, now)...)
 	}
@@ -311,14 +319,9 @@
 func (c *Clerk) begin(p clerkPhase, now time.Duration) []Outcome {
 	c.phase, c.votes, c.opened = p, map[int]Vote{}, now
 	c.asked = union(c.sets.Union(), c.self())
-	if p == proposing {
+	if p != preparing {
 		c.asked = union(c.setsOf(c.word).Union(), c.self())
 	}
-	c.later = nil
-	if p == proposing && c.own && c.orders[0].Kind == Reseat && c.orders[0].Seat.Slot != 0 {
-		// The newcomer first: a set is not begun with one that has gone already.
-		c.asked, c.later = []desired.Member{c.orders[0].Seat}, c.asked
-	}
 	return c.send(now)
 }
 
@@ -356,8 +359,11 @@
 
 func (c *Clerk) ballot() *Ballot {
 	b := &Ballot{From: c.Self, Act: Prepare, Epoch: c.epoch}
-	if c.phase == proposing {
+	switch c.phase {
+	case proposing:
 		b.Act, b.Mark, b.Word = Propose, c.mark, c.word
+	case probing:
+		b.Word.Slots, b.Word.Formerly, b.Mark = c.word.Slots, c.word.Formerly, c.mark // what it is for
 	}
 	return b
 }
