--- a/proof/scale/school.go
+++ b/proof/scale/school.go
@@ -66,10 +66,23 @@
 	for i := range backends {
 		backends[i] = serviceName(i % size.Services)
 	}
-	f, err := fleet.New(fleet.Size{Name: "scale", Cores: size.Cores, Machines: size.Real, Localities: exp.Zones, Backends: backends, Capacity: 9, Plans: plans(size.Services)}, bin)
+	static := size.Cores
+	if !size.static() {
+		static = 0
+	}
+	f, err := fleet.New(fleet.Size{Name: "scale", Cores: static, Machines: size.Real, Localities: exp.Zones, Backends: backends, Capacity: 9, Plans: plans(size.Services)}, bin)
 	if err != nil {
 		return nil, err
 	}
+	if !size.static() {
+		var founders []string
+		for i := range size.Cores {
+			founders = append(founders, f.CoreWire(i+1))
+		}
+		for i := range size.Cores {
+			f.NewComer(i+1, filepath.Join(f.Dir, fmt.Sprintf("core-%d", i+1)), founders...)
+		}
+	}
 	s := &school{fleet: f, size: size, exp: exp, straits: map[string]*strait{}, zones: map[string]string{}}
 	if err := s.layStraits(); err != nil {
 		s.close()
