Hail with what differs: pulses of nodes, marks of seats, digests of who is known

Cause: each sidecar told each core its whole soft state and all seats twice a second, and each receipt told seat, seats and all sums again.

Change: a node's pulse instead of the node, to a core whose receipts have shown that it understands it and that was told this boot and revision; a core that lacks that asks for the whole, and gets it at once. A seat's mark instead of the seat, whom one knows only while digests differ, tallies every 2 s, sums from one core (the one followed while all is well). Hastened rounds are 20 ms apart. The directory no longer looks through all waiting followers at a hail that is no news, and sums accusations up in one pass (it was the square of the nodes, ten times a second). Old versions are told, and tell, as before. The tallies' news is good for 6 s instead of 3.

Ruled out: a rarer beat, numbered changes, silence on a held circuit (DESIGN 7.1).

--- a/cohort/hail.go
+++ b/cohort/hail.go
@@ -3,15 +3,31 @@
 import "curlewwalk/contract"
 
 // Hail is how processes find and tell one another: who calls, and whom it
-// knows. The receipt is a Hail too.
+// knows. The receipt is a Hail too. To one that has shown that it understands
+// them, differences are told: a node's pulse, a seat's mark, and whom one knows
+// only while the digests differ. (DESIGN 7.1)
 type Hail struct {
-	Node *Node  `msgpack:"n,omitempty"`
-	Seat *Seat  `msgpack:"s,omitempty"`
+	Node  *Node  `msgpack:"n,omitempty"`
+	Pulse *Pulse `msgpack:"p,omitempty"`
+	Seat  *Seat  `msgpack:"s,omitempty"`
+	// Same is told instead of the seat: the mark of the one told before. Wall is the
+	// core's wall clock then, if it is told to a core.
+	Same uint64 `msgpack:"sm,omitempty"`
+	Wall int64  `msgpack:"w,omitempty"`
+	// Have is the mark of the seat that the caller has of whom it hails.
+	Have uint64 `msgpack:"hv,omitempty"`
 	Know []Seat `msgpack:"k,omitempty"`
+	// Digest is that of the seats that the teller knows. It is never zero: none is
+	// told by a version that does not understand differences.
+	Digest uint64 `msgpack:"d,omitempty"`
+	// Whole is set in a receipt to one who told a difference from what is not known.
+	Whole bool `msgpack:"wh,omitempty"`
 	// Accused is set in a core's receipt to a sidecar that others accuse: the
 	// highest incarnation that they accuse.
 	Accused *uint64 `msgpack:"ac,omitempty"`
-	// Budgets are the sums over all nodes, in a core's receipt to a sidecar.
+	// Sums asks for Budgets, the sums over all nodes, in a core's receipt to a
+	// sidecar.
+	Sums    bool                      `msgpack:"su,omitempty"`
 	Budgets map[string]contract.Tally `msgpack:"bu,omitempty"`
 }
 
--- a/cohort/node.go
+++ b/cohort/node.go
@@ -8,14 +8,17 @@
 	Boot     uint64    `msgpack:"b" json:"boot"`
 	Rev      uint64    `msgpack:"r" json:"rev"`
 	Locality string    `msgpack:"l" json:"locality"`
-	Stamp    uint64    `msgpack:"s" json:"stamp"`
-	Backends []Backend `msgpack:"be" json:"backends"`
+	Stamp    uint64    `msgpack:"s,omitempty" json:"stamp"`
+	Backends []Backend `msgpack:"be,omitempty" json:"backends"`
 	// Inc rises when the node refutes an accusation; Accuses lists whom it
 	// accuses itself. Both change without Rev.
-	Inc     uint64       `msgpack:"in" json:"incarnation"`
-	Accuses []Accusation `msgpack:"ac" json:"accuses,omitempty"`
+	Inc     uint64       `msgpack:"in,omitempty" json:"incarnation"`
+	Accuses []Accusation `msgpack:"ac,omitempty" json:"accuses,omitempty"`
 	// Open counts what runs and waits at own backends, by locality.
-	Open map[string]int64 `msgpack:"op" json:"open,omitempty"`
+	Open map[string]int64 `msgpack:"op,omitempty" json:"open,omitempty"`
 	// Budgets is the node's own tally by contract; it changes without Rev.
-	Budgets map[string]contract.Tally `msgpack:"bu" json:"budgets,omitempty"`
+	Budgets map[string]contract.Tally `msgpack:"bu,omitempty" json:"budgets,omitempty"`
+	// Turn numbers what the node tells within a boot, so that nothing overtaken is
+	// taken for news; zero of an older version.
+	Turn uint `msgpack:"t,omitempty" json:"-"`
 }
--- a/cohort/seat.go
+++ b/cohort/seat.go
@@ -17,4 +17,6 @@
 	Held   uint64 `msgpack:"h,omitempty" json:"held,omitempty"`
 	// Wall is the core's wall clock, in nanoseconds, as it told this.
 	Wall int64 `msgpack:"w,omitempty" json:"-"`
+	// Mark is the core's own digest of all but Wall; zero of an older version.
+	Mark uint64 `msgpack:"m,omitempty" json:"-"`
 }
--- a/cohort/seats.go
+++ b/cohort/seats.go
@@ -165,6 +165,73 @@
 	return out
 }
 
+// with takes a core's own seat in, as it tells of it itself.
+func (s Seats) with(own *Seat) Seats {
+	if own == nil {
+		return s
+	}
+	if s.bySlot = maps.Clone(s.bySlot); s.bySlot == nil {
+		s.bySlot = map[int]heard{}
+	}
+	s.bySlot[own.Slot] = heard{seat: *own}
+	return s.learn(*own)
+}
+
+// Marked finds a seated core by the mark that it told.
+func (s Seats) Marked(mark uint64) (Seat, bool) {
+	for _, h := range s.bySlot {
+		if mark != 0 && h.seat.Mark == mark {
+			return h.seat, true
+		}
+	}
+	return Seat{}, false
+}
+
+// Mark is the mark of the seated core at an address, zero if there is none.
+func (s Seats) Mark(addr string) uint64 {
+	for _, h := range s.bySlot {
+		if h.seat.Addr == addr {
+			return h.seat.Mark
+		}
+	}
+	return 0
+}
+
+// Heard takes what a hail or a receipt tells, and returns the seat that spoke for
+// itself, if one did.
+func (s Seats) Heard(h Hail, now time.Time) (next Seats, spoke *Seat) {
+	spoke = h.Seat
+	if c, ok := s.Marked(h.Same); ok && spoke == nil {
+		c.Wall, spoke = h.Wall, &c
+	}
+	if spoke != nil {
+		s = s.Hear(*spoke, now)
+	}
+	return s.Hearsay(h.Know, now), spoke
+}
+
+// Answer is the receipt to a hail, as far as it is of cores; own is the seat of whom
+// answers, if it has one, and digest that of what it knows.
+func (s Seats) Answer(h Hail, own *Seat, digest uint64) Hail {
+	out := Hail{Digest: digest}
+	if _, ok := s.Marked(h.Same); h.Same != 0 && !ok {
+		out.Whole = true
+	}
+	if h.Digest != digest {
+		out.Know = s.All()
+	}
+	switch {
+	case own == nil:
+	case h.Have != 0 && h.Have == own.Mark:
+		if out.Same = own.Mark; h.Node == nil && h.Pulse == nil {
+			out.Wall = own.Wall
+		}
+	default:
+		out.Seat = own
+	}
+	return out
+}
+
 // Live lists the seated cores heard of lately, by slot: the agreed order of
 // duty.
 func (s Seats) Live(now time.Time) []Seat {
--- a/cohort/seeker.go
+++ b/cohort/seeker.go
@@ -2,16 +2,26 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"curlewwalk/launch"
+	"curlewwalk/rendezvous"
 	"curlewwalk/wire"
 )
 
 // Beat is the rhythm in which soft state is told again.
 const Beat = 500 * time.Millisecond // (ours)
 
+const (
+	// tallied is in which beat tallies are told, and sums asked for.
+	tallied = 4 // (ours)
+	// apart is how far hastened rounds are apart: a burst of changes is one.
+	apart = 20 * time.Millisecond // (ours)
+)
+
 // Seeker finds the cores and keeps hailing them. (DESIGN 7.1)
 type Seeker struct {
 	Own      func() Hail
@@ -25,15 +35,31 @@
 
 	seeds  atomic.Pointer[[]string]
 	table  atomic.Pointer[Seats]
+	digest atomic.Uint64 // of the table and the own seat
 	inbox  chan Hail
-	dead   chan string
+	back   chan echo
 	hasten chan struct{}
+
+	// What follows belongs to Run.
+	seat  *Seat // the own one, as told last
+	talks map[string]Talk
+	turn  uint
+	beats int
+	began time.Time // the last round
+}
+
+// echo is how a hail went; receipt is nil if there is none.
+type echo struct {
+	addr    string
+	told    Hail
+	receipt *Hail
+	refused bool
 }
 
 // NewSeeker makes a seeker; the exported fields are set by the caller.
 func NewSeeker() *Seeker {
-	s := &Seeker{inbox: make(chan Hail, 64), dead: make(chan string), hasten: make(chan struct{}, 1)}
-	s.table.Store(&Seats{})
+	s := &Seeker{inbox: make(chan Hail, 64), back: make(chan echo), hasten: make(chan struct{}, 1), talks: map[string]Talk{}}
+	s.hold(Seats{})
 	s.SetSeeds(nil)
 	return s
 }
@@ -64,65 +90,118 @@
 	}
 }
 
+// Answer is the receipt to a hail, as far as it is of cores; own is the seat of whom
+// answers, if it has one.
+func (s *Seeker) Answer(h Hail, own *Seat) Hail {
+	if h.Seat != nil || h.Same != 0 || len(h.Know) > 0 {
+		s.Hear(h)
+	}
+	return s.Seats().Answer(h, own, s.digest.Load())
+}
+
 // Run hails in rhythm until ctx ends.
 func (s *Seeker) Run(ctx context.Context) {
-	tick := time.NewTicker(Beat)
+	tick, rest := time.NewTicker(Beat), time.NewTimer(0)
 	defer tick.Stop()
-	s.round(ctx)
+	defer rest.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			s.round(ctx)
+			s.beats++
+			s.round(ctx, s.beats%tallied == 0)
 		case <-s.hasten:
-			s.round(ctx)
+			rest.Reset(max(0, apart-time.Since(s.began)))
+		case <-rest.C:
+			s.round(ctx, false)
 		case h := <-s.inbox:
 			s.take(ctx, h)
-		case addr := <-s.dead:
-			t := s.Seats().Refused(addr, time.Now())
-			s.table.Store(&t)
+		case e := <-s.back:
+			s.echoed(ctx, e)
 		}
 	}
 }
 
-func (s *Seeker) take(ctx context.Context, h Hail) {
-	now := time.Now()
-	t := s.Seats()
-	before := len(t.Known())
-	if h.Seat != nil {
-		t = t.Hear(*h.Seat, now)
-	}
-	t = t.Hearsay(h.Know, now)
+// hold swaps the table.
+func (s *Seeker) hold(t Seats) {
 	s.table.Store(&t)
-	if h.Seat != nil {
-		s.Heard(ctx, *h.Seat)
+	s.digest.Store(t.Digest(s.seat))
+}
+
+func (s *Seeker) take(ctx context.Context, h Hail) {
+	before := len(s.Seats().Known())
+	t, spoke := s.Seats().Heard(h, time.Now())
+	s.hold(t)
+	if spoke != nil {
+		s.Heard(ctx, *spoke)
 	}
 	if len(t.Known()) > before {
 		s.Hasten()
 	}
 }
 
-func (s *Seeker) round(ctx context.Context) {
-	own := s.Own()
-	own.Know = s.Seats().Known()
-	for _, addr := range s.Seats().Targets(s.Addr, *s.seeds.Load(), time.Now()) {
-		s.Launcher.Go(ctx, "hail", func(ctx context.Context) {
-			ctx, cancel := context.WithTimeout(ctx, Silence/2)
-			defer cancel()
-			var h Hail
-			switch r := s.Net.Call(ctx, addr, wire.Control, KindHail, own); {
-			case r.Into(&h):
-				s.Hear(h)
-				if s.Told != nil {
-					s.Told(ctx, h)
-				}
-			case r.Refused:
-				select {
-				case s.dead <- addr:
-				case <-ctx.Done():
-				}
-			}
-		})
+func (s *Seeker) echoed(ctx context.Context, e echo) {
+	switch {
+	case e.receipt != nil:
+		next, again := s.talks[e.addr].Answered(e.told, *e.receipt)
+		s.talks[e.addr] = next
+		s.take(ctx, *e.receipt)
+		if again {
+			s.tell(ctx, e.addr, s.all(), false)
+		}
+	case e.refused:
+		delete(s.talks, e.addr) // who comes after it knows nothing
+		s.hold(s.Seats().Refused(e.addr, time.Now()))
 	}
 }
+
+// all is a hail that tells all.
+func (s *Seeker) all() Hail {
+	h := s.Own()
+	s.seat = h.Seat
+	s.hold(s.Seats())
+	h.Know, h.Digest = s.Seats().All(), s.digest.Load()
+	if s.turn++; h.Node != nil {
+		h.Node.Turn = s.turn
+	}
+	return h
+}
+
+// round hails everybody; due tells whether tallies and sums are.
+func (s *Seeker) round(ctx context.Context, due bool) {
+	s.began = time.Now()
+	all, targets := s.all(), s.Seats().Targets(s.Addr, *s.seeds.Load(), s.began)
+	maps.DeleteFunc(s.talks, func(addr string, _ Talk) bool { return !slices.Contains(targets, addr) })
+	// The sums come from the core that this one follows as long as all is well: each
+	// core tells the same, and they are spread evenly. (DESIGN 8.2)
+	sums := ""
+	if live := rendezvous.Rank(s.Addr, s.Seats().Live(s.began), func(c Seat) string { return c.Addr }); due && len(live) > 0 {
+		sums = live[0].Addr
+	}
+	for _, addr := range targets {
+		all.Sums = addr == sums
+		s.tell(ctx, addr, all, due)
+	}
+}
+
+// tell hails one process with what it lacks.
+func (s *Seeker) tell(ctx context.Context, addr string, all Hail, due bool) {
+	e := echo{addr: addr, told: s.talks[addr].Tell(all, due)}
+	e.told.Have = s.Seats().Mark(addr)
+	s.Launcher.Go(ctx, "hail", func(ctx context.Context) {
+		call, cancel := context.WithTimeout(ctx, Silence/2)
+		defer cancel()
+		var h Hail
+		r := s.Net.Call(call, addr, wire.Control, KindHail, e.told)
+		if e.refused = r.Refused; r.Into(&h) {
+			if e.receipt = &h; s.Told != nil {
+				s.Told(ctx, h)
+			}
+		}
+		select {
+		case s.back <- e:
+		case <-ctx.Done():
+		}
+	})
+}
--- a/contract/budgets.go
+++ b/contract/budgets.go
@@ -6,8 +6,9 @@
 	"time"
 )
 
-// newsFor is how long sums that a core told are worth something.
-const newsFor = 3 * time.Second // (ours)
+// newsFor is how long sums that a core told are worth something: they are asked for
+// every 2 s, and two askings in a row may be lost.
+const newsFor = 6 * time.Second // (ours)
 
 // Budgets are a node's running budgets by contract: its own window, and the
 // sums over all nodes as a core last told them. (DESIGN 15.3)
--- a/core/node.go
+++ b/core/node.go
@@ -105,7 +105,7 @@
 	if v.Settled < v.Mark.Stamp {
 		s.Before = register.Slots(sets.Before)
 	}
-	return s
+	return s.Marked()
 }
 
 // told is the seat that this core tells of: none while it has none.
@@ -143,16 +143,20 @@
 	if !in.Into(&h) {
 		return nil, "not a hail"
 	}
-	if h.Node != nil {
+	out, addr := n.seeker.Answer(h, n.told()), ""
+	switch {
+	case h.Node != nil:
+		addr = h.Node.Addr
 		n.directory.Told(ctx, *h.Node)
+	case h.Pulse != nil:
+		addr = h.Pulse.Addr
+		out.Whole = !n.directory.Felt(ctx, *h.Pulse)
 	}
-	n.seeker.Hear(cohort.Hail{Seat: h.Seat, Know: h.Know})
-	out := cohort.Hail{Seat: n.told(), Know: n.seeker.Seats().Known()}
-	if h.Node != nil {
+	if addr != "" && (h.Sums || h.Digest == 0) { // an older version does not ask
 		out.Budgets = n.directory.Budgets()
-		if inc, ok := n.directory.Accused(h.Node.Addr); ok {
-			out.Accused = &inc
-		}
+	}
+	if inc, ok := n.directory.Accused(addr); ok {
+		out.Accused = &inc
 	}
 	return out, ""
 }
--- a/feed/directory.go
+++ b/feed/directory.go
@@ -56,7 +56,11 @@
 		stamp uint64
 		reply chan<- []string
 	}
-	msgNode    struct{ n cohort.Node }
+	msgNode  struct{ n cohort.Node }
+	msgPulse struct {
+		p     cohort.Pulse
+		reply chan<- bool
+	}
 	msgSettled struct{ w desired.Word }
 	msgSure    struct{ at time.Time }
 	msgTick    struct{}
@@ -107,6 +111,12 @@
 // Told takes a node's own word.
 func (d *Directory) Told(ctx context.Context, n cohort.Node) { d.box.Send(ctx, msgNode{n}) }
 
+// Felt takes a node's pulse; false if the node has to be told whole.
+func (d *Directory) Felt(ctx context.Context, p cohort.Pulse) bool {
+	known, ok := launch.Ask(ctx, d.box, func(r chan<- bool) any { return msgPulse{p, r} })
+	return known || !ok
+}
+
 // Settled takes a majority-held word.
 func (d *Directory) Settled(ctx context.Context, w desired.Word) { d.box.Send(ctx, msgSettled{w}) }
 
@@ -158,7 +168,14 @@
 	d.feed.Wake(now)
 	switch m := msg.(type) {
 	case msgNode:
-		d.feed.Told(m.n, now)
+		if !d.feed.Told(m.n, now) {
+			d.forced(now)
+			return
+		}
+	case msgPulse:
+		m.reply <- d.feed.Felt(m.p, now)
+		d.forced(now)
+		return // no news for followers
 	case msgSettled:
 		d.feed.Settled(m.w)
 	case msgSure:
@@ -206,6 +223,11 @@
 	}
 	clear(d.held[len(kept):])
 	d.held = kept
+	d.forced(now)
+}
+
+// forced answers those who wait for a stamp to be in force.
+func (d *Directory) forced(now time.Duration) {
 	d.force = slices.DeleteFunc(d.force, func(w force) bool {
 		var behind []string // not known while the nodes are still being heard
 		if d.feed.Open(now) {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -72,7 +72,7 @@
 func (f *Feed) Told(n cohort.Node, now time.Duration) bool {
 	old, ok := f.nodes[n.Addr]
 	f.heard[n.Addr] = now
-	if ok && old.Boot == n.Boot && old.Rev > n.Rev {
+	if ok && old.Boot == n.Boot && (old.Rev > n.Rev || old.Rev == n.Rev && old.Turn > n.Turn) {
 		return false // overtaken on the way
 	}
 	f.nodes[n.Addr] = n
@@ -83,6 +83,20 @@
 	return true
 }
 
+// Felt takes a node's pulse; false if the node is not known as whole as it was when
+// that was told. Until it is told whole it stays as it was, its backends with it.
+func (f *Feed) Felt(p cohort.Pulse, now time.Duration) bool {
+	n, ok := f.nodes[p.Addr]
+	if !ok || n.Boot != p.Boot {
+		return false
+	}
+	f.heard[p.Addr] = now
+	if n.Rev == p.Rev && n.Turn <= p.Turn {
+		f.nodes[p.Addr] = n.Take(p)
+	}
+	return n.Rev >= p.Rev
+}
+
 // Wake comes before anything else that happens. After a gap in the ticks (a
 // freeze) the feed starts anew: nobody could be heard meanwhile, and what piled
 // up must not be answered from what was known before.
@@ -94,7 +108,7 @@
 
 // nodeItem is a node as followers get it: without what only cores sum up.
 func nodeItem(n cohort.Node) Item {
-	n.Budgets, n.Accuses, n.Open = nil, nil, nil
+	n.Budgets, n.Accuses, n.Open, n.Turn = nil, nil, nil, 0
 	return Item{Node: &n}
 }
 
@@ -156,32 +170,27 @@
 	return out
 }
 
-// accusers counts the nodes that accuse a node now, and tells the highest
-// incarnation that they accuse.
-func (f *Feed) accusers(addr string) (n int, inc uint64) {
+// agreed tells whether enough watchers accuse a node.
+func (f *Feed) agreed(addr string) bool {
+	n := 0
 	for _, w := range f.nodes {
 		for _, a := range w.Accuses {
 			if a.Against(f.nodes[addr]) {
 				n++
-				inc = max(inc, a.Inc)
 			}
 		}
 	}
-	return n, inc
-}
-
-// agreed tells whether enough watchers accuse a node.
-func (f *Feed) agreed(addr string) bool {
-	n, _ := f.accusers(addr)
 	return n > 0 && n >= min(agreed, len(f.nodes)-1)
 }
 
 // Accused lists the accused nodes with the incarnations to refute.
 func (f *Feed) Accused() map[string]uint64 {
 	out := map[string]uint64{}
-	for addr := range f.nodes {
-		if n, inc := f.accusers(addr); n > 0 {
-			out[addr] = inc
+	for _, w := range f.nodes {
+		for _, a := range w.Accuses {
+			if n, ok := f.nodes[a.Addr]; ok && a.Against(n) {
+				out[a.Addr] = max(out[a.Addr], a.Inc)
+			}
 		}
 	}
 	return out
--- a/proof/scale/scale_test.go
+++ b/proof/scale/scale_test.go
@@ -92,6 +92,15 @@
 		if asked := find(size, "start", "hollow").Net[custody.KindHandover].Calls > 0; asked && !size.Handover {
 			t.Errorf("%+v: claims were asked for", size)
 		}
+		for _, role := range []string{"sidecar", "hollow"} {
+			l := find(size, "rest", role)
+			k := l.Net[cohort.KindHail]
+			call, receipt := k.CallBytes/k.Calls, k.ReceiptBytes/k.Receipts
+			t.Logf("%d cores, %s: hails of %.0f bytes, receipts of %.0f, %.0f bytes a second", size.Cores, role, call, receipt, k.CallBytes+k.ReceiptBytes)
+			if !(call < 150) || !(receipt < 150) { // in a calm, what differs is next to nothing
+				t.Errorf("%d cores, %s: hails of %.0f bytes, receipts of %.0f", size.Cores, role, call, receipt)
+			}
+		}
 		// All hails that nodes send, cores get.
 		duty, nodes := find(size, "rest", "duty"), 0.0
 		for _, role := range []string{"seed", "sidecar", "hollow"} {
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -198,8 +198,7 @@
 	if !in.Into(&h) {
 		return nil, "not a hail"
 	}
-	n.seeker.Hear(cohort.Hail{Seat: h.Seat, Know: h.Know})
-	return cohort.Hail{Know: n.seeker.Seats().Known()}, ""
+	return n.seeker.Answer(h, nil), ""
 }
 
 // collector is the first live core by rendezvous of the trace id, of those of the own
