--- a/register/clerk.go
+++ b/register/clerk.go
@@ -161,7 +161,7 @@
 			ans, done = c.judge(*o)
 		}
 		if done {
-			if c.began < o.at && (o.Kind == Refresh || ans.Result == Mismatch) {
+			if c.began < o.at && (o.Kind == Refresh || ans.Result == Mismatch || ans.Result == NotTaken) {
 				// What is held may have been overtaken under a later epoch: only
 				// an epoch begun since the order came proves it the newest.
 				c.epoch = 0
--- /dev/null
+++ b/register/closure_test.go
@@ -0,0 +1,148 @@
+package register
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"curlewwalk/desired"
+)
+
+// seated is a voter of a set that holds a word.
+func seated(slot int, m Mark, w desired.Word) Voter {
+	return Voter{Self: From{Slot: slot, Inc: 1, ID: uint64(100 + slot)}, Phase: Established, Promised: m.Epoch, Mark: m, Word: w, Settled: m.Stamp, Founders: set(1, 2, 3)}
+}
+
+// A clerk that was left behind asks those of each set that it hears of, and proposes
+// nothing before majorities of the newest have promised.
+func TestPrepareClosesOverSets(t *testing.T) {
+	first := desired.Word{Stamp: 1, Desired: []byte("old")}
+	second := desired.Word{Stamp: 3, Desired: []byte("old"), Slots: set(2, 3, 4), Top: 4}
+	third := desired.Word{Stamp: 6, Desired: []byte("new"), Slots: set(3, 4, 5), Top: 5}
+	voters := map[int]Voter{1: seated(1, Mark{10, 1}, first), 2: seated(2, Mark{10, 3}, second)}
+	for s := 3; s <= 5; s++ {
+		voters[s] = seated(s, Mark{11, 6}, third)
+	}
+	c := &Clerk{}
+	c.Follow(voters[1], 0)
+	outs := c.Take(Order{ID: 1, Kind: Refresh, Until: time.Minute}, time.Second)
+	asked := []int{}
+	give := func(slots ...int) {
+		b := outs[0].Ballot
+		outs = nil
+		for _, s := range slots {
+			next, vote := voters[s].On(*b)
+			voters[s] = next
+			outs = append(outs, c.Hear(vote, time.Second)...)
+		}
+		for _, o := range outs {
+			asked = append(asked, Slots(o.To)...)
+			if o.Ballot.Act == Propose && !slices.Contains(asked, 5) {
+				t.Fatalf("proposes %q before it has heard of the newest set", o.Ballot.Word.Desired)
+			}
+		}
+	}
+	give(1, 2) // a majority of the set that it knows of
+	if c.phase != preparing || !slices.Equal(asked, []int{4}) {
+		t.Fatalf("phase %d, asked %v", c.phase, asked)
+	}
+	give(4)
+	if c.phase != preparing || !slices.Contains(asked, 5) {
+		t.Fatalf("phase %d, asked %v", c.phase, asked)
+	}
+	give(5)
+	if c.phase != proposing || string(c.word.Desired) != "new" {
+		t.Fatalf("phase %d, proposes %q", c.phase, c.word.Desired)
+	}
+}
+
+// A settled change is sealed by the next word at once, and nothing is proposed before
+// those that it needs have answered.
+func TestChangeIsSealed(t *testing.T) {
+	voters := map[int]Voter{}
+	for s := 1; s <= 3; s++ {
+		voters[s] = Voter{Self: From{Slot: s, Inc: 1, ID: uint64(100 + s)}, Phase: Established, Founders: set(1, 2, 3)}
+	}
+	voters[4] = Voter{Self: From{ID: 104}, Phase: Seeking}
+	run := func(up ...int) (answer Answer) {
+		c := &Clerk{}
+		now := time.Second
+		c.Follow(voters[1], now)
+		outs := c.Take(Order{ID: 1, Kind: Reseat, Seat: set(4)[0], Of: set(1, 2, 3), Until: time.Minute}, now)
+		for range 1000 {
+			if len(outs) == 0 {
+				if answer.ID != 0 {
+					return answer
+				}
+				now += 100 * time.Millisecond
+				outs = c.Tick(now)
+				continue
+			}
+			o := outs[0]
+			outs = outs[1:]
+			if o.Answer != nil {
+				answer = *o.Answer
+			}
+			for _, m := range o.To {
+				if slices.Contains(up, m.Slot) {
+					next, vote := voters[m.Slot].On(*o.Ballot)
+					voters[m.Slot] = next
+					if v := vote.By(m); v != nil {
+						outs = append(outs, c.Hear(*v, now)...)
+					}
+				}
+			}
+		}
+		t.Fatal("it does not come to an end")
+		return answer
+	}
+	if a := run(1, 2, 3); a.Result != NotTaken || voters[1].Mark != (Mark{}) {
+		t.Errorf("without the newcomer: %s, %+v", a.Result, voters[1].Mark)
+	}
+	if a := run(1, 2, 3, 4); a.Result != Taken {
+		t.Errorf("with it: %s", a.Result)
+	}
+	for s, v := range voters {
+		if w := v.Word; w.Stamp != 2 || len(w.Formerly) != 0 || len(w.Slots) != 4 || !v.Member() {
+			t.Errorf("%d holds %+v", s, w)
+		}
+	}
+}
+
+// A change that does not fit what the clerk holds is judged under a new epoch: what it
+// holds may have been overtaken.
+func TestChangeOnOvertakenWord(t *testing.T) {
+	v := seated(1, Mark{}, desired.Word{})
+	v.Founders = set(1)
+	c := &Clerk{}
+	now := time.Second
+	c.Follow(v, now)
+	run := func(outs []Outcome) (last Result) {
+		for len(outs) > 0 {
+			o := outs[0]
+			outs = outs[1:]
+			if o.Answer != nil {
+				last = o.Answer.Result
+			}
+			if len(o.To) > 0 && o.To[0].Slot == 1 {
+				var vote Vote
+				v, vote = v.On(*o.Ballot)
+				outs = append(outs, c.Hear(vote, now)...)
+			}
+		}
+		return last
+	}
+	if got := run(c.Take(Order{ID: 1, Kind: Put, Bytes: []byte("a"), Until: time.Minute}, now)); got != Taken {
+		t.Fatal(got)
+	}
+	// Another clerk has struck slot 2 of a set that this one never heard of.
+	w := v.Word
+	w.Stamp, w.Slots, w.Top = 5, set(1), 2
+	v, _ = v.On(Ballot{Act: Settle, Epoch: 1 << 20, Mark: Mark{1 << 20, 5}, Word: w})
+	c.Follow(v, now)
+	now += time.Second
+	c.Take(Order{ID: 2, Kind: Reseat, Out: 1, Of: set(1, 2), Until: time.Minute}, now)
+	if c.phase != preparing {
+		t.Error("judged by a word that was overtaken")
+	}
+}
