--- a/boot/sidecar.go
+++ b/boot/sidecar.go
@@ -28,6 +28,7 @@
 	Late       bool              `long:"late" ini-name:"late" description:"an answer past its aim is better than none: inquiries that can only be late wait for what the others leave"`
 	ComeBack   time.Duration     `long:"come-back" ini-name:"come-back" default:"1s" description:"when a refused client may come again at the soonest"`
 	NoKeys     bool              `long:"no-keys" ini-name:"no-keys" description:"no client sends an Idempotency-Key: readiness need not wait for claims of an earlier life"`
+	ExtraLegs  int               `long:"extra-legs" ini-name:"extra-legs" default:"20" description:"extra legs to a service that all sidecars together may make beyond a fifth of its traffic, over any 10 s"`
 	Beat       time.Duration     `long:"beat" ini-name:"beat" default:"500ms" description:"how often backends announce themselves: one is given nothing new after 3 such, and forgotten after 10"`
 	Halving    time.Duration     `long:"fresh-halving" ini-name:"fresh-halving" default:"10s" description:"how long after the start, at most, backends are given half of what they bear, as runs that a killed sidecar let in may go on; 0s: never"`
 	Shun       time.Duration     `long:"shun" ini-name:"shun" default:"1s" description:"how long a backend that failed is left out of the choice"`
@@ -81,6 +82,7 @@
 		if s.ComeBack <= 0 {
 			c.bad("come-back", s.ComeBack, "a duration of more than 0s")
 		}
+		c.atLeast("extra-legs", s.ExtraLegs, 0)
 		c.atLeast("trace-queue", s.TraceQueue, 1)
 	})
 	return s, exit
--- a/contract/purse_test.go
+++ b/contract/purse_test.go
@@ -22,7 +22,7 @@
 			base := time.Now()
 			purses := make([]*Purses, size)
 			fresh := func(i int) {
-				purses[i] = NewPurses(names[i])
+				purses[i] = NewPurses(names[i], Allowance)
 				purses[i].Share(names, base)
 			}
 			for i := range size {
--- a/contract/purses.go
+++ b/contract/purses.go
@@ -8,8 +8,7 @@
 	"curlewwalk/rendezvous"
 )
 
-// Allowance is how many extra legs to a service all sidecars together may make
-// beyond a fifth of its traffic. (ours)
+// Allowance is the allowance where the settings give none. (ours)
 const Allowance = 20
 
 // fewest is how long a smaller number of sharers is not believed: a node that
@@ -20,6 +19,9 @@
 // allowance; traffic earns and spends.
 type Purses struct {
 	own    string
+	// allowance is how many extra legs to a service all sidecars together may make
+	// beyond a fifth of its traffic.
+	allowance int
 	table  atomic.Pointer[map[string]*Purse]
 	sharer atomic.Pointer[[]string]
 	// most is the largest number of sharers lately.
@@ -28,8 +30,8 @@
 }
 
 // NewPurses makes the purses of a node.
-func NewPurses(own string) *Purses {
-	p := &Purses{own: own}
+func NewPurses(own string, allowance int) *Purses {
+	p := &Purses{own: own, allowance: allowance}
 	p.table.Store(&map[string]*Purse{})
 	p.sharer.Store(&[]string{own})
 	return p
@@ -52,11 +54,11 @@
 // order and none for the others.
 func (p *Purses) limit(service string) int64 {
 	nodes := *p.sharer.Load()
-	if len(nodes) <= Allowance {
-		return Allowance * price / int64(max(1, len(nodes)))
+	if len(nodes) <= p.allowance {
+		return int64(p.allowance) * price / int64(max(1, len(nodes)))
 	}
 	for i, n := range rendezvous.Rank(service, nodes, func(n string) string { return n }) {
-		if i == Allowance {
+		if i == p.allowance {
 			break
 		}
 		if n == p.own {
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -70,7 +70,7 @@
 	p := process.New("sidecar", set.Common)
 	n := &Node{p: p, set: set, queue: trace.NewQueue(set.Advertise, p.Boot, set.TraceQueue)}
 	n.seeker = cohort.NewSeeker()
-	n.steward = newSteward(p.Launcher, set.Advertise, p.Boot, set.Locality, n.seeker.Hasten)
+	n.steward = newSteward(p.Launcher, set.Advertise, p.Boot, set.Locality, set.ExtraLegs, n.seeker.Hasten)
 	n.steward.roster.Store(&roster.Roster{Pace: roster.Pace{Beat: set.Beat}})
 	n.steward.climb = way.Climb{For: set.Ramp, From: set.RampFrom}
 	if set.Memory > 0 {
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -77,10 +77,10 @@
 	msgLive     struct{ reply chan<- bool }
 )
 
-func newSteward(l *launch.Launcher, addr string, boot uint64, locality string, hasten func()) *steward {
+func newSteward(l *launch.Launcher, addr string, boot uint64, locality string, extraLegs int, hasten func()) *steward {
 	s := &steward{addr: addr, boot: boot, locality: locality, hasten: hasten, copy: feed.NewCopy()}
 	s.watcher = cohort.NewWatcher()
-	s.purses, s.budgets = contract.NewPurses(addr), contract.NewBudgets()
+	s.purses, s.budgets = contract.NewPurses(addr, extraLegs), contract.NewBudgets()
 	s.roster.Store(&roster.Roster{})
 	t, _ := way.NewTable(desired.Word{})
 	s.table.Store(t)
