--- a/feed/feed.go
+++ b/feed/feed.go
@@ -14,7 +14,7 @@
 	kept = 1024 // changes kept for followers to resume from (ours)
 	// SettleIn is how long after its start a core only listens: its directory
 	// must be told again before a snapshot of it means anything.
-	SettleIn = 1200 * time.Millisecond // (ours)
+	SettleIn = 700 * time.Millisecond // (ours)
 	// goneAfter is when a silent node is taken out, whoever accuses it or not.
 	goneAfter = 2 * time.Second // (ours)
 	// quiet is how long a node that its watchers accuse must be silent towards
