--- a/contract/purses.go
+++ b/contract/purses.go
@@ -18,12 +18,12 @@
 // Purses are a sidecar's purses by service. The steward tells who shares the
 // allowance; traffic earns and spends.
 type Purses struct {
-	own    string
+	own string
 	// allowance is how many extra legs to a service all sidecars together may make
 	// beyond a fifth of its traffic.
 	allowance int
-	table  atomic.Pointer[map[string]*Purse]
-	sharer atomic.Pointer[[]string]
+	table     atomic.Pointer[map[string]*Purse]
+	sharer    atomic.Pointer[[]string]
 	// most is the largest number of sharers lately.
 	most  int
 	since time.Time
