Hold a refusal against the sending it answers, not the one net/http hid before it

Cause: net/http sends a GET (and anything with a key) again by itself if a used connection ends without a byte of the answer. If the first sending ran at a sidecar that was then killed and the second met the restarted one, its true not-run was held against the first: "was promised not to have run and ran 1 times" (TestClocksJump, caller-2-121, where sidecar 2 is killed). That this was what happened in that one run was not recorded and can't be shown any more. Ruled out: dropping every promise after a second connection (GotConn alone): it would let go of those where nothing of the first try went out; a body without GetBody: it would cut POSTs on connections that had merely idled out. Change: the stand-ins' connections count what is written; an inquiry's earlier sendings of which a byte went out are noted as Again. The ledger then holds the answer against the last one, counts a refused one as cut (stricter for planned restarts), and lets one that must run once run once per sending. Under a key nothing is eased. A refused dial is a promise only if nothing went out before.

--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -57,7 +57,7 @@
 		return nil, err
 	}
 	f := &Fleet{Size: size, Site: site, Bin: bin, Dir: dir, Ledger: ledger.New(),
-		Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: 30 * time.Second}}
+		Client: standin.NewClient()}
 	for i := range size.Cores {
 		f.Cores = append(f.Cores, f.NewCore(i+1, f.CoreIP(i+1), filepath.Join(dir, fmt.Sprintf("core-%d", i+1))))
 	}
--- a/proof/ledger/ledger_test.go
+++ b/proof/ledger/ledger_test.go
@@ -25,6 +25,26 @@
 		"wrong caller":  {func(l *Ledger) { r := ran; r.Caller = "forged"; l.ran["a"] = []Ran{r} }, "told to be by"},
 		"wrong service": {func(l *Ledger) { r := ran; r.Service = "stock"; l.ran["a"] = []Ran{r} }, "ran at o-1 of stock"},
 		"false promise": {func(l *Ledger) { l.Answered(Answered{ID: "a", Status: 503, Outcome: "not-run"}) }, "promised not to have run"},
+		"refused again": {func(l *Ledger) { l.Answered(Answered{ID: "a", Status: 503, Outcome: "not-run", Again: 1}) }, ""},
+		"false promise to the last of two": {func(l *Ledger) {
+			l.Ran(ran)
+			l.Answered(Answered{ID: "a", Status: 503, Outcome: "not-run", Again: 1})
+		}, "promised not to have run and ran 2"},
+		"sent twice":     {func(l *Ledger) { l.Ran(ran); l.Answered(Answered{ID: "a", Status: 200, Again: 1}) }, ""},
+		"more than sent": {func(l *Ledger) { l.Ran(ran); l.Ran(ran); l.Answered(Answered{ID: "a", Status: 200, Again: 1}) }, "must run once and ran 3"},
+		"false promise under a key": {func(l *Ledger) {
+			s := sent
+			s.Keyed = true
+			l.Sent(s)
+			l.Answered(Answered{ID: "a", Status: 503, Outcome: "not-run", Again: 1})
+		}, "promised not to have run and ran 1"},
+		"twice under a key": {func(l *Ledger) {
+			s := sent
+			s.Keyed = true
+			l.Sent(s)
+			l.Ran(ran)
+			l.Answered(Answered{ID: "a", Status: 200, Again: 1})
+		}, "must run once and ran 2"},
 		"wrong answer":  {func(l *Ledger) { l.Answered(Answered{ID: "a", Status: 200, Wrong: "cut short"}) }, "wrong answer: cut short"},
 		"from nowhere":  {func(l *Ledger) { l.Answered(Answered{ID: "c", Status: 200}) }, "never ran"},
 		"after leaving": {func(l *Ledger) { l.Left(Left{Instance: "o-1", At: at(-2)}) }, "after it had left"},
--- /dev/null
+++ b/proof/standin/again_test.go
@@ -0,0 +1,180 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"curlewwalk/proof/ledger"
+)
+
+var (
+	read  = Plan{Name: "read", Method: "GET", Prefix: "/read/", Service: "desk", Repeatable: true}
+	order = Plan{Name: "order", Method: "POST", Prefix: "/order/", Service: "desk", Body: 50}
+)
+
+// sidecar answers whatever comes by what the inquiry's name says. "mute" is
+// taken and the connection closed without an answer, once it has run; what is
+// sent of it again is refused as not run, and so is "refused" at once. "lie" is
+// refused though it ran.
+func sidecar(t *testing.T, l *ledger.Ledger) (addr string, mute func() int64) {
+	var muted atomic.Int64
+	run := func(r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		l.Ran(ledger.Ran{ID: r.Header.Get(headerID), Service: "desk", Instance: "desk-0", Locality: "north", Digest: digest(r.Method, r.RequestURI, r.Header, body)})
+	}
+	refuse := func(w http.ResponseWriter) {
+		w.Header().Set("Retry-After", "1")
+		w.Header().Set("Curlewwalk-Outcome", "not-run")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get(headerID)
+		switch {
+		case id == "mute":
+			if muted.Add(1) > 1 {
+				refuse(w)
+				return
+			}
+			run(r)
+			c, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			c.Close()
+		case id == "lie":
+			run(r)
+			refuse(w)
+		case id == "refused":
+			refuse(w)
+		default:
+			run(r)
+			w.Header().Set(headerID, id)
+			w.Header().Set(headerDigest, digest("", "", w.Header(), []byte("done")))
+			io.WriteString(w, "done")
+		}
+	}))
+	t.Cleanup(srv.Close)
+	return srv.Listener.Addr().String(), muted.Load
+}
+
+func judged(t *testing.T, l *ledger.Ledger, cut, notRun int, broken string) {
+	t.Helper()
+	v := l.Judge()
+	if got := strings.Join(v.Broken, "; "); v.Cut != cut || v.NotRun != notRun || (broken == "") != (got == "") || !strings.Contains(got, broken) {
+		t.Errorf("cut %d %v, not run %d, broken %q; want %d, %d, %q", v.Cut, v.Cuts, v.NotRun, got, cut, notRun, broken)
+	}
+}
+
+// A GET that net/http sends a second time by itself, after its first sending ran
+// and was cut, is not judged by the second one's refusal.
+func TestSentAgainByTheClient(t *testing.T) {
+	l, c := ledger.New(), NewClient()
+	defer c.CloseIdleConnections()
+	addr, mute := sidecar(t, l)
+	ask := func(p Plan, id string) ledger.Answered {
+		return send(context.Background(), c, l, addr, p, "", "north", "", id, "")
+	}
+	if a := ask(read, "first"); a.Outcome != "" || a.Wrong != "" {
+		t.Fatalf("%+v", a)
+	}
+	if a := ask(read, "mute"); a.Outcome != "not-run" || a.Again != 1 {
+		t.Errorf("%+v", a)
+	}
+	if n := mute(); n != 2 {
+		t.Fatalf("net/http sent it %d times", n)
+	}
+	judged(t, l, 1, 0, "")
+}
+
+// A promise for the only sending counts, on a new connection and on a used one.
+func TestPromiseForTheOnlySending(t *testing.T) {
+	for _, p := range []Plan{read, order} {
+		l, c := ledger.New(), NewClient()
+		defer c.CloseIdleConnections()
+		addr, _ := sidecar(t, l)
+		for _, id := range []string{"refused", "first", "lie"} {
+			if a := send(context.Background(), c, l, addr, p, "", "north", "", id, ""); a.Again != 0 || a.Wrong != "" {
+				t.Errorf("%+v", a)
+			}
+		}
+		judged(t, l, 0, 2, "lie was promised not to have run and ran 1 times")
+	}
+}
+
+// deaf takes nothing once it has been used.
+type deaf struct {
+	net.Conn
+	used atomic.Int64
+}
+
+func (d *deaf) Write(b []byte) (int, error) {
+	if d.used.Add(1) > 1 {
+		return 0, errors.New("deaf")
+	}
+	return d.Conn.Write(b)
+}
+
+// A promise also counts for the second try if nothing of the first went out.
+func TestPromiseAfterNothingWentOut(t *testing.T) {
+	for _, p := range []Plan{read, order} {
+		l, c := ledger.New(), NewClient()
+		defer c.CloseIdleConnections()
+		addr, _ := sidecar(t, l)
+		var dialled int
+		c.Transport.(*http.Transport).DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			dialled++
+			raw, err := new(net.Dialer).DialContext(ctx, network, addr)
+			return &counted{Conn: &deaf{Conn: raw}}, err
+		}
+		for _, id := range []string{"first", "lie"} {
+			if a := send(context.Background(), c, l, addr, p, "", "north", "", id, ""); a.Again != 0 || a.Outcome == "cut" {
+				t.Errorf("%+v", a)
+			}
+		}
+		if dialled != 2 {
+			t.Errorf("%d connections", dialled)
+		}
+		judged(t, l, 0, 1, "lie was promised not to have run and ran 1 times")
+	}
+}
+
+// Nothing was handed over where nobody listens; an inquiry that was cut and then
+// met nobody is cut.
+func TestNobodyListens(t *testing.T) {
+	l, c := ledger.New(), NewClient()
+	defer c.CloseIdleConnections()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		in := bufio.NewReader(conn)
+		if r, err := http.ReadRequest(in); err == nil {
+			body := "done"
+			h := http.Header{headerID: {r.Header.Get(headerID)}}
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Length: 4\r\n\r\n%s", headerID, h.Get(headerID), headerDigest, digest("", "", h, []byte(body)), body)
+		}
+		http.ReadRequest(in)
+		ln.Close()
+	}()
+	for _, want := range []string{"", "cut", "not-run"} {
+		if a := send(context.Background(), c, l, ln.Addr().String(), read, "", "north", "", "to-"+want, ""); a.Outcome != want || a.Wrong != "" {
+			t.Errorf("%+v, want outcome %q", a, want)
+		}
+	}
+}
--- a/proof/standin/send.go
+++ b/proof/standin/send.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,11 +18,10 @@
 func send(ctx context.Context, c *http.Client, l *ledger.Ledger, addr string, p Plan, caller, locality, cause, id, key string) ledger.Answered {
 	body := filler("inquiry "+id, p.Body)
 	uri := p.Prefix + "item/a%2Fb?id=" + url.QueryEscape(id)
-	// net/http tries some requests again by itself: a refusal then says nothing
-	// of the first try.
-	var reached atomic.Bool
-	seen := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { reached.Store(true) }}
-	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(context.WithoutCancel(ctx), seen), p.Method, "http://"+addr+uri, bytes.NewReader(body))
+	// net/http sends some inquiries again by itself: a refusal then says nothing of
+	// the earlier sendings.
+	var out sendings
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(context.WithoutCancel(ctx), &httptrace.ClientTrace{GotConn: out.on}), p.Method, "http://"+addr+uri, bytes.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
@@ -33,7 +31,7 @@
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
-	l.Sent(ledger.Sent{ID: id, Cause: cause, Caller: caller, Service: p.Service, Locality: locality, Digest: digest(p.Method, uri, req.Header, body), Repeatable: p.Repeatable, At: time.Now()})
+	l.Sent(ledger.Sent{ID: id, Cause: cause, Caller: caller, Service: p.Service, Locality: locality, Digest: digest(p.Method, uri, req.Header, body), Repeatable: p.Repeatable, Keyed: key != "", At: time.Now()})
 	a := ledger.Answered{ID: id}
 	resp, err := c.Do(req)
 	if err == nil {
@@ -48,8 +46,10 @@
 			a.Wrong = "a refusal without Retry-After"
 		}
 	}
+	n := out.count()
+	a.Again = max(n-1, 0)
 	switch {
-	case errors.Is(err, syscall.ECONNREFUSED) && !reached.Load():
+	case errors.Is(err, syscall.ECONNREFUSED) && n == 0:
 		a.Outcome = "not-run" // no sidecar is there: nothing was handed over
 	case err != nil:
 		a.Outcome, a.Cut = "cut", p.Method+" "+err.Error()
