Bring probes of a real node that watches nobody to hollow ones' number: none

Which nodes a node watches follows from addresses, and those from the process's id: now and then the one real sidecar of six nodes watches nobody. Compare left the scaling out just then, so that no window could be a rest. Ruled out: load (a late window changes counts; it doesn't make them 0 thrice). Change: Compare scales by 0 too. A real node that probes though it watches nobody, and one that watches and does not probe, are still told: tested.

--- a/proof/scale/compare.go
+++ b/proof/scale/compare.go
@@ -23,7 +23,7 @@
 			if left[kind] {
 				continue
 			}
-			if kind == scaled && watchedHollow > 0 && watchedReal > 0 {
+			if kind == scaled && watchedHollow > 0 { // real ones may happen to watch nobody
 				by := watchedReal / watchedHollow
 				a = Rate{a.Calls * by, a.CallBytes * by, a.Receipts * by, a.ReceiptBytes * by}
 			}
--- a/proof/scale/scale_test.go
+++ b/proof/scale/scale_test.go
@@ -226,6 +226,19 @@
 	if got := Compare(Line{Net: like.Net}, real, 0.1, 4, 3, "probe"); len(got) > 0 {
 		t.Error(got)
 	}
+	// Who watches nobody probes nobody.
+	idle := Line{Net: map[string]Rate{"hail": real.Net["hail"]}, Host: real.Host}
+	if got := Compare(like, idle, 0.1, 0, 3); len(got) > 0 {
+		t.Error(got)
+	}
+	for name, c := range map[string]struct {
+		real    Line
+		watched float64
+	}{"it probes though it watches nobody": {real, 0}, "it watches and does not probe": {idle, 4}} {
+		if got := Compare(like, c.real, 0.1, c.watched, 3); len(got) == 0 || !strings.Contains(strings.Join(got, "; "), "net probe: calls") {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
 }
 
 // A strait holds up both ways in order, and breaks and refuses once it is closed.
