Tie the calls of a backend that shares its address with clients, as inferred

The design wants each outgoing call tied to the inquiry that caused it; on the users' platform clients and the backend send to one address, and every call was a root. A call ends with its cause: what has more time left than all that is open, or comes while nothing is, is a client's.

--- a/lineage/book.go
+++ b/lineage/book.go
@@ -22,11 +22,12 @@
 	habits  map[[2]string]*habit
 	ended   map[string]float64     // inquiries ended, by way
 	guesses map[[2]string][]*guess // by service and way of the call
+	mingled map[[2]string]*mingled // by service and way
 }
 
 // NewBook makes an empty book.
 func NewBook() *Book {
-	return &Book{open: map[trace.ID]*Open{}, habits: map[[2]string]*habit{}, ended: map[string]float64{}, guesses: map[[2]string][]*guess{}}
+	return &Book{open: map[trace.ID]*Open{}, habits: map[[2]string]*habit{}, ended: map[string]float64{}, guesses: map[[2]string][]*guess{}, mingled: map[[2]string]*mingled{}}
 }
 
 // Enter opens an inquiry.
@@ -81,10 +82,15 @@
 	case 1:
 		return b.sure(all[0], way, now)
 	}
+	inOrder(all)
+	return b.infer([2]string{service, way}, all, now)
+}
+
+// inOrder sorts candidates, so that a run can be repeated.
+func inOrder(all []*Open) {
 	slices.SortFunc(all, func(x, y *Open) int {
 		return cmp.Or(x.Since.Compare(y.Since), cmp.Compare(x.Span.ID, y.Span.ID))
 	})
-	return b.infer([2]string{service, way}, all, now)
 }
 
 // sure ties a call to the one inquiry that can have caused it.
--- a/lineage/keeper.go
+++ b/lineage/keeper.go
@@ -17,8 +17,10 @@
 type query struct {
 	service, way string
 	told         trace.Span
-	at           time.Time
-	reply        chan Cause
+	// left is the time left that it tells; set if it may be a client's.
+	left  *time.Duration
+	at    time.Time
+	reply chan Cause
 }
 
 // NewKeeper makes a keeper.
@@ -36,7 +38,11 @@
 		case id := <-k.leave:
 			b.Leave(id)
 		case q := <-k.links:
-			q.reply <- b.Link(q.service, q.way, q.told, q.at)
+			if q.left != nil {
+				q.reply <- b.Mingled(q.service, q.way, q.told, *q.left, q.at)
+			} else {
+				q.reply <- b.Link(q.service, q.way, q.told, q.at)
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -61,7 +67,16 @@
 
 // Link ties an outgoing call.
 func (k *Keeper) Link(ctx context.Context, service, way string, told trace.Span) Cause {
-	q := query{service: service, way: way, told: told, at: time.Now(), reply: make(chan Cause, 1)}
+	return k.ask(ctx, query{service: service, way: way, told: told})
+}
+
+// Mingled ties what may be a client's inquiry as well as an outgoing call.
+func (k *Keeper) Mingled(ctx context.Context, service, way string, told trace.Span, left time.Duration) Cause {
+	return k.ask(ctx, query{service: service, way: way, told: told, left: &left})
+}
+
+func (k *Keeper) ask(ctx context.Context, q query) Cause {
+	q.at, q.reply = time.Now(), make(chan Cause, 1)
 	select {
 	case k.links <- q:
 		return <-q.reply
--- a/relay/near.go
+++ b/relay/near.go
@@ -182,6 +182,10 @@
 			q.leg.Rank = q.cause.Rank
 		}
 	}
+	if q.caller == "" && n.Home != "" {
+		// It says itself how long its client waits: what is inferred decides nothing.
+		q.cause = n.Lineage.Mingled(ctx, n.Home, q.way.Name, told, time.Until(q.expiry))
+	}
 	switch {
 	case !q.cause.Parent.IsZero():
 		q.span = q.cause.Parent.Child()
