--- a/roster/announcement.go
+++ b/roster/announcement.go
@@ -20,6 +20,9 @@
 	Capacity int     `json:"capacity"`
 	Warmup   *Warmup `json:"warmup"`
 	Leaving  bool    `json:"leaving"`
+	// Count rises with each announcement of an instance, so that an overtaken one is
+	// known; zero if it does not say.
+	Count uint64 `json:"count,omitempty"`
 }
 
 // Warmup is how much of its capacity a cold backend can bear now, and how long
--- a/roster/entry.go
+++ b/roster/entry.go
@@ -17,6 +17,8 @@
 	ramp   time.Duration
 	// share is what it said that it bears; Share is what others are told.
 	share float64
+	// count is that of its newest announcement.
+	count uint64
 	// coldUntil is when it is warm by its own word.
 	coldUntil time.Time
 	// Desk counts its open inquiries; all snapshots share it.
--- a/roster/line_test.go
+++ b/roster/line_test.go
@@ -143,9 +143,12 @@
 func TestShortFirst(t *testing.T) {
 	const ms = time.Millisecond
 	var l Line
-	for way, took := range map[string]time.Duration{"short": 40 * ms, "long": 200 * ms} {
-		l.Ask(Bid{Rank: 1, Way: way, Left: time.Second}, 1, 0)
-		l.Done(way, took, 1, 0)
+	for _, r := range []struct {
+		way  string
+		took time.Duration
+	}{{"short", 40 * ms}, {"long", 200 * ms}} {
+		l.Ask(Bid{Rank: 1, Way: r.way, Left: time.Second}, 1, 0)
+		l.Done(r.way, r.took, 1, 0)
 	}
 	l.Ask(Bid{Rank: 1, Way: "long", Left: time.Second}, 1, 0)
 	_, long, _, _ := l.Ask(Bid{Rank: 1, Way: "long", Left: 700 * ms}, 1, 0)
--- /dev/null
+++ b/roster/overtaken_test.go
@@ -0,0 +1,30 @@
+package roster
+
+import (
+	"testing"
+	"time"
+)
+
+// An announcement that was overtaken on its way, however late, calls no leaving backend
+// back; one that counts nothing is taken as ever.
+func TestOvertaken(t *testing.T) {
+	now := time.Now()
+	a := Announcement{Instance: "a", Service: "s", Address: "10.0.0.1:80", Capacity: 9, Count: 7}
+	r, faults := Roster{}.Announce(a, "north", now)
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	gone, late := a, a
+	gone.Leaving, gone.Count, late.Count = true, 9, 8
+	r, _ = r.Announce(gone, "north", now)
+	for _, after := range []time.Duration{time.Millisecond, leftFor + time.Second} {
+		next, _ := r.Announce(late, "north", now.Add(after))
+		if e := next.entries["a"]; !e.Leaving || e.Heard != now {
+			t.Errorf("after %v an overtaken beat was taken: %+v", after, e)
+		}
+	}
+	late.Count = 0
+	if next, _ := r.Announce(late, "north", now.Add(leftFor+time.Second)); next.entries["a"].Leaving {
+		t.Error("one that does not count is not taken")
+	}
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -28,7 +28,10 @@
 		return r, faults
 	}
 	old, known := r.entries[a.Instance]
-	e := Entry{Heard: now, ramp: ramp, share: share, coldUntil: now.Add(left), Desk: old.Desk, LeftAt: old.LeftAt, Backend: cohort.Backend{
+	if known && a.Count != 0 && a.Count < old.count {
+		return r, nil // overtaken by a later one: it tells nothing any more
+	}
+	e := Entry{Heard: now, ramp: ramp, share: share, coldUntil: now.Add(left), Desk: old.Desk, LeftAt: old.LeftAt, count: a.Count, Backend: cohort.Backend{
 		Instance: a.Instance, Service: a.Service, Address: a.Address, Capacity: a.Capacity, Share: share,
 		Locality: cmp.Or(a.Locality, home), Leaving: a.Leaving,
 	}}
