Try for a static seat once at a time: an overtaken try left a core that never votes

Cause: an empty core tried for its seat every 0.3 s, whether or not the last try had ended. Where its Sit took longer than that (two syncs at busy disks), the others had granted a second and third try, each one incarnation up, before the first was told; it sat under the first, and by what the others know its votes don't count. It says that it is ready, and with it another core may not be lost. A restart does not help: the incarnation is on disk. Ruled out: slow disks alone (syncs took 0.17 s at most when measured), the duty (reads ask a majority first), a missing word (Sit copies it). Change: one try at a time, each asking for more than any before it, so that a ballot that comes late is refused by whoever granted the seat.

--- a/register/keeper.go
+++ b/register/keeper.go
@@ -54,6 +54,11 @@
 	start  time.Time
 	orders map[uint64]chan<- Answer
 	seated time.Duration
+	// trying is whether a try for the seat is under way, and asked the highest
+	// incarnation asked for so far. A seat taken under a lower one than another try
+	// was granted would be no seat: there is one try at a time, and each asks for more.
+	trying bool
+	asked  uint64
 	shown  atomic.Pointer[Voter]
 	told   uint64
 	// Confirmed is told that as of a moment no newer word than the one under
@@ -293,8 +298,9 @@
 	case msgVote:
 		k.obey(ctx, k.clerk.Hear(m.v, now))
 	case msgReads:
-		k.tryBirth(ctx, m.votes)
+		k.trying = k.tryBirth(ctx, m.votes)
 	case msgSits:
+		k.trying = false
 		if next, ok := k.voter.Seated(m.self, m.votes); ok && k.save(next) {
 			k.Log.Info("took the seat", "slot", m.self.Slot, "incarnation", m.self.Inc, "stamp", next.Mark.Stamp)
 			k.tell(ctx)
@@ -321,8 +327,8 @@
 	case Seeking:
 		return // the core asks for a seat
 	case Virgin, Lost:
-		if now-k.seated >= seatEvery || k.seated == 0 {
-			k.seated = now
+		if !k.trying && (now-k.seated >= seatEvery || k.seated == 0) {
+			k.seated, k.trying = now, true
 			k.Launcher.Go(ctx, "look-for-seat", func(ctx context.Context) {
 				k.box.Send(ctx, msgReads{k.others(ctx, Ballot{From: k.Voter().Self, Act: Read})})
 			})
@@ -347,23 +353,27 @@
 	return votes
 }
 
-func (k *Keeper) tryBirth(ctx context.Context, votes map[int]Vote) {
+// tryBirth goes on with a try for the seat; true if it asks the others for it.
+func (k *Keeper) tryBirth(ctx context.Context, votes map[int]Vote) bool {
 	if k.voter.Phase == Established {
-		return
+		return false
 	}
 	if next, ok := k.voter.Born(votes); ok {
 		if k.save(next) {
 			k.Log.Info("born", "slot", next.Self.Slot, "slots", next.Founded)
 		}
-		return
+		return false
 	}
 	self, may := k.voter.Claimant(votes)
 	if !may {
-		return
+		return false
 	}
+	k.asked = max(k.asked+1, self.Inc)
+	self.Inc = k.asked
 	k.Launcher.Go(ctx, "sit", func(ctx context.Context) {
 		k.box.Send(ctx, msgSits{self, k.others(ctx, Ballot{From: self, Act: Sit})})
 	})
+	return true
 }
 
 // take puts a ballot to the own voter. The vote is only sent when what it
