Tear a file in TestTornFiles that the core holds, not one it was just writing

Cause: the acknowledgement may be the other two cores' word. Ruled out: the vault, which ignores a half-written file as it should. Change: wait until the core shows the word, which it does once it is on its disk; never pick an .aside. Stricter: the incarnation must rise each time, not be over 1.

--- a/proof/word_test.go
+++ b/proof/word_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -129,11 +130,23 @@
 	f, ctx := start(t, coresOnly(3))
 	stamp, err := f.Put(ctx, 0, configuration(1))
 	must(t, err)
+	var st struct {
+		Self struct{ Incarnation uint64 }
+		Mark struct{ Stamp uint64 }
+	}
 	for _, kind := range []string{"word.", "oath."} {
+		// Others may have been the majority that acknowledged it.
+		must(t, fleet.Await(ctx, "the word on its disk", func(ctx context.Context) bool {
+			_, err := f.Cores[1].Get(ctx, "/v1/state", &st)
+			return err == nil && st.Mark.Stamp == stamp
+		}))
+		was := st.Self.Incarnation
 		f.Cores[1].Kill()
 		dir := filepath.Join(f.Dir, "core-2")
 		names, err := filepath.Glob(filepath.Join(dir, kind+"*"))
 		must(t, err)
+		// A file that was being written aside is nothing, and tearing it no harm.
+		names = slices.DeleteFunc(names, func(n string) bool { return strings.HasSuffix(n, ".aside") })
 		newest := names[len(names)-1]
 		b, err := os.ReadFile(newest)
 		must(t, err)
@@ -146,13 +159,9 @@
 		if len(aside) == 0 {
 			t.Errorf("no %s file was set aside", kind)
 		}
-		var st struct {
-			Self struct{ Incarnation uint64 }
-			Mark struct{ Stamp uint64 }
-		}
 		must(t, fleet.Await(ctx, "the word to be mended", func(ctx context.Context) bool {
 			_, err := f.Cores[1].Get(ctx, "/v1/state", &st)
-			return err == nil && st.Mark.Stamp == stamp && st.Self.Incarnation > 1
+			return err == nil && st.Mark.Stamp == stamp && st.Self.Incarnation > was
 		}))
 	}
 }
