Keep the overtaken try for a seat as a defect that must be caught; tell of it

Cause: mended it; nothing held the mending in place but its own test. Ruled out: the simulator, whose cores try once at a time by their build. Change: a defect that takes the one-at-a-time out (caught by TestSeatGrantedSlowly), and the rule in DESIGN 6.5.

--- a/proof/defects/all.go
+++ b/proof/defects/all.go
@@ -77,5 +77,6 @@
 	{dropped, "sidecar/node.go", "for n.far.Counts.Open.Load() > 0 || n.near.Counts.Open.Load() > 0 {", "for false {", "./proof", "TestDrain", nil},
 	{dropped, "sidecar/node.go", "n.webs[1].Part(parting, relay.Farewell(n.near.Dialect))", "", "./proof", "TestFarewell", nil},
 	{returns, "feed/feed.go", "SettleIn = 700 * time.Millisecond", "SettleIn = 17 * time.Second", "./proof", "TestHerd", nil},
+	{returns, "register/keeper.go", "!k.trying && ", "", "./register", "TestSeatGrantedSlowly", nil},
 	{waits, "trace/queue.go", "\tdefault:\n\t\tq.dropped.Add(1)\n", "", "./trace", "TestFullQueue", nil},
 }
