--- a/way/cost.go
+++ b/way/cost.go
@@ -22,6 +22,8 @@
 	mass [costBuckets + 1]float64
 	sum  float64
 	at   time.Duration
+	// lent says that it is the way's at all backends, since too little is known of the one.
+	lent bool
 }
 
 func costBucket(d time.Duration) int {
--- a/way/costs.go
+++ b/way/costs.go
@@ -71,7 +71,9 @@
 	for _, k := range []costKey{{way, t.Node, t.Instance}, {way: way}} {
 		if x := c.table[k]; x != nil {
 			if x.age(now); x.Known() {
-				return *x
+				known := *x
+				known.lent = k.instance == "" && k.node == ""
+				return known
 			}
 		}
 	}
--- a/way/spend.go
+++ b/way/spend.go
@@ -88,7 +88,13 @@
 func (m *Means) crosses(near, far cohort.Target, now time.Time) bool {
 	if m.Crossing > 0 {
 		// A place that is full refuses, and then one crosses all the same.
-		return m.inTime(far, now)-m.inTime(near, now) > m.Crossing
+		there := m.inTime(far, now)
+		if c := m.Cost(far); c.lent && fill(near) >= 1 && fill(far) < 1 {
+			// What was learned in the line of the own locality says nothing of a place
+			// without one. It is tried, and then judged by what it does.
+			there = 1
+		}
+		return there-m.inTime(near, now) > m.Crossing
 	}
 	c := m.Cost(near)
 	if c.Known() && m.bears(near, now) && fill(near) < 1 {
--- a/way/spend_test.go
+++ b/way/spend_test.go
@@ -15,6 +15,8 @@
 	nodes map[string]cohort.Node
 	costs *Costs
 	view  *cohort.View
+	// crossing is Means.Crossing.
+	crossing float64
 }
 
 // newSite makes places by instance: where they stand and how long legs take.
@@ -43,7 +45,7 @@
 	for seed := range uint64(400) {
 		now := time.Now()
 		d := Decision{Way: desired.Way{Name: "w", Service: "s"}, Expiry: now.Add(left), Locality: "north", Rand: rand.New(rand.NewPCG(seed, 1)),
-			Means: Means{Aim: now.Add(100 * time.Millisecond), Room: 900 * time.Millisecond, Patience: patience,
+			Means: Means{Aim: now.Add(100 * time.Millisecond), Room: 900 * time.Millisecond, Patience: patience, Crossing: s.crossing,
 				Cost: func(t cohort.Target) Cost { return s.costs.Of("w", t) }, Spend: func() bool { return true }}}
 		if o := d.Ask(table, s.view, now); o.Send {
 			out[o.Target.Instance]++
@@ -95,6 +97,40 @@
 	}
 }
 
+// Where crossing has its price, a place that nothing was learned of is tried once the
+// own locality's is full and late: what was learned there says nothing of it. One that
+// was learned of is judged by that. (incident inc-ea11)
+func TestCrossingUnlearned(t *testing.T) {
+	late, places := 200*time.Millisecond, places{"near": {"north", 200 * time.Millisecond}}
+	for name, c := range map[string]struct {
+		open int64 // at near, of 4 places
+		far  time.Duration
+		want string
+	}{
+		"full, never tried": {5, 0, "far"},
+		"not full":          {1, 0, "near"},
+		"tried, as late":    {5, late, "near"},
+		"tried, in time":    {5, 20 * time.Millisecond, "far"},
+	} {
+		s := newSite(places)
+		s.crossing = 0.06
+		s.nodes["far"] = cohort.Node{Addr: "far", Backends: []cohort.Backend{{Instance: "far", Service: "s", Locality: "south", Capacity: 4, Share: 1}}}
+		s.view = cohort.NewView(s.nodes, nil)
+		for _, x := range s.view.Service("s") {
+			if x.Instance == "near" {
+				x.Load.Legs.Add(c.open)
+			} else if c.far > 0 {
+				for range 20 {
+					s.costs.Learn("w", x, c.far, false)
+				}
+			}
+		}
+		if got := s.picks(time.Second, 0); got[c.want] != 400 {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
+
 // When the time left hardly covers what a way takes, it is refused before any
 // leg, not run; a trickle still goes, so that a wrong lesson heals.
 func TestVain(t *testing.T) {
