--- a/wire/circuit.go
+++ b/wire/circuit.go
@@ -157,7 +157,9 @@
 	dropped := map[uint64]bool{}
 	var next uint64
 	heard := time.Now()
-	tick := time.NewTicker(pingAfter)
+	// It runs only while calls are open: a node has a circuit to each other one, and an
+	// idle one should cost nothing.
+	tick := time.NewTimer(pingAfter)
 	defer tick.Stop()
 	defer func() {
 		c.conn.Close()
@@ -185,6 +187,7 @@
 			k.id = next
 			if len(open) == 0 {
 				heard = time.Now()
+				tick.Reset(pingAfter)
 			}
 			sent, ok := write(k.span, message{ID: k.id, Kind: k.kind, Body: k.body})
 			if sent {
@@ -229,6 +232,7 @@
 			if len(open) == 0 {
 				continue
 			}
+			tick.Reset(pingAfter)
 			if time.Since(heard) > breakAfter {
 				return
 			}
