Wait in TestReplacedOneByOne until the sidecar too has nothing open at the old one

What was written before the leaving was taken lies with the kernel while the stand-in has read nothing and shows nothing open. Change: idle means that the sidecar's own page shows nothing open there as well; after that not one inquiry may run, as before.

--- a/proof/loss_test.go
+++ b/proof/loss_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -109,7 +110,16 @@
 		must(t, err)
 		must(t, awaitRuns(ctx, b.Runs.Load, 3))
 		must(t, old.Leave(ctx))
-		must(t, fleet.Await(ctx, "the old one to be idle", func(context.Context) bool { return old.Open() == 0 }))
+		// What was written to it before it left may not have been read yet.
+		must(t, fleet.Await(ctx, "the old one to be idle", func(ctx context.Context) bool {
+			type entry struct {
+				Instance string
+				Open     int64
+			}
+			var page []entry
+			_, err := f.Sidecars[i].Get(ctx, "/v1/backends", &page)
+			return err == nil && old.Open() == 0 && slices.Contains(page, entry{old.Instance, 0})
+		}))
 		left := old.Runs.Load()
 		must(t, awaitRuns(ctx, b.Runs.Load, b.Runs.Load()+5))
 		if n := old.Runs.Load() - left; n > 0 {
