--- a/proof/scale/hollow.go
+++ b/proof/scale/hollow.go
@@ -85,7 +85,7 @@
 func (h *hollow) run(ctx context.Context) {
 	ctx, h.end = context.WithCancel(ctx)
 	h.beat(time.Now())
-	follower := &feed.Follower{Own: h.addr, Seats: h.seeker.Seats, Net: h.net, Hasten: h.seeker.Hasten, Take: h.take}
+	follower := &feed.Follower{Own: h.addr, Locality: h.locality, Seats: h.seeker.Seats, Net: h.net, Hasten: h.seeker.Hasten, Take: h.take}
 	roll := &cohort.Rollcall{Own: h.addr, Net: h.net, Launcher: h.shoal.launcher, Node: h.node, View: h.whole, Seeds: h.seeker.Seeds, News: h.news, Sure: h.agreed.Renew,
 		Take: h.mustered, Gone: func(_ context.Context, addr string) {
 			if h.news(time.Now()) > cohort.Silence {
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -131,7 +131,7 @@
 			p.Fail("outgoing "+svc, err)
 		}
 	}
-	follower := &feed.Follower{Own: set.Advertise, Seats: n.seeker.Seats, Net: p.Net, Hasten: n.seeker.Hasten,
+	follower := &feed.Follower{Own: set.Advertise, Locality: set.Locality, Seats: n.seeker.Seats, Net: p.Net, Hasten: n.seeker.Hasten,
 		Take: func(ctx context.Context, c cohort.Seat, news feed.News, asked time.Time) {
 			// No more is asked for before it is in force: of words that come faster
 			// than that, the core then tells the newest only. (DESIGN 8.2)
