Slots outlast decades of replacements: epochs of a slot lie 2^29 apart

Cause: a slot is used once and epochs of a slot lay 65536 apart, so after 65535 replacements no empty disk got a seat any more: no repair at all. A core that is cut off again and again uses a slot each time. Ruled out: reusing slots (two disks in one slot could take the same epoch). Change: 29 bits of slots, 35 of rounds. The stride is a multiple of the earlier one, so epochs of versions side by side stay apart while slots are below 65536.

--- a/register/epoch.go
+++ b/register/epoch.go
@@ -1,9 +1,12 @@
 package register
 
 // stride is how far a slot's epochs lie apart where slots come and go; MostSlots
-// bounds slot numbers, of which each disk gets a new one.
+// bounds slot numbers, of which each disk gets a new one. 29 bits of slots and 35 of
+// rounds: a replacement every ten seconds, or ten epochs a second, for decades. It is
+// a multiple of the stride of earlier versions, 1 << 16, so the epochs of slots below
+// that stay apart from those which such a version takes.
 const (
-	stride    = 1 << 16
+	stride    = 1 << 29
 	MostSlots = stride - 1
 )
 
