A newcomer that lost power between its word and its oath still gets its seat

Cause: the slot was taken only when the word that names it was accepted; with the word on disk and the oath lost, the settled word was not accepted again, and the core stayed seeking, not ready, while the core on duty took it for seated, until the next order. Change: a settled word that names the voter gives it the slot as well. Test TestNamedBeforePowerWasLost, seen failing first.

--- a/register/voter.go
+++ b/register/voter.go
@@ -85,11 +85,17 @@
 func (v Voter) accept(m Mark, w desired.Word) Voter {
 	v.Mark, v.Word, v.WordDirty = m, w, true
 	v.Promised = max(v.Promised, m.Epoch)
-	if v.Phase == Seeking {
-		for _, s := range w.Slots {
-			if s.ID == v.Self.ID {
-				v.Self, v.OathDirty = From{Slot: s.Slot, Inc: 1, ID: s.ID}, true
-			}
+	return v.named()
+}
+
+// named gives a voter that seeks a seat the slot under which the held word names it.
+func (v Voter) named() Voter {
+	if v.Phase != Seeking {
+		return v
+	}
+	for _, m := range v.Word.Slots {
+		if m.ID == v.Self.ID && m.Slot != v.Self.Slot {
+			v.Self, v.OathDirty = From{Slot: m.Slot, Inc: 1, ID: m.ID}, true
 		}
 	}
 	return v
@@ -241,8 +247,10 @@
 }
 
 // settle notes that the held word is settled; one that it names has its seat by it.
+// The word may have been read from a disk that lost power before it took the slot.
 func (v Voter) settle(stamp uint64) Voter {
 	v.Settled = max(v.Settled, stamp)
+	v = v.named()
 	if v.Phase == Seeking && v.Settled == v.Mark.Stamp && v.Self.Slot != 0 && has(v.Sets().Now, v.Self) {
 		v.Phase, v.OathDirty = Established, true
 	}
