Refuse another configuration under a number that was taken

Cause: a numbered configuration no higher than the one held was acknowledged without a look at its bytes, so that two operators could both be confirmed under one number.

TestEditions (register and proof) took an acknowledgement of other bytes under the held number for right; both now ask for a refusal, and for the acknowledgement of the same bytes, at each core, after a kill of all and after a change of duty.

--- a/core/control.go
+++ b/core/control.go
@@ -178,6 +178,8 @@
 		out.InForce, out.Behind = &inForce, behind
 	case register.Mismatch:
 		status, out.Stamp, out.Error = http.StatusPreconditionFailed, a.Word.DesiredStamp, "the newest stamp is another one"
+	case register.Conflict:
+		status, out.Stamp, out.Error = http.StatusConflict, 0, "another configuration was taken under its number"
 	default:
 		out.Error = "no majority of cores took it"
 		status = http.StatusServiceUnavailable
--- a/core/door.go
+++ b/core/door.go
@@ -23,7 +23,15 @@
 	if len(faults) > 0 {
 		return register.Answer{Result: register.NotTaken}, faults
 	}
-	return n.obey(ctx, register.Order{Kind: register.Put, Bytes: e.Desired, Edition: e.Number, Sent: e.Sent, IfMatch: e.IfMatch}), nil
+	o := register.Order{Kind: register.Put, Bytes: e.Desired, Edition: e.Number, Sent: e.Sent, IfMatch: e.IfMatch}
+	if e.Number != 0 {
+		o.Digest = desired.Digest(e.Sent, e.Desired)
+	}
+	a := n.obey(ctx, o)
+	if a.Result == register.Conflict {
+		n.p.Log.Warn("another configuration was taken under its number", "generation", e.Number, "held", a.Word.Edition)
+	}
+	return a, nil
 }
 
 // Empty has a locality emptied.
--- a/core/edition.go
+++ b/core/edition.go
@@ -3,7 +3,8 @@
 // Edition is a configuration with the operator's own number.
 type Edition struct {
 	// Number is from 1 up; an edition that is no higher than one that was taken is
-	// acknowledged and changes nothing. Zero: the operator does not number them.
+	// acknowledged and changes nothing, unless another was taken under its number: then
+	// it is refused for good. Zero: the operator does not number them.
 	Number  uint64
 	Desired []byte
 	// Sent is what the operator sent, if Desired is another form of it.
--- a/desired/word.go
+++ b/desired/word.go
@@ -16,6 +16,8 @@
 	// Sent is what the operator sent, byte for byte, if Desired is another form of
 	// it. Only cores keep it.
 	Sent []byte `msgpack:"st,omitempty"`
+	// Taken is the record of the newest taken numbers, sorted. Only cores keep it.
+	Taken []Taken `msgpack:"tk,omitempty"`
 	// CalendarStamp is the stamp under which Calendar was put.
 	CalendarStamp uint64    `msgpack:"cs,omitempty"`
 	Calendar      []byte    `msgpack:"c,omitempty"`
@@ -30,7 +32,7 @@
 
 // Bare is the word as sidecars get it.
 func (w Word) Bare() Word {
-	w.Sent = nil
+	w.Sent, w.Taken = nil, nil
 	return w
 }
 
--- a/proof/edition_test.go
+++ b/proof/edition_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -50,8 +51,17 @@
 	}
 	reads(1, 0, put(0, configuration(1)).Stamp, configuration(1))
 	seven := numbered(2, 7, configuration(7)).Stamp
-	numbered(1, 7, configuration(8))
+	refused := func(core int, n uint64, body []byte) {
+		t.Helper()
+		if r := put(core, body, "Curlewwalk-Edition", fmt.Sprint(n)); r.Status != 409 || r.Taken != "conflict" {
+			t.Errorf("another configuration under %d: %d %s", n, r.Status, r.Body)
+		}
+	}
+	numbered(1, 7, configuration(7))
 	numbered(0, 6, configuration(6))
+	for core := range f.Cores {
+		refused(core, 7, configuration(8))
+	}
 	reads(2, 7, seven, configuration(7))
 	for _, bad := range []string{"0", "-1", "x", "18446744073709551616"} {
 		if r := put(0, configuration(9), "Curlewwalk-Edition", bad); r.Status != 400 {
@@ -70,9 +80,25 @@
 	for _, p := range f.Cores {
 		must(t, p.Ready(ctx))
 	}
-	numbered(1, 7, configuration(8))
+	for core := range f.Cores {
+		refused(core, 7, configuration(8))
+	}
+	numbered(1, 7, configuration(7))
 	reads(0, 7, seven, configuration(7))
 	reads(2, 8, numbered(0, 8, configuration(8)).Stamp, configuration(8))
+	refused(1, 7, configuration(8))
+	numbered(2, 7, configuration(7))
+	// The one on duty is gone, and it is still told.
+	f.Cores[0].Kill()
+	for core := 1; core <= 2; core++ {
+		must(t, fleet.Await(ctx, "another to be on duty", func(ctx context.Context) bool {
+			r, err := f.Operate(ctx, f.Cores[core], "PUT", "/v1/desired", configuration(8), "Curlewwalk-Edition", "8")
+			return err == nil && r.Status == 200
+		}))
+		refused(core, 8, configuration(9))
+		refused(core, 7, configuration(9))
+		numbered(core, 7, configuration(7))
+	}
 }
 
 // A storm of editions, all at once and in no order, is taken without piling up:
--- a/register/answer.go
+++ b/register/answer.go
@@ -5,12 +5,14 @@
 // Result is what became of an order.
 type Result string
 
-// Taken: a majority holds it. Mismatch: the stamp to match was not the newest.
-// NotTaken: it surely never will be. Unknown: it may still be found and
-// finished.
+// Taken: a majority holds it, or held it before something newer. Mismatch: the stamp
+// to match was not the newest. Conflict: another configuration was taken under its
+// number, and this one never will be. NotTaken: it surely never will be. Unknown: it
+// may still be found and finished. (DESIGN 6.3)
 const (
 	Taken    Result = "taken"
 	Mismatch Result = "mismatch"
+	Conflict Result = "conflict"
 	NotTaken Result = "not-taken"
 	Unknown  Result = "unknown"
 )
--- a/register/clerk.go
+++ b/register/clerk.go
@@ -53,6 +53,9 @@
 // Take queues an order.
 func (c *Clerk) Take(o Order, now time.Duration) []Outcome {
 	o.at = now
+	if o.Kind == Put && o.Edition != 0 && o.Digest == nil {
+		o.Digest = desired.Digest(o.Sent, o.Bytes)
+	}
 	c.orders = append(c.orders, o)
 	return c.proceed(now)
 }
@@ -212,7 +215,8 @@
 	case o.Kind == Begin && c.held.Noted(o.Window), o.Kind == End && !c.held.Noted(o.Window):
 		return ans, true // whoever had the duty before has seen to it
 	case o.Kind == Put && o.Edition != 0 && o.Edition <= c.held.Edition:
-		return ans, true // repeated, or overtaken by the operator itself
+		ans.Result = repeated(c.held, o)
+		return ans, true
 	case o.Kind == Put && o.Edition != 0 && o.proposed.Stamp != 0 && o.IfMatch == nil:
 		// Editions never fall, so it was not taken, and a word under a later epoch
 		// stands in its way for good: it is proposed once more.
@@ -230,6 +234,18 @@
 	return ans, false
 }
 
+// repeated is what becomes of a configuration whose number is no higher than the one
+// held: the bytes that were taken under it are acknowledged again, others are refused,
+// and a number that was passed over, or taken too long ago to be known, is acknowledged
+// and changes nothing. What is held is settled, so no later word can tell otherwise.
+// (DESIGN 6.3)
+func repeated(held desired.Word, o Order) Result {
+	if same, known := held.TakenAs(o.Edition, o.Digest); known && !same {
+		return Conflict
+	}
+	return Taken
+}
+
 // does tells whether a held word is what the order asked for.
 func does(w desired.Word, o Order) bool {
 	switch o.Kind {
@@ -258,7 +274,7 @@
 	case Put:
 		w.Desired, w.DesiredStamp, w.Sent = o.Bytes, w.Stamp, nil
 		if o.Edition != 0 {
-			w.Edition, w.Sent = o.Edition, o.Sent
+			w.Edition, w.Sent, w.Taken = o.Edition, o.Sent, w.Take(o.Edition, o.Digest)
 		}
 	case Calendar:
 		w.Calendar, w.CalendarStamp = o.Bytes, w.Stamp
--- a/register/disk.go
+++ b/register/disk.go
@@ -55,6 +55,7 @@
 
 	Edition  uint64           `json:"edition,omitempty"`
 	Sent     []byte           `json:"sent,omitempty"`
+	Taken    []desired.Taken  `json:"taken,omitempty"`
 	Slots    []desired.Member `json:"slots,omitempty"`
 	Formerly []desired.Member `json:"formerly,omitempty"`
 	Top      int              `json:"top,omitempty"`
@@ -97,7 +98,7 @@
 		v.Mark = h.Mark
 		v.Word = desired.Word{Stamp: h.Stamp, DesiredStamp: h.DesiredStamp, Emptied: h.Emptied, Desired: body,
 			CalendarStamp: h.CalendarStamp, Calendar: h.Calendar, Closures: h.Closures,
-			Edition: h.Edition, Sent: h.Sent,
+			Edition: h.Edition, Sent: h.Sent, Taken: h.Taken,
 			Slots: h.Slots, Formerly: h.Formerly, Top: h.Top}
 		v.Promised = max(v.Promised, h.Epoch)
 	}
@@ -124,7 +125,7 @@
 	if v.WordDirty {
 		head, err := json.Marshal(wordHead{Mark: v.Mark, DesiredStamp: v.Word.DesiredStamp, Emptied: v.Word.Emptied,
 			CalendarStamp: v.Word.CalendarStamp, Calendar: v.Word.Calendar, Closures: v.Word.Closures,
-			Edition: v.Word.Edition, Sent: v.Word.Sent,
+			Edition: v.Word.Edition, Sent: v.Word.Sent, Taken: v.Word.Taken,
 			Slots: v.Word.Slots, Formerly: v.Word.Formerly, Top: v.Word.Top})
 		if err != nil {
 			return eris.Wrap(err, "word")
--- a/register/edition_test.go
+++ b/register/edition_test.go
@@ -138,11 +138,14 @@
 	if w.Edition != 5 || string(w.Desired) != "five" || string(w.Sent) != "sent five" || w.DesiredStamp != w.Stamp {
 		t.Errorf("%+v", w)
 	}
-	for _, n := range []uint64{5, 4, 1} {
-		if again := put(1, edition(n, "other")); again.Stamp != w.Stamp || string(again.Desired) != "five" {
+	for n, text := range map[uint64]string{5: "five", 4: "other", 1: "other"} {
+		if again := put(1, edition(n, text)); again.Stamp != w.Stamp || string(again.Desired) != "five" {
 			t.Errorf("edition %d after 5: %+v", n, again)
 		}
 	}
+	other := b.give(1, edition(5, "other"))
+	b.rest()
+	b.expect(other, Conflict)
 	stamp := w.DesiredStamp + 7
 	o := edition(5, "five")
 	o.IfMatch = &stamp
@@ -160,7 +163,7 @@
 	if w = b.newest(); w.Edition != 5 || w.Sent != nil || string(w.Desired) != "plain" {
 		t.Errorf("after one without a number: %+v", w)
 	}
-	put(1, edition(5, "late"))
+	put(1, edition(5, "five"))
 	if w = b.newest(); string(w.Desired) != "plain" {
 		t.Errorf("an old edition came back: %+v", w)
 	}
--- a/register/order.go
+++ b/register/order.go
@@ -33,7 +33,9 @@
 	// Edition is the operator's own number of what is put, from 1; zero: none.
 	Edition uint64 `msgpack:"ed,omitempty"`
 	// Sent is what the operator sent of an edition, if in another form.
-	Sent     []byte  `msgpack:"st,omitempty"`
+	Sent []byte `msgpack:"st,omitempty"`
+	// Digest identifies a numbered configuration as it was sent.
+	Digest   []byte  `msgpack:"dg,omitempty"`
 	Locality string  `msgpack:"l"`
 	Window   string  `msgpack:"w,omitempty"`
 	IfMatch  *uint64 `msgpack:"m"`
