A newcomer is ready only once the set that names it is in force by itself

Cause: a core told ready as soon as the change that brought it in was settled. Until the change is sealed majorities of the set before are needed as well, so a loss right after a core said that it was ready could stop the cores for good. Change: readiness of a newcomer waits for the seal; a member stays ready during later changes of the set. Test TestLacksSeat, seen failing without the new case.

--- a/core/door.go
+++ b/core/door.go
@@ -57,19 +57,35 @@
 // Ready tells whether the core serves, and why not.
 func (n *Node) Ready(ctx context.Context) (bool, string) {
 	st, ok := n.directory.State(ctx)
+	lacking := lacksSeat(n.keeper.Voter(), n.joined.Load())
+	n.joined.Store(lacking == "")
 	switch {
 	case n.draining.Load():
 		return false, "stopping"
-	case n.keeper.Voter().Phase != register.Established:
-		return false, "not established in its slot"
-	case !n.keeper.Voter().Member():
-		return false, "its slot was struck"
+	case lacking != "":
+		return false, lacking
 	case !ok || !st.Open:
 		return false, "still being told of the nodes"
 	}
 	return true, "serving"
 }
 
+// lacksSeat tells why a core does not count as a member yet, or nothing; joined is
+// whether it did when this was last asked. A change of the set that brought it in has to
+// be finished: until then a loss in the set before may stop the cores. Changes after that
+// one leave it a member.
+func lacksSeat(v register.Voter, joined bool) string {
+	switch {
+	case v.Phase != register.Established:
+		return "not established in its slot"
+	case !v.Member():
+		return "its slot was struck"
+	case !joined && len(v.Sets().Before) > 0:
+		return "the set before is still needed beside the one that names it"
+	}
+	return ""
+}
+
 // InForce waits until all sidecars have a stamp in force, or for a while, and
 // lists those that have not; known is false while that can't be told.
 // (DESIGN 6.6)
--- a/core/node.go
+++ b/core/node.go
@@ -37,6 +37,7 @@
 	reload    *process.Reloader
 	web       *process.Web
 	draining  atomic.Bool
+	joined    atomic.Bool // a member, when readiness was last asked for
 }
 
 // New puts the parts together and opens the addresses.
