A core that is stopped leaves a set of even size before it ends

Cause: a planned replacement (the new core first, then SIGTERM to the old one) left a set of four with one dead member until it was struck, 2.5 s later. A second loss in that time, or one whose disk was lost for good, left two of four: no majority, for good. Ruled out: striking the silent sooner (a freeze would change the set each time); shrinking odd sets (the member may be back with its disk, and the smaller set bears one loss fewer). Change: a stopping member of an even set above the smallest orders its own strike, tries for 2 s at most, and ends once the set without it is in force; it does not ask for a new seat while it drains.

--- a/core/applicant.go
+++ b/core/applicant.go
@@ -13,7 +13,7 @@
 const applyEvery = 200 * time.Millisecond // (ours)
 
 // apply asks for a seat while this core has none, until ctx ends. A core with a
-// static seat asks for none. (DESIGN 6.5)
+// static seat asks for none, nor does one that is being stopped. (DESIGN 6.5)
 func (n *Node) apply(ctx context.Context) {
 	if n.set.Static() {
 		return
@@ -27,7 +27,7 @@
 		case <-wait.C:
 		}
 		next := cohort.Beat
-		if n.keeper.Voter().Phase == register.Seeking {
+		if n.keeper.Voter().Phase == register.Seeking && !n.draining.Load() {
 			n.ask(ctx)
 			next = applyEvery
 		}
--- /dev/null
+++ b/core/leave.go
@@ -0,0 +1,45 @@
+package core
+
+import (
+	"context"
+	"time"
+
+	"curlewwalk/register"
+)
+
+const (
+	// leaveLimit is how long a core that is being stopped tries to leave the set.
+	leaveLimit = 2 * time.Second // (ours)
+	// leaveEvery is how often it looks whether it has left, or tries again.
+	leaveEvery = 100 * time.Millisecond // (ours)
+)
+
+// leave has this core, which is being stopped, leave a set of slots that bears no
+// fewer losses without it, and returns once the set without it is in force: no
+// majority that a next loss leaves needs this core any more. (DESIGN 6.5)
+func (n *Node) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveLimit)
+	defer cancel()
+	look := time.NewTicker(leaveEvery)
+	defer look.Stop()
+	left := false
+	for {
+		v := n.keeper.Voter()
+		o, ok := register.Leave(v)
+		switch {
+		case left && v.Phase != register.Established:
+			return // it has learnt that the set without it is in force
+		case !left && ok:
+			a := n.write(ctx, o)
+			left = a.Result == register.Taken
+			n.p.Log.Info("leaves the set of slots", "slot", v.Self.Slot, "taken", string(a.Result))
+		case !left && len(v.Sets().Before) == 0:
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-look.C:
+		}
+	}
+}
--- a/core/node.go
+++ b/core/node.go
@@ -228,6 +228,7 @@
 	n.draining.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), n.reload.Drain())
 	defer cancel()
+	n.leave(ctx)
 	n.web.Stop(ctx)
 	n.p.End()
 }
--- a/proof/seats_test.go
+++ b/proof/seats_test.go
@@ -225,3 +225,33 @@
 	}
 	c.takes(c.Cores[0])
 }
+
+// A planned replacement: the new core comes first, then the old one is stopped for
+// good, and right after its end another loses its disk for good. The two that are left
+// are a majority of the set without the one that was stopped: they serve, and hold what
+// was taken.
+func TestLossAfterPlannedReplacement(t *testing.T) {
+	t.Parallel()
+	c := newComers(t, 3)
+	c.takes(c.Cores[1])
+	c.join(4)
+	c.slots(4)
+	c.takes(c.Cores[3])
+	if code := c.Cores[0].Stop(); code != 0 {
+		t.Errorf("the stopped core ended with %d", code)
+	}
+	c.Kill(c.Cores[1])
+	must(t, os.RemoveAll(c.data(2)))
+	begin := time.Now()
+	c.holds(configuration(c.put))
+	c.takes(c.Cores[2])
+	t.Logf("took an order %v after the second loss", time.Since(begin).Round(time.Millisecond))
+	c.Cores[1].Without("--first", "--founders")
+	must(t, c.Revive(c.Cores[1]))
+	c.slots(3)
+	// The stopped one may come back after all: it is seated anew.
+	c.Cores[0].Without("--first", "--founders")
+	must(t, c.Revive(c.Cores[0]))
+	c.slots(4)
+	c.takes(c.Cores[0])
+}
--- a/register/usher.go
+++ b/register/usher.go
@@ -118,3 +118,16 @@
 	}
 	return Order{Kind: Reseat, Of: set, Out: out}, true
 }
+
+// Leave finds the change by which a member that is being stopped leaves an even set.
+// Such a set bears no more losses than the odd one without that member, and while the
+// member is away it bears one fewer. An odd set stays as it is: the member may be back
+// with its disk.
+func Leave(v Voter) (Order, bool) {
+	set := v.Sets().Now
+	even := len(set)%2 == 0 && len(set) > max(leastSlots, len(v.Founders))
+	if v.Founded > 0 || !v.Member() || !even || len(v.Sets().Before) > 0 {
+		return Order{}, false
+	}
+	return Order{Kind: Reseat, Of: set, Out: v.Self.Slot}, true
+}
--- a/register/usher_test.go
+++ b/register/usher_test.go
@@ -126,3 +126,38 @@
 		t.Error("does not strike after it has looked on")
 	}
 }
+
+// A member that stops leaves an even set, which bears no more losses than the odd one
+// without it; an odd set, a founding one and the smallest stay as they are.
+func TestLeave(t *testing.T) {
+	for _, c := range []struct {
+		of, founders, self int
+		before             bool
+		leaves             bool
+	}{
+		{of: 4, founders: 3, self: 1, leaves: true},
+		{of: 4, founders: 3, self: 4, leaves: true},
+		{of: 6, founders: 3, self: 2, leaves: true},
+		{of: 3, founders: 3, self: 1},
+		{of: 5, founders: 3, self: 1},
+		{of: 4, founders: 4, self: 1},
+		{of: 2, founders: 1, self: 1},
+		{of: 4, founders: 3, self: 9}, // no member
+		{of: 4, founders: 3, self: 1, before: true},
+	} {
+		v, _ := hall(c.of)
+		v.Word.Slots, v.Founders = v.Founders, v.Founders[:c.founders]
+		v.Self = From{Slot: c.self, Inc: 1, ID: uint64(c.self)}
+		if c.before {
+			v.Word.Formerly = v.Word.Slots[:3]
+		}
+		o, ok := Leave(v)
+		if ok != c.leaves || ok && (o.Kind != Reseat || o.Out != c.self || o.Seat.Slot != 0 || len(o.Of) != c.of) {
+			t.Errorf("%+v: %+v %v", c, o, ok)
+		}
+	}
+	static := Voter{Founded: 3, Phase: Established, Self: From{Slot: 1, Inc: 1, ID: 1}}
+	if _, ok := Leave(static); ok {
+		t.Error("a static slot is left")
+	}
+}
