Bring the word that seals a change of the set to its end at once

Cause: a clerk with no order left dropped what it proposed at its next tick (50 ms). The word that ends a change is proposed after the order was answered, so wherever votes took longer it was left half done, the majorities of both sets stayed needed, and a refresh under a new epoch finished it 0.3 s later or more. Change: a proposal that no order waits for is brought to its end, within 1 s. Test TestSealOutlastsTicks, seen failing first.

--- a/register/clerk.go
+++ b/register/clerk.go
@@ -14,6 +14,9 @@
 	// comeWithin is how long those that a changed set needs may take to answer; other
 	// orders wait meanwhile.
 	comeWithin = 500 * time.Millisecond // (ours)
+	// finishWithin is how long a proposal that no order waits for may take, such as the
+	// one that ends a change of the set.
+	finishWithin = time.Second // (ours)
 )
 
 type clerkPhase int
@@ -126,7 +129,8 @@
 		c.orders = c.orders[1:]
 		c.drop(now)
 	}
-	if c.phase != idle && len(c.orders) == 0 {
+	finishing := c.phase == proposing && !c.own && now-c.opened < finishWithin
+	if c.phase != idle && len(c.orders) == 0 && !finishing {
 		c.drop(now)
 	}
 	if c.phase != idle && now-c.sent >= resendAfter {
--- a/register/closure_test.go
+++ b/register/closure_test.go
@@ -146,3 +146,47 @@
 		t.Error("judged by a word that was overtaken")
 	}
 }
+
+// The word that seals a change is brought to its end though time passes before its votes
+// come and no order waits; but not for ever, if no majority votes.
+func TestSealOutlastsTicks(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		voters := map[int]Voter{}
+		for s := 1; s <= 4; s++ {
+			voters[s] = Voter{Self: From{Slot: s, Inc: 1, ID: uint64(100 + s)}, Phase: Established, Founders: set(1, 2, 3, 4)}
+		}
+		c := &Clerk{}
+		now := time.Second
+		c.Follow(voters[1], now)
+		outs := c.Take(Order{ID: 1, Kind: Reseat, Out: 4, Of: set(1, 2, 3, 4), Until: time.Minute}, now)
+		sealed, settled := false, false
+		for len(outs) > 0 {
+			o := outs[0]
+			outs = outs[1:]
+			if o.Ballot == nil {
+				continue
+			}
+			settled = settled || o.Ballot.Act == Settle && o.Ballot.Mark.Stamp == 2
+			if o.Ballot.Act == Propose && o.Ballot.Mark.Stamp == 2 && !sealed {
+				sealed = true
+				now += 10 * time.Millisecond
+				outs = append(outs, c.Tick(now)...)
+			}
+			for _, m := range o.To {
+				if sealed && !answered {
+					continue
+				}
+				next, vote := voters[m.Slot].On(*o.Ballot)
+				voters[m.Slot] = next
+				outs = append(outs, c.Hear(vote, now)...)
+			}
+		}
+		if !sealed || settled != answered {
+			t.Errorf("votes come %v: seal proposed %v, settled %v", answered, sealed, settled)
+		}
+		c.Tick(now + finishWithin)
+		if c.phase != idle {
+			t.Errorf("votes come %v: still in phase %d after %v", answered, c.phase, finishWithin)
+		}
+	}
+}
