Tell cores' ballots and passed on orders by differences

Change: delta makes and applies differences; desired.Version and Patch tie them to fingerprints of base and result; the keeper tells Propose, Settle and passed on orders so where the other core's last vote told that it holds a word to make them from. Kinds of their own keep versions mixing.

Tests: TestBytesOfAChange among three keepers with disks: 48,127 bytes a change of 7,630 with the differences turned off (seen failing so), 2,901 to 3,205 with them. TestMixedVersionsOfCores, TestPatch, TestVersions, FuzzApply are new.

--- a/core/node.go
+++ b/core/node.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"os"
 	"slices"
 	"sync/atomic"
@@ -64,8 +65,7 @@
 
 	p.Host.Handlers[cohort.KindHail] = n.hail
 	p.Host.Handlers[feed.KindFollow] = n.directory.Answer
-	p.Host.Handlers[register.KindBallot] = n.keeper.Ballot
-	p.Host.Handlers[register.KindOrder] = n.keeper.Order
+	maps.Copy(p.Host.Handlers, n.keeper.Handlers())
 	p.Host.Handlers[register.KindSeat] = n.usher.asked
 	p.Host.Handlers[collect.KindPublish] = n.store.Publish
 	p.Host.Handlers[collect.KindTrace] = n.store.Trace
@@ -209,7 +209,7 @@
 	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
 	defer cancel()
 	var a register.Answer
-	switch r := n.p.Net.Call(ctx, c.Addr, wire.Control, register.KindOrder, o); {
+	switch r := n.keeper.Forward(ctx, c.Addr, o); {
 	case r.Into(&a):
 		return a
 	case r.Fate == wire.Unsent:
--- a/register/keeper.go
+++ b/register/keeper.go
@@ -65,6 +65,8 @@
 	// this stamp had been acknowledged.
 	Confirmed func(ctx context.Context, at time.Time)
 	sure      confirm
+	// exchange has words told to other cores by differences.
+	exchange exchange
 }
 
 // confirm is a look at a majority that waits for its stamp to be settled here.
@@ -173,7 +175,7 @@
 	if !in.Into(&o) {
 		return nil, "not an order"
 	}
-	return k.Write(ctx, o), ""
+	return k.Write(ctx, o).told(o), ""
 }
 
 // Write carries an order out on this core.
@@ -276,8 +278,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, voteLimit)
 	defer cancel()
-	var v Vote
-	if !k.Net.Call(ctx, addr, wire.Control, KindBallot, b).Into(&v) {
+	v, ok := k.ask(ctx, addr, b)
+	if !ok {
 		return nil
 	}
 	return v.By(m)
--- a/register/order.go
+++ b/register/order.go
@@ -41,10 +41,12 @@
 	IfMatch  *uint64 `msgpack:"m"`
 	// Seat is who comes with a Reseat, Out the slot that goes; zero for none. Of is
 	// the set that it was decided on.
-	Seat  desired.Member   `msgpack:"sm"`
-	Out   int              `msgpack:"ou,omitempty"`
-	Of    []desired.Member `msgpack:"of,omitempty"`
-	Until time.Duration    `msgpack:"-"`
+	Seat desired.Member   `msgpack:"sm"`
+	Out  int              `msgpack:"ou,omitempty"`
+	Of   []desired.Member `msgpack:"of,omitempty"`
+	// Brief says that of the word the answer needs only its numbers.
+	Brief bool          `msgpack:"br,omitempty"`
+	Until time.Duration `msgpack:"-"`
 	// at is when the clerk took it.
 	at time.Duration
 	// proposed is the mark under which the order went out, if it did.
--- a/wire/host.go
+++ b/wire/host.go
@@ -108,7 +108,7 @@
 	a := message{ID: m.ID, Kind: m.Kind}
 	fn, ok := h.Handlers[m.Kind]
 	if !ok {
-		a.Fault = "unknown kind " + m.Kind
+		a.Fault = faultKind + m.Kind
 		return a
 	}
 	body, fault := fn(ctx, Inquiry{Far: far, body: m.Body})
--- a/wire/receipt.go
+++ b/wire/receipt.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"strings"
+
 	"github.com/vmihailenco/msgpack/v5"
 
 	"curlewwalk/trace"
@@ -19,6 +21,12 @@
 	body   msgpack.RawMessage
 }
 
+// faultKind begins the fault of a call of a kind that nobody answers there.
+const faultKind = "unknown kind "
+
+// UnknownKind tells whether the far node is of a version without that kind of call.
+func (r Receipt) UnknownKind() bool { return strings.HasPrefix(r.Fault, faultKind) }
+
 // Into reads the body of an answered receipt; false if there is none that fits.
 func (r Receipt) Into(v any) bool {
 	return r.Fate == Answered && r.Fault == "" && msgpack.Unmarshal(r.body, v) == nil
