Wire: take only whole values, bound what a peer costs, judge silence by what was heard

Payloads and greetings are now checked to be one whole value, nested 64 deep at most, before they are read. - a claimed frame length took its memory at once (68 MiB for 8 bytes); memory now grows with what has come, and a greeting has 4 KiB at most. - a caller whose time was over waited on, up to 5 s, for a circuit whose peer took nothing (the drop went through the blocked loop); it now leaves a mark. - an inquiry waited for the opening of a circuit, or for one held up by another call's long frame, until its expiry; it is now surely unsent after 0.3 s and goes elsewhere, or is refused. - a circuit was broken, and all its calls lost, while a long answer was on its way (bytes did not count, only whole frames), and after this process itself had been held up for 2 s: its late look counted as the peer's silence. Bytes count now, and of each look no more than its period. - a long frame had 5 s in all to be written; now each 64 KiB of it has.

--- a/proof/defects/all.go
+++ b/proof/defects/all.go
@@ -15,6 +15,8 @@
 	dropped  = "a planned restart drops a request"
 	returns  = "no service after 15 s"
 	waits    = "tracing makes a request wait"
+	lives    = "bad input ends or stalls a process"
+	held     = "a request is held though it could be refused or go elsewhere"
 )
 
 // All lists the defects.
@@ -85,5 +87,11 @@
 	{dropped, "sidecar/node.go", "n.webs[1].Part(parting, relay.Farewell(n.near.Dialect))", "", "./proof", "TestFarewell", nil},
 	{returns, "feed/feed.go", "SettleIn = 700 * time.Millisecond", "SettleIn = 17 * time.Second", "./proof", "TestHerd", nil},
 	{returns, "register/keeper.go", "!k.trying && ", "", "./register", "TestSeatGrantedSlowly", nil},
+	{lives, "wire/message.go", "if err = wellFormed(plain); err != nil {", "if err = wellFormed(plain); false {", "./wire", "TestMalformedPayload", nil},
+	{lives, "wire/frame.go", "min(n-had, max(had, chunk))", "n-had", "./wire", "TestClaimedLengthTakesNoMemory", nil},
+	{lives, "wire/circuit.go", "readFrame(r, maxGreeting)", "readFrame(r, MaxFrame)", "./wire", "TestClaimedLengthTakesNoMemory", nil},
+	{held, "wire/circuit.go", "case <-begin.Done():", "case <-ctx.Done():", "./wire", "TestPeerThatTakesNothing", nil},
+	{returns, "wire/silence.go", "s.silent += min(passed, pingAfter)", "s.silent += passed", "./wire", "TestSilence", nil},
+	{returns, "wire/silence.go", "c.bytes.Add(uint64(n))", "c.bytes.Add(0)", "./wire", "TestSlowAnswer", nil},
 	{waits, "trace/queue.go", "\tdefault:\n\t\tq.dropped.Add(1)\n", "", "./trace", "TestFullQueue", nil},
 }
--- a/wire/circuit.go
+++ b/wire/circuit.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,17 +17,17 @@
 const (
 	pingAfter  = 500 * time.Millisecond // (ours)
 	breakAfter = 2 * time.Second        // (ours)
-	writeLimit = 5 * time.Second        // (ours)
+	// writeLimit is how long a chunk of a frame may wait to be taken.
+	writeLimit = 5 * time.Second // (ours)
 )
 
 // Circuit is the calling side of one TCP connection: many calls at a time,
 // each matched to its receipt by number. (DESIGN 3.2)
 type Circuit struct {
-	conn  net.Conn
+	conn  *heardConn
 	far   Greeting
 	count *Counts
 	calls chan *call
-	drop  chan *call
 	in    chan inbound
 	done  chan struct{}
 }
@@ -37,6 +38,8 @@
 	kind  string
 	body  msgpack.RawMessage
 	reply chan Receipt
+	// given up is set once its caller no longer waits.
+	givenUp atomic.Bool
 }
 
 type inbound struct {
@@ -57,11 +60,12 @@
 	if from != nil {
 		d.LocalAddr = &net.TCPAddr{IP: from}
 	}
-	conn, err := d.DialContext(ctx, "tcp", addr)
+	raw, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, eris.Wrap(err, "dial")
 	}
-	c := &Circuit{conn: conn, count: count, calls: make(chan *call), drop: make(chan *call), in: make(chan inbound, 16), done: make(chan struct{})}
+	conn := &heardConn{Conn: raw}
+	c := &Circuit{conn: conn, count: count, calls: make(chan *call), in: make(chan inbound, 16), done: make(chan struct{})}
 	r := bufio.NewReader(conn)
 	if c.far, err = exchange(conn, r, own, count.call, count.receipt); err != nil {
 		conn.Close()
@@ -86,7 +90,10 @@
 		return far, eris.Wrap(err, "greet")
 	}
 	sent(kindGreeting, headLen+len(raw))
-	b, err := readFrame(r)
+	b, err := readFrame(r, maxGreeting)
+	if err == nil {
+		err = wellFormed(b)
+	}
 	if err != nil {
 		return far, eris.Wrap(err, "read greeting")
 	}
@@ -106,6 +113,12 @@
 // Call sends body and waits for the receipt or for ctx. The span in ctx's slot
 // goes at the start of the message.
 func (c *Circuit) Call(ctx context.Context, kind string, body any) Receipt {
+	return c.callWithin(ctx, ctx, kind, body)
+}
+
+// callWithin is Call, with a bound of its own on how long the circuit may take to begin
+// with it: until then it is surely unsent.
+func (c *Circuit) callWithin(ctx, begin context.Context, kind string, body any) Receipt {
 	raw, err := msgpack.Marshal(body)
 	if err != nil {
 		return Receipt{Fate: Unsent, Fault: err.Error()}
@@ -116,17 +129,15 @@
 	case c.calls <- k:
 	case <-c.done:
 		return Receipt{Fate: Unsent}
-	case <-ctx.Done():
+	case <-begin.Done():
 		return Receipt{Fate: Unsent}
 	}
 	select {
 	case r := <-k.reply:
 		return r
 	case <-ctx.Done():
-		select {
-		case c.drop <- k:
-		case <-c.done:
-		}
+		// The circuit is not waited for: it may be held up by its peer.
+		k.givenUp.Store(true)
 		return Receipt{Fate: Lost}
 	}
 }
@@ -134,7 +145,7 @@
 func (c *Circuit) read(r *bufio.Reader) {
 	for {
 		var in inbound
-		b, err := readFrame(r)
+		b, err := readFrame(r, MaxFrame)
 		if err == nil {
 			in.span, in.traced, in.msg, err = decode(b)
 			in.bytes = headLen + len(b)
@@ -154,9 +165,10 @@
 // run owns the open calls. It alone writes to the connection.
 func (c *Circuit) run() {
 	open := map[uint64]*call{}
+	// dropped are those whose callers gave up; their receipts may still come.
 	dropped := map[uint64]bool{}
 	var next uint64
-	heard := time.Now()
+	var peer silence
 	// It runs only while calls are open: a node has a circuit to each other one, and an
 	// idle one should cost nothing.
 	tick := time.NewTimer(pingAfter)
@@ -173,8 +185,7 @@
 		if err != nil {
 			return false, true
 		}
-		c.conn.SetWriteDeadline(time.Now().Add(writeLimit))
-		n, err := c.conn.Write(b)
+		n, err := writeFrame(c.conn, b)
 		if n == len(b) {
 			c.count.call(m.Kind, n)
 		}
@@ -185,11 +196,15 @@
 		case k := <-c.calls:
 			next++
 			k.id = next
+			if k.givenUp.Load() {
+				continue // not begun, and not to be
+			}
 			if len(open) == 0 {
-				heard = time.Now()
+				peer.begin(time.Now(), c.conn.bytes.Load())
 				tick.Reset(pingAfter)
 			}
 			sent, ok := write(k.span, message{ID: k.id, Kind: k.kind, Body: k.body})
+			k.body = nil
 			if sent {
 				open[k.id] = k
 			} else {
@@ -199,16 +214,10 @@
 			if !ok {
 				return
 			}
-		case k := <-c.drop:
-			if open[k.id] == k {
-				delete(open, k.id)
-				dropped[k.id] = true
-			}
 		case in := <-c.in:
 			if in.err != nil {
 				return
 			}
-			heard = time.Now()
 			if in.msg.Kind == KindPing {
 				c.count.receipt(KindPing, in.bytes)
 				continue
@@ -225,15 +234,25 @@
 			if k.kind != in.msg.Kind {
 				return
 			}
-			c.count.receipt(k.kind, in.bytes)
 			delete(open, in.msg.ID)
+			if k.givenUp.Load() {
+				c.count.receipt(kindDropped, in.bytes)
+				continue
+			}
+			c.count.receipt(k.kind, in.bytes)
 			k.reply <- Receipt{Fate: Answered, Fault: in.msg.Fault, Span: in.span, Traced: in.traced, body: in.msg.Body}
 		case <-tick.C:
+			for id, k := range open {
+				if k.givenUp.Load() {
+					delete(open, id)
+					dropped[id] = true
+				}
+			}
 			if len(open) == 0 {
 				continue
 			}
 			tick.Reset(pingAfter)
-			if time.Since(heard) > breakAfter {
+			if peer.look(time.Now(), c.conn.bytes.Load()) {
 				return
 			}
 			if _, ok := write(trace.Span{}, message{Kind: KindPing}); !ok {
--- a/wire/host.go
+++ b/wire/host.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"net"
-	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -67,8 +66,7 @@
 		for {
 			select {
 			case b := <-out:
-				conn.SetWriteDeadline(time.Now().Add(writeLimit))
-				if _, err := conn.Write(b); err != nil {
+				if _, err := writeFrame(conn, b); err != nil {
 					return
 				}
 			case <-ctx.Done():
@@ -78,7 +76,7 @@
 	})
 	var last uint64
 	for {
-		b, err := readFrame(r)
+		b, err := readFrame(r, MaxFrame)
 		if err != nil {
 			return
 		}
--- a/wire/message.go
+++ b/wire/message.go
@@ -33,9 +33,13 @@
 	return sealFrame(b), nil
 }
 
-// decode reads a payload, traced or plain.
+// decode reads a payload, traced or plain: one whole value that is a message, or nothing
+// of it.
 func decode(payload []byte) (s trace.Span, traced bool, m message, err error) {
 	s, plain, traced := trace.CutPrefix(payload)
+	if err = wellFormed(plain); err != nil {
+		return s, traced, m, err
+	}
 	err = msgpack.Unmarshal(plain, &m)
 	return s, traced, m, err
 }
--- a/wire/net.go
+++ b/wire/net.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"curlewwalk/launch"
 )
@@ -59,27 +60,38 @@
 	return n
 }
 
+// handFor is how long an inquiry waits to be begun with on the way to another node, for a
+// circuit to be opened or to come free: past it, it is surely unsent, and its caller can
+// turn elsewhere. A circuit that is being opened may still serve the next.
+const handFor = 300 * time.Millisecond // (ours)
+
 // Call sends one call to addr, opening a circuit if there is none.
 func (n *Net) Call(ctx context.Context, addr string, lane Lane, kind string, body any) Receipt {
+	begin := ctx
+	if lane == Traffic {
+		var cancel context.CancelFunc
+		begin, cancel = context.WithTimeout(ctx, handFor)
+		defer cancel()
+	}
 	ln := line{addr: addr, lane: lane}
 	c, ok := (*n.open.Load())[ln]
 	if !ok {
 		w := want{line: ln, reply: make(chan dialled, 1)}
 		select {
 		case n.want <- w:
-		case <-ctx.Done():
+		case <-begin.Done():
 			return Receipt{Fate: Unsent}
 		}
 		var d dialled
 		select {
 		case d = <-w.reply:
-		case <-ctx.Done():
+		case <-begin.Done():
 		}
 		if c = d.c; c == nil {
 			return Receipt{Fate: Unsent, Fault: "no circuit", Refused: d.refused}
 		}
 	}
-	return c.Call(ctx, kind, body)
+	return c.callWithin(ctx, begin, kind, body)
 }
 
 // Run owns the table.
--- /dev/null
+++ b/wire/wellformed.go
@@ -0,0 +1,143 @@
+package wire
+
+import (
+	"encoding/binary"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxDepth bounds how deep the values of a message may be nested: the library reads
+// nested values by recursion, and Go ends a process whose stack grows too large. (ours)
+const maxDepth = 64
+
+var (
+	errMalformed = eris.New("not one whole msgpack value")
+	errDeep      = eris.New("msgpack value is nested too deep")
+)
+
+// wellFormed checks that b is exactly one msgpack value, with all the elements and bytes
+// that it claims. The library takes memory by claimed lengths before it looks, so that a
+// short frame could otherwise end the process.
+func wellFormed(b []byte) error {
+	var open [maxDepth]uint64 // values still to come, by depth
+	open[0] = 1
+	for depth := 0; ; {
+		for open[depth] == 0 {
+			if depth == 0 {
+				return trailing(b)
+			}
+			depth--
+		}
+		open[depth]--
+		values, rest, err := cutValue(b)
+		if err != nil {
+			return err
+		}
+		if b = rest; values == 0 {
+			continue
+		}
+		if values > uint64(len(b)) {
+			return errMalformed // each takes a byte at least
+		}
+		if depth++; depth == maxDepth {
+			return errDeep
+		}
+		open[depth] = values
+	}
+}
+
+func trailing(b []byte) error {
+	if len(b) > 0 {
+		return errMalformed
+	}
+	return nil
+}
+
+// The first bytes of msgpack values that are not told by ranges.
+const (
+	codeNever   = 0xc1
+	codeBin8    = 0xc4
+	codeExt8    = 0xc7
+	codeFloat32 = 0xca
+	codeUint8   = 0xcc
+	codeInt8    = 0xd0
+	codeFixExt1 = 0xd4
+	codeStr8    = 0xd9
+	codeArray16 = 0xdc
+	codeMap16   = 0xde
+)
+
+// cutValue cuts a value off b, but for the values in it, of which it tells the number.
+func cutValue(b []byte) (values uint64, rest []byte, err error) {
+	if len(b) == 0 {
+		return 0, nil, errMalformed
+	}
+	c := b[0]
+	b = b[1:]
+	switch {
+	case c < 0x80 || c >= 0xe0: // a small number
+		return 0, b, nil
+	case c < 0x90:
+		return 2 * uint64(c&0x0f), b, nil
+	case c < 0xa0:
+		return uint64(c & 0x0f), b, nil
+	case c < 0xc0:
+		return skip(b, uint64(c&0x1f))
+	case c == codeNever:
+		return 0, nil, errMalformed
+	case c < codeBin8: // nil, false, true
+		return 0, b, nil
+	case c < codeExt8:
+		return counted(b, c-codeBin8, 0)
+	case c < codeFloat32:
+		return counted(b, c-codeExt8, 1)
+	case c < codeUint8:
+		return skip(b, 4<<(c-codeFloat32))
+	case c < codeInt8:
+		return skip(b, 1<<(c-codeUint8))
+	case c < codeFixExt1:
+		return skip(b, 1<<(c-codeInt8))
+	case c < codeStr8:
+		return skip(b, 1+1<<(c-codeFixExt1))
+	case c < codeArray16:
+		return counted(b, c-codeStr8, 0)
+	case c < codeMap16:
+		return number(b, 1+c-codeArray16)
+	}
+	values, rest, err = number(b, 1+c-codeMap16)
+	return 2 * values, rest, err
+}
+
+// skip cuts n bytes off.
+func skip(b []byte, n uint64) (values uint64, rest []byte, err error) {
+	if n > uint64(len(b)) {
+		return 0, nil, errMalformed
+	}
+	return 0, b[n:], nil
+}
+
+// counted cuts off bytes whose number stands before them, and more of a type.
+func counted(b []byte, size byte, more uint64) (values uint64, rest []byte, err error) {
+	n, b, err := number(b, size)
+	if err != nil {
+		return 0, nil, err
+	}
+	return skip(b, n+more)
+}
+
+// number reads a length of one, two or four bytes, by size 0 to 2.
+func number(b []byte, size byte) (n uint64, rest []byte, err error) {
+	width := 1 << size
+	if len(b) < width {
+		return 0, nil, errMalformed
+	}
+	switch size {
+	case 0:
+		n = uint64(b[0])
+	case 1:
+		n = uint64(binary.BigEndian.Uint16(b))
+	default:
+		n = uint64(binary.BigEndian.Uint32(b))
+	}
+	return n, b[width:], nil
+}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -24,6 +24,8 @@
 
 func uncounted(string, int) {}
 
+func bufReader(conn net.Conn) *bufio.Reader { return bufio.NewReader(conn) }
+
 type echo struct {
 	Text  string `msgpack:"t"`
 	Trace string `msgpack:"tr"`
@@ -82,7 +84,7 @@
 		r := bufio.NewReader(conn)
 		exchange(conn, r, Greeting{Version: 1}, uncounted, uncounted)
 		for {
-			b, err := readFrame(r)
+			b, err := readFrame(r, MaxFrame)
 			if err != nil {
 				return
 			}
@@ -113,13 +115,13 @@
 	r := bufio.NewReader(conn)
 	newer, _ := msgpack.Marshal(map[string]any{"v": 99, "n": "newer", "b": 7, "later": "field"})
 	conn.Write(sealFrame(append(make([]byte, headLen), newer...)))
-	if _, err := readFrame(r); err != nil {
+	if _, err := readFrame(r, MaxFrame); err != nil {
 		t.Fatal(err)
 	}
 	body, _ := msgpack.Marshal(map[string]any{"t": "z", "more": []int{1}})
 	call, _ := msgpack.Marshal(map[string]any{"i": 1, "k": "echo", "b": msgpack.RawMessage(body), "later": 3})
 	conn.Write(sealFrame(append(make([]byte, headLen), call...)))
-	b, err := readFrame(r)
+	b, err := readFrame(r, MaxFrame)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -171,7 +173,7 @@
 				defer conn.Close()
 				r := bufio.NewReader(conn)
 				exchange(conn, r, Greeting{}, uncounted, uncounted)
-				b, err := readFrame(r)
+				b, err := readFrame(r, MaxFrame)
 				if err != nil {
 					return
 				}
@@ -210,7 +212,7 @@
 	out, _ := encode(trace.Span{}, message{ID: 1, Kind: "run"})
 	conn.Write(append(append([]byte{}, out...), out...))
 	for {
-		if _, err := readFrame(r); err != nil {
+		if _, err := readFrame(r, MaxFrame); err != nil {
 			break
 		}
 	}
