Ask a few sidecars at a beat instead of all while no core tells (gossip)

Each now asks three others at a beat; statements of all come by way of these, with ages that are never underrated, and a majority of them renews the claim as of the oldest of just so many. Word and soft states are fetched from one, a configuration that the asker has is left out, and what a round brought is one message to the control thread. A majority still has to meet a majority: DESIGN 7.4.

--- a/cohort/seats.go
+++ b/cohort/seats.go
@@ -71,7 +71,8 @@
 	return s
 }
 
-func union(a, b []int) []int {
+// union lists the members of two lists, each once, in order.
+func union[T cmp.Ordered](a, b []T) []T {
 	out := slices.Concat(a, b)
 	slices.Sort(out)
 	return slices.Compact(out)
--- a/cohort/view.go
+++ b/cohort/view.go
@@ -39,6 +39,17 @@
 	return out
 }
 
+// some lists those of the nodes at some addresses that are known.
+func (v *View) some(addrs []string) []Node {
+	var out []Node
+	for _, addr := range addrs {
+		if n, ok := v.nodes[addr]; ok {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
 // NewView builds the snapshot of nodes, keeping the loads of the one before.
 func NewView(nodes map[string]Node, before *View) *View {
 	loads := map[string]*Load{}
--- a/feed/copy.go
+++ b/feed/copy.go
@@ -45,3 +45,22 @@
 	c.stamp = w.Stamp
 	return true
 }
+
+// Meet takes the soft states that other nodes than a core tell of, and the boots of
+// nodes whose processes are gone; it tells whether that changed anything. Of one boot
+// the later revision stays.
+func (c *Copy) Meet(nodes []cohort.Node, dead map[string]uint64) (changed bool) {
+	for _, n := range nodes {
+		if old, ok := c.Nodes[n.Addr]; ok && old.Boot == n.Boot && old.Rev >= n.Rev {
+			continue
+		}
+		c.Nodes[n.Addr], changed = n, true
+	}
+	for addr, boot := range dead {
+		if n, ok := c.Nodes[addr]; ok && n.Boot == boot {
+			delete(c.Nodes, addr)
+			changed = true
+		}
+	}
+	return changed
+}
--- a/proof/restart_test.go
+++ b/proof/restart_test.go
@@ -51,8 +51,7 @@
 		{File: "cohort/node.go", Old: "`msgpack:\"t,omitempty\" json:\"-\"`", New: "`msgpack:\"-\" json:\"-\"`"},
 		{File: "cohort/seat.go", Old: "`msgpack:\"m,omitempty\" json:\"-\"`", New: "`msgpack:\"-\" json:\"-\"`"},
 		{File: "cohort/seat.go", Old: "`msgpack:\"w,omitempty\" json:\"-\"`", New: "`msgpack:\"-\" json:\"-\"`"},
-		{File: "cohort/muster.go", Old: "`msgpack:\"as,omitempty\"`", New: "`msgpack:\"-\"`"},
-		{File: "cohort/rollcall.go", Old: "wire.Control, KindMuster, q)", New: "wire.Control, \"unheard-of\", q)"},
+		{File: "cohort/rollcall.go", Old: "wire.Control, KindGossip, q)", New: "wire.Control, \"unheard-of\", q)"},
 	}
 	later = []fleet.Change{
 		{File: "wire/greeting.go", Old: "const Version = 1", New: "const Version = 2"},
--- a/proof/scale/hollow.go
+++ b/proof/scale/hollow.go
@@ -67,7 +67,7 @@
 	h.followed.Store(&time.Time{})
 	own := wire.Greeting{Version: wire.Version, Node: addr, Boot: h.boot}
 	h.net = wire.NewNet(s.launcher, own, net.IP(ip.AsSlice()))
-	h.host = &wire.Host{Own: own, Launcher: s.launcher, Listener: ln, Handlers: map[string]wire.Handler{cohort.KindHail: h.hail, cohort.KindMuster: h.muster,
+	h.host = &wire.Host{Own: own, Launcher: s.launcher, Listener: ln, Handlers: map[string]wire.Handler{cohort.KindHail: h.hail,
 		cohort.KindProbe: func(context.Context, wire.Inquiry) (any, string) {
 			return cohort.Probe{Boot: h.boot, Inc: h.inc.Load()}, ""
 		}}}
@@ -86,12 +86,11 @@
 	ctx, h.end = context.WithCancel(ctx)
 	h.beat(time.Now())
 	follower := &feed.Follower{Own: h.addr, Locality: h.locality, Seats: h.seeker.Seats, Net: h.net, Hasten: h.seeker.Hasten, Take: h.take}
-	roll := &cohort.Rollcall{Own: h.addr, Net: h.net, Launcher: h.shoal.launcher, Node: h.node, View: h.whole, Seeds: h.seeker.Seeds, News: h.news, Sure: h.agreed.Renew,
-		Take: h.mustered, Gone: func(_ context.Context, addr string) {
-			if h.news(time.Now()) > cohort.Silence {
-				h.met(func() { delete(h.copy.Nodes, addr) })
-			}
-		}}
+	roll := cohort.NewRollcall()
+	roll.Own, roll.Net, roll.Launcher, roll.Node, roll.View = h.addr, h.net, h.shoal.launcher, h.node, h.whole
+	roll.Seats, roll.Word, roll.Seeds = h.seeker.Seats, h.word.Load, h.seeker.Seeds
+	roll.News, roll.Sure, roll.Take = h.news, h.agreed.Renew, h.found
+	h.host.Handlers[cohort.KindGossip] = roll.Answer
 	holder := custody.NewHolder()
 	maps.Copy(h.host.Handlers, holder.Handlers())
 	parts := map[string]func(context.Context){"net": h.net.Run, "host": h.host.Run, "seeker": h.seeker.Run, "follower": follower.Run,
@@ -208,57 +207,24 @@
 
 func (h *hollow) news(now time.Time) time.Duration { return now.Sub(*h.followed.Load()) }
 
-// mustered takes what another sidecar has, while no core tells.
-func (h *hollow) mustered(ctx context.Context, m cohort.Mustered) {
-	h.seeker.Hear(cohort.Hail{Know: m.Know})
+// found takes what other sidecars have, while no core tells.
+func (h *hollow) found(_ context.Context, f cohort.Found) {
+	h.seeker.Hear(cohort.Hail{Know: f.Know})
+	for i := range f.Nodes {
+		f.Nodes[i] = *h.shoal.equal(&f.Nodes[i])
+	}
 	var word *desired.Word
 	h.met(func() {
-		if m.Word != nil && h.copy.Newer(*m.Word) {
-			word = m.Word
-		}
-		if h.news(time.Now()) < cohort.Silence {
-			return
+		if f.Word != nil && h.copy.Newer(*f.Word) {
+			word = f.Word
 		}
-		for _, n := range m.Nodes {
-			if _, ok := h.copy.Nodes[n.Addr]; !ok {
-				h.copy.Nodes[n.Addr] = *h.shoal.equal(&n)
-			}
+		if h.news(time.Now()) >= cohort.Silence {
+			h.copy.Meet(f.Nodes, f.Dead)
 		}
-		h.heard(m.Node)
 	})
 	h.force(word)
 }
 
-// heard takes a node's own word from itself.
-func (h *hollow) heard(n cohort.Node) {
-	if old, ok := h.copy.Nodes[n.Addr]; !ok || old.Boot != n.Boot || old.Rev <= n.Rev {
-		h.copy.Nodes[n.Addr] = *h.shoal.equal(&n)
-	}
-}
-
-// muster answers another sidecar that hears no core.
-func (h *hollow) muster(_ context.Context, in wire.Inquiry) (any, string) {
-	var m cohort.Muster
-	if !in.Into(&m) {
-		return nil, "not a muster"
-	}
-	if h.news(time.Now()) > cohort.Silence {
-		h.met(func() { h.heard(m.Node) })
-	}
-	seats := h.seeker.Seats()
-	out := cohort.Mustered{Alone: seats.NoMajority(time.Now()), Stamp: h.stamp.Load(), Node: h.node(), Know: seats.All()}
-	h.mu.Lock()
-	out.Addrs = slices.Sorted(maps.Keys(h.copy.Nodes))
-	if m.Bare {
-		out.Nodes = slices.Collect(maps.Values(h.copy.Nodes))
-	}
-	h.mu.Unlock()
-	if w := h.word.Load(); w != nil && w.Stamp > m.Stamp {
-		out.Word = w
-	}
-	return out, ""
-}
-
 // hail answers another process.
 func (h *hollow) hail(_ context.Context, in wire.Inquiry) (any, string) {
 	var q cohort.Hail
--- a/proof/scale/scale_test.go
+++ b/proof/scale/scale_test.go
@@ -117,7 +117,7 @@
 			t.Errorf("%s, %s: %d of %d", l.Phase, l.What, l.Times.Count, l.Times.Of)
 		}
 	}
-	if roll := find(r.Exp.Sizes[1], "coreless", "hollow").Net[cohort.KindMuster]; roll.Calls == 0 {
+	if roll := find(r.Exp.Sizes[1], "coreless", "hollow").Net[cohort.KindGossip]; roll.Calls == 0 {
 		t.Error("no roll was called without cores")
 	}
 	dir := t.TempDir()
--- a/proof/simulator/claim.go
+++ b/proof/simulator/claim.go
@@ -47,6 +47,7 @@
 }
 
 type claimSide struct {
+	addr   string
 	frozen time.Duration
 	cut    int
 	core   int
@@ -55,6 +56,7 @@
 	claim  roster.Claim
 	heard  time.Duration // news from a core
 	agreed roster.Claim
+	said   cohort.Statements // what it heard of itself and others
 }
 
 // NewClaims lays a run out.
@@ -67,7 +69,7 @@
 		c.cores = append(c.cores, &claimCore{feed: feed.New(uint64(i)*1000+1, 0), sure: -1})
 	}
 	for i := range sides {
-		c.sides = append(c.sides, &claimSide{core: i % cores})
+		c.sides = append(c.sides, &claimSide{addr: fmt.Sprint(i), core: i % cores})
 	}
 	return c
 }
@@ -200,32 +202,52 @@
 	return refused >= register.Majority(len(c.cores))
 }
 
-// rollcall asks the other sidecars while no core tells.
+// rollcall asks a few of the other sidecars while no core tells, and counts what they
+// heard of all others too.
 func (c *Claims) rollcall(s *claimSide) {
 	if c.now-s.heard < time.Second {
 		return
 	}
-	begin, sum := c.now, cohort.NewRound(s.stamp, len(c.sides)-1)
+	begin, known := c.now, []string{}
 	for _, o := range c.sides {
+		known = append(known, o.addr)
+	}
+	for _, i := range c.rng.Perm(len(c.sides))[:cohort.Fanout] {
+		o := c.sides[i]
 		if o == s {
 			continue
 		}
 		c.pass(&s.cut, &o.cut, &o.frozen, func() {
-			m := cohort.Mustered{Alone: c.alone(o), Stamp: o.stamp}
+			told, stamp := o.said.Tell(c.peer(o), cohort.NewView(nil, nil), c.base.Add(c.now)), o.stamp
 			c.pass(&o.cut, &s.cut, &s.frozen, func() {
-				s.stamp = max(s.stamp, m.Stamp)
+				if stamp > s.stamp {
+					c.fetch(s, o)
+				}
 				if c.now-begin > 400*time.Millisecond {
 					return // nobody waits for it any more
 				}
-				sum.Heard(m)
-				if sum.Sure() {
-					s.agreed.Renew(c.base.Add(begin))
+				s.said = s.said.Hear(s.addr, told, c.base.Add(begin), c.base.Add(c.now))
+				if asOf, ok := s.said.Sure(s.addr, s.stamp, known, c.base.Add(c.now)); ok {
+					s.agreed.Renew(asOf)
 				}
 			})
 		})
 	}
 }
 
+// peer is what a sidecar tells of itself.
+func (c *Claims) peer(s *claimSide) cohort.Peer {
+	return cohort.Peer{Addr: s.addr, Boot: 1, Said: &cohort.Statement{Stamp: s.stamp, Alone: c.alone(s)}}
+}
+
+// fetch asks one sidecar for its word.
+func (c *Claims) fetch(s, o *claimSide) {
+	c.pass(&s.cut, &o.cut, &o.frozen, func() {
+		stamp := o.stamp
+		c.pass(&o.cut, &s.cut, &s.frozen, func() { s.stamp = max(s.stamp, stamp) })
+	})
+}
+
 // look asks a majority, and learns of settled words as cores do: late.
 func (c *Claims) look(k *claimCore) {
 	begin := c.now
--- a/proof/simulator/simulator_test.go
+++ b/proof/simulator/simulator_test.go
@@ -47,12 +47,12 @@
 func TestClaims(t *testing.T) {
 	admitted, agreed, lapsed, untold := 0, 0, 0, 0
 	for seed := *first; seed < *first+uint64(*seeds); seed++ {
-		for _, cores := range []int{3, 5} {
-			c := NewClaims(seed, cores, 5)
+		for _, size := range []struct{ cores, sides int }{{3, 5}, {5, 5}, {3, 16}} {
+			c := NewClaims(seed, size.cores, size.sides)
 			c.Run(60 * time.Second)
 			for i, b := range c.Broken {
 				if i < 3 {
-					t.Errorf("seed %d with %d cores: %s", seed, cores, b)
+					t.Errorf("seed %d with %+v: %s", seed, size, b)
 				}
 			}
 			if len(c.Broken) > 0 {
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -106,13 +106,14 @@
 	n.far.Boot, n.far.Table, n.far.Queue, n.far.Lineage, n.far.Draining = p.Boot, table, n.queue, lin, n.draining.Load
 	n.far.Claimed, n.far.Dialect, n.far.Halving = n.claimed, n.near.Dialect, set.Halving
 	n.far.Bodies = &relay.Bodies{Most: set.MaxBody, All: set.BodyMemory}
-	rollcall := &cohort.Rollcall{Own: set.Advertise, Net: p.Net, Launcher: p.Launcher, Node: n.steward.node, View: watcher.View, Seeds: n.seeker.Seeds,
-		News: n.steward.news, Sure: n.steward.agreed.Renew,
-		Take: func(ctx context.Context, m cohort.Mustered) {
-			n.seeker.Hear(cohort.Hail{Know: m.Know})
-			n.steward.box.Send(ctx, msgMustered{m})
-		},
-		Gone: func(ctx context.Context, addr string) { n.steward.box.Send(ctx, msgGone{addr}) }}
+	rollcall := cohort.NewRollcall()
+	rollcall.Own, rollcall.Net, rollcall.Launcher, rollcall.Node, rollcall.View = set.Advertise, p.Net, p.Launcher, n.steward.node, watcher.View
+	rollcall.Seats, rollcall.Word, rollcall.Seeds = n.seeker.Seats, n.steward.spoken.Load, n.seeker.Seeds
+	rollcall.News, rollcall.Sure = n.steward.news, n.steward.agreed.Renew
+	rollcall.Take = func(ctx context.Context, f cohort.Found) {
+		n.seeker.Hear(cohort.Hail{Know: f.Know})
+		n.steward.box.Send(ctx, msgFound{f})
+	}
 	n.far.Roster = func() roster.Roster { return *n.steward.roster.Load() }
 	n.outgoing = &outgoing{p: p, near: n.near, host: netip.MustParseAddrPort(set.Advertise).Addr(), fixed: set.Outgoing, known: n.steward.services, webs: map[string]*process.Web{}}
 
@@ -120,7 +121,7 @@
 	p.Host.Handlers[cohort.KindProbe] = func(context.Context, wire.Inquiry) (any, string) {
 		return cohort.Probe{Boot: p.Boot, Inc: n.steward.inc.Load()}, ""
 	}
-	p.Host.Handlers[cohort.KindMuster] = n.muster
+	p.Host.Handlers[cohort.KindGossip] = rollcall.Answer
 	p.Host.Handlers[relay.KindLeg] = n.far.Leg
 	p.Host.Handlers[relay.KindRecall] = n.far.Recall
 	p.Host.Listener = p.Listen("wire", set.Wire)
@@ -182,16 +183,6 @@
 	return n.closed.Load() && (n.set.Caller == "" || n.far.Counts.Open.Load() == 0)
 }
 
-// muster answers another sidecar that hears no core.
-func (n *Node) muster(ctx context.Context, in wire.Inquiry) (any, string) {
-	var m cohort.Muster
-	if !in.Into(&m) {
-		return nil, "not a muster"
-	}
-	n.steward.box.Send(ctx, msgCaller{m.Node})
-	return n.steward.muster(m, n.seeker.Seats()), ""
-}
-
 // hail answers another process.
 func (n *Node) hail(_ context.Context, in wire.Inquiry) (any, string) {
 	var h cohort.Hail
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -68,13 +68,11 @@
 		asked time.Time
 		taken chan<- bool
 	}
-	msgMustered struct{ m cohort.Mustered }
-	msgCaller   struct{ n cohort.Node }
-	msgGone     struct{ addr string }
-	msgTick     struct{}
-	msgPulse    struct{}
-	msgDrain    struct{}
-	msgLive     struct{ reply chan<- bool }
+	msgFound struct{ f cohort.Found }
+	msgTick  struct{}
+	msgPulse struct{}
+	msgDrain struct{}
+	msgLive  struct{ reply chan<- bool }
 )
 
 func newSteward(l *launch.Launcher, addr string, boot uint64, locality string, extraLegs int, hasten func()) *steward {
@@ -159,18 +157,8 @@
 		s.take(m.core, m.n)
 		s.claim.Renew(m.asked.Add(-m.n.Age))
 		m.taken <- true
-	case msgMustered:
-		s.mustered(m.m)
-	case msgCaller:
-		if s.news(now) > cohort.Silence {
-			s.met(m.n)
-			s.look()
-		}
-	case msgGone:
-		if s.news(now) > cohort.Silence {
-			delete(s.copy.Nodes, m.addr)
-			s.look()
-		}
+	case msgFound:
+		s.found(m.f, now)
 	case msgTick:
 		s.swapRoster(s.roster.Load().Tick(now))
 		s.purses.Share(slices.Sorted(maps.Keys(s.copy.Nodes)), now)
@@ -209,40 +197,18 @@
 // news is how old the news from the cores is.
 func (s *steward) news(now time.Time) time.Duration { return now.Sub(s.shown.Load().Since) }
 
-// mustered takes what another sidecar has, while no core tells. (DESIGN 7.4)
-func (s *steward) mustered(m cohort.Mustered) {
-	if m.Word != nil && s.copy.Newer(*m.Word) {
-		s.word(*m.Word)
+// found takes what other sidecars have, while no core tells: one round's finds at a
+// time, so that the view is made anew once a round at most. (DESIGN 7.4)
+func (s *steward) found(f cohort.Found, now time.Time) {
+	if f.Word != nil && s.copy.Newer(*f.Word) {
+		s.word(*f.Word)
 	}
-	if s.news(time.Now()) < cohort.Silence {
+	if s.news(now) < cohort.Silence {
 		return
 	}
-	for _, n := range m.Nodes {
-		if _, ok := s.copy.Nodes[n.Addr]; !ok {
-			s.copy.Nodes[n.Addr] = n
-		}
-	}
-	s.met(m.Node)
-	s.look()
-}
-
-// met takes a node's own word from itself.
-func (s *steward) met(n cohort.Node) {
-	if old, ok := s.copy.Nodes[n.Addr]; !ok || old.Boot != n.Boot || old.Rev <= n.Rev {
-		s.copy.Nodes[n.Addr] = n
-	}
-}
-
-// muster answers another sidecar that asks for what this one has.
-func (s *steward) muster(m cohort.Muster, seats cohort.Seats) cohort.Mustered {
-	out := cohort.Mustered{Alone: seats.NoMajority(time.Now()), Stamp: s.table.Load().Stamp, Node: s.node(), Know: seats.All(), Addrs: s.view.Load().Addrs()}
-	if w := s.spoken.Load(); w != nil && w.Stamp > m.Stamp {
-		out.Word = w
-	}
-	if m.Bare {
-		out.Nodes = s.view.Load().Nodes()
+	if s.copy.Meet(f.Nodes, f.Dead) {
+		s.look()
 	}
-	return out
 }
 
 // word puts a word in force.
