Refuse an inquiry at once while neither its sidecar nor those it asks are sure

While claims had lapsed everywhere each inquiry asked up to eight sidecars, each of which refused it: eight times the traffic on processors and links that were already late, and a refusal that came late. After two such refusals, and if the near sidecar isn't sure itself, it now ends: 503, not run, with when to come back. Cut off from the cores alone (own claim lapsed, others sure) it still goes on to others.

--- a/relay/near.go
+++ b/relay/near.go
@@ -61,6 +61,8 @@
 	// Crossing is the price of leaving the own locality with a usual inquiry, as a part
 	// of what being in time is worth.
 	Crossing float64
+	// Unsure, if set, tells that this sidecar is not sure of the newest word.
+	Unsure func() bool
 }
 
 // inquiry is one client's request on its way.
@@ -268,7 +270,7 @@
 		Means: way.Means{Aim: q.aim, Room: q.room(), Patience: n.Budgets.Patience(q.contract.Name, q.room()),
 			Cost: func(t cohort.Target) way.Cost { return n.Costs.Of(q.way.Name, t) },
 			Hold: n.hold(q), Back: n.back(), Late: n.Late, Crossing: n.crossing(q),
-			Spend: func() bool { return n.Purses.Spend(q.way.Service) }}}
+			Spend: func() bool { return n.Purses.Spend(q.way.Service) }, Unsure: n.Unsure}}
 	note := trace.Event{Way: q.way.Name, Service: q.way.Service, Caller: q.caller, Link: q.cause.Link, Candidates: q.cause.Candidates}
 	n.Queue.Put(q.span, trace.ClientStart, note)
 	var last LegReceipt
@@ -354,6 +356,7 @@
 		t.Load.Shun(n.Shun)
 	case r.Into(&rc) && rc.ID == leg.ID:
 		l.Fate, l.Reason, l.Reached, l.Back, l.Expired = rc.Fate, rc.Reason, rc.Reached, rc.Back, rc.Reason == string(roster.Expired)
+		l.Lapsed = rc.Fate == way.NotRun && rc.Reason == string(roster.Lapsed)
 		t.Load.Tell(rc.Open)
 		if rc.Fate != way.Answered && rc.Reason != string(roster.Full) {
 			t.Load.Shun(n.Shun)
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -91,6 +91,7 @@
 	n.near = &relay.Near{Locality: set.Locality, Table: table, View: func() *cohort.View { return n.steward.view.Load() },
 		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log, Lineage: lin, Claims: claims, Purses: n.steward.purses, Budgets: n.steward.budgets, Costs: way.NewCosts(), Life: p.Life, Draining: n.shut}
 	n.near.Shun = set.Shun
+	n.near.Unsure = func() bool { return !n.claimed() }
 	n.near.Home, n.near.Dialect, n.near.Hold, n.near.ComeBack, n.near.Late, n.near.Crossing = set.Caller, relay.Plain{}, set.Hold, set.ComeBack, set.Late, set.Crossing
 	if doors != nil {
 		n.near.Dialect = doors.Dialect
--- a/way/decision.go
+++ b/way/decision.go
@@ -18,6 +18,10 @@
 	// turnedAway is after how many refusals an inquiry rather stands in line to be
 	// late.
 	turnedAway = 2 // (ours)
+	// mostLapsed is after how many sidecars that are not sure of the newest word an
+	// inquiry ends whose own sidecar isn't either: the others would refuse it too, and
+	// asking them is a load that keeps them from becoming sure.
+	mostLapsed = 2 // (ours)
 	// askAgain is how long one that is held waits before it is asked about again.
 	askAgain = 25 * time.Millisecond // (ours)
 	// spillAt is how busy the own locality must be before others are used.
@@ -75,6 +79,9 @@
 	if fate == Unknown && !d.Way.Repeatable || reached >= cmp.Or(d.Way.Legs, mostLegs) || len(d.legs) >= mostAsked {
 		return end(status(fate), fate, reason, back)
 	}
+	if d.lapsed() {
+		return end(status(fate), fate, reason, back)
+	}
 	patient := d.Means.Late && turned >= turnedAway
 	if patient {
 		d.again = len(d.legs)
@@ -101,6 +108,17 @@
 	return Order{Send: true, Target: target, Patient: patient}
 }
 
+// lapsed tells whether nobody may be expected to admit the inquiry now.
+func (d *Decision) lapsed() bool {
+	n := 0
+	for _, l := range d.legs {
+		if l.Lapsed {
+			n++
+		}
+	}
+	return n >= mostLapsed && d.Means.Unsure != nil && d.Means.Unsure()
+}
+
 func status(f Fate) int {
 	if f == NotRun {
 		return http.StatusServiceUnavailable
--- /dev/null
+++ b/way/lapsed_test.go
@@ -0,0 +1,56 @@
+package way
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	"curlewwalk/cohort"
+	"curlewwalk/desired"
+)
+
+// Where no sidecar is sure of the newest word, an inquiry is refused at once, after two
+// have said so, and told when to come back; where the own one is sure, or not all
+// others are unsure, it goes on to those that may admit it.
+func TestRefusedAtOnceWhileUnsure(t *testing.T) {
+	at := places{}
+	for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"} {
+		at[name] = struct {
+			locality string
+			takes    time.Duration
+		}{"north", 10 * time.Millisecond}
+	}
+	table, _ := NewTable(desired.Word{})
+	for name, c := range map[string]struct {
+		unsure bool
+		sure   int // the how manieth sidecar that is asked admits; 0: none
+		legs   int
+	}{
+		"nobody is sure":               {true, 0, mostLapsed},
+		"the own one is":               {false, 0, mostAsked},
+		"the second one that is asked": {true, 2, 2},
+		"the own one and the sixth":    {false, 6, 6},
+	} {
+		s, now := newSite(at), time.Now()
+		d := Decision{Way: desired.Way{Name: "w", Service: "s"}, Expiry: now.Add(time.Minute), Locality: "north", Rand: rand.New(rand.NewPCG(1, 1)),
+			Means: Means{Aim: now.Add(time.Second), Room: time.Minute, Patience: time.Minute, Late: true, Hold: now.Add(time.Minute),
+				Cost:   func(target cohort.Target) Cost { return s.costs.Of("w", target) },
+				Unsure: func() bool { return c.unsure }, Spend: func() bool { return true }}}
+		o := d.Ask(table, s.view, now)
+		for o.Send && len(d.Legs()) < 20 {
+			l := Leg{Target: o.Target, Fate: NotRun, Lapsed: true}
+			if len(d.Legs())+1 == c.sure {
+				l = Leg{Target: o.Target, Fate: Answered, Reached: true}
+			}
+			d.Tell(l)
+			o = d.Ask(table, s.view, now)
+		}
+		if len(d.Legs()) != c.legs || o.Wait > 0 {
+			t.Errorf("%s: %d legs, then waits %v", name, len(d.Legs()), o.Wait)
+		}
+		if c.sure == 0 && (o.End.Status != http.StatusServiceUnavailable || o.End.Fate != NotRun || o.End.RetryAfter <= 0) {
+			t.Errorf("%s: %+v", name, o.End)
+		}
+	}
+}
--- a/way/leg.go
+++ b/way/leg.go
@@ -27,4 +27,7 @@
 	Reached bool
 	// Expired says that the leg ended because the inquiry's time was over.
 	Expired bool
+	// Lapsed says that the far sidecar was not sure of the newest word and so admitted
+	// nothing. (DESIGN 7.2)
+	Lapsed bool
 }
--- a/way/spend.go
+++ b/way/spend.go
@@ -29,6 +29,8 @@
 	Back time.Duration
 	// Spend pays for an extra leg after one that came to a backend.
 	Spend func() bool
+	// Unsure, if set, tells whether the near sidecar too is not sure of the newest word.
+	Unsure func() bool
 }
 
 const (
