--- /dev/null
+++ b/sidecar/steward_test.go
@@ -0,0 +1,41 @@
+package sidecar
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+
+	"curlewwalk/cohort"
+	"curlewwalk/launch"
+)
+
+// What a round of the roll call found is taken as one message; the view isn't made anew
+// for what is known already, and no earlier process's death takes a later one out.
+// (DESIGN 7.4)
+func TestFound(t *testing.T) {
+	l := launch.New(slog.New(slog.DiscardHandler), func(name string, cause any, stack []byte) { t.Errorf("%s: %v\n%s", name, cause, stack) })
+	s := newSteward(l, "10.0.0.1:7020", 1, "north", 0, func() {})
+	var found cohort.Found
+	for i := range 199 {
+		addr := fmt.Sprintf("10.0.1.%d:7020", i)
+		found.Nodes = append(found.Nodes, cohort.Node{Addr: addr, Boot: 1, Rev: 1, Backends: []cohort.Backend{{Service: "orders", Instance: addr}}})
+	}
+	send := func(f cohort.Found) *cohort.View {
+		s.box.Send(t.Context(), msgFound{f})
+		if _, ok := launch.Ask(t.Context(), s.box, func(r chan<- bool) any { return msgLive{r} }); !ok {
+			t.Fatal("no answer")
+		}
+		return s.view.Load()
+	}
+	first := send(found)
+	if got := len(first.Addrs()); got != 200 {
+		t.Errorf("%d known", got)
+	}
+	if again := send(found); again != first {
+		t.Error("the view was made again for what was known")
+	}
+	dead := map[string]uint64{found.Nodes[0].Addr: 1, found.Nodes[1].Addr: 7}
+	if got := len(send(cohort.Found{Dead: dead}).Addrs()); got != 199 {
+		t.Errorf("%d known; one died in its boot, of another an earlier process did", got)
+	}
+}
