Proof: disks that stall, fill up or are slow, and one-way cuts between machines

A file that the proof builds read gives a core's disk its trouble, as one does for wall clocks; the relays cut what one machine sends to another and let the answers pass.

--- a/proof/fault/relay.go
+++ b/proof/fault/relay.go
@@ -13,8 +13,8 @@
 // Net is the network between machines: all relays obey its cuts.
 type Net struct {
 	mu   sync.Mutex
-	cut  func(a, b string) bool // whether two machines are cut off from each other
-	turn chan struct{}          // closed and renewed when the cuts change
+	cut  func(from, to string) bool // whether nothing gets from one machine to another
+	turn chan struct{}              // closed and renewed when the cuts change
 }
 
 // NewNet makes a whole network.
@@ -35,10 +35,16 @@
 	n.set(func(a, b string) bool { return between(a, b) || between(b, a) })
 }
 
+// OneWay holds up what some machines send to some others; the other way it passes. No
+// new connection between them comes about.
+func (n *Net) OneWay(from, to []string) {
+	n.set(func(a, b string) bool { return slices.Contains(from, a) && slices.Contains(to, b) })
+}
+
 // Whole mends the network: what piled up goes on its way.
 func (n *Net) Whole() { n.Split() }
 
-func (n *Net) set(cut func(a, b string) bool) {
+func (n *Net) set(cut func(from, to string) bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cut = cut
@@ -46,11 +52,11 @@
 	n.turn = make(chan struct{})
 }
 
-// passable waits until two machines may talk, or ctx ends.
-func (n *Net) passable(ctx context.Context, a, b string) bool {
+// passable waits until something gets from one machine to another, or ctx ends.
+func (n *Net) passable(ctx context.Context, from, to string) bool {
 	for {
 		n.mu.Lock()
-		ok, turn := !n.cut(a, b), n.turn
+		ok, turn := !n.cut(from, to), n.turn
 		n.mu.Unlock()
 		if ok {
 			return true
@@ -136,7 +142,7 @@
 	defer c.Close()
 	ctx := r.life()
 	from, _, _ := net.SplitHostPort(c.RemoteAddr().String())
-	if !r.net.passable(ctx, from, r.host) {
+	if !r.net.passable(ctx, from, r.host) || !r.net.passable(ctx, r.host, from) {
 		return
 	}
 	far, err := net.Dial("tcp", r.to)
@@ -147,12 +153,12 @@
 	stop := context.AfterFunc(ctx, func() { c.Close(); far.Close() })
 	defer stop()
 	var wg sync.WaitGroup
-	pipe := func(dst, src net.Conn) {
+	pipe := func(dst, src net.Conn, sender, receiver string) {
 		buf := make([]byte, 32<<10)
 		for {
 			k, err := src.Read(buf)
 			if k > 0 {
-				if !r.net.passable(ctx, from, r.host) {
+				if !r.net.passable(ctx, sender, receiver) {
 					break
 				}
 				if _, werr := dst.Write(buf[:k]); werr != nil {
@@ -163,7 +169,7 @@
 				if err != io.EOF {
 					break
 				}
-				if !r.net.passable(ctx, from, r.host) {
+				if !r.net.passable(ctx, sender, receiver) {
 					break
 				}
 				dst.(*net.TCPConn).CloseWrite()
@@ -173,7 +179,7 @@
 		dst.Close()
 		src.Close()
 	}
-	wg.Go(func() { pipe(far, c) })
-	wg.Go(func() { pipe(c, far) })
+	wg.Go(func() { pipe(far, c, from, r.host) })
+	wg.Go(func() { pipe(c, far, r.host, from) })
 	wg.Wait()
 }
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -84,7 +84,7 @@
 	for _, s := range f.Seeds() {
 		args = append(args, "--seed="+s)
 	}
-	return &Program{Name: name, IP: ip, Control: at(ip, portControl), path: f.Bin.Path(program), args: append(args, more...), clock: filepath.Join(f.Dir, "clock-"+ip)}
+	return &Program{Name: name, IP: ip, Control: at(ip, portControl), path: f.Bin.Path(program), args: append(args, more...), clock: filepath.Join(f.Dir, "clock-"+ip), disk: filepath.Join(f.Dir, "disk-"+ip)}
 }
 
 // NewCore lays a core out for a slot, at any address and data folder.
@@ -200,6 +200,19 @@
 	return os.WriteFile(p.clock, []byte(by.String()), 0o640)
 }
 
+// The troubles that a disk may have.
+const (
+	DiskWell  = "well"
+	DiskStall = "stall" // no write comes to an end
+	DiskFull  = "full"  // each write fails
+	DiskSlow  = "slow"  // each write takes 0.3 s longer
+)
+
+// Disk gives a core's disk a trouble from now on.
+func (f *Fleet) Disk(p *Program, trouble string) error {
+	return os.WriteFile(p.disk, []byte(trouble), 0o640)
+}
+
 // PowerOff kills processes together with all that was still on its way from or
 // to them.
 func (f *Fleet) PowerOff(ps ...*Program) {
--- a/proof/fleet/program.go
+++ b/proof/fleet/program.go
@@ -25,6 +25,7 @@
 	path    string
 	args    []string
 	clock   string // the file that says by how much the wall clock has jumped
+	disk    string // the file that says what trouble the disk has
 
 	cmd    *exec.Cmd
 	stderr *tail
@@ -71,7 +72,7 @@
 // Start starts the process and returns once its addresses stand.
 func (p *Program) Start() error {
 	p.cmd = exec.Command(p.path, p.args...)
-	p.cmd.Env = append(os.Environ(), "CURLEWWALK_PROOF_CLOCK="+p.clock)
+	p.cmd.Env = append(os.Environ(), "CURLEWWALK_PROOF_CLOCK="+p.clock, "CURLEWWALK_PROOF_DISK="+p.disk)
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	p.stderr = &tail{}
 	p.cmd.Stderr = p.stderr
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -15,19 +15,29 @@
 )
 
 // Vault is one data folder.
-type Vault struct{ dir string }
+type Vault struct {
+	dir string
+	// Before, if set, comes before each version is written, which fails as it does.
+	// Proofs use it for disks in trouble.
+	Before func() error
+}
 
 // Open makes the folder if need be.
 func Open(dir string) (*Vault, error) {
 	if err := os.MkdirAll(dir, 0o750); err != nil {
 		return nil, eris.Wrap(err, "data folder")
 	}
-	return &Vault{dir: dir}, nil
+	return &Vault{dir: dir, Before: trouble()}, nil
 }
 
 // Save stores one version of a kind; it returns once the version is on disk.
 // Versions of a kind sort as text.
 func (v *Vault) Save(kind, version string, data []byte) error {
+	if v.Before != nil {
+		if err := v.Before(); err != nil {
+			return eris.Wrap(err, "write")
+		}
+	}
 	sum := sha256.Sum256(data)
 	body := append([]byte(hex.EncodeToString(sum[:])+"\n"), data...)
 	name := filepath.Join(v.dir, kind+"."+version)
