Write the register beside the keeper's thread, and judge what a core can still do

Cause: the keeper waited for its disk on its own thread.

Change: one write at a time goes on beside the thread; changes of the voter wait for it in order and are decided on what is on disk; reads and looks are answered from that at once. Health tells whether the last write ended in time and a majority answered lately. A settled word is passed on whatever the own disk does. A look that finds a majority under the newest mark settles it; one that finds less has the core on duty finish it, also if it holds less itself. A core without a majority takes no order (503 at once instead of after 3 s) and raises no epoch.

--- a/register/clerk.go
+++ b/register/clerk.go
@@ -139,6 +139,24 @@
 	return append(out, c.proceed(now)...)
 }
 
+// GiveBack ends the orders that were not proposed: they surely never will be by this
+// clerk, and another core may take them.
+func (c *Clerk) GiveBack() (out []Outcome) {
+	var kept []Order
+	for i, o := range c.orders {
+		if o.proposed != (Mark{}) {
+			kept = append(kept, o)
+			continue
+		}
+		if i == 0 && c.phase == probing {
+			c.phase = idle // nobody has its word
+		}
+		out = append(out, Outcome{Answer: &Answer{ID: o.ID, Result: NotTaken}})
+	}
+	c.orders = kept
+	return out
+}
+
 func (c *Clerk) drop(now time.Duration) {
 	c.phase, c.epoch = idle, 0
 	rank := 1
--- a/register/keeper.go
+++ b/register/keeper.go
@@ -27,13 +27,14 @@
 	orderLimit = 3 * time.Second        // how long an order may take (ours)
 	seatLimit  = 2 * time.Second        // how long a change of the set may hold up others (ours)
 	lookEvery  = 300 * time.Millisecond // how often a majority is asked for newer words (ours)
+	probeEvery = 500 * time.Millisecond // how often a disk that failed is tried (ours)
 )
 
 // Peers reaches the other slots.
 type Peers interface {
 	// Addr finds the core that sits, or would sit, in a slot.
 	Addr(slot int) (string, bool)
-	// OnDuty tells whether this core is the first live one in the agreed order.
+	// OnDuty tells whether this core is the first live and able one in the agreed order.
 	OnDuty() bool
 }
 
@@ -46,6 +47,8 @@
 	Peers    Peers
 	// Settled is told of each newly settled word.
 	Settled func(ctx context.Context, w desired.Word)
+	// Turned is told when the core has become able or unable; it must not wait.
+	Turned func()
 
 	box    *launch.Mailbox
 	disk   *Disk
@@ -60,7 +63,18 @@
 	trying bool
 	asked  uint64
 	shown  atomic.Pointer[Voter]
-	told   uint64
+	health atomic.Pointer[Health]
+	// able is as Turned was told last, probed when the disk was tried last.
+	able   bool
+	probed time.Duration
+	// saving is whether a write to disk is under way; waiting is what comes after it.
+	saving  bool
+	waiting []transition
+	// told is the stamp of the newest settled word that was passed on, seen the newest
+	// mark that a majority showed, and unsettled whether it is not known to be settled.
+	told      uint64
+	seen      Mark
+	unsettled bool
 	// Confirmed is told that as of a moment no newer word than the one under
 	// this stamp had been acknowledged.
 	Confirmed func(ctx context.Context, at time.Time)
@@ -86,6 +100,11 @@
 		reply chan<- Answer
 	}
 	msgVote  struct{ v Vote }
+	msgSaved struct {
+		next Voter
+		err  error
+		done func(ctx context.Context, ok bool)
+	}
 	msgReads struct {
 		votes map[int]Vote
 	}
@@ -94,8 +113,10 @@
 		votes map[int]Vote
 	}
 	msgLooked struct {
-		at    time.Time
-		stamp uint64
+		at time.Time
+		// top is the vote with the newest word; held tells whether majorities hold that.
+		top  Vote
+		held bool
 	}
 	msgTick struct{}
 )
@@ -110,6 +131,8 @@
 	k.clerk = &Clerk{}
 	k.clerk.Follow(v, 0)
 	k.show()
+	k.able = true
+	k.note(Health{})
 	k.box = l.Spawn("keeper", k.on)
 	return k, nil
 }
@@ -135,21 +158,59 @@
 // before it began is among the answers. (DESIGN 7.2)
 func (k *Keeper) look(ctx context.Context) {
 	begin := time.Now()
+	if top, held, ok := k.newest(ctx, Look); ok {
+		k.box.Send(ctx, msgLooked{at: begin, top: top, held: held})
+	}
+}
+
+// newest asks a majority for the newest word, by a Look or a Read. held tells whether
+// majorities are known to hold it; more than a majority are asked to find out.
+func (k *Keeper) newest(ctx context.Context, act Act) (top Vote, held, ok bool) {
 	self := k.Voter()
 	if self.Phase != Established {
-		return
+		return Vote{}, false, false
 	}
-	votes := Counted(k.gather(ctx, Ballot{From: self.Self, Act: Look}, true))
-	if !Complete(votes, self.Sets()) {
-		return
+	own := self.Sets()
+	known := func(votes map[int]Vote) bool {
+		counted := Counted(votes)
+		if !Complete(counted, own) {
+			return false
+		}
+		_, held := Newest(counted, own)
+		return held
 	}
-	top, _ := Newest(votes, self.Sets())
-	k.box.Send(ctx, msgLooked{begin, top.Mark.Stamp})
+	votes := Counted(k.gather(ctx, Ballot{From: self.Self, Act: act}, known))
+	if !Complete(votes, own) {
+		return Vote{}, false, false
+	}
+	top, held = Newest(votes, own)
+	return top, held, true
+}
+
+// Contact tells whether a majority answers a question put now, and the stamp of the
+// newest word that it shows.
+func (k *Keeper) Contact(ctx context.Context) (stamp uint64, ok bool) {
+	top, _, ok := k.newest(ctx, Look)
+	return top.Mark.Stamp, ok
 }
 
-// Voter shows the voter as it stands.
+// Voter shows the voter as it is on disk.
 func (k *Keeper) Voter() Voter { return *k.shown.Load() }
 
+// Health shows what the core can do.
+func (k *Keeper) Health() Health { return *k.health.Load() }
+
+// Able tells whether the core can do what the duty asks for. (DESIGN 6.3)
+func (k *Keeper) Able() bool { return k.Health().Able(k.now()) }
+
+// Connected tells whether a majority answered this core lately.
+func (k *Keeper) Connected() bool { return k.Health().Connected(k.now()) }
+
+// now is the time since the keeper's start.
+func (k *Keeper) now() time.Duration { return time.Since(k.start) }
+
+func (k *Keeper) note(h Health) { k.health.Store(&h) }
+
 // Ballot handles a ballot from the wire.
 func (k *Keeper) Ballot(ctx context.Context, in wire.Inquiry) (any, string) {
 	var b Ballot
@@ -196,12 +257,10 @@
 // ReadBack reads the newest word from a majority, and has it mended first if
 // the majority does not hold it yet. (DESIGN 6.4)
 func (k *Keeper) ReadBack(ctx context.Context, refresh func(ctx context.Context) Answer) (desired.Word, bool) {
-	self := k.Voter()
-	votes := Counted(k.gather(ctx, Ballot{From: self.Self, Act: Read}, true))
-	if !Complete(votes, self.Sets()) {
+	top, held, ok := k.newest(ctx, Read)
+	if !ok {
 		return desired.Word{}, false
 	}
-	top, held := Newest(votes, self.Sets())
 	if held {
 		return top.Word, true
 	}
@@ -221,9 +280,8 @@
 }
 
 // gather puts a ballot to all slots known of, and those that votes tell of, and
-// returns the votes that came in time, or the first that are complete if that is
-// enough.
-func (k *Keeper) gather(ctx context.Context, b Ballot, enough bool) map[int]Vote {
+// returns the votes that came in time, or the first that are enough.
+func (k *Keeper) gather(ctx context.Context, b Ballot, enough func(votes map[int]Vote) bool) map[int]Vote {
 	ctx, cancel := context.WithTimeout(ctx, voteLimit/2)
 	defer cancel()
 	own := k.Voter().Sets()
@@ -256,7 +314,7 @@
 		case <-ctx.Done():
 			return votes
 		}
-		if enough && Complete(Counted(votes), own) {
+		if enough != nil && enough(votes) {
 			break
 		}
 	}
@@ -286,31 +344,22 @@
 }
 
 func (k *Keeper) on(ctx context.Context, msg any) {
-	now := time.Since(k.start)
+	now := k.now()
 	switch m := msg.(type) {
 	case msgBallot:
-		m.reply <- k.take(ctx, m.b)
+		k.ballot(ctx, m)
 	case msgOrder:
-		if k.voter.Phase != Established {
-			m.reply <- Answer{Result: NotTaken}
-			return
-		}
-		k.orders[m.o.ID] = m.reply
-		k.obey(ctx, k.clerk.Take(m.o, now))
+		k.order(ctx, m, now)
 	case msgVote:
 		k.obey(ctx, k.clerk.Hear(m.v, now))
+	case msgSaved:
+		k.saved(ctx, m)
 	case msgReads:
-		k.trying = k.tryBirth(ctx, m.votes)
+		k.tryBirth(ctx, m.votes)
 	case msgSits:
-		k.trying = false
-		if next, ok := k.voter.Seated(m.self, m.votes); ok && k.save(next) {
-			k.Log.Info("took the seat", "slot", m.self.Slot, "incarnation", m.self.Inc, "stamp", next.Mark.Stamp)
-			k.tell(ctx)
-		}
+		k.trySeat(ctx, m)
 	case msgLooked:
-		if !k.sure.open || m.at.After(k.sure.at) && m.stamp <= k.sure.stamp {
-			k.sure = confirm{at: m.at, stamp: m.stamp, open: true}
-		}
+		k.looked(ctx, m)
 	case msgTick:
 		k.tick(ctx, now)
 	}
@@ -320,10 +369,84 @@
 	}
 }
 
+// ballot puts a ballot to the own voter. What it only shows is what is on disk, and
+// shown at once. Any other vote is sent when what it stands for is on disk.
+func (k *Keeper) ballot(ctx context.Context, m msgBallot) {
+	if m.b.Act == Look || m.b.Act == Read {
+		_, vote := k.voter.On(m.b)
+		m.reply <- &vote
+		return
+	}
+	if m.b.Act == Settle && k.voter.admit(m.b) {
+		// Majorities hold it: whether the own disk takes it too changes nothing of that.
+		k.tell(ctx, m.b.Word)
+	}
+	var vote Vote
+	decide := func(v Voter) (next Voter, ok bool) {
+		next, vote = v.On(m.b)
+		return next, true
+	}
+	done := func(_ context.Context, ok bool) {
+		if ok {
+			m.reply <- &vote
+			return
+		}
+		m.reply <- nil
+	}
+	k.submit(ctx, transition{decide: decide, done: done, until: k.now() + voteLimit})
+}
+
+// order hands an order to the clerk. A core that has no contact with a majority takes
+// none: the order could only run out of time here, and whoever gave it may go to
+// another core at once. Nor does the clerk raise epochs that would disturb the others
+// once the contact is back. (DESIGN 6.3)
+func (k *Keeper) order(ctx context.Context, m msgOrder, now time.Duration) {
+	if k.voter.Phase != Established || !k.Health().Connected(now) {
+		m.reply <- Answer{Result: NotTaken}
+		return
+	}
+	k.orders[m.o.ID] = m.reply
+	k.obey(ctx, k.clerk.Take(m.o, now))
+}
+
+// looked takes what a majority showed. A newest word that is still not passed on when
+// it is seen again is copied if majorities hold it; if not, the core on duty has it
+// finished, whoever holds it.
+func (k *Keeper) looked(ctx context.Context, m msgLooked) {
+	k.note(k.Health().Contacted(m.at.Sub(k.start)))
+	mark := m.top.Mark
+	if !k.sure.open || m.at.After(k.sure.at) && mark.Stamp <= k.sure.stamp {
+		k.sure = confirm{at: m.at, stamp: mark.Stamp, open: true}
+	}
+	behind := mark.Stamp > k.told && mark == k.seen
+	k.seen = mark
+	k.unsettled = behind && !m.held
+	if behind && m.held {
+		k.Launcher.Go(ctx, "copy", func(ctx context.Context) { k.copy(ctx, m.top) })
+	}
+}
+
+// copy takes a word that majorities hold from one that holds it.
+func (k *Keeper) copy(ctx context.Context, holder Vote) {
+	self := k.Voter()
+	if self.Mark != holder.Mark {
+		ctx, cancel := context.WithTimeout(ctx, voteLimit)
+		defer cancel()
+		v := k.put(ctx, holder.member(), Ballot{From: self.Self, Act: Read})
+		if v == nil || v.Mark != holder.Mark {
+			return // it has gone on; the next look shows it
+		}
+		self.Word = v.Word
+	}
+	k.vote(ctx, Ballot{From: self.Self, Act: Settle, Epoch: holder.Mark.Epoch, Mark: holder.Mark, Word: self.Word})
+}
+
 func (k *Keeper) tick(ctx context.Context, now time.Duration) {
-	if k.voter.Struck() {
+	k.turn(ctx, now)
+	k.probe(ctx, now)
+	if k.voter.Struck() && !k.saving {
 		k.Log.Info("the slot was struck", "slot", k.voter.Self.Slot)
-		k.save(k.voter.Afresh(rand.Uint64() | 1))
+		k.leave(ctx, now)
 	}
 	switch k.voter.Phase {
 	case Seeking:
@@ -338,9 +461,7 @@
 		return
 	}
 	k.clerk.Follow(k.voter, now)
-	// A word that no majority is known to hold is made sure of by the core on
-	// duty: after a cold start, or when a clerk stopped half way.
-	if (k.voter.Mark.Stamp > k.voter.Settled || len(k.voter.Word.Formerly) > 0) && len(k.orders) == 0 && k.Peers.OnDuty() && now-k.seated >= seatEvery {
+	if k.refreshDue(now) {
 		k.seated = now
 		o := Order{ID: rand.Uint64(), Kind: Refresh, Until: now + orderLimit}
 		k.orders[o.ID] = make(chan Answer, 1)
@@ -349,21 +470,70 @@
 	k.obey(ctx, k.clerk.Tick(now))
 }
 
+// refreshDue tells whether this core has to make sure of the newest word: one that no
+// majority is known to hold, here or with another, as after a cold start or when a
+// clerk stopped half way. That is for the core on duty.
+func (k *Keeper) refreshDue(now time.Duration) bool {
+	open := k.voter.Mark.Stamp > k.voter.Settled || len(k.voter.Word.Formerly) > 0 || k.unsettled
+	return open && len(k.orders) == 0 && now-k.seated >= seatEvery && k.Health().Connected(now) && k.Peers.OnDuty()
+}
+
+// turn tells of it when the core has become able or unable. Orders that were not
+// proposed yet are given back then: the core that has the duty now can take them.
+func (k *Keeper) turn(ctx context.Context, now time.Duration) {
+	able := k.Health().Able(now)
+	if !able && !k.Peers.OnDuty() {
+		k.obey(ctx, k.clerk.GiveBack())
+	}
+	if able == k.able {
+		return
+	}
+	k.able = able
+	k.Log.Info("ability", "able", able, "durable", k.Health().Durable(now), "connected", k.Health().Connected(now))
+	if k.Turned != nil {
+		k.Turned()
+	}
+}
+
+// leave begins anew under another identity once the slot was struck.
+func (k *Keeper) leave(ctx context.Context, now time.Duration) {
+	id := rand.Uint64() | 1
+	decide := func(v Voter) (Voter, bool) {
+		if !v.Struck() {
+			return v, false
+		}
+		return v.Afresh(id), true
+	}
+	k.submit(ctx, transition{decide: decide, done: func(context.Context, bool) {}, until: now + voteLimit})
+}
+
 func (k *Keeper) others(ctx context.Context, b Ballot) map[int]Vote {
-	votes := k.gather(ctx, b, false)
+	votes := k.gather(ctx, b, nil)
 	delete(votes, k.Voter().Self.Slot)
 	return votes
 }
 
-// tryBirth goes on with a try for the seat; true if it asks the others for it.
-func (k *Keeper) tryBirth(ctx context.Context, votes map[int]Vote) bool {
-	if k.voter.Phase == Established {
-		return false
+// tryBirth goes on with a try for the seat: the core is born, or asks the others for
+// its seat.
+func (k *Keeper) tryBirth(ctx context.Context, votes map[int]Vote) {
+	decide := func(v Voter) (Voter, bool) {
+		if v.Phase == Established {
+			return v, false
+		}
+		return v.Born(votes)
 	}
-	if next, ok := k.voter.Born(votes); ok {
-		if k.save(next) {
-			k.Log.Info("born", "slot", next.Self.Slot, "slots", next.Founded)
+	done := func(ctx context.Context, ok bool) {
+		if ok {
+			k.Log.Info("born", "slot", k.voter.Self.Slot, "slots", k.voter.Founded)
 		}
+		k.trying = !ok && k.askForSeat(ctx, votes)
+	}
+	k.submit(ctx, transition{decide: decide, done: done, until: k.now() + voteLimit})
+}
+
+// askForSeat asks the others for the seat; false if it may not be asked for yet.
+func (k *Keeper) askForSeat(ctx context.Context, votes map[int]Vote) bool {
+	if _, born := k.voter.Born(votes); born || k.voter.Phase == Established {
 		return false
 	}
 	self, may := k.voter.Claimant(votes)
@@ -378,26 +548,16 @@
 	return true
 }
 
-// take puts a ballot to the own voter. The vote is only sent when what it
-// stands for is on disk.
-func (k *Keeper) take(ctx context.Context, b Ballot) *Vote {
-	next, vote := k.voter.On(b)
-	if !k.save(next) {
-		return nil
-	}
-	k.tell(ctx)
-	return &vote
-}
-
-func (k *Keeper) save(next Voter) bool {
-	if err := k.disk.Save(next); err != nil {
-		k.Log.Error("the disk does not take the register", "error", err)
-		return false
+// trySeat takes the seat if a majority has granted it.
+func (k *Keeper) trySeat(ctx context.Context, m msgSits) {
+	decide := func(v Voter) (Voter, bool) { return v.Seated(m.self, m.votes) }
+	done := func(_ context.Context, ok bool) {
+		k.trying = false
+		if ok {
+			k.Log.Info("took the seat", "slot", m.self.Slot, "incarnation", m.self.Inc, "stamp", k.voter.Mark.Stamp)
+		}
 	}
-	k.voter = next
-	k.clerk.Follow(next, time.Since(k.start))
-	k.show()
-	return true
+	k.submit(ctx, transition{decide: decide, done: done, until: k.now() + voteLimit})
 }
 
 func (k *Keeper) show() {
@@ -405,12 +565,13 @@
 	k.shown.Store(&v)
 }
 
-// tell passes a newly settled word on.
-func (k *Keeper) tell(ctx context.Context) {
-	if v := k.voter; v.Settled > k.told && v.Settled == v.Mark.Stamp {
-		k.told = v.Settled
-		k.Settled(ctx, v.Word)
+// tell passes a settled word on, if it is newer than what was.
+func (k *Keeper) tell(ctx context.Context, w desired.Word) {
+	if w.Stamp <= k.told {
+		return
 	}
+	k.told = w.Stamp
+	k.Settled(ctx, w)
 }
 
 func (k *Keeper) obey(ctx context.Context, outs []Outcome) {
--- a/register/keeper_test.go
+++ b/register/keeper_test.go
@@ -100,7 +100,7 @@
 			t.Errorf("slot %d knows %+v in slot 3, which sits there as %+v", i+1, c, self)
 		}
 	}
-	if votes := Counted(k.gather(ctx, Ballot{From: self, Act: Read}, false)); len(votes) != 3 {
+	if votes := Counted(k.gather(ctx, Ballot{From: self, Act: Read}, nil)); len(votes) != 3 {
 		t.Errorf("%d votes count", len(votes))
 	}
 }
--- a/register/vote.go
+++ b/register/vote.go
@@ -18,6 +18,16 @@
 	Sets Sets `msgpack:"sg"`
 }
 
+// member is the voter as a member of the sets that it holds, which tell its address.
+func (v Vote) member() desired.Member {
+	for _, m := range v.Sets.Union() {
+		if has([]desired.Member{m}, v.From) {
+			return m
+		}
+	}
+	return desired.Member{Slot: v.From.Slot, ID: v.From.ID}
+}
+
 // By checks that a vote came from a member. One that has no seat for sure is told by
 // its identity: it may know of no slot yet, or of one that it was not given after all.
 func (v Vote) By(m desired.Member) *Vote {
--- a/register/voter.go
+++ b/register/voter.go
@@ -45,7 +45,8 @@
 		}
 	case b.Act == Propose:
 		// An overtaken proposal of the same epoch must not undo a later one.
-		if ok = b.Epoch >= v.Promised && b.Mark.Epoch == b.Epoch && b.Mark.Compare(v.Mark) >= 0; ok {
+		// One that comes again is on disk already: a mark is of one word only.
+		if ok = b.Epoch >= v.Promised && b.Mark.Epoch == b.Epoch && b.Mark.Compare(v.Mark) >= 0; ok && b.Mark != v.Mark {
 			v = v.accept(b.Mark, b.Word)
 		}
 	case b.Act == Settle:
