Give the duty to the first core that is live and able, and fence the drain report

A seat tells whether its core is able; an order that was surely not taken since the duty passed on is carried to the core that has it now. A core that no majority answers is not ready, and reports nothing about a drain.

--- a/cohort/digest.go
+++ b/cohort/digest.go
@@ -20,6 +20,13 @@
 	return d
 }
 
+func (d digest) flag(on bool) digest {
+	if on {
+		return d.num(1)
+	}
+	return d.num(0)
+}
+
 // sum is never zero.
 func (d digest) sum() uint64 {
 	h := fnv.New64a()
@@ -29,12 +36,8 @@
 
 // Marked is the seat with its mark, a digest of all but the wall clock.
 func (c Seat) Marked() Seat {
-	established := uint64(0)
-	if c.Established {
-		established = 1
-	}
 	c.Mark = digest{}.num(uint64(c.Slot)).num(uint64(c.Slots)).text(c.Addr).num(c.Inc).num(c.Boot).text(c.Locality).
-		num(established).num(c.Settled).slots(c.Set).slots(c.Before).num(c.Held).sum()
+		flag(c.Established).num(c.Settled).slots(c.Set).slots(c.Before).num(c.Held).flag(c.Unable).sum()
 	return c
 }
 
--- a/cohort/seat.go
+++ b/cohort/seat.go
@@ -15,6 +15,9 @@
 	Set    []int  `msgpack:"set,omitempty" json:"set,omitempty"`
 	Before []int  `msgpack:"bef,omitempty" json:"before,omitempty"`
 	Held   uint64 `msgpack:"h,omitempty" json:"held,omitempty"`
+	// Unable tells that the core can't do what the duty asks for: its disk takes no
+	// writes, or it has no contact with a majority. (DESIGN 6.3)
+	Unable bool `msgpack:"u,omitempty" json:"unable,omitempty"`
 	// Wall is the core's wall clock, in nanoseconds, as it told this.
 	Wall int64 `msgpack:"w,omitempty" json:"-"`
 	// Mark is the core's own digest of all but Wall; zero of an older version.
--- a/core/control.go
+++ b/core/control.go
@@ -241,11 +241,17 @@
 	process.JSON(w, http.StatusOK, contract.Answer{Whole: st.Open, Budgets: table.Pages(n.directory.Budgets())})
 }
 
-// getDrain reports what still runs in a locality, and since when nothing does.
+// getDrain reports what still runs in a locality, and since when nothing does. A core
+// that knows of no newer word, since it is cut off, reports nothing.
 func (n *Node) getDrain(w http.ResponseWriter, r *http.Request) {
-	if d, ok := n.directory.Drain(r.Context(), r.PathValue("name")); ok {
-		process.JSON(w, http.StatusOK, d)
+	newest, contact := n.keeper.Contact(r.Context())
+	d, ok := n.directory.Drain(r.Context(), r.PathValue("name"))
+	if !contact || !ok || d.Stamp < newest {
+		w.Header().Set("Retry-After", "1")
+		process.Error(w, http.StatusServiceUnavailable, "no majority of cores confirms what is known here")
+		return
 	}
+	process.JSON(w, http.StatusOK, d)
 }
 
 // getTrace gathers a trace from all cores.
--- a/core/door.go
+++ b/core/door.go
@@ -64,6 +64,8 @@
 		return false, "stopping"
 	case lacking != "":
 		return false, lacking
+	case !n.keeper.Connected():
+		return false, "no majority of cores answers"
 	case !ok || !st.Open:
 		return false, "still being told of the nodes"
 	}
--- a/core/node.go
+++ b/core/node.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"maps"
 	"os"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -22,6 +21,9 @@
 	"curlewwalk/wire"
 )
 
+// writeLimit is how long an order may take, wherever it is carried out.
+const writeLimit = 5 * time.Second // (ours)
+
 // Doors opens further addresses of a core, for those who speak otherwise. (DESIGN 18)
 type Doors func(n *Node)
 
@@ -56,7 +58,7 @@
 	n.keeper.Net, n.keeper.Log, n.keeper.Peers = p.Net, p.Log, n
 	n.usher = newUsher(n)
 	n.keeper.Settled = func(ctx context.Context, w desired.Word) { n.directory.Settled(ctx, w) }
-	n.keeper.Confirmed = n.directory.Sure
+	n.keeper.Confirmed, n.keeper.Turned = n.directory.Sure, n.seeker.Hasten
 	n.seeker.Own = func() cohort.Hail { return cohort.Hail{Seat: n.told()} }
 	n.seeker.Addr, n.seeker.Net, n.seeker.Launcher, n.seeker.Heard = set.Advertise, p.Net, p.Launcher, n.heard
 	n.seeker.Hear(cohort.Hail{Know: remembered(n.keeper.Voter())})
@@ -103,6 +105,7 @@
 		Locality: n.set.Locality, Established: v.Phase == register.Established, Settled: v.Settled, Wall: clock.Wall().UnixNano()}
 	sets := v.Sets()
 	s.Set, s.Slots, s.Held = register.Slots(sets.Now), len(sets.Now), v.Mark.Stamp
+	s.Unable = !n.keeper.Able()
 	if v.Settled < v.Mark.Stamp {
 		s.Before = register.Slots(sets.Before)
 	}
@@ -176,16 +179,9 @@
 	return c.Addr, ok
 }
 
-// duty is the first live core in the agreed order.
+// duty is the first live and able core in the agreed order.
 func (n *Node) duty() cohort.Seat {
-	own, set := n.seat(), n.slots()
-	member := own.Established && slices.Contains(set, own.Slot)
-	for _, c := range n.seeker.Seats().Live(time.Now()) {
-		if c.Established && c.Slot != own.Slot && slices.Contains(set, c.Slot) && (c.Slot < own.Slot || !member) {
-			return c
-		}
-	}
-	return own
+	return n.seeker.Seats().Duty(n.seat(), n.slots(), time.Now())
 }
 
 // slots is the newest set of slots that this core knows of.
@@ -200,14 +196,25 @@
 // OnDuty implements register.Peers.
 func (n *Node) OnDuty() bool { return n.duty().Addr == n.set.Advertise }
 
-// write carries an order out on the core on duty.
+// write carries an order out on the core on duty. One that was surely not taken, since
+// the duty has passed on meanwhile, goes to the core that has it now.
 func (n *Node) write(ctx context.Context, o register.Order) register.Answer {
-	c := n.duty()
+	ctx, cancel := context.WithTimeout(ctx, writeLimit)
+	defer cancel()
+	for {
+		c := n.duty()
+		a := n.writeAt(ctx, c, o)
+		if a.Result != register.NotTaken || ctx.Err() != nil || n.duty().Addr == c.Addr {
+			return a
+		}
+	}
+}
+
+// writeAt carries an order out on one core.
+func (n *Node) writeAt(ctx context.Context, c cohort.Seat, o register.Order) register.Answer {
 	if c.Addr == n.set.Advertise {
 		return n.keeper.Write(ctx, o)
 	}
-	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
-	defer cancel()
 	var a register.Answer
 	switch r := n.keeper.Forward(ctx, c.Addr, o); {
 	case r.Into(&a):
