Relay: promise nothing by what was not understood, take no trailer for more than a header

Review of answers and repeats. Each was shown by a test that failed first: - a receipt of a leg with a fate that this version does not know counted as not run: an order got 503 though it may have run. Receipts are checked; what is not understood is recalled, and unknown. One with status 1000 or 0 panicked in net/http and closed the client's connection; one with 100 left it without an end. - a leg whose method or host holds line breaks was written to the backend as it was, as two requests; a leg that is not one request is not taken now. - a client's trailer passed what headers may not: Curlewwalk-Caller reached the backend, and Content-Length, Transfer-Encoding or Trailer in it failed every leg, and left each backend out as failing. - on the platform a late 421 of another request was taken for this one's, whose leg then went on elsewhere: an order could run twice. Whose answer it is is judged first; a failure that bears no id is nobody's, too (502). - a surplus answer on a link that had carried a HEAD was cut off by its length, so that bytes of a body could pass for an answer. - a client too slow with its body got 400 instead of 408, which is a promise. - an answer with trailers went to an HTTP/1.0 client without its length.

New tests hold what held already: pipelined requests, bodies that come on after a refusal, two lengths, resets of clients and backends midway, late and doubled receipts, a leg that is read only after its recall.

--- /dev/null
+++ b/relay/answers_test.go
@@ -0,0 +1,208 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"curlewwalk/way"
+	"curlewwalk/wire"
+)
+
+// A backend that resets the connection at any point of an exchange leaves unknown what
+// it did with the request; it is sent once, and the next leg has a connection of its own.
+func TestBackendResets(t *testing.T) {
+	reset := func(c net.Conn) { c.(*net.TCPConn).SetLinger(0) }
+	for name, speak := range map[string]func(v visit) bool{
+		"unread": func(v visit) bool { reset(v.w); return false },
+		"read": func(v visit) bool {
+			io.Copy(io.Discard, v.Body)
+			reset(v.w)
+			return false
+		},
+		"in its head": func(v visit) bool {
+			io.WriteString(v.w, "HTTP/1.1 200 OK\r\nFor: "+v.id+"\r\nConte")
+			reset(v.w)
+			return false
+		},
+		"in its body": func(v visit) bool {
+			io.WriteString(v.w, "HTTP/1.1 200 OK\r\nFor: "+v.id+"\r\nContent-Length: 100\r\n\r\nhalf")
+			reset(v.w)
+			return false
+		},
+		"in a chunk": func(v visit) bool {
+			io.WriteString(v.w, "HTTP/1.1 200 OK\r\nFor: "+v.id+"\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf")
+			reset(v.w)
+			return false
+		},
+	} {
+		for _, reused := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reused %v", name, reused), func(t *testing.T) {
+				for _, size := range []int{1, 300 << 10} {
+					b := newBench(t, func(v visit) bool {
+						if strings.HasPrefix(v.id, "broken") {
+							return speak(v)
+						}
+						return plainly(v)
+					})
+					if reused {
+						b.good(t, Leg{})
+					}
+					rc := b.put(Leg{ID: "broken", Body: make([]byte, size)}, nil)
+					if rc.Fate != way.Unknown || len(rc.Body) > 0 || rc.Status != 0 {
+						t.Errorf("%+v", rc)
+					}
+					b.good(t, Leg{})
+					b.mu.Lock()
+					if b.ran["broken"] != 1 {
+						t.Errorf("it was sent %d times", b.ran["broken"])
+					}
+					b.mu.Unlock()
+					if b.opens.Load() != 2 {
+						t.Errorf("%d connections", b.opens.Load())
+					}
+				}
+			})
+		}
+	}
+}
+
+// A far side that tells what this version does not understand has told nothing: whether
+// the leg ran is unknown, and an order is neither promised not to have run nor sent again.
+func TestReceiptNotUnderstood(t *testing.T) {
+	for name, rc := range map[string]LegReceipt{
+		"no fate":          {Reason: "x"},
+		"another fate":     {Fate: "half-run", Status: 200},
+		"no status":        {Fate: way.Answered},
+		"an odd status":    {Fate: way.Answered, Status: 1000},
+		"a passing status": {Fate: way.Answered, Status: 100},
+		"another's":        {ID: "another's", Fate: way.Answered, Status: 200, Body: []byte("another's")},
+		"another's word":   {ID: "another's", Fate: way.NotRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			legs := 0
+			p := newPairWith(t, plainly, func(h map[string]wire.Handler) {
+				h[KindLeg] = func(_ context.Context, in wire.Inquiry) (any, string) {
+					var leg Leg
+					in.Into(&leg)
+					legs++
+					out := rc
+					if out.ID == "" {
+						out.ID = leg.ID
+					}
+					return out, ""
+				}
+				h[KindRecall] = func(context.Context, wire.Inquiry) (any, string) { return nil, "not known" }
+			})
+			c := p.client(t)
+			c.say("POST /once/x HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx")
+			resp, body := c.hear()
+			if resp == nil || resp.StatusCode != 502 || resp.Header.Get(HeaderOutcome) != string(way.Unknown) || legs != 1 {
+				t.Errorf("%+v %s after %d legs", resp, body, legs)
+			}
+		})
+	}
+}
+
+// A leg that no request can be made of is not taken, so that it surely does not run.
+func TestLegNotUnderstood(t *testing.T) {
+	for name, leg := range map[string]Leg{
+		"two lines in its method": {Method: "GET / HTTP/1.1\r\nX: y\r\n\r\nGET", URI: "/look/"},
+		"no method":               {URI: "/look/"},
+		"two words in its target": {Method: "GET", URI: "/look/ HTTP/1.1"},
+		"two lines in its target": {Method: "GET", URI: "/look/\r\nX: y"},
+		"no target":               {Method: "GET"},
+		"two lines in its host":   {Method: "GET", URI: "/look/", Host: "x\r\nX: y"},
+		"a trailer of one hop":    {Method: "POST", URI: "/look/", Trailer: http.Header{"Content-Length": {"3"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t, plainly)
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			defer cancel()
+			leg.ID, leg.Service, leg.Instance, leg.Boot, leg.Left, leg.Aim = "odd", "desk", "a", 7, time.Second, time.Second
+			node := p.near.View().Nodes()[0].Addr
+			r := p.near.Net.Call(ctx, node, wire.Traffic, KindLeg, leg)
+			if r.Fate != wire.Answered || r.Fault == "" {
+				t.Errorf("%+v", r)
+			}
+			var rc LegReceipt
+			if r := p.near.Net.Call(ctx, node, wire.Control, KindRecall, Recall{ID: "odd", Boot: 7}); !r.Into(&rc) || rc.Fate != way.NotRun {
+				t.Errorf("recalled: %+v", rc)
+			}
+			if len(p.uris()) > 0 {
+				t.Errorf("it came to the backend: %v", p.uris())
+			}
+		})
+	}
+}
+
+// stuck is a body whose client has stopped sending.
+type stuck struct{}
+
+func (stuck) Read([]byte) (int, error) { return 0, fmt.Errorf("read: %w", os.ErrDeadlineExceeded) }
+func (stuck) Close() error             { return nil }
+
+// A client that does not come to the end of its body is told that it took too long, and
+// that nothing has run.
+func TestBodyTakesTooLong(t *testing.T) {
+	p := newPair(t, plainly)
+	r := httptest.NewRequest("POST", "/once/x", stuck{})
+	r.ContentLength = 10
+	if rc := p.near.serve("", r); rc.Status != http.StatusRequestTimeout || rc.Fate != way.NotRun {
+		t.Errorf("%+v", rc)
+	}
+}
+
+// A leg lies unread at a far side whose circuit has broken. Recalled before it is read,
+// it is told not to run, and never runs; if the recall can't be heard either, nothing is
+// promised, and it runs once at most.
+func TestLegReadAfterItsRecall(t *testing.T) {
+	for _, heard := range []bool{true, false} {
+		t.Run(fmt.Sprintf("recall heard %v", heard), func(t *testing.T) {
+			came, woken, ended := make(chan struct{}, 9), make(chan struct{}), make(chan LegReceipt, 9)
+			p := newPairWith(t, plainly, func(h map[string]wire.Handler) {
+				leg, recall := h[KindLeg], h[KindRecall]
+				h[KindLeg] = func(ctx context.Context, in wire.Inquiry) (any, string) {
+					came <- struct{}{}
+					<-woken
+					rc, fault := leg(ctx, in)
+					ended <- rc.(LegReceipt)
+					return rc, fault
+				}
+				h[KindRecall] = func(ctx context.Context, in wire.Inquiry) (any, string) {
+					if !heard {
+						<-woken
+					}
+					return recall(ctx, in)
+				}
+			})
+			c := p.client(t)
+			c.say("POST /once/x HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx")
+			<-came
+			p.cut()
+			resp, body := c.hear()
+			status, outcome := 503, way.NotRun
+			if !heard {
+				status, outcome = 502, way.Unknown
+			}
+			if resp == nil || resp.StatusCode != status || resp.Header.Get(HeaderOutcome) != string(outcome) {
+				t.Errorf("%+v %s", resp, body)
+			}
+			close(woken)
+			rc := <-ended
+			if heard && (rc.Fate == way.Answered || len(p.uris()) > 0) {
+				t.Errorf("it was promised not to run, and came to %+v", rc)
+			}
+			if p.uris()["/once/x"] > 1 || len(came) > 0 {
+				t.Errorf("it was sent again: %v, %d more legs", p.uris(), len(came))
+			}
+		})
+	}
+}
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -39,6 +39,7 @@
 		x := exchange{far: f, link: l, req: req, leg: leg, guard: g}
 		again := l.carried
 		l.carried = true
+		l.headed = l.headed || leg.Method == http.MethodHead
 		rc := x.run(ctx)
 		if rc.Reason == elsewhere {
 			f.links.drop(l.at)
@@ -147,7 +148,7 @@
 		case Stray:
 			// It came late, in the place of the one that is due.
 			strays++
-			if _, _, fault := x.whole(resp); fault != "" || strays > mostStrays || resp.Close || x.leg.Method == http.MethodHead {
+			if _, _, fault := x.whole(resp); fault != "" || strays > mostStrays || resp.Close || x.link.headed {
 				return unknown("backend answered another inquiry")
 			}
 			continue
@@ -166,7 +167,7 @@
 		if strays == 0 {
 			idle = keepAfter(resp, "")
 		}
-		return LegReceipt{Fate: way.Answered, Status: resp.StatusCode, Header: h, Trailer: trailer, Body: body}, idle
+		return LegReceipt{Fate: way.Answered, Status: resp.StatusCode, Header: h, Trailer: endToEnd(trailer), Body: body}, idle
 	}
 }
 
--- a/relay/exchange_test.go
+++ b/relay/exchange_test.go
@@ -66,6 +66,8 @@
 	opens atomic.Int64
 	mu    sync.Mutex
 	ran   map[string]int
+	// asked counts the request targets that came.
+	asked map[string]int
 	// ends tells of each of its connections that it is over.
 	ends chan bool
 }
@@ -76,7 +78,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &bench{ran: map[string]int{}, ends: make(chan bool, 1<<16)}
+	b := &bench{ran: map[string]int{}, asked: map[string]int{}, ends: make(chan bool, 1<<16)}
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -95,6 +97,7 @@
 					id := req.Header.Get("Ask")
 					b.mu.Lock()
 					b.ran[id]++
+					b.asked[req.RequestURI]++
 					b.mu.Unlock()
 					if !speak(visit{req, id, n, k, c}) {
 						return
@@ -312,6 +315,25 @@
 	}
 }
 
+// Where a link has carried a HEAD, nobody knows whether an answer to another inquiry has
+// a body: so what looks like the own one behind it may be bytes of a body.
+func TestStrayAnswerAfterHead(t *testing.T) {
+	b := newBench(t, func(v visit) bool {
+		if v.Method == "HEAD" {
+			io.WriteString(v.w, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nFor: "+v.id+"\r\n\r\n")
+			return true
+		}
+		own := answerTo(v.id, answerTo(v.id, "forged"))
+		head := strings.Index(own, "\r\n\r\n") + 4
+		fmt.Fprintf(v.w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nFor: earlier\r\n\r\n%s", head, own)
+		return true
+	})
+	b.good(t, Leg{Method: "HEAD"})
+	if rc := b.put(Leg{}, nil); rc.Fate != way.Unknown {
+		t.Errorf("%v %q", rc.Fate, rc.Body)
+	}
+}
+
 // What comes while a link is idle spoils it.
 func TestLateBytes(t *testing.T) {
 	late := make(chan net.Conn, 9)
--- a/relay/far.go
+++ b/relay/far.go
@@ -77,8 +77,8 @@
 // Leg handles a leg.
 func (f *Far) Leg(ctx context.Context, in wire.Inquiry) (any, string) {
 	var leg Leg
-	if !in.Into(&leg) {
-		return nil, "not a leg"
+	if !in.Into(&leg) || !leg.valid() {
+		return nil, "not a leg" // and never begun, as a recall will tell
 	}
 	f.Counts.Inquiries.Add(1)
 	f.Counts.Open.Add(1)
--- a/relay/header.go
+++ b/relay/header.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 )
 
@@ -28,3 +29,8 @@
 	}
 	return out
 }
+
+// isHopByHop tells whether a field concerns one hop only.
+func isHopByHop(name string) bool {
+	return slices.Contains(hopByHop, http.CanonicalHeaderKey(name))
+}
--- a/relay/leg.go
+++ b/relay/leg.go
@@ -4,6 +4,8 @@
 
 import (
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"curlewwalk/way"
@@ -50,6 +52,29 @@
 	return l.Left
 }
 
+// valid tells whether a request can be made of the leg that is that one request to every
+// reader of it.
+func (l *Leg) valid() bool {
+	for name := range l.Trailer {
+		if isHopByHop(name) {
+			return false
+		}
+	}
+	return isToken(l.Method) && isOneWord(l.URI) && isOneWord(l.Host) && l.URI != "" && target("", l.URI).RequestURI() == l.URI
+}
+
+// isToken tells whether s is a token as RFC 9110 (5.6.2) has it.
+func isToken(s string) bool {
+	return s != "" && !strings.ContainsFunc(s, func(r rune) bool {
+		return r <= ' ' || r >= 0x7f || strings.ContainsRune(`"(),/:;<=>?@[\]{}`, r)
+	})
+}
+
+// isOneWord tells whether s has neither blanks nor control characters in it.
+func isOneWord(s string) bool {
+	return !slices.ContainsFunc([]byte(s), func(b byte) bool { return b <= ' ' || b == 0x7f })
+}
+
 // LegReceipt is what the far sidecar tells of a leg.
 type LegReceipt struct {
 	ID     string      `msgpack:"id"`
@@ -68,6 +93,17 @@
 	Back time.Duration `msgpack:"bk,omitempty"`
 }
 
+// of tells whether the receipt is understood, and is that of a leg.
+func (r *LegReceipt) of(leg *Leg) bool {
+	switch r.Fate {
+	case way.Answered:
+		return r.ID == leg.ID && r.Status >= 200 && r.Status <= 999
+	case way.NotRun, way.Unknown:
+		return r.ID == leg.ID
+	}
+	return false
+}
+
 // Recall asks a far sidecar, in one incarnation of it, to let a leg never run.
 type Recall struct {
 	ID   string `msgpack:"id"`
--- a/relay/link.go
+++ b/relay/link.go
@@ -26,6 +26,8 @@
 	left int64
 	// carried tells that it has carried a leg before.
 	carried bool
+	// headed tells that it has carried a HEAD, whose answer has a length and no body.
+	headed bool
 	// since is when it was last of use, and keep how long it may then be idle.
 	since time.Time
 	keep  time.Duration
--- a/relay/near.go
+++ b/relay/near.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"time"
 
 	"curlewwalk/claim"
@@ -91,7 +92,7 @@
 			w.Header().Set("Connection", "close")
 		}
 		http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyFor))
-		n.serve(caller, r).write(w, r.Method)
+		n.serve(caller, r).write(w, r)
 	})
 }
 
@@ -120,6 +121,8 @@
 	switch {
 	case errors.As(err, &big):
 		return n.tooLarge()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return n.count(n.word(http.StatusRequestTimeout, way.NotRun, "body took too long", "", time.Second))
 	case err != nil:
 		return n.count(n.word(http.StatusBadRequest, way.NotRun, "body was cut short", "", 0))
 	}
@@ -137,8 +140,11 @@
 	q.way.Service = way.Pick(q.way, rand.IntN) // for all its legs
 	h := endToEnd(r.Header)
 	said := n.Dialect.Hear(r, h)
+	// A trailer may say no more than a header.
+	trailer := endToEnd(r.Trailer)
+	n.Dialect.Hear(r, trailer)
 	q.left = said.Left
-	q.leg = Leg{Service: q.way.Service, Way: q.way.Name, Rank: q.contract.Rank, Repeatable: q.way.Repeatable, Caller: cmp.Or(caller, n.Home), Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h, Trailer: r.Trailer, Body: body}
+	q.leg = Leg{Service: q.way.Service, Way: q.way.Name, Rank: q.contract.Rank, Repeatable: q.way.Repeatable, Caller: cmp.Or(caller, n.Home), Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h, Trailer: trailer, Body: body}
 	// The client's going away stops nothing: the inquiry was handed over.
 	ctx := context.WithoutCancel(r.Context())
 	n.begin(ctx, &q, r.Header)
@@ -354,7 +360,7 @@
 	case r.Fate == wire.Unsent:
 		l.Fate, l.Reason, l.Reached = way.NotRun, "node could not be reached", false
 		t.Load.Shun(n.Shun)
-	case r.Into(&rc) && rc.ID == leg.ID:
+	case r.Into(&rc) && rc.of(&leg):
 		l.Fate, l.Reason, l.Reached, l.Back, l.Expired = rc.Fate, rc.Reason, rc.Reached, rc.Back, rc.Reason == string(roster.Expired)
 		l.Lapsed = rc.Fate == way.NotRun && rc.Reason == string(roster.Lapsed)
 		t.Load.Tell(rc.Open)
@@ -380,7 +386,7 @@
 func (n *Near) recall(ctx context.Context, l way.Leg, leg Leg) way.Leg {
 	ask := func(ctx context.Context) (rc LegReceipt, ok bool) {
 		ok = n.Net.Call(ctx, l.Target.Node, wire.Control, KindRecall, Recall{ID: leg.ID, Boot: leg.Boot}).Into(&rc)
-		return rc, ok && rc.ID == leg.ID
+		return rc, ok && rc.of(&leg)
 	}
 	if ctx.Err() != nil {
 		n.Launcher.Go(context.WithoutCancel(ctx), "recall", func(ctx context.Context) {
--- /dev/null
+++ b/relay/pair_test.go
@@ -0,0 +1,342 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"curlewwalk/cohort"
+	"curlewwalk/contract"
+	"curlewwalk/desired"
+	"curlewwalk/launch"
+	"curlewwalk/lineage"
+	"curlewwalk/roster"
+	"curlewwalk/trace"
+	"curlewwalk/way"
+	"curlewwalk/wire"
+)
+
+// pair is a near side, a far side and a stand-in backend, with a circuit between them:
+// "/once/" must not be repeated, "/look/" may be.
+type pair struct {
+	*bench
+	near *Near
+	// addr is where clients send.
+	addr string
+	// cut ends the circuits that are open.
+	cut func()
+}
+
+const pairConfiguration = `{"ways": [
+	{"name": "once", "prefix": "/once/", "service": "desk", "contract": "c"},
+	{"name": "look", "prefix": "/look/", "service": "desk", "contract": "c", "repeatable": true}],
+	"contracts": [{"name": "c", "rank": 1, "aim": "1s", "expiry": "3s"}]}`
+
+func newPair(t testing.TB, speak func(v visit) bool) *pair {
+	t.Helper()
+	return newPairWith(t, speak, func(map[string]wire.Handler) {})
+}
+
+// circuits is a listener that keeps what it accepted.
+type circuits struct {
+	net.Listener
+	mu   sync.Mutex
+	open []net.Conn
+}
+
+func (c *circuits) Accept() (net.Conn, error) {
+	conn, err := c.Listener.Accept()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open = append(c.open, conn)
+	return conn, err
+}
+
+func (c *circuits) cut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.open {
+		if conn != nil {
+			conn.Close()
+		}
+	}
+	c.open = nil
+}
+
+// newPairWith lets a test stand between the two sides.
+func newPairWith(t testing.TB, speak func(v visit) bool, between func(map[string]wire.Handler)) *pair {
+	t.Helper()
+	p := &pair{bench: newBench(t, speak)}
+	ctx, cancel := context.WithCancel(context.Background())
+	l := launch.New(slog.New(slog.DiscardHandler), func(name string, cause any, stack []byte) { t.Errorf("%s: %v\n%s", name, cause, stack) })
+	table, ok := way.NewTable(desired.Word{Stamp: 1, DesiredStamp: 1, Desired: []byte(pairConfiguration)})
+	if !ok {
+		t.Fatal("the configuration is not taken")
+	}
+	no := func() bool { return false }
+	queue := trace.NewQueue("near", 1, 16)
+	lin := lineage.NewKeeper()
+
+	f := p.far
+	f.Boot, f.Queue, f.Lineage, f.Draining, f.Claimed = 7, queue, lin, no, func() bool { return true }
+	f.Table = func() *way.Table { return table }
+	f.Roster = func() roster.Roster {
+		r, _ := roster.Roster{}.Announce(roster.Announcement{Instance: "a", Service: "desk", Address: p.entry.Address, Capacity: 8}, "north", time.Now())
+		return r
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	kept := &circuits{Listener: listener}
+	p.cut = kept.cut
+	handlers := map[string]wire.Handler{KindLeg: f.Leg, KindRecall: f.Recall}
+	between(handlers)
+	host := &wire.Host{Launcher: l, Listener: kept, Handlers: handlers}
+	node := cohort.Node{Addr: listener.Addr().String(), Boot: 7, Locality: "north", Backends: []cohort.Backend{
+		{Instance: "a", Service: "desk", Address: p.entry.Address, Locality: "north", Capacity: 8, Share: 1}}}
+	view := cohort.NewView(map[string]cohort.Node{node.Addr: node}, nil)
+	p.near = &Near{Locality: "north", Table: f.Table, View: func() *cohort.View { return view }, Net: wire.NewNet(l, wire.Greeting{}, nil),
+		Launcher: l, Queue: queue, Log: slog.New(slog.DiscardHandler), Lineage: lin, Bodies: &Bodies{Most: 1 << 20, All: 8 << 20},
+		Purses: contract.NewPurses("near", 20), Budgets: contract.NewBudgets(), Costs: way.NewCosts(), Life: ctx,
+		Draining: no, Dialect: told{}, Shun: time.Millisecond, ComeBack: 100 * time.Millisecond}
+	l.Go(ctx, "lineage", lin.Run)
+	l.Go(ctx, "host", host.Run)
+	l.Go(ctx, "net", p.near.Net.Run)
+	server := httptest.NewServer(p.near.Handler(""))
+	p.addr = server.Listener.Addr().String()
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+		cancel()
+		<-l.Idle()
+		l.Stop()
+	})
+	return p
+}
+
+// client is a raw connection of a client.
+type client struct {
+	t testing.TB
+	*net.TCPConn
+	in *bufio.Reader
+}
+
+func (p *pair) client(t testing.TB) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	return &client{t, c.(*net.TCPConn), bufio.NewReader(c)}
+}
+
+// say writes to the sidecar. What it does not take any more is no fault.
+func (c *client) say(format string, args ...any) { fmt.Fprintf(c, format, args...) }
+
+// hear reads the next answer; nil if the connection has ended.
+func (c *client) hear() (resp *http.Response, body string) {
+	c.t.Helper()
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return nil, ""
+	}
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		c.t.Fatalf("%d was cut short: %v", resp.StatusCode, err)
+	}
+	return resp, string(b)
+}
+
+// uris lists what the backend was asked for, by path.
+func (p *pair) uris() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := map[string]int{}
+	for uri, n := range p.asked {
+		out[uri] = n
+	}
+	return out
+}
+
+// mirror answers with the path and the body that it got.
+func mirror(v visit) bool {
+	b, _ := io.ReadAll(v.Body)
+	v.say(v.id, v.RequestURI+" "+string(b))
+	return true
+}
+
+// Requests on one connection, one behind the other and some before the one ahead was
+// answered, each get their own answer, in order.
+func TestPipelined(t *testing.T) {
+	p := newPair(t, mirror)
+	c := p.client(t)
+	var text strings.Builder
+	const n = 20
+	for i := range n {
+		fmt.Fprintf(&text, "POST /once/%d HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n%02d", i, i)
+	}
+	c.say("%s", text.String())
+	for i := range n {
+		resp, body := c.hear()
+		if want := fmt.Sprintf("/once/%d %02d", i, i); resp == nil || resp.StatusCode != 200 || body != want {
+			t.Fatalf("answer %d: %+v %q, want %q", i, resp, body, want)
+		}
+	}
+	for uri, times := range p.uris() {
+		if times != 1 {
+			t.Errorf("%s ran %d times", uri, times)
+		}
+	}
+}
+
+// An early refusal, with the body still on its way: what follows is never taken for a
+// request, and if the connection is used again, the next request gets its own answer.
+func TestBodyAfterARefusal(t *testing.T) {
+	smuggled := "POST /once/smuggled HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+	long := strings.Repeat(smuggled, (2<<20)/len(smuggled))
+	for name, c := range map[string]struct {
+		text   string
+		status int
+	}{
+		"over the bound, with its length":  {fmt.Sprintf("POST /once/long HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(long), long), 413},
+		"over the bound, in chunks":        {fmt.Sprintf("POST /once/long HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(long), long), 413},
+		"no such way":                      {fmt.Sprintf("POST /nowhere HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(smuggled), smuggled), 404},
+		"refused before its body was read": {fmt.Sprintf("POST /once/full HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(smuggled), smuggled), 503},
+		"asked before it is sent":          {fmt.Sprintf("POST /once/full HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n%s", len(smuggled), smuggled), 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t, mirror)
+			if c.status == 503 {
+				p.near.Bodies.All = 1
+			}
+			conn := p.client(t)
+			go conn.say("%sPOST /once/next HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", c.text)
+			resp, _ := conn.hear()
+			if resp == nil || resp.StatusCode != c.status || resp.Header.Get(HeaderOutcome) != string(way.NotRun) {
+				t.Fatalf("%+v", resp)
+			}
+			if resp, body := conn.hear(); resp != nil && body != "/once/next " {
+				t.Errorf("then came %+v %q", resp, body)
+			}
+			for uri := range p.uris() {
+				if uri != "/once/next" {
+					t.Errorf("%s ran", uri)
+				}
+			}
+		})
+	}
+}
+
+// Requests whose ends two readers might see at different places are refused, or reach
+// the backend as one, whole and unchanged.
+func TestTwoLengths(t *testing.T) {
+	inner := "POST /once/smuggled HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+	for name, text := range map[string]string{
+		"two lengths":             "Content-Length: 5\r\nContent-Length: 6\r\n\r\nabcdef" + inner,
+		"a list of lengths":       "Content-Length: 5, 6\r\n\r\nabcdef" + inner,
+		"a signed length":         "Content-Length: +5\r\n\r\nabcde" + inner,
+		"a length and chunks":     "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+		"chunks of another name":  "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n" + inner,
+		"chunks twice":            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + inner,
+		"compressed chunks":       "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + inner,
+		"a folded name":           "Transfer-Encoding : chunked\r\nContent-Length: 3\r\n\r\nabc" + inner,
+		"an odd chunk":            "Transfer-Encoding: chunked\r\n\r\n1;a=b\nx\r\n0\r\n\r\n",
+		"a chunk's length signed": "Transfer-Encoding: chunked\r\n\r\n-1\r\nx\r\n0\r\n\r\n" + inner,
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t, mirror)
+			c := p.client(t)
+			c.say("POST /once/first HTTP/1.1\r\nHost: x\r\n%s", text)
+			c.CloseWrite()
+			for {
+				resp, body := c.hear()
+				if resp == nil {
+					break
+				}
+				if resp.StatusCode == 200 && body != "/once/first x" {
+					t.Errorf("%q", body)
+				}
+			}
+			for uri, n := range p.uris() {
+				if uri != "/once/first" || n > 1 {
+					t.Errorf("%s ran %d times", uri, n)
+				}
+			}
+		})
+	}
+}
+
+// A client that goes away in the middle of its body, or of its answer, costs nobody else
+// anything; of a body cut short nothing runs.
+func TestClientResets(t *testing.T) {
+	p := newPair(t, mirror)
+	for range 30 {
+		c := p.client(t)
+		c.say("POST /once/cut HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nhalf")
+		c.SetLinger(0)
+		c.Close()
+		c = p.client(t)
+		c.say("POST /once/gone HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nbody")
+		c.SetLinger(0)
+		c.Close()
+		c = p.client(t)
+		c.say("POST /once/stays HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nmine")
+		if resp, body := c.hear(); resp == nil || resp.StatusCode != 200 || body != "/once/stays mine" {
+			t.Fatalf("%+v %q", resp, body)
+		}
+	}
+	if got := p.uris(); got["/once/cut"] != 0 || got["/once/stays"] != 30 || got["/once/gone"] > 30 {
+		t.Errorf("%v", got)
+	}
+}
+
+// Trailers of a client are its own; what concerns one hop, and what only sidecars may
+// say, is no more taken from them than from its headers. No backend is blamed for them.
+func TestClientTrailers(t *testing.T) {
+	got := make(chan http.Header, 9)
+	p := newPair(t, func(v visit) bool {
+		io.Copy(io.Discard, v.Body)
+		got <- v.Trailer
+		v.say(v.id, "ok")
+		return true
+	})
+	for _, fields := range []string{"X-Sum: 7\r\n", "X-Sum: 7\r\nContent-Length: 3\r\n", "X-Sum: 7\r\nTransfer-Encoding: chunked\r\n",
+		"X-Sum: 7\r\nTrailer: x\r\n", "X-Sum: 7\r\nConnection: close\r\n", "X-Sum: 7\r\n" + HeaderCaller + ": forged\r\n"} {
+		c := p.client(t)
+		c.say("POST /once/x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n%s\r\n", fields)
+		resp, body := c.hear()
+		if resp == nil || resp.StatusCode != 200 || body != "ok" {
+			t.Errorf("%q: %+v %q", fields, resp, body)
+			continue
+		}
+		if h := <-got; len(h) != 1 || h.Get("X-Sum") != "7" {
+			t.Errorf("%q came as %v", fields, h)
+		}
+	}
+}
+
+// A client that knows no chunks is told the length of an answer that has trailers.
+func TestTrailersForAnOldClient(t *testing.T) {
+	p := newPair(t, func(v visit) bool {
+		io.WriteString(v.w, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: Sum\r\nFor: "+v.id+"\r\n\r\n2\r\nok\r\n0\r\nSum: 7\r\n\r\n")
+		return true
+	})
+	c := p.client(t)
+	c.say("GET /look/x HTTP/1.0\r\nHost: x\r\n\r\n")
+	resp, body := c.hear()
+	if resp == nil || resp.StatusCode != 200 || body != "ok" || resp.ContentLength != 2 {
+		t.Errorf("%+v %q", resp, body)
+	}
+}
--- a/relay/receipt.go
+++ b/relay/receipt.go
@@ -74,7 +74,7 @@
 }
 
 // write hands the receipt to the client, adding nothing.
-func (r Receipt) write(w http.ResponseWriter, method string) {
+func (r Receipt) write(w http.ResponseWriter, q *http.Request) {
 	h := w.Header()
 	for k, v := range r.Header {
 		h[k] = v
@@ -84,15 +84,19 @@
 			h[k] = nil // net/http would add its own
 		}
 	}
-	for k := range r.Trailer {
+	trailer := r.Trailer
+	if !q.ProtoAtLeast(1, 1) {
+		trailer = nil // it knows no chunks, and would not know where the answer ends
+	}
+	for k := range trailer {
 		h.Add("Trailer", k)
 	}
-	if len(r.Trailer) == 0 && method != http.MethodHead && r.Status != http.StatusNoContent && r.Status != http.StatusNotModified {
+	if len(trailer) == 0 && q.Method != http.MethodHead && r.Status != http.StatusNoContent && r.Status != http.StatusNotModified {
 		h.Set("Content-Length", strconv.Itoa(len(r.Body)))
 	}
 	w.WriteHeader(r.Status)
 	w.Write(r.Body)
-	for k, v := range r.Trailer {
+	for k, v := range trailer {
 		h[k] = v
 	}
 }
--- a/wire/hostile_test.go
+++ b/wire/hostile_test.go
@@ -6,11 +6,14 @@
 	"context"
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
 	"runtime"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -278,3 +281,112 @@
 		t.Errorf("with late looks it took %d", looks)
 	}
 }
+
+// A receipt that comes after its caller has given up is nobody's: the callers after it
+// get their own, on the same circuit, in whatever order the receipts come.
+func TestLateReceipts(t *testing.T) {
+	ctx, l := begin(t)
+	const calls = 40
+	came := make(chan bool, calls+1)
+	addr := silentPeer(t, func(conn net.Conn, r *bufio.Reader) {
+		var held []message
+		for {
+			b, err := readFrame(r, MaxFrame)
+			if err != nil {
+				return
+			}
+			_, _, m, _ := decode(b)
+			var e echo
+			if msgpack.Unmarshal(m.Body, &e) != nil {
+				continue
+			}
+			held = append(held, m)
+			came <- true
+			if e.Text != "answer all" {
+				continue
+			}
+			slices.Reverse(held) // the newest first
+			for _, m := range held {
+				out, _ := encode(trace.Span{}, m)
+				conn.Write(out)
+			}
+			held = nil
+		}
+	})
+	c, err := Dial(ctx, l, nil, addr, Greeting{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var impatient, patient sync.WaitGroup
+	for i := range calls {
+		group := &patient
+		if i%2 == 0 {
+			group = &impatient
+		}
+		group.Go(func() {
+			call, cancel := ctx, context.CancelFunc(func() {})
+			if i%2 == 0 {
+				call, cancel = context.WithTimeout(ctx, 50*time.Millisecond)
+			}
+			defer cancel()
+			text := fmt.Sprint("call ", i)
+			var e echo
+			switch r := c.Call(call, "echo", echo{Text: text}); {
+			case i%2 == 0 && r.Fate == Answered, i%2 == 1 && (!r.Into(&e) || e.Text != text):
+				t.Errorf("call %d got %+v %+v", i, r, e)
+			}
+		})
+	}
+	for range calls {
+		<-came
+	}
+	impatient.Wait()
+	var e echo
+	if r := c.Call(ctx, "echo", echo{Text: "answer all"}); !r.Into(&e) || e.Text != "answer all" {
+		t.Errorf("%+v %+v", r, e)
+	}
+	patient.Wait()
+	if c.count.Read()[kindDropped].Receipts != calls/2 {
+		t.Errorf("%+v", c.count.Read())
+	}
+}
+
+// A receipt that comes twice breaks the circuit: what is still open is lost, and nobody
+// gets it.
+func TestDoubledReceipt(t *testing.T) {
+	ctx, l := begin(t)
+	addr := silentPeer(t, func(conn net.Conn, r *bufio.Reader) {
+		var all []byte
+		for range 2 {
+			b, err := readFrame(r, MaxFrame)
+			if err != nil {
+				return
+			}
+			if _, _, m, _ := decode(b); len(all) == 0 {
+				out, _ := encode(trace.Span{}, m)
+				all = append(append(all, out...), out...)
+			}
+		}
+		conn.Write(all)
+	})
+	c, err := Dial(ctx, l, nil, addr, Greeting{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	fates := make(chan Fate, 2)
+	for i := range 2 {
+		l.Go(ctx, "call", func(ctx context.Context) {
+			var e echo
+			text := fmt.Sprint(i)
+			r := c.Call(ctx, "echo", echo{Text: text})
+			if r.Fate == Answered && (!r.Into(&e) || e.Text != text) {
+				t.Errorf("call %d got %+v", i, e)
+			}
+			fates <- r.Fate
+		})
+	}
+	if a, b := <-fates, <-fates; a+b != Answered+Lost {
+		t.Errorf("fates %v and %v", a, b)
+	}
+	<-c.Broken()
+}
