Wire: begin no inquiry on a circuit whose peer left a ping unanswered

Legs to a frozen or starved node lay in its buffers until their circuit was broken, 2 s after the first, and each ended as unknown: 502 though it never ran. From the first ping that is unanswered until the next is due (1 s), new legs are surely unsent: they go elsewhere, or are refused at once as not run. Calls of the control lanes wait as before.

--- a/proof/defects/all.go
+++ b/proof/defects/all.go
@@ -105,6 +105,7 @@
 	{lives, "wire/message.go", "if err = wellFormed(plain); err != nil {", "if err = wellFormed(plain); false {", "./wire", "TestMalformedPayload", nil},
 	{lives, "wire/frame.go", "min(n-had, max(had, chunk))", "n-had", "./wire", "TestClaimedLengthTakesNoMemory", nil},
 	{lives, "wire/circuit.go", "readFrame(r, maxGreeting)", "readFrame(r, MaxFrame)", "./wire", "TestClaimedLengthTakesNoMemory", nil},
+	{held, "wire/circuit.go", "if k.elsewhere && peer.suspect() {", "if false {", "./wire", "TestSuspectedPeer", nil},
 	{held, "wire/circuit.go", "case <-begin.Done():", "case <-ctx.Done():", "./wire", "TestPeerThatTakesNothing", nil},
 	{returns, "wire/silence.go", "s.silent += min(passed, pingAfter)", "s.silent += passed", "./wire", "TestSilence", nil},
 	{returns, "wire/silence.go", "c.bytes.Add(uint64(n))", "c.bytes.Add(0)", "./wire", "TestSlowAnswer", nil},
--- /dev/null
+++ b/proof/frozen_test.go
@@ -0,0 +1,131 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"curlewwalk/proof/fleet"
+)
+
+// orders counts how often each order ran, by its body.
+type orders struct {
+	mu  sync.Mutex
+	ran map[string]int
+}
+
+func (o *orders) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	b, err := io.ReadAll(q.Body)
+	if err != nil {
+		return
+	}
+	o.mu.Lock()
+	o.ran[string(b)]++
+	o.mu.Unlock()
+	io.WriteString(w, "done "+string(b))
+}
+
+func (o *orders) times(id string) int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.ran[id]
+}
+
+// A far sidecar is frozen for shorter and longer than a circuit bears, with legs in its
+// buffers, and woken. What was promised not to run never runs, and nothing runs twice,
+// whatever it finds there: the leg, its recall behind it, or the end of the circuit.
+func TestFarFrozen(t *testing.T) {
+	t.Parallel()
+	for _, frozen := range []time.Duration{700 * time.Millisecond, 2500 * time.Millisecond, 5 * time.Second} {
+		t.Run(frozen.String(), func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t)
+			o := &orders{ran: map[string]int{}}
+			r.backend(1, o)
+			r.send("POST", "/once/", "warm")
+			answers := make(chan answer, 40)
+			id := func(i int) string { return fmt.Sprint("order ", i) }
+			r.Sidecars[1].Signal(syscall.SIGSTOP)
+			since := time.Now()
+			var all sync.WaitGroup
+			for i := range cap(answers) {
+				all.Go(func() {
+					a := r.send("POST", "/once/", id(i))
+					want := "done " + id(i)
+					switch outcome := a.Header.Get("Curlewwalk-Outcome"); {
+					case outcome == "" && string(a.body) != want:
+						t.Errorf("%s got %d %q", id(i), a.StatusCode, a.body)
+					case outcome == "unknown" && a.StatusCode == 503:
+						t.Errorf("%s: 503 for what is unknown: %s", id(i), a.body)
+					}
+					a.body = []byte(id(i))
+					answers <- a
+				})
+			}
+			must(t, fleet.Await(r.ctx, "the freeze to pass", func(context.Context) bool { return time.Since(since) > frozen }))
+			r.Sidecars[1].Signal(syscall.SIGCONT)
+			all.Wait()
+			// Once it serves again, and nothing is open, what lay in its buffers is done.
+			must(t, fleet.Await(r.ctx, "the woken sidecar to serve", func(context.Context) bool { return r.send("GET", "/look/", "").StatusCode == 200 }))
+			must(t, fleet.Await(r.ctx, "nothing to be open", func(c context.Context) bool {
+				var st struct {
+					Far struct {
+						Open int64 `json:"open"`
+					} `json:"far"`
+				}
+				_, err := r.Sidecars[1].Get(c, "/v1/stats", &st)
+				return err == nil && st.Far.Open == 0
+			}))
+			close(answers)
+			counts := map[string]int{}
+			for a := range answers {
+				outcome, ran := a.Header.Get("Curlewwalk-Outcome"), o.times(string(a.body))
+				counts[fmt.Sprint(a.StatusCode, " ", outcome, " ran ", ran)]++
+				if ran > 1 || ran > 0 && outcome == "not-run" || ran != 1 && outcome == "" {
+					t.Errorf("%s: %d %q, ran %d times", a.body, a.StatusCode, outcome, ran)
+				}
+			}
+			t.Logf("frozen for %v: %v", frozen, counts)
+		})
+	}
+}
+
+// A near sidecar that is frozen for longer than a circuit may be silent has not heard
+// what it was answered meanwhile: woken, it passes the answers on.
+func TestNearFrozen(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	running, release := make(chan struct{}, 20), make(chan struct{})
+	r.backend(1, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		b, _ := io.ReadAll(q.Body)
+		running <- struct{}{}
+		<-release
+		io.WriteString(w, "done "+string(b))
+	}))
+	// The expiry is 3 s: half a second is left for the answers after the freeze. A backend
+	// of 9 is given half just after its sidecar's start.
+	const frozen, orders = 2400 * time.Millisecond, 4
+	var all sync.WaitGroup
+	for i := range orders {
+		all.Go(func() {
+			a := r.send("POST", "/once/", fmt.Sprint("order ", i))
+			if a.StatusCode != 200 || string(a.body) != fmt.Sprint("done order ", i) {
+				t.Errorf("order %d: %d %s after %v", i, a.StatusCode, a.body, a.took)
+			}
+		})
+	}
+	for range orders {
+		recv(r, running)
+	}
+	r.Sidecars[0].Signal(syscall.SIGSTOP)
+	since := time.Now()
+	close(release)
+	must(t, fleet.Await(r.ctx, "the freeze to pass", func(context.Context) bool { return time.Since(since) > frozen }))
+	r.Sidecars[0].Signal(syscall.SIGCONT)
+	all.Wait()
+}
--- a/wire/circuit.go
+++ b/wire/circuit.go
@@ -38,7 +38,10 @@
 	kind  string
 	body  msgpack.RawMessage
 	reply chan Receipt
-	// given up is set once its caller no longer waits.
+	// elsewhere says that its caller would rather turn elsewhere than wait for a peer
+	// that is suspected.
+	elsewhere bool
+	// givenUp is set once its caller no longer waits.
 	givenUp atomic.Bool
 }
 
@@ -113,18 +116,18 @@
 // Call sends body and waits for the receipt or for ctx. The span in ctx's slot
 // goes at the start of the message.
 func (c *Circuit) Call(ctx context.Context, kind string, body any) Receipt {
-	return c.callWithin(ctx, ctx, kind, body)
+	return c.call(ctx, ctx, kind, body, false)
 }
 
-// callWithin is Call, with a bound of its own on how long the circuit may take to begin
-// with it: until then it is surely unsent.
-func (c *Circuit) callWithin(ctx, begin context.Context, kind string, body any) Receipt {
+// call is Call, with a bound of its own on how long the circuit may take to begin with
+// it: until then it is surely unsent.
+func (c *Circuit) call(ctx, begin context.Context, kind string, body any, elsewhere bool) Receipt {
 	raw, err := msgpack.Marshal(body)
 	if err != nil {
 		return Receipt{Fate: Unsent, Fault: err.Error()}
 	}
 	s, _ := trace.From(ctx)
-	k := &call{span: s, kind: kind, body: raw, reply: make(chan Receipt, 1)}
+	k := &call{span: s, kind: kind, body: raw, elsewhere: elsewhere, reply: make(chan Receipt, 1)}
 	select {
 	case c.calls <- k:
 	case <-c.done:
@@ -203,6 +206,10 @@
 				peer.begin(time.Now(), c.conn.bytes.Load())
 				tick.Reset(pingAfter)
 			}
+			if k.elsewhere && peer.suspect() {
+				k.reply <- Receipt{Fate: Unsent}
+				continue
+			}
 			sent, ok := write(k.span, message{ID: k.id, Kind: k.kind, Body: k.body})
 			k.body = nil
 			if sent {
--- a/wire/hostile_test.go
+++ b/wire/hostile_test.go
@@ -14,6 +14,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -390,3 +391,54 @@
 	}
 	<-c.Broken()
 }
+
+// An inquiry is not begun with on a circuit whose peer has left a ping unanswered: it is
+// surely unsent, at once, and its caller can turn elsewhere. Other calls wait on.
+func TestSuspectedPeer(t *testing.T) {
+	ctx, l := begin(t)
+	var seen atomic.Int64
+	addr := silentPeer(t, func(conn net.Conn, r *bufio.Reader) {
+		for {
+			b, err := readFrame(r, MaxFrame)
+			if err != nil {
+				return
+			}
+			if _, _, m, _ := decode(b); m.Kind == "inquiry" {
+				seen.Add(1)
+			}
+		}
+	})
+	n := NewNet(l, Greeting{}, nil)
+	l.Go(ctx, "net", n.Run)
+	type result struct {
+		fate Fate
+		took time.Duration
+	}
+	results := make(chan result, 99)
+	sent := 0
+	call := func() {
+		sent++
+		l.Go(ctx, "call", func(ctx context.Context) {
+			begin := time.Now()
+			r := n.Call(ctx, addr, Traffic, "inquiry", 1)
+			results <- result{r.Fate, time.Since(begin)}
+		})
+	}
+	tick := time.NewTicker(pingAfter / 5)
+	defer tick.Stop()
+	for begin := time.Now(); time.Since(begin) < breakAfter-pingAfter; <-tick.C {
+		call()
+	}
+	unsent := int64(0)
+	for range sent {
+		switch r := <-results; {
+		case r.fate == Unsent && r.took < pingAfter:
+			unsent++
+		case r.fate != Lost:
+			t.Errorf("%+v", r)
+		}
+	}
+	if unsent == 0 || seen.Load() != int64(sent)-unsent {
+		t.Errorf("of %d calls %d were unsent, and the peer saw %d", sent, unsent, seen.Load())
+	}
+}
--- a/wire/net.go
+++ b/wire/net.go
@@ -91,7 +91,7 @@
 			return Receipt{Fate: Unsent, Fault: "no circuit", Refused: d.refused}
 		}
 	}
-	return c.callWithin(ctx, begin, kind, body)
+	return c.call(ctx, begin, kind, body, lane == Traffic)
 }
 
 // Run owns the table.
--- a/wire/silence.go
+++ b/wire/silence.go
@@ -32,6 +32,9 @@
 	return s.silent >= breakAfter
 }
 
+// suspect tells that the peer has left a ping unanswered until the next was due.
+func (s *silence) suspect() bool { return s.silent >= 2*pingAfter }
+
 // heardConn counts what is read from a connection, whole frames or not.
 type heardConn struct {
 	net.Conn
