Serve metrics at /metrics of both programs by the Prometheus client library

Cause: /metrics answered 404 at both; counts stood in /v1/stats only, in a form that no monitoring reads. Sidecars show traffic by route and outcome, retries and their budget, lease, feed lag, held keys and bodies, trace queue; cores show term, leader, writes by kind and result (reseat: membership changes), quorum reads, lease renewals, members, feed. Both: messages and bytes by kind, the runtime and the process. New counts: requests by route (relay), writes and quorum reads on the core that carries them out. Seen failing first: TestMetrics, by 404 before and by cores_live of a core, which had been taken to count itself.

--- a/core/control.go
+++ b/core/control.go
@@ -79,6 +79,7 @@
 	mux.HandleFunc("GET /v1/traces/{id}", n.getTrace)
 	mux.HandleFunc("GET /v1/state", n.getState)
 	mux.Handle("GET /v1/reload", n.reload)
+	mux.Handle("GET /metrics", n.metrics())
 	mux.HandleFunc("GET /v1/budgets", n.getBudgets)
 	return mux
 }
--- a/core/door.go
+++ b/core/door.go
@@ -51,7 +51,13 @@
 
 // Read reads the newest word back from a majority; false if none answers.
 func (n *Node) Read(ctx context.Context) (desired.Word, bool) {
-	return n.keeper.ReadBack(ctx, n.refresh)
+	word, ok := n.keeper.ReadBack(ctx, n.refresh)
+	if ok {
+		n.counters.reads.Add("answered")
+	} else {
+		n.counters.reads.Add("no-quorum")
+	}
+	return word, ok
 }
 
 // Ready tells whether the core serves, and why not.
--- /dev/null
+++ b/core/metrics.go
@@ -0,0 +1,125 @@
+package core
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"curlewwalk/feed"
+	"curlewwalk/metrics"
+	"curlewwalk/register"
+)
+
+// stateWait is how long a scrape waits for the directory. (ours)
+const stateWait = 500 * time.Millisecond
+
+// counters count what nothing else counts on a core.
+type counters struct {
+	// orders are the writes that this core carried out as leader, by kind and result.
+	orders metrics.Labelled
+	// reads are the quorum reads for operators, by outcome.
+	reads metrics.Labelled
+	// renewals are the quorum reads that renew the sidecars' leases.
+	renewals atomic.Uint64
+}
+
+// lead carries an order out on this core, and counts it.
+func (n *Node) lead(ctx context.Context, o register.Order) register.Answer {
+	a := n.keeper.Write(ctx, o)
+	n.counters.orders.Add(string(o.Kind), string(a.Result))
+	return a
+}
+
+// confirmed takes that as of a moment a quorum knew of no newer configuration.
+func (n *Node) confirmed(ctx context.Context, asOf time.Time) {
+	n.counters.renewals.Add(1)
+	n.directory.Sure(ctx, asOf)
+}
+
+// metrics serves the core's metrics.
+func (n *Node) metrics() http.Handler {
+	var all []*metrics.Metric
+	all = append(all, n.consensusMetrics()...)
+	all = append(all, n.membershipMetrics()...)
+	all = append(all, n.feedMetrics()...)
+	all = append(all, metrics.Wire(&n.p.Net.Counts, &n.p.Host.Counts)...)
+	return metrics.Handler(all...)
+}
+
+func (n *Node) consensusMetrics() []*metrics.Metric {
+	return []*metrics.Metric{
+		metrics.Gauge("term", "Highest term (epoch) that this core has promised, and the one under which it accepted what it holds.", []string{"state"}, func(emit metrics.Emit) {
+			v := n.keeper.Voter()
+			emit(float64(v.Promised), "promised")
+			emit(float64(v.Mark.Epoch), "accepted")
+		}),
+		metrics.Gauge("configuration_version", "Version of the configuration that this core accepted, and of the newest that it knows a majority to hold.", []string{"state"}, func(emit metrics.Emit) {
+			v := n.keeper.Voter()
+			emit(float64(v.Mark.Stamp), "accepted")
+			emit(float64(v.Settled), "committed")
+		}),
+		metrics.Gauge("leader", "Whether this core is on duty by what it hears.", nil, metrics.Value(func() float64 {
+			return metrics.Bool(n.OnDuty())
+		})),
+		metrics.Counter("writes_total", "Writes that this core carried out as leader, by kind and result; kind reseat is a change of the membership.", []string{"kind", "result"}, n.counters.orders.Read),
+		metrics.Counter("quorum_reads_total", "Quorum reads of the configuration for operators, by outcome.", []string{"outcome"}, n.counters.reads.Read),
+		metrics.Counter("lease_renewals_total", "Quorum reads that renewed the leases of the sidecars that follow this core.", nil, metrics.Value(func() float64 {
+			return float64(n.counters.renewals.Load())
+		})),
+	}
+}
+
+func (n *Node) membershipMetrics() []*metrics.Metric {
+	return []*metrics.Metric{
+		metrics.Gauge("members", "Members of the set in force, and of the set before while that is still needed.", []string{"set"}, func(emit metrics.Emit) {
+			sets := n.keeper.Voter().Sets()
+			emit(float64(len(sets.Now)), "current")
+			emit(float64(len(sets.Before)), "previous")
+		}),
+		metrics.Gauge("member", "Whether this core is a member of the set in force.", nil, metrics.Value(func() float64 {
+			return metrics.Bool(n.keeper.Voter().Member())
+		})),
+		metrics.Gauge("cores_live", "Other cores that are heard.", nil, metrics.Value(func() float64 {
+			return float64(len(n.seeker.Seats().Live(time.Now())))
+		})),
+	}
+}
+
+func (n *Node) feedMetrics() []*metrics.Metric {
+	return []*metrics.Metric{
+		metrics.Gauge("feed_sequence", "Number of the newest change in this core's feed; it starts anew with the process.", nil, n.ofDirectory(func(s feed.State) float64 {
+			return float64(s.Place)
+		})),
+		metrics.Gauge("feed_ready", "Whether the feed is served: not while the core is still being told of the sidecars.", nil, n.ofDirectory(func(s feed.State) float64 {
+			return metrics.Bool(s.Open)
+		})),
+		metrics.Gauge("sidecars_known", "Sidecars that this core hears.", nil, n.ofDirectory(func(s feed.State) float64 {
+			return float64(len(s.Nodes))
+		})),
+		metrics.Gauge("sidecars_behind", "Sidecars that have an older configuration in force than the newest one here.", nil, n.ofDirectory(behind)),
+	}
+}
+
+// ofDirectory reads a value of the directory's state; none if the directory
+// doesn't answer in time.
+func (n *Node) ofDirectory(value func(s feed.State) float64) metrics.Read {
+	return func(emit metrics.Emit) {
+		ctx, cancel := context.WithTimeout(n.p.Life, stateWait)
+		defer cancel()
+		if state, ok := n.directory.State(ctx); ok {
+			emit(value(state))
+		}
+	}
+}
+
+// behind counts the sidecars with an older configuration than the directory's.
+func behind(s feed.State) float64 {
+	count := 0
+	for _, node := range s.Nodes {
+		if node.Stamp < s.Stamp {
+			count++
+		}
+	}
+	return float64(count)
+}
--- a/core/node.go
+++ b/core/node.go
@@ -41,6 +41,7 @@
 	web       *process.Web
 	draining  atomic.Bool
 	joined    atomic.Bool // a member, when readiness was last asked for
+	counters  counters
 }
 
 // New puts the parts together and opens the addresses.
@@ -58,7 +59,7 @@
 	n.keeper.Net, n.keeper.Log, n.keeper.Peers = p.Net, p.Log, n
 	n.usher = newUsher(n)
 	n.keeper.Settled = func(ctx context.Context, w desired.Word) { n.directory.Settled(ctx, w) }
-	n.keeper.Confirmed, n.keeper.Turned = n.directory.Sure, n.seeker.Hasten
+	n.keeper.Confirmed, n.keeper.Turned = n.confirmed, n.seeker.Hasten
 	n.seeker.Own = func() cohort.Hail { return cohort.Hail{Seat: n.told()} }
 	n.seeker.Addr, n.seeker.Net, n.seeker.Launcher, n.seeker.Heard = set.Advertise, p.Net, p.Launcher, n.heard
 	n.seeker.Hear(cohort.Hail{Know: remembered(n.keeper.Voter())})
@@ -213,14 +214,14 @@
 // writeAt carries an order out on one core.
 func (n *Node) writeAt(ctx context.Context, c cohort.Seat, o register.Order) register.Answer {
 	if c.Addr == n.set.Advertise {
-		return n.keeper.Write(ctx, o)
+		return n.lead(ctx, o)
 	}
 	var a register.Answer
 	switch r := n.keeper.Forward(ctx, c.Addr, o); {
 	case r.Into(&a):
 		return a
 	case r.Fate == wire.Unsent:
-		return n.keeper.Write(ctx, o) // it is gone; the epoch settles who is right
+		return n.lead(ctx, o) // it is gone; the epoch settles who is right
 	}
 	return register.Answer{Result: register.Unknown}
 }
--- a/core/usher.go
+++ b/core/usher.go
@@ -118,7 +118,7 @@
 	}
 	u.busy = true
 	u.n.p.Launcher.Go(ctx, "change-set", func(ctx context.Context) {
-		a := u.n.keeper.Write(ctx, o)
+		a := u.n.lead(ctx, o)
 		u.n.p.Log.Info("the set of slots", "comes", o.Seat.Slot, "at", o.Seat.Addr, "goes", o.Out, "taken", string(a.Result), "stamp", a.Word.Stamp)
 		u.box.Send(ctx, msgDone{a.Result == register.Taken})
 	})
--- a/core/warden.go
+++ b/core/warden.go
@@ -51,7 +51,7 @@
 		if s.Begin {
 			o.Kind = register.Begin
 		}
-		a := w.n.keeper.Write(ctx, o)
+		a := w.n.lead(ctx, o)
 		w.n.p.Log.Info("a maintenance window", "step", string(o.Kind), "locality", s.Locality, "window", s.Window, "taken", string(a.Result))
 	}
 }
--- /dev/null
+++ b/proof/metrics_test.go
@@ -0,0 +1,145 @@
+package proof
+
+import (
+	"net/http"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/testutil/promlint"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+)
+
+// documented is a row of the metrics' table: the name, and which program has it.
+var documented = regexp.MustCompile("(?m)^\\| `(curlewwalk_[a-z_]+)` \\| (sidecar|core|both) \\|")
+
+// families scrapes a program as Prometheus does.
+func (r *rig) families(control string) map[string]*dto.MetricFamily {
+	r.t.Helper()
+	resp, err := r.Client.Get("http://" + control + "/metrics")
+	must(r.t, err)
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		r.t.Fatalf("status %d", resp.StatusCode)
+	}
+	got, err := (&expfmt.TextParser{}).TextToMetricFamilies(resp.Body)
+	must(r.t, err)
+	return got
+}
+
+// value is the sample of a family that has all the labels, given as name and
+// value in turn.
+func value(family *dto.MetricFamily, labels ...string) (v float64, found bool) {
+	for _, m := range family.GetMetric() {
+		if has(m, labels) {
+			return m.GetCounter().GetValue() + m.GetGauge().GetValue(), true
+		}
+	}
+	return 0, false
+}
+
+func has(m *dto.Metric, labels []string) bool {
+	for i := 0; i+1 < len(labels); i += 2 {
+		if !slices.ContainsFunc(m.GetLabel(), func(l *dto.LabelPair) bool { return l.GetName() == labels[i] && l.GetValue() == labels[i+1] }) {
+			return false
+		}
+	}
+	return true
+}
+
+// Both programs show what happened, under the names that OPERATING.md lists: no
+// other of our own, none missing, and all as the library's rules want them.
+func TestMetrics(t *testing.T) {
+	r := newRig(t)
+	r.backend(1, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
+	for range 3 {
+		r.send("GET", "/look/a", "")
+	}
+	r.send("POST", "/once/a", "", "Idempotency-Key", "k")
+	r.send("GET", "/nowhere", "")
+	_, err := r.Operate(r.ctx, r.Cores[0], "GET", "/v1/desired", nil)
+	must(t, err)
+
+	caller, callee := r.families(r.Sidecars[0].Control), r.families(r.Sidecars[1].Control)
+	core := r.families(r.Cores[0].Control)
+	for _, want := range []struct {
+		in     map[string]*dto.MetricFamily
+		name   string
+		value  float64
+		labels []string
+	}{
+		{caller, "route_requests_total", 3, []string{"route", "look", "outcome", "answered"}},
+		{caller, "route_requests_total", 1, []string{"route", "once", "outcome", "answered"}},
+		{caller, "requests_total", 4, []string{"side", "client", "outcome", "answered"}},
+		{caller, "requests_total", 1, []string{"side", "client", "outcome", "not-run"}},
+		{callee, "requests_total", 4, []string{"side", "server", "outcome", "answered"}},
+		{caller, "requests_in_flight", 0, []string{"side", "client"}},
+		{caller, "retries_total", 0, nil},
+		{caller, "lease_valid", 1, nil},
+		{caller, "configuration_version", 1, nil},
+		{caller, "sidecars_known", 2, nil},
+		{caller, "cores_live", 1, nil},
+		{callee, "keys_held", 1, []string{"state", "answered"}},
+		{core, "configuration_version", 1, []string{"state", "committed"}},
+		{core, "leader", 1, nil},
+		{core, "member", 1, nil},
+		{core, "members", 1, []string{"set", "current"}},
+		{core, "cores_live", 0, nil},
+		{core, "writes_total", 1, []string{"kind", "put", "result", "taken"}},
+		{core, "quorum_reads_total", 1, []string{"outcome", "answered"}},
+		{core, "sidecars_known", 2, nil},
+		{core, "feed_ready", 1, nil},
+	} {
+		if got, found := value(want.in["curlewwalk_"+want.name], want.labels...); !found || got != want.value {
+			t.Errorf("%s %v is %v (found: %v), not %v", want.name, want.labels, got, found, want.value)
+		}
+	}
+	if got, _ := value(caller["curlewwalk_retry_budget"], "service", "desk"); got <= 0 {
+		t.Errorf("the retry budget is %v after three requests", got)
+	}
+	if got, found := value(caller["curlewwalk_lease_age_seconds"]); !found || got < 0 || got > 4*time.Second.Seconds() {
+		t.Errorf("the lease is %v s old (found: %v)", got, found)
+	}
+	for in, kind := range map[*map[string]*dto.MetricFamily]string{&caller: "leg", &callee: "hail", &core: "hail"} {
+		if got, _ := value((*in)["curlewwalk_wire_bytes_total"], "kind", kind); got <= 0 {
+			t.Errorf("no bytes of kind %s", kind)
+		}
+	}
+	agree(t, caller, "sidecar")
+	agree(t, core, "core")
+}
+
+// agree compares a program's own metrics with the table, and has their names and
+// types linted.
+func agree(t *testing.T, got map[string]*dto.MetricFamily, program string) {
+	t.Helper()
+	page, err := os.ReadFile("../docs/OPERATING.md")
+	must(t, err)
+	var want, own []string
+	for _, row := range documented.FindAllStringSubmatch(string(page), -1) {
+		if row[2] == program || row[2] == "both" {
+			want = append(want, row[1])
+		}
+	}
+	var families []*dto.MetricFamily
+	for name, family := range got {
+		if strings.HasPrefix(name, "curlewwalk_") {
+			own = append(own, name)
+			families = append(families, family)
+		}
+	}
+	slices.Sort(want)
+	slices.Sort(own)
+	if !slices.Equal(want, own) {
+		t.Errorf("%s has %v, the table lists %v", program, own, want)
+	}
+	problems, err := promlint.NewWithMetricFamilies(families).Lint()
+	must(t, err)
+	for _, p := range problems {
+		t.Errorf("%s: %s", p.Metric, p.Text)
+	}
+}
--- a/relay/near.go
+++ b/relay/near.go
@@ -21,6 +21,7 @@
 	"curlewwalk/desired"
 	"curlewwalk/launch"
 	"curlewwalk/lineage"
+	"curlewwalk/metrics"
 	"curlewwalk/roster"
 	"curlewwalk/trace"
 	"curlewwalk/way"
@@ -48,7 +49,9 @@
 	// Draining tells whether new inquiries are still taken.
 	Draining func() bool
 	Counts   Counts
-	Dialect  Dialect
+	// Routes counts the requests that have ended, by route and outcome.
+	Routes  metrics.Labelled
+	Dialect Dialect
 	// Shun is how long a target that failed is left out.
 	Shun time.Duration
 	// Home is the service that all callers on this machine belong to, if one does.
@@ -155,6 +158,7 @@
 		rc.Header = rc.Header.Clone()
 		trace.WriteB3(rc.Header, q.span)
 	}
+	n.Routes.Add(q.way.Name, string(rc.Fate))
 	return n.count(rc)
 }
 
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -76,6 +76,7 @@
 	})
 	mux.HandleFunc("GET /v1/stats", func(w http.ResponseWriter, _ *http.Request) { process.JSON(w, http.StatusOK, n.stats()) })
 	mux.Handle("GET /v1/reload", n.reload)
+	mux.Handle("GET /metrics", n.metrics())
 	mux.HandleFunc("GET /v1/budgets", n.budgets)
 	mux.HandleFunc("GET /v1/costs", func(w http.ResponseWriter, _ *http.Request) { process.JSON(w, http.StatusOK, n.near.Costs.Pages()) })
 	return mux
