Let no old copy of an evacuation, or of its end, undo a newer one

Cause: an order on a locality was carried out whenever its turn came. A copy that waited at a frozen core, on its way to the core on duty or behind a lost epoch was written though its caller had had it taken elsewhere and had then ordered the opposite.

An order that finds a later one on record is not written: the same again is acknowledged, the opposite stays and the copy ends without a clear answer (503). An order whose caller has gone before it was begun is not begun. One whose proposal was lost is proposed again if no order on its locality came between, instead of ending as unknown.

--- a/core/control.go
+++ b/core/control.go
@@ -149,7 +149,7 @@
 			return
 		}
 		if m, ok := ifMatch(w, r); ok {
-			n.receipt(w, r, n.obey(r.Context(), register.Order{Kind: kind, Locality: name, IfMatch: m}))
+			n.receipt(w, r, n.evacuate(r.Context(), register.Order{Kind: kind, Locality: name, IfMatch: m}))
 		}
 	}
 }
@@ -183,6 +183,9 @@
 		status, out.Stamp, out.Error = http.StatusConflict, 0, "another configuration was taken under its number"
 	default:
 		out.Error = "no majority of cores took it"
+		if a.Result == register.Overtaken {
+			out.Error = "a newer order on the locality was taken meanwhile"
+		}
 		status = http.StatusServiceUnavailable
 		w.Header().Set("Retry-After", "1")
 	}
--- a/core/door.go
+++ b/core/door.go
@@ -8,8 +8,8 @@
 	"curlewwalk/register"
 )
 
-// What an operator may ask of a core, in whatever dialect. An order goes on though
-// whoever gave it goes away. (DESIGN 18)
+// What an operator may ask of a core, in whatever dialect. An order that was begun goes
+// on though whoever gave it goes away. (DESIGN 18)
 
 // Put has a configuration put, unless it has faults: then nothing is done.
 func (n *Node) Put(ctx context.Context, e Edition) (register.Answer, []desired.Fault) {
@@ -36,12 +36,25 @@
 
 // Empty has a locality emptied.
 func (n *Node) Empty(ctx context.Context, locality string) register.Answer {
-	return n.obey(ctx, register.Order{Kind: register.Empty, Locality: locality})
+	return n.evacuate(ctx, register.Order{Kind: register.Empty, Locality: locality})
 }
 
 // TakeBack has a locality taken back.
 func (n *Node) TakeBack(ctx context.Context, locality string) register.Answer {
-	return n.obey(ctx, register.Order{Kind: register.TakeBack, Locality: locality})
+	return n.evacuate(ctx, register.Order{Kind: register.TakeBack, Locality: locality})
+}
+
+// evacuate carries an order on a locality out. It is bound to what was settled when it
+// came, so that it does not undo what is ordered there after it, however late it is
+// carried out; and it is not begun if whoever gave it has gone away meanwhile, since the
+// same was then given elsewhere, and perhaps something newer. (DESIGN 6.3)
+func (n *Node) evacuate(ctx context.Context, o register.Order) register.Answer {
+	since, ok := n.keeper.Newest(ctx, n.refresh)
+	if !ok || ctx.Err() != nil {
+		return register.Answer{Result: register.NotTaken}
+	}
+	o.Since = &since
+	return n.obey(ctx, o)
 }
 
 // obey carries an order out.
--- a/desired/word.go
+++ b/desired/word.go
@@ -18,6 +18,10 @@
 	Sent []byte `msgpack:"st,omitempty"`
 	// Taken is the record of the newest taken numbers, sorted. Only cores keep it.
 	Taken []Taken `msgpack:"tk,omitempty"`
+	// Evacuations are the newest orders on localities, the newest last; Forgotten is the
+	// highest stamp of those that are not on record any more. Only cores keep them.
+	Evacuations []Evacuation `msgpack:"ev,omitempty"`
+	Forgotten   uint64       `msgpack:"ef,omitempty"`
 	// CalendarStamp is the stamp under which Calendar was put.
 	CalendarStamp uint64    `msgpack:"cs,omitempty"`
 	Calendar      []byte    `msgpack:"c,omitempty"`
@@ -32,7 +36,7 @@
 
 // Bare is the word as sidecars get it.
 func (w Word) Bare() Word {
-	w.Sent, w.Taken = nil, nil
+	w.Sent, w.Taken, w.Evacuations, w.Forgotten = nil, nil, nil, 0
 	return w
 }
 
--- a/register/answer.go
+++ b/register/answer.go
@@ -7,14 +7,16 @@
 
 // Taken: a majority holds it, or held it before something newer. Mismatch: the stamp
 // to match was not the newest. Conflict: another configuration was taken under its
-// number, and this one never will be. NotTaken: it surely never will be. Unknown: it
+// number, and this one never will be. Overtaken: another order on its locality was taken
+// after it came, and it has no effect of its own any more. NotTaken: it surely never will be. Unknown: it
 // may still be found and finished. (DESIGN 6.3)
 const (
-	Taken    Result = "taken"
-	Mismatch Result = "mismatch"
-	Conflict Result = "conflict"
-	NotTaken Result = "not-taken"
-	Unknown  Result = "unknown"
+	Taken     Result = "taken"
+	Mismatch  Result = "mismatch"
+	Conflict  Result = "conflict"
+	Overtaken Result = "overtaken"
+	NotTaken  Result = "not-taken"
+	Unknown   Result = "unknown"
 )
 
 // Answer ends an order.
--- a/register/clerk.go
+++ b/register/clerk.go
@@ -231,6 +231,10 @@
 // judge ends an order that needs no write.
 func (c *Clerk) judge(o Order) (Answer, bool) {
 	ans := Answer{ID: o.ID, Result: Taken, Word: c.held}
+	if res, done := superseded(c.held, o); done {
+		ans.Result = res
+		return ans, true
+	}
 	switch {
 	case o.Kind == Refresh:
 		return ans, true
@@ -243,6 +247,8 @@
 		// Editions never fall, so it was not taken, and a word under a later epoch
 		// stands in its way for good: it is proposed once more.
 		return ans, false
+	case o.Since != nil && o.proposed.Stamp != 0 && o.IfMatch == nil:
+		return ans, false // it is not on record, so it was not taken, as above
 	case o.proposed.Stamp != 0 && c.held.Stamp > o.proposed.Stamp:
 		ans.Result = Unknown
 		return ans, true
@@ -268,6 +274,23 @@
 	return Taken
 }
 
+// superseded ends an order on a locality if another, or this one, was taken there since
+// it came. One that asked for the same makes it good as well; one that asked for the
+// opposite is newer, and stays. (DESIGN 6.3)
+func superseded(held desired.Word, o Order) (Result, bool) {
+	if o.Since == nil || o.Kind != Empty && o.Kind != TakeBack {
+		return "", false
+	}
+	at, known := held.EvacuatedAt(o.Locality)
+	switch {
+	case at <= *o.Since:
+		return "", false
+	case known && slices.Contains(held.Emptied, o.Locality) == (o.Kind == Empty):
+		return Taken, true
+	}
+	return Overtaken, true
+}
+
 // does tells whether a held word is what the order asked for.
 func does(w desired.Word, o Order) bool {
 	switch o.Kind {
@@ -304,12 +327,14 @@
 		open()
 		w.Emptied = append(w.Emptied, o.Locality)
 		slices.Sort(w.Emptied)
+		w = w.Evacuate(o.Locality)
 	case TakeBack:
 		open()
 		for i := range w.Closures {
 			// It stays noted, so that it is not begun again.
 			w.Closures[i].Waived = w.Closures[i].Waived || w.Closures[i].Locality == o.Locality
 		}
+		w = w.Evacuate(o.Locality)
 	case Begin:
 		w.Closures = append(w.Closures, desired.Closure{Locality: o.Locality, Window: o.Window})
 	case End:
--- a/register/conflict_test.go
+++ b/register/conflict_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"curlewwalk/desired"
 	"curlewwalk/vault"
 )
 
@@ -247,3 +248,22 @@
 	again()
 	put(edition(7, "seven"), Taken) // it can't be told any more
 }
+
+// loaded is a word as it comes back from disk.
+func loaded(t *testing.T, w desired.Word) desired.Word {
+	t.Helper()
+	v, err := vault.Open(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	voter := seated(1, Mark{Epoch: 1, Stamp: w.Stamp}, w)
+	voter.OathDirty, voter.WordDirty = true, true
+	if err := (&Disk{Vault: v}).Save(voter); err != nil {
+		t.Fatal(err)
+	}
+	got, err := (&Disk{Vault: v}).Load(Start{})
+	if err != nil || got.Phase != Established {
+		t.Fatal(got.Phase, err)
+	}
+	return got.Word
+}
--- a/register/keeper.go
+++ b/register/keeper.go
@@ -268,6 +268,20 @@
 	return a.Word, a.Result == Taken
 }
 
+// Newest is the newest settled stamp: all that was acknowledged before it was asked for
+// is at or below it. The newest word is mended first if no majority holds it yet.
+func (k *Keeper) Newest(ctx context.Context, refresh func(ctx context.Context) Answer) (uint64, bool) {
+	top, held, ok := k.newest(ctx, Look)
+	if !ok {
+		return 0, false
+	}
+	if held {
+		return top.Mark.Stamp, true
+	}
+	a := refresh(ctx)
+	return a.Word.Stamp, a.Result == Taken
+}
+
 // Catch copies a settled word that another core is known to have.
 func (k *Keeper) Catch(ctx context.Context, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, voteLimit)
--- a/register/order.go
+++ b/register/order.go
@@ -35,10 +35,13 @@
 	// Sent is what the operator sent of an edition, if in another form.
 	Sent []byte `msgpack:"st,omitempty"`
 	// Digest identifies a numbered configuration as it was sent.
-	Digest   []byte  `msgpack:"dg,omitempty"`
-	Locality string  `msgpack:"l"`
-	Window   string  `msgpack:"w,omitempty"`
-	IfMatch  *uint64 `msgpack:"m"`
+	Digest   []byte `msgpack:"dg,omitempty"`
+	Locality string `msgpack:"l"`
+	// Since, of an order on a locality, is the newest settled stamp when it came: it is
+	// not to undo what was ordered there after that. Nil: it can't be told.
+	Since   *uint64 `msgpack:"si,omitempty"`
+	Window  string  `msgpack:"w,omitempty"`
+	IfMatch *uint64 `msgpack:"m"`
 	// Seat is who comes with a Reseat, Out the slot that goes; zero for none. Of is
 	// the set that it was decided on.
 	Seat desired.Member   `msgpack:"sm"`
