Simulate two operators with equal numbers, lost answers, repeats and old copies

Two operators number their configurations from one sequence, at times alike, lose answers, repeat at other cores and repeat old ones; four localities are emptied and taken back in turn, with copies on their way for up to 8 s. Checked, over kills, lost disks, splits, freezes and (TestSlots) changes of the set: one number stands for one configuration, nothing else is acknowledged under it, it is never refused, a refusal names a number that was taken, and what was acknowledged of a locality stands until the next order on it.

--- a/proof/simulator/register.go
+++ b/proof/simulator/register.go
@@ -76,6 +76,9 @@
 	founders []string
 	begun    map[uint64][]register.Sets // of proposals, by stamp
 	word     desired.Word               // the highest that was settled
+	// number is the highest that any operator used; Operators are those that race.
+	number    uint64
+	Operators *Operators
 	// Trace, if set, is told what goes on.
 	Trace func(string)
 	// Broken lists what must never happen and did.
@@ -93,6 +96,7 @@
 func NewRegister(seed uint64, slots int, f Faults) *Register {
 	r := &Register{rng: rand.New(rand.NewPCG(seed, 7)), slots: slots, faults: f, orders: map[uint64]register.Order{},
 		asks: map[uint64]func(register.Answer){}, settled: map[uint64][]byte{}, editions: map[uint64]uint64{}, begun: map[uint64][]register.Sets{}}
+	r.Operators = newOperators(r)
 	for s := 1; s <= slots; s++ {
 		c := &core{slot: s, disk: r.blank(s)}
 		r.cores = append(r.cores, c)
@@ -123,6 +127,7 @@
 func (r *Register) Run() {
 	r.repeat(250*time.Millisecond, r.faults.Until, r.write)
 	r.repeat(300*time.Millisecond, r.faults.Until, r.readBack)
+	r.Operators.run(r.faults.Until)
 	r.repeat(r.faults.Kill, r.faults.Until, r.kill)
 	if r.asking {
 		r.repeat(r.faults.Change, r.faults.Until, r.alter)
@@ -159,6 +164,7 @@
 		}
 		r.run(r.now + time.Second)
 	}
+	r.Operators.end()
 }
 
 // belongs tells whether a core is one that is to be up.
@@ -421,6 +427,7 @@
 		}
 	}
 	r.editions[w.Stamp] = w.Edition
+	r.Operators.settled(w)
 }
 
 func (r *Register) obey(c *core, outs []register.Outcome) {
@@ -457,7 +464,8 @@
 	text := fmt.Appendf(nil, "configuration %d", r.seq+1)
 	o := register.Order{Kind: register.Put, Bytes: text}
 	if r.rng.IntN(2) == 0 {
-		o.Edition = r.seq + 1 + r.rng.Uint64N(4)
+		o.Edition = r.number + 1 + r.rng.Uint64N(4)
+		r.number = o.Edition
 	}
 	r.order(c, o, func(a register.Answer) {
 		if a.Result != register.Taken {
