Fuzz frames, greetings, every kind of message, configurations, backends' answers and requests

Go's native fuzzing; the seeds run in plain go test. Whatever comes is understood whole or not at all. proof/messages hands each kind that is registered on the wire, both ways, to the production values that act on it. Kept answers of keys are read as strictly as frames are.

--- /dev/null
+++ b/desired/fuzz_test.go
@@ -0,0 +1,44 @@
+package desired_test
+
+import (
+	"bytes"
+	"testing"
+
+	"curlewwalk/desired"
+	"curlewwalk/way"
+)
+
+// FuzzParse: whatever is sent as a configuration, it is taken whole or its faults are
+// told; what is taken can be put in force, and is written back as it is read.
+func FuzzParse(f *testing.F) {
+	for _, s := range []string{
+		`{}`, `[]`, `null`, `{"ways": null}`, `{"ways": [{}], "ways": []}`, "{\"ways\": [{\"name\": \"\\ud800\"}]}",
+		`{"ways": [{"name": "w", "prefix": "/", "service": "desk", "contract": "c", "methods": ["GET"], "repeatable": true, "legs": 2}],
+			"contracts": [{"name": "c", "rank": 1, "aim": "1s", "expiry": "2s"}],
+			"services": [{"name": "desk", "connections": 6, "cold": {"for": "5s", "rate": 4}}],
+			"limits": {"header_bytes": 16384, "body_bytes": 1, "header_wait": "3s", "idle": "15s"}}`,
+		`{"ways": [{"name": "w", "host": "x", "prefix": "/a/", "split": [{"service": "a", "weight": 1}, {"service": "b", "weight": 2}], "contract": "c"}],
+			"contracts": [{"name": "c", "rank": 9, "aim": "3s", "expiry": "-2s"}], "more": 1e999}`,
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		st, faults, ok := desired.Parse(b)
+		if !ok || len(faults) > 0 {
+			if !ok && len(faults) == 0 {
+				t.Error("refused without a fault")
+			}
+			return
+		}
+		table, ok := way.NewTable(desired.Word{Stamp: 1, DesiredStamp: 1, Desired: b})
+		if !ok {
+			t.Fatal("what was found good can't be put in force")
+		}
+		table.Match("x", "/a/b", "GET")
+		out := st.Bytes()
+		again, faults, ok := desired.Parse(out)
+		if !ok || len(faults) > 0 || !bytes.Equal(again.Bytes(), out) {
+			t.Errorf("%s is written back as %s: %v", b, out, faults)
+		}
+	})
+}
--- a/proof/defects/all.go
+++ b/proof/defects/all.go
@@ -105,7 +105,7 @@
 	{altered, "relay/far.go", "|| !leg.valid() {", "{", "./relay", "TestLegNotUnderstood", nil},
 	{whole, "relay/receipt.go", "trailer = nil // it knows no chunks", "// it knows no chunks", "./relay", "TestTrailersForAnOldClient", nil},
 	{whole, "wire/circuit.go", "if k.givenUp.Load() {\n\t\t\t\tc.count", "if k = open[next]; k == nil {\n\t\t\t\tc.count", "./wire", "TestLateReceipts", nil},
-	{lives, "wire/message.go", "if err = wellFormed(plain); err != nil {", "if err = wellFormed(plain); false {", "./wire", "TestMalformedPayload", nil},
+	{lives, "wire/message.go", "if err := wellFormed(b); err != nil {", "if err := wellFormed(b); false && err != nil {", "./wire", "TestMalformedPayload", nil},
 	{lives, "wire/frame.go", "min(n-had, max(had, chunk))", "n-had", "./wire", "TestClaimedLengthTakesNoMemory", nil},
 	{lives, "wire/circuit.go", "readFrame(r, maxGreeting)", "readFrame(r, MaxFrame)", "./wire", "TestClaimedLengthTakesNoMemory", nil},
 	{held, "wire/circuit.go", "if k.elsewhere && peer.suspect() {", "if false {", "./wire", "TestSuspectedPeer", nil},
--- /dev/null
+++ b/proof/messages/messages_test.go
@@ -0,0 +1,236 @@
+// Package messages fuzzes what the system's processes read from one another: each kind of
+// message is read as a host or a caller reads it, and handed to the production values
+// that act on it.
+package messages
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"curlewwalk/claim"
+	"curlewwalk/cohort"
+	"curlewwalk/collect"
+	"curlewwalk/contract"
+	"curlewwalk/custody"
+	"curlewwalk/desired"
+	"curlewwalk/feed"
+	"curlewwalk/register"
+	"curlewwalk/relay"
+	"curlewwalk/trace"
+	"curlewwalk/way"
+	"curlewwalk/wire"
+)
+
+// kind is one kind of message: how it may look, and what becomes of it.
+type kind struct {
+	name   string
+	sample any
+	// take reads a message and acts on it; false if it was not understood.
+	take func(b []byte) bool
+}
+
+// of makes a kind of a sample and of what acts on such messages.
+func of[M any](name string, sample M, act func(m M)) kind {
+	return kind{name, sample, func(b []byte) bool {
+		var m M
+		if wire.Unpack(b, &m) != nil {
+			return false
+		}
+		act(m)
+		return true
+	}}
+}
+
+var (
+	backend = cohort.Backend{Instance: "i", Service: "s", Address: "127.0.0.1:1", Locality: "north", Capacity: 4, Share: 1}
+	node    = cohort.Node{Addr: "127.0.0.1:2", Boot: 7, Rev: 3, Locality: "north", Stamp: 5, Backends: []cohort.Backend{backend}, Inc: 1,
+		Accuses: []cohort.Accusation{{Addr: "127.0.0.1:3"}}, Open: map[string]int64{"north": 1}, Budgets: map[string]contract.Tally{"c": {}}, Turn: 2}
+	seat = cohort.Seat{Slot: 2, Slots: 3, Addr: "127.0.0.1:4", Boot: 9, Locality: "north", Established: true, Set: []int{1, 2, 3}, Held: 4, Mark: 8}
+	word = desired.Word{Stamp: 5, DesiredStamp: 4, Desired: []byte(`{}`), Emptied: []string{"north"}, Slots: []desired.Member{{Slot: 1, ID: 11}, {Slot: 2, ID: 12}}, Top: 2}
+	mark = register.Mark{Epoch: 65537, Stamp: 5}
+	from = register.From{Slot: 1}
+)
+
+// kinds are all that are registered on the wire, each way.
+var kinds = []kind{
+	of("greeting", wire.Greeting{Version: 1, Node: "n", Boot: 7}, func(wire.Greeting) {}),
+	of(cohort.KindHail, cohort.Hail{Node: &node, Seat: &seat, Know: []cohort.Seat{seat}, Digest: 3, Have: 8}, hail),
+	of(cohort.KindProbe, cohort.Probe{Boot: 7, Inc: 1}, probe),
+	of(cohort.KindMuster, cohort.Muster{Stamp: 5, Node: node, Bare: true}, func(m cohort.Muster) { see(m.Node) }),
+	of("mustered", cohort.Mustered{Alone: true, Stamp: 5, Word: &word, Node: node, Nodes: []cohort.Node{node}, Addrs: []string{"x"}, Know: []cohort.Seat{seat}}, mustered),
+	of(feed.KindFollow, feed.Follow{Feed: 1, Place: 1, Wait: time.Second}, follow),
+	of("news", feed.News{Feed: 1, Place: 2, Snapshot: true, Items: []feed.Item{{Word: &word}, {Node: &node}, {Gone: "x"}}, Age: time.Second}, news),
+	of(register.KindBallot, register.Ballot{From: from, Act: register.Propose, Epoch: 65537, Mark: mark, Word: word}, ballot),
+	of("vote", register.Vote{From: from, Act: register.Prepare, OK: true, Mark: mark, Word: word, Seats: map[int]register.Chair{1: {Inc: 1}}}, vote),
+	of(register.KindOrder, register.Order{ID: 1, Kind: register.Empty, Locality: "north"}, func(register.Order) {}),
+	of("answer", register.Answer{ID: 1, Result: register.Taken}, func(register.Answer) {}),
+	of(register.KindSeat, register.Asker{ID: 5, Addr: "127.0.0.1:5", Locality: "north"}, asker),
+	of(collect.KindPublish, collect.Batch{Events: []trace.Event{{Trace: trace.Root().Trace, Way: "w"}}}, batch),
+	of(collect.KindTrace, collect.Query{Trace: trace.Root().Trace}, func(collect.Query) {}),
+	of(custody.KindHold, custody.Entry{Owner: "o", Boot: 1, N: 1, Key: claim.Key{Text: "k"}, For: time.Minute, Receipt: []byte("r")}, hold),
+	of("held", custody.Held{Taken: true, Known: &custody.Entry{Owner: "o"}}, func(custody.Held) {}),
+	of(custody.KindHandover, custody.Handover{Owner: "o", Boot: 2}, func(q custody.Handover) { custody.NewHoldings().Handover(q, 0) }),
+	of("handed", custody.Handed{Entries: []custody.Entry{{Owner: "o", N: 1}}}, handed),
+	of(relay.KindLeg, relay.Leg{ID: "x", Service: "s", Instance: "i", Boot: 7, Method: "GET", URI: "/", Left: time.Second}, func(relay.Leg) {}),
+	of("leg receipt", relay.LegReceipt{ID: "x", Fate: way.Answered, Status: 200, Body: []byte("ok")}, func(relay.LegReceipt) {}),
+	of(relay.KindRecall, relay.Recall{ID: "x", Boot: 7}, func(relay.Recall) {}),
+	of("receipt", relay.Receipt{Status: 200, Body: []byte("ok"), Fate: way.Answered}, func(relay.Receipt) {}),
+}
+
+func see(nodes ...cohort.Node) {
+	all := map[string]cohort.Node{}
+	for _, n := range nodes {
+		all[n.Addr] = n
+	}
+	cohort.NewView(all, nil).Nodes()
+}
+
+func hail(h cohort.Hail) {
+	now := time.Now()
+	seats, _ := cohort.Seats{}.Heard(h, now)
+	seats, _ = seats.Heard(h, now.Add(cohort.Beat))
+	seats.Live(now)
+	seats.NoMajority(now)
+	seats.Wall(now, 1, now)
+	seats.Answer(h, &seat, seats.Digest(&seat))
+	f := feed.New(1, 0)
+	if h.Node != nil {
+		f.Told(*h.Node, 0)
+	}
+	if h.Pulse != nil {
+		f.Felt(*h.Pulse, time.Second)
+	}
+	f.Tick(time.Second)
+	f.Accused()
+	contract.Merge(f.Budgets())
+	f.Drain("north", time.Second)
+	budgets := contract.NewBudgets()
+	budgets.Hear(h.Budgets)
+	budgets.Sums()
+}
+
+func probe(p cohort.Probe) {
+	w := cohort.NewWatch("127.0.0.1:2")
+	w.Cohort([]string{"127.0.0.1:3"})
+	w.Probed("127.0.0.1:3", &p, false)
+	w.Accused(map[string]cohort.Node{"127.0.0.1:3": {}})
+}
+
+func mustered(m cohort.Mustered) {
+	see(append(m.Nodes, m.Node)...)
+	hail(cohort.Hail{Know: m.Know})
+	inForce(m.Word)
+}
+
+func inForce(w *desired.Word) {
+	if w == nil {
+		return
+	}
+	w.Shut()
+	if t, ok := way.NewTable(*w); ok {
+		t.Match("x", "/", "GET")
+	}
+}
+
+func follow(q feed.Follow) {
+	f := feed.New(1, 0)
+	f.Told(node, 0)
+	f.Settled(word)
+	for _, feedID := range []uint64{q.Feed, 1} {
+		q.Feed = feedID
+		f.Since(q)
+	}
+}
+
+func news(n feed.News) {
+	c := feed.NewCopy()
+	word, _ := c.Take(n)
+	inForce(word)
+	c.Take(n)
+}
+
+func voter() register.Voter {
+	return register.Voter{Self: from, Mark: mark, Word: word, Seats: map[int]register.Chair{}}
+}
+
+func ballot(b register.Ballot) {
+	next, _ := voter().On(b)
+	next, _ = next.On(b)
+	next.Sets()
+	inForce(&next.Word)
+}
+
+func vote(v register.Vote) {
+	v.By(word.Slots[0])
+	register.Top(map[int]register.Vote{1: v}, voter().Sets())
+}
+
+func asker(a register.Asker) {
+	u := register.Usher{GoneFor: time.Second}
+	u = u.Look(word.Slots, nil, time.Second)
+	u.Seat(a, voter(), map[int]register.Place{1: {Addr: a.Addr}}, 2*time.Second)
+}
+
+func batch(b collect.Batch) {
+	for _, e := range b.Events {
+		collect.Build(e.Trace, b.Events)
+	}
+}
+
+func hold(e custody.Entry) {
+	h := custody.NewHoldings()
+	h.Take(e, 0)
+	h.Take(e, time.Second)
+	h.Handover(custody.Handover{Owner: e.Owner}, time.Second)
+	h.Release(e)
+	if n, settled := h.Count(); n < 0 || settled < 0 || settled > n {
+		panic("the count of claims is wrong")
+	}
+}
+
+func handed(h custody.Handed) {
+	t := custody.NewTrusts("o", "north")
+	for _, e := range h.Entries {
+		t.Held(e, node, 0)
+		t.Settle(e, time.Second)
+		t.Lacking([]cohort.Node{node}, 9, time.Second)
+		t.Drop(e)
+	}
+}
+
+// Every sample is read as it was written, so that the seeds reach what they are for.
+func TestSamples(t *testing.T) {
+	for _, k := range kinds {
+		b, err := msgpack.Marshal(k.sample)
+		if err != nil || !k.take(b) {
+			t.Errorf("%s: %v", k.name, err)
+			continue
+		}
+		again := reflect.New(reflect.TypeOf(k.sample))
+		if err := wire.Unpack(b, again.Interface()); err != nil {
+			t.Errorf("%s: %v", k.name, err)
+		}
+		for cut := range b {
+			if k.take(b[:cut]) {
+				t.Errorf("%s was taken though cut short at %d of %d", k.name, cut, len(b))
+			}
+		}
+	}
+}
+
+// FuzzMessage: whatever a message holds, it is not understood, or what acts on it lives.
+func FuzzMessage(f *testing.F) {
+	for i, k := range kinds {
+		b, err := msgpack.Marshal(k.sample)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(uint8(i), b)
+	}
+	f.Fuzz(func(_ *testing.T, i uint8, b []byte) {
+		kinds[int(i)%len(kinds)].take(b)
+	})
+}
--- /dev/null
+++ b/relay/fuzz_test.go
@@ -0,0 +1,156 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"curlewwalk/way"
+)
+
+// FuzzBackendAnswer: whatever a backend writes behind a request, and then closes, the
+// answer that is passed on says that it is the request's own, nothing is promised that
+// the backend did not promise, and the next request has its own answer.
+func FuzzBackendAnswer(f *testing.F) {
+	said := make(chan []byte, 1)
+	b := newBench(f, func(v visit) bool {
+		if v.id != "own" {
+			return plainly(v)
+		}
+		io.Copy(io.Discard, v.Body)
+		v.w.Write(<-said)
+		return false
+	})
+	for _, s := range []string{
+		answerTo("own", "ok"), answerTo("other", "late") + answerTo("own", "ok"), answerTo("own", "ok") + "more", answerTo("own", "", "Declined: 1"),
+		"HTTP/1.1 100 Continue\r\n\r\n" + answerTo("own", "ok"), "HTTP/1.1 200 OK\r\nFor: own\r\n\r\nends with the connection",
+		"HTTP/1.1 200 OK\r\nFor: own\r\nTransfer-Encoding: chunked\r\nTrailer: Sum\r\n\r\n2\r\nok\r\n0\r\nSum: 7\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nFor: own\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.1 099 OK\r\nFor: own\r\n\r\n", "HTTP/1.1 +99 OK\r\nFor: own\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 999 OK\r\nFor: own\r\nContent-Length: -0\r\n\r\n",
+		"HTTP/9.9 204\r\nFor: own\r\n\r\n", "HTTP/1.1 304 Not Modified\r\nFor: own\r\nContent-Length: 9\r\n\r\n", "HTTP/1.1 101 Other\r\nFor: own\r\n\r\n", "\x00",
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, answer []byte) {
+		said <- answer
+		rc := b.put(Leg{ID: "own", Left: time.Second, Body: []byte("x")}, nil)
+		switch rc.Fate {
+		case way.Answered:
+			if rc.Header.Get("For") != "own" || rc.Status < 200 || rc.Status > 999 {
+				t.Errorf("%d, answer to %q", rc.Status, rc.Header.Get("For"))
+			}
+			for name := range rc.Header {
+				if isHopByHop(name) && name != "Content-Length" {
+					t.Errorf("%s is passed on", name)
+				}
+			}
+		case way.NotRun:
+			if !bytes.Contains(bytes.ToLower(answer), []byte("declined")) && !bytes.Contains(bytes.ToLower(answer), []byte("elsewhere")) {
+				t.Errorf("promised: %+v", rc)
+			}
+		case way.Unknown:
+		default:
+			t.Errorf("%+v", rc)
+		}
+		// The backend may close a link that looked good just then.
+		rc = b.put(Leg{ID: "next"}, nil)
+		for tries := 0; rc.Fate == way.Unknown && tries < 3; tries++ {
+			rc = b.put(Leg{ID: "next"}, nil)
+		}
+		if rc.Fate != way.Answered || rc.Header.Get("For") != "next" || string(rc.Body) != "ok" {
+			t.Errorf("the next: %+v", rc)
+		}
+	})
+}
+
+// FuzzClientRequest: whatever a client writes, the backend gets no more than the requests
+// that are in it, each as it was sent, and the client whole answers, no more than one for
+// each request and one for what is none.
+func FuzzClientRequest(f *testing.F) {
+	got := make(chan request, 1<<10)
+	p := newPair(f, func(v visit) bool {
+		body, err := io.ReadAll(v.Body)
+		if err == nil {
+			got <- request{v.Method, v.RequestURI, string(body)}
+			v.say(v.id, string(body))
+		}
+		return err == nil
+	})
+	for _, s := range []string{
+		"POST /once/a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nokGET /look/b HTTP/1.1\r\nHost: x\r\n\r\n",
+		"POST /once/a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2;e=1\r\nok\r\n0\r\nX-Sum: 7\r\n\r\n",
+		"POST /once/a HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /look/b HTTP/1.1\r\nHost: x\r\n\r\n",
+		"POST /once/a HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nok", "GET http://x/look/b?c#d HTTP/1.0\r\n\r\n",
+		"GET //look//%2f HTTP/1.1\r\nHost: x\r\nConnection: close, Host\r\n\r\n", "HEAD /look/ HTTP/1.1\nHost: x\n\n", "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+		"CONNECT x:1 HTTP/1.1\r\nHost: x:1\r\n\r\n", "OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n", "\x16\x03\x01", "GET /look/ HTTP/1.1\r\nHost: x\r\nUpgrade: h2c\r\nConnection: Upgrade\r\n\r\n",
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, text []byte) {
+		c, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(10 * time.Second))
+		go func() {
+			c.Write(text)
+			c.(*net.TCPConn).CloseWrite()
+		}()
+		sent := requests(text)
+		answers, in := 0, bufio.NewReader(c)
+		for {
+			method := http.MethodGet
+			if answers < len(sent) {
+				method = sent[answers].method
+			}
+			resp, err := http.ReadResponse(in, &http.Request{Method: method})
+			if err != nil {
+				break
+			}
+			if resp.StatusCode == http.StatusContinue {
+				continue
+			}
+			answers++
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				t.Errorf("answer %d was cut short: %v", answers, err)
+			}
+		}
+		if answers > len(sent)+1 {
+			t.Errorf("%d answers to %d requests", answers, len(sent))
+		}
+		for len(got) > 0 {
+			r := <-got
+			for len(sent) > 0 && sent[0] != r {
+				sent = sent[1:] // it was refused
+			}
+			if len(sent) == 0 {
+				t.Fatalf("the backend got %q, which nobody sent", r)
+			}
+			sent = sent[1:]
+		}
+	})
+}
+
+// request is what must not be changed on the way.
+type request struct{ method, uri, body string }
+
+// requests are those in a client's text, up to the first that is none.
+func requests(text []byte) (out []request) {
+	in := bufio.NewReader(bytes.NewReader(text))
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return out
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return append(out, request{method: r.Method, uri: "cut short"})
+		}
+		out = append(out, request{r.Method, r.RequestURI, string(body)})
+	}
+}
--- a/relay/receipt.go
+++ b/relay/receipt.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"curlewwalk/way"
+	"curlewwalk/wire"
 )
 
 // Receipt is the answer to an inquiry as its client gets it.
@@ -52,7 +53,8 @@
 
 // unpack reads such a receipt.
 func unpack(b []byte) (r Receipt, ok bool) {
-	return r, len(b) > 0 && msgpack.Unmarshal(b, &r) == nil
+	ok = wire.Unpack(b, &r) == nil && r.Status >= 200 && r.Status <= 999
+	return r, ok
 }
 
 // refusal is the body of an answer that is our own.
--- a/wire/circuit.go
+++ b/wire/circuit.go
@@ -94,14 +94,11 @@
 	}
 	sent(kindGreeting, headLen+len(raw))
 	b, err := readFrame(r, maxGreeting)
-	if err == nil {
-		err = wellFormed(b)
-	}
 	if err != nil {
 		return far, eris.Wrap(err, "read greeting")
 	}
 	came(kindGreeting, headLen+len(b))
-	return far, eris.Wrap(msgpack.Unmarshal(b, &far), "greeting")
+	return far, eris.Wrap(Unpack(b, &far), "greeting")
 }
 
 // Far is whom the circuit reached.
--- a/wire/message.go
+++ b/wire/message.go
@@ -37,9 +37,15 @@
 // of it.
 func decode(payload []byte) (s trace.Span, traced bool, m message, err error) {
 	s, plain, traced := trace.CutPrefix(payload)
-	if err = wellFormed(plain); err != nil {
-		return s, traced, m, err
-	}
-	err = msgpack.Unmarshal(plain, &m)
+	err = Unpack(plain, &m)
 	return s, traced, m, err
 }
+
+// Unpack reads bytes that may be anything: one whole msgpack value that fits v, or an
+// error.
+func Unpack(b []byte, v any) error {
+	if err := wellFormed(b); err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(b, v)
+}
