Say why rendezvous keeps its hash, and hold its scores by a test

Cause: xxhash was wanted in place of FNV with a finalizer. The hash is agreed between nodes: the ports of outgoing calls follow from it (9.3), and who may make extra legs where sidecars are more than the allowance (15.1). A restart in turn with two hashes would break both, so it isn't done now; DESIGN 13 says so. Change: the finalizer is a function, one step a line; tests pin three scores and that a lost node moves only its own keys.

--- a/rendezvous/score.go
+++ b/rendezvous/score.go
@@ -1,5 +1,9 @@
-// Package rendezvous ranks nodes for a key: each key has its own order of the
-// nodes, and a node that comes or goes moves only what ranks it first.
+// Package rendezvous ranks nodes for a key by rendezvous (highest random weight)
+// hashing: each key has its own order of the nodes, and a node that comes or goes
+// moves only the keys that rank it first.
+//
+// Scores are part of the protocol between nodes: two nodes that score differently
+// disagree on ports and on shares of retry budgets. (DESIGN 13)
 package rendezvous
 
 import (
@@ -8,24 +12,33 @@
 	"slices"
 )
 
-// Score weighs a node for a key.
+// Score is the weight of a node for a key; the highest is ranked first.
 func Score(key, node string) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(key))
-	h.Write([]byte{0})
-	h.Write([]byte(node))
-	// FNV leaves its last bytes badly mixed; this finishes the job.
-	x := h.Sum64()
-	x = (x ^ x>>33) * 0xff51afd7ed558ccd
-	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
+	hash := fnv.New64a()
+	hash.Write([]byte(key))
+	hash.Write([]byte{0})
+	hash.Write([]byte(node))
+	return finish(hash.Sum64())
 }
 
-// Rank sorts nodes for a key, the first choice first.
+// finish mixes the bits of an FNV sum, whose last bytes would otherwise hardly
+// reach the high bits: it is the finalizer of MurmurHash3.
+func finish(sum uint64) uint64 {
+	sum ^= sum >> 33
+	sum *= 0xff51afd7ed558ccd
+	sum ^= sum >> 33
+	sum *= 0xc4ceb9fe1a85ec53
+	sum ^= sum >> 33
+	return sum
+}
+
+// Rank returns the nodes sorted for a key, the first choice first. Nodes of equal
+// score are sorted by name.
 func Rank[T any](key string, nodes []T, name func(T) string) []T {
-	out := slices.Clone(nodes)
-	slices.SortFunc(out, func(a, b T) int {
-		return cmp.Or(cmp.Compare(Score(key, name(b)), Score(key, name(a))), cmp.Compare(name(a), name(b)))
+	ranked := slices.Clone(nodes)
+	slices.SortFunc(ranked, func(a, b T) int {
+		byScore := cmp.Compare(Score(key, name(b)), Score(key, name(a)))
+		return cmp.Or(byScore, cmp.Compare(name(a), name(b)))
 	})
-	return out
+	return ranked
 }
--- /dev/null
+++ b/rendezvous/score_test.go
@@ -0,0 +1,53 @@
+package rendezvous
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+)
+
+func name(node string) string { return node }
+
+// Scores are what they were in earlier versions: nodes of several versions must
+// agree on them while a system is restarted in turn.
+func TestScoresStay(t *testing.T) {
+	for _, want := range []struct {
+		key, node string
+		score     uint64
+	}{
+		{"", "", 0xb9034ad37056f5fb},
+		{"outgoing", "desk", 0x2cb06f65796cb63f},
+		{"10.0.0.1:7400", "10.0.0.2:7400", 0xa90e24636b72369},
+	} {
+		if got := Score(want.key, want.node); got != want.score {
+			t.Errorf("%q, %q scores %#x, not %#x", want.key, want.node, got, want.score)
+		}
+	}
+}
+
+// A node that leaves moves only what ranked it first, and each node is first for
+// its share of the keys.
+func TestLossMovesOnlyItsOwn(t *testing.T) {
+	const keys, nodes = 3000, 6
+	var all []string
+	for i := range nodes {
+		all = append(all, fmt.Sprintf("10.0.0.%d:7400", i))
+	}
+	lost := all[2]
+	rest := slices.DeleteFunc(slices.Clone(all), func(n string) bool { return n == lost })
+	first := map[string]int{}
+	for i := range keys {
+		key := fmt.Sprint("key-", i)
+		before := Rank(key, all, name)
+		after := Rank(key, rest, name)
+		first[before[0]]++
+		if !slices.Equal(after, slices.DeleteFunc(before, func(n string) bool { return n == lost })) {
+			t.Fatalf("%s: the others' order changed", key)
+		}
+	}
+	for _, node := range all {
+		if got := first[node]; got < keys/nodes*4/5 || got > keys/nodes*6/5 {
+			t.Errorf("%s is first for %d of %d keys", node, got, keys)
+		}
+	}
+}
