Fuzz gossip and differences among the messages, in place of the roll call's former ones

The roll call's messages of before are gone; what took their place, and the differences of orders, are among the kinds that are fuzzed. go test ./proof/messages passes.

--- a/proof/messages/messages_test.go
+++ b/proof/messages/messages_test.go
@@ -49,6 +49,7 @@
 	node    = cohort.Node{Addr: "127.0.0.1:2", Boot: 7, Rev: 3, Locality: "north", Stamp: 5, Backends: []cohort.Backend{backend}, Inc: 1,
 		Accuses: []cohort.Accusation{{Addr: "127.0.0.1:3"}}, Open: map[string]int64{"north": 1}, Budgets: map[string]contract.Tally{"c": {}}, Turn: 2}
 	seat = cohort.Seat{Slot: 2, Slots: 3, Addr: "127.0.0.1:4", Boot: 9, Locality: "north", Established: true, Set: []int{1, 2, 3}, Held: 4, Mark: 8}
+	peer = cohort.Peer{Addr: node.Addr, Boot: 7, Rev: 3, Said: &cohort.Statement{Age: 20, Stamp: 5, Alone: true}}
 	word = desired.Word{Stamp: 5, DesiredStamp: 4, Desired: []byte(`{}`), Emptied: []string{"north"}, Slots: []desired.Member{{Slot: 1, ID: 11}, {Slot: 2, ID: 12}}, Top: 2}
 	mark = register.Mark{Epoch: 65537, Stamp: 5}
 	from = register.From{Slot: 1}
@@ -59,13 +60,14 @@
 	of("greeting", wire.Greeting{Version: 1, Node: "n", Boot: 7}, func(wire.Greeting) {}),
 	of(cohort.KindHail, cohort.Hail{Node: &node, Seat: &seat, Know: []cohort.Seat{seat}, Digest: 3, Have: 8}, hail),
 	of(cohort.KindProbe, cohort.Probe{Boot: 7, Inc: 1}, probe),
-	of(cohort.KindMuster, cohort.Muster{Stamp: 5, Node: node, Bare: true}, func(m cohort.Muster) { see(m.Node) }),
-	of("mustered", cohort.Mustered{Alone: true, Stamp: 5, Word: &word, Node: node, Nodes: []cohort.Node{node}, Addrs: []string{"x"}, Know: []cohort.Seat{seat}}, mustered),
+	of(cohort.KindGossip, cohort.Gossip{Own: peer, Digest: 3, Fetch: &cohort.Fetch{Nodes: []string{"x"}, Word: true, Stamp: 4}}, func(cohort.Gossip) {}),
+	of("gossiped", cohort.Gossiped{Peers: []cohort.Peer{peer}, Word: &word, Nodes: []cohort.Node{node}, Know: []cohort.Seat{seat}}, gossiped),
 	of(feed.KindFollow, feed.Follow{Feed: 1, Place: 1, Wait: time.Second}, follow),
 	of("news", feed.News{Feed: 1, Place: 2, Snapshot: true, Items: []feed.Item{{Word: &word}, {Node: &node}, {Gone: "x"}}, Age: time.Second}, news),
 	of(register.KindBallot, register.Ballot{From: from, Act: register.Propose, Epoch: 65537, Mark: mark, Word: word}, ballot),
 	of("vote", register.Vote{From: from, Act: register.Prepare, OK: true, Mark: mark, Word: word, Seats: map[int]register.Chair{1: {Inc: 1}}}, vote),
 	of(register.KindOrder, register.Order{ID: 1, Kind: register.Empty, Locality: "north"}, func(register.Order) {}),
+	of(register.KindPatchedOrder, desired.Patch{Difference: []byte{8, 1, 2, 3, 4}}, patched),
 	of("answer", register.Answer{ID: 1, Result: register.Taken}, func(register.Answer) {}),
 	of(register.KindSeat, register.Asker{ID: 5, Addr: "127.0.0.1:5", Locality: "north"}, asker),
 	of(collect.KindPublish, collect.Batch{Events: []trace.Event{{Trace: trace.Root().Trace, Way: "w"}}}, batch),
@@ -119,10 +121,19 @@
 	w.Accused(map[string]cohort.Node{"127.0.0.1:3": {}})
 }
 
-func mustered(m cohort.Mustered) {
-	see(append(m.Nodes, m.Node)...)
-	hail(cohort.Hail{Know: m.Know})
-	inForce(m.Word)
+func gossiped(g cohort.Gossiped) {
+	now := time.Now()
+	s := cohort.Statements{}.Hear("127.0.0.1:9", g.Peers, now, now)
+	view := cohort.NewView(map[string]cohort.Node{node.Addr: node}, nil)
+	s.Lacking(view)
+	s.Tell(peer, view, now.Add(cohort.Beat))
+	s.Highest(1)
+	s.Sure("127.0.0.1:9", 5, []string{node.Addr}, now)
+	c := feed.NewCopy()
+	c.Meet(g.Nodes, map[string]uint64{node.Addr: 7})
+	see(g.Nodes...)
+	hail(cohort.Hail{Know: g.Know})
+	inForce(g.Word)
 }
 
 func inForce(w *desired.Word) {
@@ -168,6 +179,19 @@
 	register.Top(map[int]register.Vote{1: v}, voter().Sets())
 }
 
+func patched(p desired.Patch) {
+	base, err := desired.NewVersion(word)
+	if err != nil {
+		panic(err)
+	}
+	base.Apply(p)
+	p.Base = base.Fingerprint
+	base.Apply(p)
+	var kept desired.Versions
+	kept.Add(base)
+	kept.Apply(p)
+}
+
 func asker(a register.Asker) {
 	u := register.Usher{GoneFor: time.Second}
 	u = u.Look(word.Slots, nil, time.Second)
