--- a/register/disk.go
+++ b/register/disk.go
@@ -100,11 +100,13 @@
 			return d.lose(s)
 		}
 		v.Mark = h.Mark
-		v.Word = desired.Word{Stamp: h.Stamp, DesiredStamp: h.DesiredStamp, Emptied: h.Emptied, Desired: body,
+		v.Word = desired.Word{
+			Stamp: h.Stamp, DesiredStamp: h.DesiredStamp, Emptied: h.Emptied, Desired: body,
 			CalendarStamp: h.CalendarStamp, Calendar: h.Calendar, Closures: h.Closures,
 			Edition: h.Edition, Sent: h.Sent, Taken: h.Taken,
 			Evacuations: h.Evacuations, Forgotten: h.Forgotten,
-			Slots: h.Slots, Formerly: h.Formerly, Top: h.Top}
+			Slots: h.Slots, Formerly: h.Formerly, Top: h.Top,
+		}
 		v.Promised = max(v.Promised, h.Epoch)
 	}
 	return v, nil
@@ -128,11 +130,13 @@
 // says that what it stands for is there.
 func (d *Disk) Save(v Voter) error {
 	if v.WordDirty {
-		head, err := json.Marshal(wordHead{Mark: v.Mark, DesiredStamp: v.Word.DesiredStamp, Emptied: v.Word.Emptied,
+		head, err := json.Marshal(wordHead{
+			Mark: v.Mark, DesiredStamp: v.Word.DesiredStamp, Emptied: v.Word.Emptied,
 			CalendarStamp: v.Word.CalendarStamp, Calendar: v.Word.Calendar, Closures: v.Word.Closures,
 			Edition: v.Word.Edition, Sent: v.Word.Sent, Taken: v.Word.Taken,
 			Evacuations: v.Word.Evacuations, Forgotten: v.Word.Forgotten,
-			Slots: v.Word.Slots, Formerly: v.Word.Formerly, Top: v.Word.Top})
+			Slots: v.Word.Slots, Formerly: v.Word.Formerly, Top: v.Word.Top,
+		})
 		if err != nil {
 			return eris.Wrap(err, "word")
 		}
@@ -145,8 +149,10 @@
 		}
 	}
 	if v.OathDirty {
-		data, err := json.Marshal(oath{ID: v.Self.ID, Inc: v.Self.Inc, Phase: v.Phase, Promised: v.Promised, Seats: v.Seats,
-			Slot: &v.Self.Slot, Founded: v.Founded, Founders: v.Founders})
+		data, err := json.Marshal(oath{
+			ID: v.Self.ID, Inc: v.Self.Inc, Phase: v.Phase, Promised: v.Promised, Seats: v.Seats,
+			Slot: &v.Self.Slot, Founded: v.Founded, Founders: v.Founders,
+		})
 		if err != nil {
 			return eris.Wrap(err, "oath")
 		}
--- a/register/health_test.go
+++ b/register/health_test.go
@@ -30,7 +30,7 @@
 	able(13*second, false) // it failed
 	h = h.WriteBegan(13*second).WriteEnded(true, 13*second+syncWithin)
 	able(13*second, true)
-	if h.Durable(20*second) != true || h.Connected(20*second) != false {
+	if !h.Durable(20*second) || h.Connected(20*second) {
 		t.Error("what lacks is told wrongly")
 	}
 }
--- a/register/patched.go
+++ b/register/patched.go
@@ -202,6 +202,8 @@
 
 // Handlers are what a keeper answers, by kind.
 func (k *Keeper) Handlers() map[string]wire.Handler {
-	return map[string]wire.Handler{KindBallot: k.Ballot, KindOrder: k.Order,
-		KindPatchedBallot: k.patchedBallot, KindPatchedOrder: k.patchedOrder}
+	return map[string]wire.Handler{
+		KindBallot: k.Ballot, KindOrder: k.Order,
+		KindPatchedBallot: k.patchedBallot, KindPatchedOrder: k.patchedOrder,
+	}
 }
--- a/register/patched_test.go
+++ b/register/patched_test.go
@@ -43,8 +43,10 @@
 func newTrio(t *testing.T) *trio {
 	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
 	t.Cleanup(cancel)
-	r := &trio{t: t, ctx: ctx, peers: addresses{}, members: map[int]*member{},
-		l: launch.New(slog.New(slog.DiscardHandler), func(name string, cause any, stack []byte) { t.Errorf("%s: %v\n%s", name, cause, stack) })}
+	r := &trio{
+		t: t, ctx: ctx, peers: addresses{}, members: map[int]*member{},
+		l: launch.New(slog.New(slog.DiscardHandler), func(name string, cause any, stack []byte) { t.Errorf("%s: %v\n%s", name, cause, stack) }),
+	}
 	for slot := 1; slot <= 3; slot++ {
 		r.peers[slot] = r.listen("127.0.0.1:0").Addr().String()
 	}
--- a/register/voter.go
+++ b/register/voter.go
@@ -61,8 +61,10 @@
 			v = v.seat(map[int]Chair{b.From.Slot: {Inc: b.From.Inc, ID: b.From.ID}})
 		}
 	}
-	vote := Vote{From: v.Self, Act: b.Act, Epoch: b.Epoch, OK: ok, Phase: v.Phase, Promised: v.Promised,
-		Mark: v.Mark, Settled: v.Settled, Seats: v.Seats, Sets: v.Sets()}
+	vote := Vote{
+		From: v.Self, Act: b.Act, Epoch: b.Epoch, OK: ok, Phase: v.Phase, Promised: v.Promised,
+		Mark: v.Mark, Settled: v.Settled, Seats: v.Seats, Sets: v.Sets(),
+	}
 	if b.Act == Prepare || b.Act == Read || b.Act == Sit {
 		vote.Word = v.Word
 	}
