Deny a way only while sure of the newest configuration

A 404 is an answer for good that rests on the word, as admitting does. With a claim older than 2 s it is now 503, not run, with when to come back.

TestNoWayWhileUnsure, seen failing first (404).

--- a/relay/near.go
+++ b/relay/near.go
@@ -137,6 +137,8 @@
 	table := n.Table()
 	if q.way, q.contract, ok = table.Match(r.Host, r.URL.Path, r.Method); !ok && table.Stamp == 0 {
 		return n.count(n.word(http.StatusServiceUnavailable, way.NotRun, "no configuration is known here yet", "", time.Second))
+	} else if !ok && n.Unsure != nil && n.Unsure() {
+		return n.count(n.word(http.StatusServiceUnavailable, way.NotRun, "no way is known here, but a newer configuration may be in force", "", time.Second))
 	} else if !ok {
 		return n.count(n.word(http.StatusNotFound, way.NotRun, "no way takes this inquiry", "", 0))
 	}
--- /dev/null
+++ b/relay/unsure_test.go
@@ -0,0 +1,33 @@
+package relay
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"curlewwalk/desired"
+	"curlewwalk/way"
+)
+
+// That there is no way for an inquiry is said only by who is sure of the newest
+// configuration; else it is refused as not run, with when to come back.
+func TestNoWayWhileUnsure(t *testing.T) {
+	table, ok := way.NewTable(desired.Word{Stamp: 3, DesiredStamp: 3, Desired: []byte(`{"ways":[],"contracts":[]}`)})
+	if !ok {
+		t.Fatal("no table")
+	}
+	unsure := false
+	n := &Near{Table: func() *way.Table { return table }, Dialect: Plain{}, Draining: func() bool { return false }, Bodies: &Bodies{Most: 1 << 20, All: 1 << 20},
+		Unsure: func() bool { return unsure }}
+	for _, c := range []struct {
+		unsure bool
+		status int
+	}{{false, http.StatusNotFound}, {true, http.StatusServiceUnavailable}, {false, http.StatusNotFound}} {
+		unsure = c.unsure
+		w := httptest.NewRecorder()
+		n.Handler("").ServeHTTP(w, httptest.NewRequest(http.MethodGet, "http://orders.example/new", nil))
+		if w.Code != c.status || (w.Header().Get("Retry-After") != "") != c.unsure {
+			t.Errorf("unsure %v: %d, come back in %q", c.unsure, w.Code, w.Header().Get("Retry-After"))
+		}
+	}
+}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -33,6 +33,10 @@
 // connections. (ours)
 const linger = 2 * time.Second
 
+// sureFor is how old a claim may be for a sidecar to say of itself that there is no way
+// for an inquiry: words are to be in force within it.
+const sureFor = 2 * time.Second // (ours)
+
 const (
 	// workers is how many drain the trace queue. (ours)
 	workers = 2
@@ -91,7 +95,7 @@
 	n.near = &relay.Near{Locality: set.Locality, Table: table, View: func() *cohort.View { return n.steward.view.Load() },
 		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log, Lineage: lin, Claims: claims, Purses: n.steward.purses, Budgets: n.steward.budgets, Costs: way.NewCosts(), Life: p.Life, Draining: n.shut}
 	n.near.Shun = set.Shun
-	n.near.Unsure = func() bool { return !n.claimed() }
+	n.near.Unsure = n.unsure
 	n.near.Home, n.near.Dialect, n.near.Hold, n.near.ComeBack, n.near.Late, n.near.Crossing = set.Caller, relay.Plain{}, set.Hold, set.ComeBack, set.Late, set.Crossing
 	if doors != nil {
 		n.near.Dialect = doors.Dialect
@@ -177,6 +181,13 @@
 	return n.steward.claim.Age(now) <= roster.ClaimFor || n.steward.agreed.Age(now) <= roster.ClaimFor && n.seeker.Seats().NoMajority(now)
 }
 
+// unsure tells whether a newer word may have been in force elsewhere for so long that
+// this sidecar's saying that there is no such way would be wrong. (DESIGN 7.2)
+func (n *Node) unsure() bool {
+	now := time.Now()
+	return n.steward.claim.Age(now) > sureFor && (n.steward.agreed.Age(now) > roster.ClaimFor || !n.seeker.Seats().NoMajority(now))
+}
+
 // shut tells whether clients' inquiries are refused. The calls of an own backend belong
 // to inquiries that were handed over: where they can't be told from clients', all are
 // taken while it runs one. (DESIGN 11.3)
