Fetch soft states from a sidecar that has them

TestRollcallSpreads failed under load: 'knows 87 nodes' after 8 rounds. Cause: a peer was told in the boot and revision of its statement, which a teller may have without its soft state; the asker then fetched from the first that answered, which did not have it, again and again.

--- a/cohort/gossip.go
+++ b/cohort/gossip.go
@@ -45,9 +45,10 @@
 	Know []Seat `msgpack:"k,omitempty"`
 }
 
-// Peer names a sidecar in the state that the teller knows it in.
+// Peer names a sidecar.
 type Peer struct {
 	Addr string `msgpack:"a"`
+	// Boot and Rev are of the soft state that the teller has of it; zero: it has none.
 	Boot uint64 `msgpack:"b,omitempty"`
 	Rev  uint64 `msgpack:"r,omitempty"`
 	// Said is what it said of itself last, if that is not too old to be of use.
@@ -56,6 +57,8 @@
 
 // Statement is what a sidecar said of itself at a moment, or what was found of it.
 type Statement struct {
+	// Boot is the one that it is of; zero stands for that of its Peer.
+	Boot uint64 `msgpack:"b,omitempty"`
 	// Age is how many milliseconds ago it was said, rounded up: never more than that.
 	Age uint32 `msgpack:"g,omitempty"`
 	// Stamp is that of its word.
--- a/cohort/rollcall.go
+++ b/cohort/rollcall.go
@@ -166,7 +166,7 @@
 		}
 	}
 	c.statements.Store(&heard)
-	c.fetch(ctx, &found, q, answered, heard.Lacking(view))
+	c.fetch(ctx, &found, q, answered, func(told []Peer) []string { return heard.Lacking(view, told) })
 	if found.Dead = heard.deadIn(view); found.any() {
 		c.Take(ctx, found)
 	}
@@ -195,7 +195,7 @@
 	return out
 }
 
-// targets are whom to ask at this beat: one that asked and is not known, the one that
+// targets are whom to ask at this beat: those that asked and are not known, the one that
 // has the newest word, and others in turn, in an order that differs from node to node.
 func (c *Rollcall) targets(others []string, heard Statements, stamp uint64) (out []string) {
 	add := func(addr string) {
@@ -203,10 +203,8 @@
 			out = append(out, addr)
 		}
 	}
-	select {
-	case addr := <-c.newcomers:
-		add(addr)
-	default:
+	for range min(len(c.newcomers), Fanout-1) {
+		add(<-c.newcomers)
 	}
 	if addr, ok := heard.Highest(stamp); ok {
 		add(addr)
@@ -223,26 +221,26 @@
 }
 
 // fetch asks one of those that answered for what is lacking: the one with the newest
-// word, if that is newer than the own one.
-func (c *Rollcall) fetch(ctx context.Context, found *Found, q Gossip, answered []gossiped, lacking []string) {
-	if len(answered) == 0 {
-		return
-	}
-	have, f, from := c.Word(), Fetch{Nodes: lacking[:min(mostWanted, len(lacking))]}, answered[0]
+// word, if that is newer than the own one, or else the one that has most of it.
+func (c *Rollcall) fetch(ctx context.Context, found *Found, q Gossip, answered []gossiped, lacking func([]Peer) []string) {
+	have, f, from := c.Word(), Fetch{}, ""
 	if have != nil {
 		f.Stamp, f.DesiredStamp = have.Stamp, have.DesiredStamp
 	}
 	newest := f.Stamp
 	for _, g := range answered {
-		if own := g.answer.own(g.addr); own.Stamp > newest {
-			newest, f.Word, from = own.Stamp, true, g
+		nodes, stamp := lacking(g.answer.Peers), g.answer.own(g.addr).Stamp
+		if stamp > newest || !f.Word && len(nodes) > len(f.Nodes) {
+			f.Word, f.Nodes, from = stamp > newest, nodes, g.addr
+			newest = max(newest, stamp)
 		}
 	}
-	if !f.Word && len(f.Nodes) == 0 {
+	if from == "" {
 		return
 	}
+	f.Nodes = f.Nodes[:min(mostWanted, len(f.Nodes))]
 	q.Fetch = &f
-	for _, g := range c.ask(ctx, []string{from.addr}, q) {
+	for _, g := range c.ask(ctx, []string{from}, q) {
 		if g.answer != nil {
 			found.Nodes, found.Word = g.answer.Nodes, g.answer.Word
 		}
--- a/cohort/statements.go
+++ b/cohort/statements.go
@@ -1,6 +1,7 @@
 package cohort
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -19,15 +20,19 @@
 
 // record is the youngest that was heard of one sidecar.
 type record struct {
-	peer Peer
+	// said is nil if it was only named.
+	said *Statement
 	// at is not later than when it was said.
 	at time.Time
 	// named is when anybody named it last.
 	named time.Time
 }
 
-// said tells whether the record is a statement, and not only a name.
-func (r record) said() bool { return r.peer.Said != nil }
+// alive tells whether it said of itself that it is in a boot.
+func (r record) alive(boot uint64) bool { return r.said != nil && !r.said.Dead && r.said.Boot == boot }
+
+// dead tells whether nobody listens at its address, of a boot.
+func (r record) dead(boot uint64) bool { return r.said != nil && r.said.Dead && r.said.Boot == boot }
 
 // Hear takes what another sidecar answered to a question that was asked at a moment.
 // Ages count from there, so that a statement is never taken for younger than it is. What
@@ -38,11 +43,13 @@
 		if p.Addr == own {
 			continue
 		}
-		at := time.Time{}
-		if p.Said != nil {
-			at = asked.Add(-time.Duration(p.Said.Age) * time.Millisecond)
+		if p.Said == nil {
+			next.name(p.Addr, now)
+			continue
 		}
-		next.take(p, at, now)
+		said := *p.Said
+		said.Boot = cmp.Or(said.Boot, p.Boot)
+		next.take(p.Addr, said, asked.Add(-time.Duration(said.Age)*time.Millisecond), now)
 	}
 	return next
 }
@@ -51,7 +58,7 @@
 // that was tried at a moment.
 func (s Statements) Refused(addr string, boot uint64, tried, now time.Time) Statements {
 	next := s.kept(now)
-	next.take(Peer{Addr: addr, Boot: boot, Said: &Statement{Dead: true}}, tried, now)
+	next.take(addr, Statement{Boot: boot, Dead: true}, tried, now)
 	return next
 }
 
@@ -59,38 +66,38 @@
 func (s Statements) kept(now time.Time) Statements {
 	next := Statements{all: make(map[string]record, len(s.all))}
 	for addr, r := range s.all {
-		if r.said() && now.Sub(r.at) > StatementsFor {
-			r.peer.Said, r.at = nil, time.Time{}
+		if now.Sub(r.at) > StatementsFor {
+			r.said = nil
 		}
-		if r.said() || now.Sub(r.named) <= StatementsFor {
+		if r.said != nil || now.Sub(r.named) <= StatementsFor {
 			next.all[addr] = r
 		}
 	}
 	return next
 }
 
-// take keeps the younger of two statements; a mere name only says that there is such
-// a sidecar.
-func (s Statements) take(p Peer, at, now time.Time) {
-	old, ok := s.all[p.Addr]
-	switch {
-	case now.Sub(at) > StatementsFor && p.Said != nil:
-		return
-	case !ok || p.Said != nil && at.After(old.at):
-		old.peer, old.at = p, at
-	case old.peer.Boot == p.Boot && old.peer.Rev < p.Rev:
-		old.peer.Rev = p.Rev
+// name takes that there is such a sidecar.
+func (s Statements) name(addr string, now time.Time) {
+	r := s.all[addr]
+	r.named = now
+	s.all[addr] = r
+}
+
+// take keeps the younger of two statements.
+func (s Statements) take(addr string, said Statement, at, now time.Time) {
+	s.name(addr, now)
+	r := s.all[addr]
+	if now.Sub(at) <= StatementsFor && (r.said == nil || at.After(r.at)) {
+		r.said, r.at = &said, at
+		s.all[addr] = r
 	}
-	old.named = now
-	s.all[p.Addr] = old
 }
 
 // deadIn lists the boots of the nodes of a view that were found dead in just that boot.
 func (s Statements) deadIn(v *View) map[string]uint64 {
 	out := map[string]uint64{}
 	for addr, r := range s.all {
-		n, ok := v.nodes[addr]
-		if ok && n.Boot == r.peer.Boot && r.said() && r.peer.Said.Dead {
+		if n, ok := v.nodes[addr]; ok && r.dead(n.Boot) {
 			out[addr] = n.Boot
 		}
 	}
@@ -100,26 +107,26 @@
 // Named lists the addresses of all that anybody named.
 func (s Statements) Named() []string { return slices.Sorted(maps.Keys(s.all)) }
 
-// Lacking lists the sidecars whose soft state differs from what a view has, and is not
-// known to be older.
-func (s Statements) Lacking(v *View) (out []string) {
-	for addr, r := range s.all {
-		have, ok := v.nodes[addr]
+// Lacking lists whose soft state a teller has and a view hasn't, or has in an earlier
+// revision or boot.
+func (s Statements) Lacking(v *View, told []Peer) (out []string) {
+	for _, p := range told {
+		have, ok := v.nodes[p.Addr]
+		r := s.all[p.Addr]
 		switch {
-		case r.said() && r.peer.Said.Dead:
-		case !ok, have.Boot == r.peer.Boot && have.Rev < r.peer.Rev, have.Boot != r.peer.Boot && r.said():
-			out = append(out, addr)
+		case p.Boot == 0 || r.dead(p.Boot):
+		case !ok, have.Boot == p.Boot && have.Rev < p.Rev, have.Boot != p.Boot && r.alive(p.Boot):
+			out = append(out, p.Addr)
 		}
 	}
-	slices.Sort(out)
 	return out
 }
 
 // Highest names the sidecar that told of the highest stamp above one.
 func (s Statements) Highest(above uint64) (addr string, ok bool) {
 	for _, a := range s.Named() {
-		if r := s.all[a]; r.said() && r.peer.Said.Stamp > above {
-			addr, above, ok = a, r.peer.Said.Stamp, true
+		if r := s.all[a]; r.said != nil && r.said.Stamp > above {
+			addr, above, ok = a, r.said.Stamp, true
 		}
 	}
 	return addr, ok
@@ -133,21 +140,19 @@
 		if addr == own.Addr {
 			continue
 		}
-		r, heard := s.all[addr]
 		n, known := v.nodes[addr]
+		r := s.all[addr]
 		p := Peer{Addr: addr, Boot: n.Boot, Rev: n.Rev}
-		switch {
-		case heard && r.said() && now.Sub(r.at) <= StatementsFor:
-			said := *r.peer.Said
-			said.Age = age(r.at, now)
-			if p.Said = &said; p.Boot != r.peer.Boot {
-				p.Boot, p.Rev = r.peer.Boot, 0
+		if r.said != nil && now.Sub(r.at) <= StatementsFor {
+			said := *r.said
+			if said.Age = age(r.at, now); said.Boot == p.Boot {
+				said.Boot = 0
 			}
-			p.Rev = max(p.Rev, r.peer.Rev)
-		case !known:
-			continue // what was only named by others is not passed on
+			p.Said = &said
+		}
+		if known || p.Said != nil { // what was only named by others is not passed on
+			out = append(out, p)
 		}
-		out = append(out, p)
 	}
 	return out
 }
@@ -162,7 +167,7 @@
 	agreed := []time.Time{now}
 	for _, addr := range all {
 		r := s.all[addr]
-		if r.said() && (r.peer.Said.Dead || r.peer.Said.Alone && r.peer.Said.Stamp <= stamp) {
+		if r.said != nil && (r.said.Dead || r.said.Alone && r.said.Stamp <= stamp) {
 			agreed = append(agreed, r.at)
 		}
 	}
--- a/cohort/statements_test.go
+++ b/cohort/statements_test.go
@@ -53,9 +53,9 @@
 func TestYoungerStatementStays(t *testing.T) {
 	s := Statements{}.Hear("own", []Peer{alone("a", 3, 10)}, noon, noon)
 	s = s.Hear("own", []Peer{{Addr: "a", Boot: 1, Said: &Statement{Age: 500, Stamp: 2}}}, noon, noon)
-	s = s.Hear("own", []Peer{{Addr: "a", Boot: 1, Rev: 4}}, noon, noon)
+	s = s.Hear("own", []Peer{{Addr: "a", Boot: 9, Rev: 4}}, noon, noon)
 	got := s.Tell(Peer{Addr: "own"}, NewView(nil, nil), noon.Add(ms(5)))
-	want := []Peer{{Addr: "own"}, {Addr: "a", Boot: 1, Rev: 4, Said: &Statement{Age: 15, Stamp: 3, Alone: true}}}
+	want := []Peer{{Addr: "own"}, {Addr: "a", Said: &Statement{Boot: 1, Age: 15, Stamp: 3, Alone: true}}}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
 	}
@@ -85,13 +85,13 @@
 	}
 }
 
-// Of a view's nodes those are lacking that are told of in a later revision, or, by a
-// statement, in another boot, and those that it does not have; not the dead.
+// Of what a teller has that is lacking which the own view has not, or in an earlier
+// revision, or in another boot than the sidecar's own statement says; not the dead.
 func TestLacking(t *testing.T) {
 	v := NewView(map[string]Node{"a": {Addr: "a", Boot: 1, Rev: 5}, "b": {Addr: "b", Boot: 1, Rev: 5}, "c": {Addr: "c", Boot: 1}, "d": {Addr: "d", Boot: 1}}, nil)
-	s := Statements{}.Hear("own", []Peer{{Addr: "a", Boot: 1, Rev: 5}, {Addr: "b", Boot: 1, Rev: 6}, {Addr: "c", Boot: 2}, {Addr: "d", Boot: 2, Said: &Statement{}},
-		{Addr: "e"}, {Addr: "f", Said: &Statement{Dead: true}}}, noon, noon)
-	if got := s.Lacking(v); !slices.Equal(got, []string{"b", "d", "e"}) {
+	told := []Peer{{Addr: "a", Boot: 1, Rev: 5}, {Addr: "b", Boot: 1, Rev: 6}, {Addr: "c", Boot: 2}, {Addr: "d", Boot: 2, Said: &Statement{}},
+		{Addr: "e", Boot: 3}, {Addr: "f", Boot: 3, Said: &Statement{Dead: true}}, {Addr: "g", Said: &Statement{Boot: 4}}}
+	if got := (Statements{}).Hear("own", told, noon, noon).Lacking(v, told); !slices.Equal(got, []string{"b", "d", "e"}) {
 		t.Errorf("lacking: %v", got)
 	}
 }
@@ -123,11 +123,11 @@
 		}
 		for i, s := range nodes {
 			for addr, r := range s.all {
-				if !r.said() {
+				if r.said == nil {
 					continue
 				}
-				if when := said[addr][r.peer.Said.Stamp]; r.at.After(when) {
-					t.Fatalf("seed %d: %d believes that %s said %d at %v, it was %v", seed, i, addr, r.peer.Said.Stamp, r.at.Sub(noon), when.Sub(noon))
+				if when := said[addr][r.said.Stamp]; r.at.After(when) {
+					t.Fatalf("seed %d: %d believes that %s said %d at %v, it was %v", seed, i, addr, r.said.Stamp, r.at.Sub(noon), when.Sub(noon))
 				}
 			}
 		}
