--- /dev/null
+++ b/relay/client_test.go
@@ -0,0 +1,56 @@
+package relay
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// clients are what net/http sends requests by: it repeats some by itself.
+var clients = []string{"Client", "Transport", "DefaultClient", "DefaultTransport", "Get", "Head", "Post", "PostForm"}
+
+// The product sends by net/http's client nowhere but in the planner, which only reads:
+// what may not be repeated would be, out of sight.
+func TestNoHiddenRepeats(t *testing.T) {
+	found := 0
+	err := filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		rel, _ := filepath.Rel("..", path)
+		switch {
+		case err != nil:
+			return err
+		case d.IsDir() && (rel == "proof" || strings.HasPrefix(d.Name(), ".") && rel != "."):
+			return filepath.SkipDir
+		case d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go"):
+			return nil
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+		if err != nil {
+			return err
+		}
+		ast.Inspect(file, func(n ast.Node) bool {
+			s, ok := n.(*ast.SelectorExpr)
+			if !ok || !slices.Contains(clients, s.Sel.Name) {
+				return true
+			}
+			if x, ok := s.X.(*ast.Ident); ok && x.Name == "http" {
+				found++
+				if filepath.ToSlash(rel) != "cmd/planner/read.go" {
+					t.Errorf("%s uses http.%s", rel, s.Sel.Name)
+				}
+			}
+			return true
+		})
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if found == 0 {
+		t.Error("the planner's use was not found: the check sees nothing")
+	}
+}
