Wire: a host reads on, pings too, while its receipts wait to be written

A caller whose circuit writes a long frame reads no receipts meanwhile. Once they had filled its buffers and the host's, the next ping held up the host's reading, and both sides waited for each other until the write limit of 5 s broke the circuit: all its calls were lost, and orders among them unknown. A ping is answered only if nothing waits to be written; what waits tells as much.

TestHostReadsOnWhileReceiptsPileUp failed first (write timed out after 4 s). Defect added.

--- a/proof/defects/all.go
+++ b/proof/defects/all.go
@@ -108,6 +108,7 @@
 	{lives, "wire/message.go", "if err := wellFormed(b); err != nil {", "if err := wellFormed(b); false && err != nil {", "./wire", "TestMalformedPayload", nil},
 	{lives, "wire/frame.go", "min(n-had, max(had, chunk))", "n-had", "./wire", "TestClaimedLengthTakesNoMemory", nil},
 	{lives, "wire/circuit.go", "readFrame(r, maxGreeting)", "readFrame(r, MaxFrame)", "./wire", "TestClaimedLengthTakesNoMemory", nil},
+	{held, "wire/host.go", "\tcase out <- b:\n\t\th.Counts.receipt(KindPing, len(b))\n\tdefault:\n", "\tcase out <- b:\n\t\th.Counts.receipt(KindPing, len(b))\n", "./wire", "TestHostReadsOnWhileReceiptsPileUp", nil},
 	{held, "wire/circuit.go", "if k.elsewhere && peer.suspect() {", "if false {", "./wire", "TestSuspectedPeer", nil},
 	{held, "wire/circuit.go", "case <-begin.Done():", "case <-ctx.Done():", "./wire", "TestPeerThatTakesNothing", nil},
 	{returns, "wire/silence.go", "s.silent += min(passed, pingAfter)", "s.silent += passed", "./wire", "TestSilence", nil},
--- a/wire/host.go
+++ b/wire/host.go
@@ -86,7 +86,7 @@
 		}
 		h.Counts.call(h.counted(m.Kind), headLen+len(b))
 		if m.Kind == KindPing {
-			h.reply(ctx, out, trace.Span{}, message{Kind: KindPing})
+			h.pong(out)
 			continue
 		}
 		if m.ID <= last {
@@ -134,6 +134,21 @@
 	}
 }
 
+// pong answers a ping, unless receipts wait to be written, which tell as much. The host
+// must not wait for its own writing here: the caller may be writing, and read nothing
+// before the host has read that. (DESIGN 3.4)
+func (h *Host) pong(out chan<- []byte) {
+	b, err := encode(trace.Span{}, message{Kind: KindPing})
+	if err != nil {
+		panic(err) // a number and a word can be written
+	}
+	select {
+	case out <- b:
+		h.Counts.receipt(KindPing, len(b))
+	default:
+	}
+}
+
 // counted is the kind that a call is counted as.
 func (h *Host) counted(kind string) string {
 	if _, ok := h.Handlers[kind]; ok || kind == KindPing {
--- a/wire/hostile_test.go
+++ b/wire/hostile_test.go
@@ -442,3 +442,56 @@
 		t.Errorf("of %d calls %d were unsent, and the peer saw %d", sent, unsent, seen.Load())
 	}
 }
+
+// A caller that is busy writing reads nothing meanwhile, so that receipts pile up. The
+// host reads on all the same, pings too: else both would wait for each other until the
+// circuit broke.
+func TestHostReadsOnWhileReceiptsPileUp(t *testing.T) {
+	ctx, l := begin(t)
+	answered := make(chan bool, 200)
+	h := &Host{Launcher: l, Handlers: map[string]Handler{"large": func(context.Context, Inquiry) (any, string) {
+		answered <- true
+		return make([]byte, 1<<20), ""
+	}}}
+	h.Listener = listen(t)
+	l.Go(ctx, "host", h.Run)
+	conn, err := net.Dial("tcp", h.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	r := bufReader(conn)
+	if _, err := exchange(conn, r, Greeting{}, uncounted, uncounted); err != nil {
+		t.Fatal(err)
+	}
+	conn.SetDeadline(time.Now().Add(4 * time.Second)) // less than writeLimit
+	send := func(m message) {
+		t.Helper()
+		b, _ := encode(trace.Span{}, m)
+		if _, err := conn.Write(b); err != nil {
+			t.Fatal(err)
+		}
+	}
+	const calls = 100
+	for id := range uint64(calls) {
+		send(message{ID: id + 1, Kind: "large"})
+	}
+	for range calls {
+		<-answered
+	}
+	for range 9 {
+		send(message{Kind: KindPing})
+	}
+	body, _ := msgpack.Marshal(make([]byte, 32<<20))
+	send(message{ID: calls + 1, Kind: "large", Body: body})
+	got := map[uint64]bool{}
+	for len(got) < calls+1 {
+		b, err := readFrame(r, MaxFrame)
+		if err != nil {
+			t.Fatalf("after %d receipts: %v", len(got), err)
+		}
+		if _, _, m, _ := decode(b); m.Kind == "large" {
+			got[m.ID] = true
+		}
+	}
+}
