--- a/proof/messages/messages_test.go
+++ b/proof/messages/messages_test.go
@@ -125,7 +125,7 @@
 	now := time.Now()
 	s := cohort.Statements{}.Hear("127.0.0.1:9", g.Peers, now, now)
 	view := cohort.NewView(map[string]cohort.Node{node.Addr: node}, nil)
-	s.Lacking(view)
+	s.Lacking(view, g.Peers)
 	s.Tell(peer, view, now.Add(cohort.Beat))
 	s.Highest(1)
 	s.Sure("127.0.0.1:9", 5, []string{node.Addr}, now)
