--- /dev/null
+++ b/proof/cmd/model/main.go
@@ -0,0 +1,43 @@
+// Command model explores the long runs of proof/model and prints what each came to. It
+// ends with 1 if an invariant is broken.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"curlewwalk/proof/model"
+)
+
+func main() {
+	var opt struct {
+		States int    `long:"states" default:"1000000" description:"end each run after so many states; what was not followed further is told"`
+		Only   string `long:"only" description:"only the runs of this scenario"`
+	}
+	if _, err := flags.Parse(&opt); err != nil {
+		os.Exit(2)
+	}
+	broken := false
+	for _, r := range model.Long {
+		if opt.Only != "" && r.Name != opt.Only {
+			continue
+		}
+		r.States = opt.States
+		begin := time.Now()
+		res := model.Explore(r.Scenario, r.Bounds)
+		fmt.Printf("%s %s in %v: %s\n", r.Name, r.Bounds, time.Since(begin).Round(time.Second), res)
+		if res.Broken != "" {
+			broken = true
+			fmt.Printf("broken: %s, after\n", res.Broken)
+			for _, e := range res.Trace {
+				fmt.Println("  " + e)
+			}
+		}
+	}
+	if broken {
+		os.Exit(1)
+	}
+}
