--- a/register/state.go
+++ b/register/state.go
@@ -11,7 +11,7 @@
 
 // What follows lets an exploration of all interleavings tell states apart: copies that
 // share nothing, and canonical encodings. Two states of one encoding behave alike from
-// here on. (DESIGN 14.8)
+// here on. (DESIGN 14.9)
 
 // Clone is a copy of the clerk that shares nothing that changes.
 func (c *Clerk) Clone() *Clerk {
