--- a/proof/await_test.go
+++ b/proof/await_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"sync/atomic"
@@ -45,3 +46,6 @@
 
 // served tells the callers of serves from each other.
 var served atomic.Int64
+
+// decode reads a JSON answer.
+func decode(b []byte, into any) bool { return json.Unmarshal(b, into) == nil }
--- a/register/clerk.go
+++ b/register/clerk.go
@@ -48,6 +48,7 @@
 	own      bool // the proposal is the first order's, not a half-done one's
 	orders   []Order
 	votes    map[int]Vote
+	against  map[int]Vote // of this round, for another epoch
 	sent     time.Duration
 	rest     time.Duration // no new epoch before this
 	began    time.Duration // when the epoch was asked for
@@ -74,7 +75,7 @@
 	}
 	if !v.OK {
 		if v.Promised > c.epoch {
-			c.drop(now)
+			c.denied(v, now)
 		}
 		return nil
 	}
@@ -102,6 +103,17 @@
 	return c.settled(now)
 }
 
+// denied takes a vote for a higher epoch. While a proposal can still be settled without
+// that voter, the clerk goes on under its own: a core that was cut off with a promise
+// that nobody else gave comes back without a new epoch. (DESIGN 6.3)
+func (c *Clerk) denied(v Vote, now time.Duration) {
+	c.against[v.From.Slot] = v
+	_, self := c.against[c.Self.Slot]
+	if c.phase != proposing || self || !c.setsOf(c.word).reachable(c.against) {
+		c.drop(now)
+	}
+}
+
 // Tick lets time pass.
 func (c *Clerk) Tick(now time.Duration) []Outcome {
 	var out []Outcome
@@ -134,7 +146,11 @@
 		c.drop(now)
 	}
 	if c.phase != idle && now-c.sent >= resendAfter {
-		out = append(out, c.send(now)...)
+		if len(c.against) > 0 {
+			c.drop(now) // it has to be majorities without them, and those don't answer
+		} else {
+			out = append(out, c.send(now)...)
+		}
 	}
 	return append(out, c.proceed(now)...)
 }
@@ -380,7 +396,7 @@
 
 // begin opens a new round of votes.
 func (c *Clerk) begin(p clerkPhase, now time.Duration) []Outcome {
-	c.phase, c.votes, c.opened = p, map[int]Vote{}, now
+	c.phase, c.votes, c.against, c.opened = p, map[int]Vote{}, map[int]Vote{}, now
 	c.asked = union(c.sets.Union(), c.self())
 	if p != preparing {
 		c.asked = union(c.setsOf(c.word).Union(), c.self())
--- a/register/sets.go
+++ b/register/sets.go
@@ -78,6 +78,16 @@
 	return true
 }
 
+// reachable tells whether majorities of each set are left without some voters.
+func (s Sets) reachable(without map[int]Vote) bool {
+	for _, set := range s.each() {
+		if len(set)-in(set, without) < Majority(len(set)) {
+			return false
+		}
+	}
+	return true
+}
+
 // Top finds the highest word among votes and its sets; own are those that the
 // asker knows of, for votes that tell none.
 func Top(votes map[int]Vote, own Sets) (top Vote, sets Sets) {
