Bound what a look waits for, and what waits for a stalled disk

A complete round waits 0.1 s at most for votes that tell whether its newest mark is held, so that a third core that does not answer holds up neither leases nor reads; what nobody waits for any more leaves the queue before the disk is free.

--- a/register/keeper.go
+++ b/register/keeper.go
@@ -27,6 +27,7 @@
 	orderLimit = 3 * time.Second        // how long an order may take (ours)
 	seatLimit  = 2 * time.Second        // how long a change of the set may hold up others (ours)
 	lookEvery  = 300 * time.Millisecond // how often a majority is asked for newer words (ours)
+	moreFor    = 100 * time.Millisecond // how long a complete round waits for what else it may tell (ours)
 	probeEvery = 500 * time.Millisecond // how often a disk that failed is tried (ours)
 )
 
@@ -171,15 +172,17 @@
 		return Vote{}, false, false
 	}
 	own := self.Sets()
-	known := func(votes map[int]Vote) bool {
+	judge := func(votes map[int]Vote) progress {
 		counted := Counted(votes)
 		if !Complete(counted, own) {
-			return false
+			return partial
 		}
-		_, held := Newest(counted, own)
-		return held
+		if _, held := Newest(counted, own); !held {
+			return complete
+		}
+		return enough
 	}
-	votes := Counted(k.gather(ctx, Ballot{From: self.Self, Act: act}, known))
+	votes := Counted(k.gather(ctx, Ballot{From: self.Self, Act: act}, judge))
 	if !Complete(votes, own) {
 		return Vote{}, false, false
 	}
@@ -293,11 +296,26 @@
 	}
 }
 
+// progress is how far votes have come.
+type progress int
+
+// Votes that are partial decide nothing yet; those that are complete do, but a few more
+// may tell more; those that are enough end the round.
+const (
+	partial progress = iota
+	complete
+	enough
+)
+
 // gather puts a ballot to all slots known of, and those that votes tell of, and
-// returns the votes that came in time, or the first that are enough.
-func (k *Keeper) gather(ctx context.Context, b Ballot, enough func(votes map[int]Vote) bool) map[int]Vote {
+// returns the votes that came in time, or the first that judge finds enough. Without a
+// judge all are waited for.
+func (k *Keeper) gather(ctx context.Context, b Ballot, judge func(votes map[int]Vote) progress) map[int]Vote {
 	ctx, cancel := context.WithTimeout(ctx, voteLimit/2)
 	defer cancel()
+	more := time.NewTimer(voteLimit)
+	defer more.Stop()
+	far := partial
 	own := k.Voter().Sets()
 	in, open, asked := make(chan *Vote), 0, []desired.Member{}
 	ask := func(set []desired.Member) {
@@ -325,12 +343,21 @@
 				votes[v.From.Slot] = *v
 				ask(v.Sets.Union())
 			}
+		case <-more.C:
+			return votes
 		case <-ctx.Done():
 			return votes
 		}
-		if enough != nil && enough(votes) {
+		if judge == nil {
+			continue
+		}
+		before := far
+		if far = judge(votes); far == enough {
 			break
 		}
+		if far == complete && before != complete {
+			more.Reset(moreFor)
+		}
 	}
 	return votes
 }
--- a/register/transition.go
+++ b/register/transition.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
 // mostTransitions bounds how many changes wait for the disk. What is turned away is
 // sent again by whoever needs it. (ours)
-const mostTransitions = 256
+const mostTransitions = 64
 
 // transition is one change of the voter. It is decided on the state that is on disk,
 // once the disk is free, so at most one write is under way and their order is kept.
@@ -22,6 +23,7 @@
 
 // submit queues a change of the voter. Nothing of it may be told before done.
 func (k *Keeper) submit(ctx context.Context, t transition) {
+	k.expire(ctx)
 	if len(k.waiting) >= mostTransitions {
 		t.done(ctx, false)
 		return
@@ -30,15 +32,28 @@
 	k.advance(ctx)
 }
 
+// expire ends what waits for the disk and nobody waits for any more.
+func (k *Keeper) expire(ctx context.Context) {
+	now := k.now()
+	var ended []transition
+	k.waiting = slices.DeleteFunc(k.waiting, func(t transition) bool {
+		if now <= t.until {
+			return false
+		}
+		ended = append(ended, t)
+		return true
+	})
+	for _, t := range ended {
+		t.done(ctx, false)
+	}
+}
+
 // advance goes on with what waits while the disk is free.
 func (k *Keeper) advance(ctx context.Context) {
+	k.expire(ctx)
 	for !k.saving && len(k.waiting) > 0 {
 		t := k.waiting[0]
-		k.waiting = k.waiting[1:]
-		if k.now() > t.until {
-			t.done(ctx, false)
-			continue
-		}
+		k.waiting = slices.Delete(k.waiting, 0, 1)
 		next, ok := t.decide(k.voter)
 		if !ok {
 			t.done(ctx, false)
