--- a/register/keeper.go
+++ b/register/keeper.go
@@ -522,15 +522,15 @@
 // turn tells of it when the core has become able or unable. Orders that were not
 // proposed yet are given back then: the core that has the duty now can take them.
 func (k *Keeper) turn(ctx context.Context, now time.Duration) {
-	able := k.Health().Able(now)
-	if !able && !k.Peers.OnDuty() {
+	able, connected := k.Health().Able(now), k.Health().Connected(now)
+	if !connected || !able && !k.Peers.OnDuty() {
 		k.obey(ctx, k.clerk.GiveBack())
 	}
 	if able == k.able {
 		return
 	}
 	k.able = able
-	k.Log.Info("ability", "able", able, "durable", k.Health().Durable(now), "connected", k.Health().Connected(now))
+	k.Log.Info("ability", "able", able, "durable", k.Health().Durable(now), "connected", connected)
 	if k.Turned != nil {
 		k.Turned()
 	}
