Tell followers a configuration by its difference, or not at all if they have it

Change: a Follow tells the fingerprint of what the follower was told last; the feed answers with a difference from it, or leaves the configuration out. Holding makes it whole again; what does not come out as its fingerprint says is not taken, and the next question tells none.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -31,8 +31,11 @@
 	place uint64
 	items []Item // items[i] has number place-len(items)+1+i
 	word  *desired.Word
-	nodes map[string]cohort.Node
-	heard map[string]time.Duration
+	// version is that word's; versions are those of late, to tell differences from.
+	version  desired.Version
+	versions desired.Versions
+	nodes    map[string]cohort.Node
+	heard    map[string]time.Duration
 	// emptySince is since when an emptied locality has nothing open.
 	emptySince map[string]time.Duration
 	open       time.Duration // not before this is the feed served
@@ -63,6 +66,8 @@
 			f.items[i] = Item{} // nobody needs it any more, however far behind
 		}
 	}
+	f.version, _ = desired.NewVersion(w)
+	f.versions.Add(f.version)
 	f.word = &w
 	f.add(Item{Word: &w})
 	return true
@@ -102,7 +107,7 @@
 // up must not be answered from what was known before.
 func (f *Feed) Wake(now time.Duration) {
 	if now-f.last > goneAfter/2 {
-		*f = Feed{ID: f.ID + 1, word: f.word, nodes: map[string]cohort.Node{}, heard: map[string]time.Duration{}, open: now + SettleIn, last: now}
+		*f = Feed{ID: f.ID + 1, word: f.word, version: f.version, versions: f.versions, nodes: map[string]cohort.Node{}, heard: map[string]time.Duration{}, open: now + SettleIn, last: now}
 	}
 }
 
@@ -138,11 +143,13 @@
 	first := f.place - uint64(len(f.items))
 	if q.Feed == f.ID && q.Place >= first && q.Place <= f.place {
 		n.Items = slices.DeleteFunc(slices.Clone(f.items[q.Place-first:]), Item.overtaken)
-		return n, len(n.Items) > 0
+		fresh = len(n.Items) > 0
+		n.Items = f.told(n.Items, q.Has)
+		return n, fresh
 	}
 	n.Snapshot = true
 	if f.word != nil {
-		n.Items = append(n.Items, Item{Word: f.word})
+		n.Items = f.told([]Item{{Word: f.word}}, q.Has)
 	}
 	for _, addr := range slices.Sorted(maps.Keys(f.nodes)) {
 		n.Items = append(n.Items, nodeItem(f.nodes[addr]))
@@ -150,6 +157,23 @@
 	return n, true
 }
 
+// told is a list of items as a follower is told them that has a configuration already: the
+// newest by its difference, or not at all if it has that.
+func (f *Feed) told(items []Item, has []byte) []Item {
+	i := slices.IndexFunc(items, func(it Item) bool { return it.Word != nil })
+	if i < 0 || len(has) != len(f.version.Fingerprint) {
+		return items
+	}
+	base := desired.Fingerprint(has)
+	if base == f.version.Fingerprint {
+		return slices.Delete(items, i, i+1)
+	}
+	if p, short := f.versions.Tell(f.version, base); short {
+		items[i] = Item{Patch: &p}
+	}
+	return items
+}
+
 // Word is the newest majority-held word, if any.
 func (f *Feed) Word() *desired.Word { return f.word }
 
--- a/feed/follow.go
+++ b/feed/follow.go
@@ -11,4 +11,7 @@
 	Feed  uint64        `msgpack:"f"`
 	Place uint64        `msgpack:"p"`
 	Wait  time.Duration `msgpack:"w"`
+	// Has is the fingerprint of the configuration that the follower was told last. Who
+	// tells none is told configurations whole.
+	Has []byte `msgpack:"h,omitempty"`
 }
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -29,6 +29,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	var place Follow
 	var core cohort.Seat
+	var holding Holding
 	choose := newChoice(f.Own, f.Locality)
 	pause := time.NewTimer(0)
 	defer pause.Stop()
@@ -42,7 +43,10 @@
 				core, place = next, Follow{Wait: holdFor}
 			}
 			asked := time.Now()
-			n, answered := f.ask(ctx, core, place, choose.patience)
+			n, answered := f.ask(ctx, core, holding.Asks(place), choose.patience)
+			if answered && !holding.Read(&n) {
+				continue // the same is told whole now
+			}
 			if answered {
 				place.Feed, place.Place = n.Feed, n.Place
 				f.Take(ctx, core, n, asked)
--- a/feed/item.go
+++ b/feed/item.go
@@ -12,6 +12,8 @@
 	Word *desired.Word `msgpack:"w,omitempty"`
 	Node *cohort.Node  `msgpack:"n,omitempty"`
 	Gone string        `msgpack:"g,omitempty"`
+	// Patch stands for Word, towards a follower that told what it has.
+	Patch *desired.Patch `msgpack:"p,omitempty"`
 }
 
 // overtaken tells whether the item was a word that a newer one came after.
--- a/proof/simulator/member.go
+++ b/proof/simulator/member.go
@@ -1,10 +1,12 @@
 package simulator
 
 import (
+	"bytes"
 	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"curlewwalk/cohort"
@@ -28,6 +30,9 @@
 	Words, Accused, Refuted, Out, Led int
 	// Short counts hails that told a difference, Whole those that were asked for whole.
 	Short, Whole int
+	// Patched counts words that were told by a difference, Unread those that could not be
+	// made whole.
+	Patched, Unread int
 }
 
 type memberHost struct {
@@ -58,6 +63,7 @@
 	core  *memberCore
 	boot  uint64 // of the core that is followed
 	place feed.Follow
+	has   feed.Holding
 	bad   map[string]time.Duration
 }
 
@@ -85,7 +91,7 @@
 	c.up, c.boot = true, m.rng.Uint64()
 	c.feed = feed.New(c.boot, m.now)
 	if c.word > 0 { // it was on its disk
-		c.feed.Settled(desired.Word{Stamp: c.word})
+		c.feed.Settled(wordOf(c.word))
 	}
 	m.every(&c.memberHost, 100*time.Millisecond, func() { c.feed.Wake(m.now); c.feed.Tick(m.now) })
 	m.every(&c.memberHost, 300*time.Millisecond, func() { m.catch(c) })
@@ -96,6 +102,7 @@
 	s.node = cohort.Node{Addr: s.addr, Boot: m.rng.Uint64()}
 	m.change(s)
 	s.watch, s.seats, s.copy, s.bad = cohort.NewWatch(s.addr), cohort.Seats{}, feed.NewCopy(), map[string]time.Duration{}
+	s.has = feed.Holding{}
 	s.talks, s.turn = map[string]cohort.Talk{}, 0
 	m.every(&s.memberHost, cohort.Beat, func() { m.hail(s) })
 	m.every(&s.memberHost, cohort.Beat, func() { m.probe(s) })
@@ -256,13 +263,13 @@
 		s.core, s.boot, s.place = c, live[0].Boot, feed.Follow{}
 		m.Led++
 	}
-	at := s.place
+	at, asked := s.place, s.has.Asks(s.place)
 	m.call(&s.memberHost, &c.memberHost, 900*time.Millisecond, func() any {
 		c.feed.Wake(m.now)
 		if !c.feed.Open(m.now) {
 			return false
 		}
-		n, _ := c.feed.Since(at)
+		n, _ := c.feed.Since(asked)
 		return n
 	}, func(answer any, _ bool) {
 		n, ok := answer.(feed.News)
@@ -270,15 +277,28 @@
 			s.bad[c.addr] = m.now
 			return
 		}
-		if s.core != c || s.place != at {
+		if s.core != c || s.place.Feed != at.Feed || s.place.Place != at.Place {
 			return // a later call has been answered
 		}
+		for _, it := range n.Items {
+			if it.Patch != nil {
+				m.Patched++
+			}
+		}
+		n.Items = slices.Clone(n.Items) // the core's own
+		if !s.has.Read(&n) {
+			m.Unread++
+			return // it asks for the whole next
+		}
 		s.place = feed.Follow{Feed: n.Feed, Place: n.Place}
 		if w, _ := s.copy.Take(n); w != nil {
 			if w.Stamp < s.stamp {
 				m.wrong("%s went from stamp %d back to %d", s.addr, s.stamp, w.Stamp)
 			}
 			s.stamp = w.Stamp
+			if !bytes.Equal(w.Desired, wordOf(w.Stamp).Desired) {
+				m.wrong("%s put something else in force as stamp %d", s.addr, w.Stamp)
+			}
 		}
 	})
 }
@@ -289,12 +309,18 @@
 		m.call(&c.memberHost, &o.memberHost, time.Second, func() any { return o.word }, func(answer any, _ bool) {
 			if w, ok := answer.(uint64); ok && w > c.word {
 				c.word = w
-				c.feed.Settled(desired.Word{Stamp: w})
+				c.feed.Settled(wordOf(w))
 			}
 		})
 	}
 }
 
+// wordOf is the word of a stamp; words differ in a small part.
+func wordOf(stamp uint64) desired.Word {
+	text := strings.Repeat("a route that stays as it is; ", 10)
+	return desired.Word{Stamp: stamp, Desired: fmt.Appendf([]byte(text), "a route as of stamp %d; %s", stamp, text)}
+}
+
 // write settles a new word on one core that lives.
 func (m *Members) write() {
 	c := m.cores[m.rng.IntN(len(m.cores))]
@@ -303,7 +329,7 @@
 	}
 	m.Words++
 	c.word = uint64(m.Words)
-	c.feed.Settled(desired.Word{Stamp: c.word})
+	c.feed.Settled(wordOf(c.word))
 }
 
 // Run brings faults about for a while, then none, and looks whether all agree.
--- a/proof/simulator/simulator_test.go
+++ b/proof/simulator/simulator_test.go
@@ -117,10 +117,12 @@
 			}
 			sum.Words, sum.Accused, sum.Refuted, sum.Led = sum.Words+m.Words, sum.Accused+m.Accused, sum.Refuted+m.Refuted, sum.Led+m.Led
 			sum.Short, sum.Whole = sum.Short+m.Short, sum.Whole+m.Whole
+			sum.Patched, sum.Unread = sum.Patched+m.Patched, sum.Unread+m.Unread
 		}
 	}
-	t.Logf("%d words, %d accusations told, %d refuted, %d times another core was followed, %d short hails, %d asked for whole", sum.Words, sum.Accused, sum.Refuted, sum.Led, sum.Short, sum.Whole)
-	if sum.Words == 0 || sum.Accused == 0 || sum.Refuted == 0 || sum.Led == 0 || sum.Short == 0 || sum.Whole == 0 {
+	t.Logf("%d words, %d accusations told, %d refuted, %d times another core was followed, %d short hails, %d asked for whole, %d words told by differences, %d of them in vain",
+		sum.Words, sum.Accused, sum.Refuted, sum.Led, sum.Short, sum.Whole, sum.Patched, sum.Unread)
+	if sum.Patched == 0 || sum.Words == 0 || sum.Accused == 0 || sum.Refuted == 0 || sum.Led == 0 || sum.Short == 0 || sum.Whole == 0 {
 		t.Error("the failures or the work did not come about")
 	}
 }
