Take a new identity before a torn file's versions are set aside; model the disk

Cause, found by the new model: where the newest file of a kind is torn, both kinds were set aside first and the new identity saved after that. And names that are renamed without a sync of the folder may be kept or lost each by itself, so that an older promise could have come back as the newest.

Change: the new identity is saved as the newest promise first; only then is the rest set aside.

--- a/register/disk.go
+++ b/register/disk.go
@@ -83,7 +83,7 @@
 	}
 	var o oath
 	if oathName == "" || oathTorn || wordTorn || json.Unmarshal(oathData, &o) != nil {
-		return d.lose(s)
+		return d.lose(s, oathName)
 	}
 	fmt.Sscanf(oathName, "%d", &d.oaths)
 	v = Voter{Self: From{Slot: s.Slot, ID: o.ID, Inc: o.Inc}, Founded: s.Slots, Phase: o.Phase, Promised: o.Promised, Seats: o.Seats}
@@ -93,11 +93,14 @@
 	if v.Seats == nil {
 		v.Seats = map[int]Chair{}
 	}
+	if wordName != "" && v.Phase == Lost {
+		return v, d.Vault.SetAside(kindWord, 0) // lose ended before that
+	}
 	if wordName != "" && (v.Phase == Established || v.Phase == Seeking) {
 		head, body, _ := bytes.Cut(wordData, []byte("\n"))
 		var h wordHead
 		if json.Unmarshal(head, &h) != nil {
-			return d.lose(s)
+			return d.lose(s, oathName)
 		}
 		v.Mark = h.Mark
 		v.Word = desired.Word{
@@ -112,18 +115,23 @@
 	return v, nil
 }
 
-func (d *Disk) lose(s Start) (Voter, error) {
-	for _, kind := range []string{kindWord, kindOath} {
-		if err := d.Vault.SetAside(kind); err != nil {
-			return Voter{}, err
-		}
-	}
+// lose takes a new identity, and sets aside what was before. The identity is on disk before
+// anything else changes: wherever this ends, what is found next is as it was, or has the
+// new identity, and is never an empty disk, which a founder's would be born on once more.
+func (d *Disk) lose(s Start, newestOath string) (Voter, error) {
+	fmt.Sscanf(newestOath, "%d", &d.oaths)
 	s.First = false
 	v := s.Empty(rand.Uint64() | 1)
 	if v.Phase == Virgin {
 		v.Phase = Lost
 	}
-	return v, d.Save(v)
+	if err := d.Save(v); err != nil {
+		return v, err
+	}
+	if err := d.Vault.SetAside(kindOath, 1); err != nil {
+		return v, err
+	}
+	return v, d.Vault.SetAside(kindWord, 0)
 }
 
 // Save puts the dirty parts of a voter on disk: the word first, since an oath
--- a/vault/vault.go
+++ b/vault/vault.go
@@ -6,8 +6,6 @@
 	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 
@@ -16,7 +14,7 @@
 
 // Vault is one data folder.
 type Vault struct {
-	dir string
+	files Files
 	// Before, if set, comes before each version is written, which fails as it does.
 	// Proofs use it for disks in trouble.
 	Before func() error
@@ -24,12 +22,16 @@
 
 // Open makes the folder if need be.
 func Open(dir string) (*Vault, error) {
-	if err := os.MkdirAll(dir, 0o750); err != nil {
+	f, err := openFolder(dir)
+	if err != nil {
 		return nil, eris.Wrap(err, "data folder")
 	}
-	return &Vault{dir: dir, Before: trouble()}, nil
+	return &Vault{files: f, Before: trouble()}, nil
 }
 
+// On is a vault in a folder of any making.
+func On(files Files) *Vault { return &Vault{files: files} }
+
 // Save stores one version of a kind; it returns once the version is on disk.
 // Versions of a kind sort as text.
 func (v *Vault) Save(kind, version string, data []byte) error {
@@ -40,9 +42,9 @@
 	}
 	sum := sha256.Sum256(data)
 	body := append([]byte(hex.EncodeToString(sum[:])+"\n"), data...)
-	name := filepath.Join(v.dir, kind+"."+version)
+	name := kind + "." + version
 	aside := name + ".aside"
-	f, err := os.OpenFile(aside, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o640)
+	f, err := v.files.Create(aside)
 	if err != nil {
 		return eris.Wrap(err, "write aside")
 	}
@@ -56,20 +58,13 @@
 	if err != nil {
 		return eris.Wrap(err, "write aside")
 	}
-	if err := os.Rename(aside, name); err != nil {
+	if err := v.files.Rename(aside, name); err != nil {
 		return eris.Wrap(err, "rename")
 	}
 	return v.syncDir()
 }
 
-func (v *Vault) syncDir() error {
-	d, err := os.Open(v.dir)
-	if err != nil {
-		return eris.Wrap(err, "sync folder")
-	}
-	defer d.Close()
-	return eris.Wrap(d.Sync(), "sync folder")
-}
+func (v *Vault) syncDir() error { return eris.Wrap(v.files.Sync(), "sync folder") }
 
 // Newest reads the newest version of a kind. A version that does not match its
 // checksum is set aside and reported as torn: what came before it must not be
@@ -80,8 +75,7 @@
 		return "", nil, false, err
 	}
 	version = names[len(names)-1]
-	name := filepath.Join(v.dir, kind+"."+version)
-	body, err := os.ReadFile(name)
+	body, err := v.files.Read(kind + "." + version)
 	if err != nil {
 		return version, nil, false, eris.Wrap(err, "read")
 	}
@@ -93,16 +87,16 @@
 	return version, data, false, nil
 }
 
-// SetAside renames every version of a kind, so that none is read again and
-// all stay for the operator to look at.
-func (v *Vault) SetAside(kind string) error {
+// SetAside renames all but the newest keep versions of a kind, so that none is read
+// again and all stay for the operator to look at.
+func (v *Vault) SetAside(kind string, keep int) error {
 	names, err := v.versions(kind)
-	if err != nil {
+	if err != nil || len(names) <= keep {
 		return err
 	}
+	names = names[:len(names)-keep]
 	for _, n := range names {
-		from := filepath.Join(v.dir, kind+"."+n)
-		if err := os.Rename(from, filepath.Join(v.dir, "torn-"+kind+"."+n)); err != nil {
+		if err := v.files.Rename(kind+"."+n, "torn-"+kind+"."+n); err != nil {
 			return eris.Wrap(err, "set aside")
 		}
 	}
@@ -116,7 +110,7 @@
 		return err
 	}
 	for len(names) > keep {
-		if err := os.Remove(filepath.Join(v.dir, kind+"."+names[0])); err != nil {
+		if err := v.files.Remove(kind + "." + names[0]); err != nil {
 			return eris.Wrap(err, "thin")
 		}
 		names = names[1:]
@@ -125,13 +119,13 @@
 }
 
 func (v *Vault) versions(kind string) ([]string, error) {
-	entries, err := os.ReadDir(v.dir)
+	entries, err := v.files.List()
 	if err != nil {
 		return nil, eris.Wrap(err, "list")
 	}
 	var out []string
 	for _, e := range entries {
-		if n, ok := strings.CutPrefix(e.Name(), kind+"."); ok && !strings.HasSuffix(n, ".aside") {
+		if n, ok := strings.CutPrefix(e, kind+"."); ok && !strings.HasSuffix(n, ".aside") {
 			out = append(out, n)
 		}
 	}
