--- a/core/control.go
+++ b/core/control.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
-	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -101,14 +98,14 @@
 
 // body reads an operator's document of at most so many bytes.
 func body(w http.ResponseWriter, r *http.Request, what, path string, most int64) ([]byte, bool) {
-	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
-	var big *http.MaxBytesError
+	b, err := process.ReadDocument(w, r, most)
 	switch {
-	case errors.As(err, &big):
+	case err == nil:
+	case err.Status == http.StatusRequestEntityTooLarge:
 		process.JSON(w, http.StatusUnprocessableEntity, faulty{Error: what + " does not check",
-			Faults: []desired.Fault{{Path: path, Message: fmt.Sprintf("over %d bytes", most)}}})
-	case err != nil:
-		process.Error(w, http.StatusBadRequest, "body was cut short")
+			Faults: []desired.Fault{{Path: path, Message: err.Message}}})
+	default:
+		process.Error(w, err.Status, err.Message)
 	}
 	return b, err == nil
 }
--- /dev/null
+++ b/process/document.go
@@ -0,0 +1,46 @@
+package process
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+)
+
+// documentWait is how long an operator's document may take to come. (ours)
+const documentWait = 30 * time.Second
+
+// DocumentError tells why a document was not read whole.
+type DocumentError struct {
+	// Status is what its caller is to be told: 413 over the bound, 408 if it did not come
+	// in time, 400 if it was cut short.
+	Status  int
+	Message string
+}
+
+// Error implements error.
+func (e *DocumentError) Error() string { return e.Message }
+
+// ReadDocument reads an operator's document of at most so many bytes, whole.
+func ReadDocument(w http.ResponseWriter, r *http.Request, most int64) ([]byte, *DocumentError) {
+	return readDocument(w, r, most, documentWait)
+}
+
+func readDocument(w http.ResponseWriter, r *http.Request, most int64, wait time.Duration) ([]byte, *DocumentError) {
+	conn := http.NewResponseController(w)
+	conn.SetReadDeadline(time.Now().Add(wait))
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	var big *http.MaxBytesError
+	switch {
+	case err == nil:
+		conn.SetReadDeadline(time.Time{})
+		return b, nil
+	case errors.As(err, &big):
+		return nil, &DocumentError{http.StatusRequestEntityTooLarge, fmt.Sprintf("over %d bytes", most)}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, &DocumentError{http.StatusRequestTimeout, "the body did not come in time"}
+	}
+	return nil, &DocumentError{http.StatusBadRequest, "the body was cut short"}
+}
--- a/register/keeper.go
+++ b/register/keeper.go
@@ -271,15 +271,21 @@
 	return a.Word, a.Result == Taken
 }
 
+// newestLooks is how often a majority is asked for the newest settled stamp, since what is
+// being written is mostly settled a moment later. (ours)
+const newestLooks = 3
+
 // Newest is the newest settled stamp: all that was acknowledged before it was asked for
 // is at or below it. The newest word is mended first if no majority holds it yet.
 func (k *Keeper) Newest(ctx context.Context, refresh func(ctx context.Context) Answer) (uint64, bool) {
-	top, held, ok := k.newest(ctx, Look)
-	if !ok {
-		return 0, false
-	}
-	if held {
-		return top.Mark.Stamp, true
+	for range newestLooks {
+		top, held, ok := k.newest(ctx, Look)
+		if !ok {
+			return 0, false
+		}
+		if held {
+			return top.Mark.Stamp, true
+		}
 	}
 	a := refresh(ctx)
 	return a.Word.Stamp, a.Result == Taken
