--- a/proof/model/explore.go
+++ b/proof/model/explore.go
@@ -57,55 +57,74 @@
 	return out
 }
 
+// exploration is an exploration under way.
+type exploration struct {
+	bounds  Bounds
+	seen    map[digest]struct{}
+	checked map[digest]struct{}
+	queue   []*branch
+	result  Result
+}
+
 // Explore tries all events in all states that a scenario comes to under bounds, in the
 // order of their depth, so that what it finds broken it finds by a shortest run.
 func Explore(sc Scenario, b Bounds) Result {
-	res := Result{Answers: map[string]int{}}
 	begin := newState(sc, b)
-	seen := map[digest]struct{}{begin.digest(): {}}
-	checked := map[digest]struct{}{}
-	res.States = 1
-	queue := []*branch{{s: begin}}
-	for len(queue) > 0 {
-		at := queue[0]
-		queue[0] = nil
-		queue = queue[1:]
-		if b.Depth > 0 && at.depth >= b.Depth || b.States > 0 && res.States >= b.States {
-			res.Cut++
-			continue
+	x := &exploration{
+		bounds: b, seen: map[digest]struct{}{begin.digest(): {}}, checked: map[digest]struct{}{},
+		queue: []*branch{{s: begin}}, result: Result{States: 1, Answers: map[string]int{}},
+	}
+	for len(x.queue) > 0 && x.result.Broken == "" {
+		at := x.queue[0]
+		x.queue[0] = nil
+		x.queue = x.queue[1:]
+		x.follow(at)
+	}
+	return x.result
+}
+
+// follow tries all events in one state.
+func (x *exploration) follow(at *branch) {
+	deep := x.bounds.Depth > 0 && at.depth >= x.bounds.Depth
+	full := x.bounds.States > 0 && x.result.States >= x.bounds.States
+	if deep || full {
+		x.result.Cut++
+		return
+	}
+	now := at.s
+	at.s = nil // only the way to it is needed any more
+	for _, e := range now.events() {
+		x.result.Steps++
+		x.reach(&branch{s: now.step(e), from: at, event: e, depth: at.depth + 1})
+		if x.result.Broken != "" {
+			return
 		}
-		now := at.s
-		at.s = nil // only the way to it is needed any more
-		for _, e := range now.events() {
-			next := now.step(e)
-			res.Steps++
-			to := &branch{s: next, from: at, event: e, depth: at.depth + 1}
-			if next.broken != "" {
-				res.Broken, res.Trace = next.broken, to.trace()
-				return res
-			}
-			key := next.digest()
-			if _, ok := seen[key]; ok {
-				res.Merged++
-				continue
-			}
-			seen[key] = struct{}{}
-			res.States++
-			res.Deepest = max(res.Deepest, to.depth)
-			for _, a := range next.answered {
-				res.Answers[a]++
-			}
-			if view := next.view(); !has(checked, view) {
-				checked[view] = struct{}{}
-				if next.broken = next.check(); next.broken != "" {
-					res.Broken, res.Trace = next.broken, to.trace()
-					return res
-				}
-			}
-			queue = append(queue, to)
+	}
+}
+
+// reach takes a state that an event led to.
+func (x *exploration) reach(to *branch) {
+	if key := to.s.digest(); to.s.broken == "" {
+		if has(x.seen, key) {
+			x.result.Merged++
+			return
 		}
+		x.seen[key] = struct{}{}
+		x.result.States++
+		x.result.Deepest = max(x.result.Deepest, to.depth)
+	}
+	for _, a := range to.s.answered {
+		x.result.Answers[a]++
+	}
+	if view := to.s.view(); to.s.broken == "" && !has(x.checked, view) {
+		x.checked[view] = struct{}{}
+		to.s.broken = to.s.check()
+	}
+	if to.s.broken != "" {
+		x.result.Broken, x.result.Trace = to.s.broken, to.trace()
+		return
 	}
-	return res
+	x.queue = append(x.queue, to)
 }
 
 func has(set map[digest]struct{}, d digest) bool { _, ok := set[d]; return ok }
--- a/proof/simulator/losses.go
+++ b/proof/simulator/losses.go
@@ -106,7 +106,7 @@
 	return back
 }
 
-func (l *Losses) off(c *core) {
+func (*Losses) off(c *core) {
 	c.up = false
 	c.life++
 }
