--- a/claim/claims.go
+++ b/claim/claims.go
@@ -1,5 +1,6 @@
-// Package claim holds the claims that inquiries lay on their Idempotency-Key,
-// so that a repeat never runs beside or after the first. (DESIGN 10.3)
+// Package claim keeps track of requests by their Idempotency-Key, so that a repeat
+// never runs beside or after the first request: it gets that one's response.
+// (DESIGN 10.3)
 package claim
 
 import (
@@ -7,32 +8,32 @@
 	"time"
 )
 
-// Claims runs a table of claims; T is the receipt. Its loop is the only one to
-// touch the table.
+// Claims runs a table of claims on one goroutine; T is the type of a response.
 type Claims[T any] struct {
 	size func(T) int
 	do   chan func(t *Table[T], now time.Duration)
 }
 
-// New makes the claims; size weighs a receipt.
+// New makes the claims; size is the number of bytes that a response takes up.
 func New[T any](size func(T) int) *Claims[T] {
 	return &Claims[T]{size: size, do: make(chan func(*Table[T], time.Duration))}
 }
 
 // Run owns the table until ctx ends.
 func (c *Claims[T]) Run(ctx context.Context) {
-	t, start := NewTable(c.size), time.Now()
+	table := NewTable(c.size)
+	start := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case do := <-c.do:
-			do(t, time.Since(start))
+			do(table, time.Since(start))
 		}
 	}
 }
 
-// put hands something to the loop; false if ctx ends first.
+// put has the loop run a function; false if ctx ends first.
 func (c *Claims[T]) put(ctx context.Context, do func(t *Table[T], now time.Duration)) bool {
 	select {
 	case c.do <- do:
@@ -42,13 +43,14 @@
 	}
 }
 
-// Lay claims a key. A repeat of a running inquiry waits for its receipt.
-func (c *Claims[T]) Lay(ctx context.Context, key Key, print Print) (Verdict, T, error) {
+// Lay claims a key. A repeat of a request that is still running waits for its
+// response; the error is that of ctx, if it ends first.
+func (c *Claims[T]) Lay(ctx context.Context, key Key, fingerprint Print) (Verdict, T, error) {
 	var none T
 	for {
 		reply := make(chan Answer[T], 1)
 		if !c.put(ctx, func(t *Table[T], now time.Duration) {
-			t.Lay(key, print, now, func(a Answer[T]) { reply <- a })
+			t.Lay(key, fingerprint, now, func(a Answer[T]) { reply <- a })
 		}) {
 			return Crowded, none, ctx.Err()
 		}
@@ -63,12 +65,12 @@
 	}
 }
 
-// Finish ends a first claim.
+// Finish ends a first claim; keep is false when the request surely did not run.
 func (c *Claims[T]) Finish(ctx context.Context, key Key, receipt T, keep bool) {
 	c.put(ctx, func(t *Table[T], now time.Duration) { t.Finish(key, receipt, keep, now) })
 }
 
-// Restore puts in a claim that an earlier life of this node had laid.
-func (c *Claims[T]) Restore(ctx context.Context, key Key, print Print, receipt T) {
-	c.put(ctx, func(t *Table[T], now time.Duration) { t.Restore(key, print, receipt, now) })
+// Restore puts in a claim of an earlier incarnation of this node.
+func (c *Claims[T]) Restore(ctx context.Context, key Key, fingerprint Print, receipt T) {
+	c.put(ctx, func(t *Table[T], now time.Duration) { t.Restore(key, fingerprint, receipt, now) })
 }
--- a/claim/table.go
+++ b/claim/table.go
@@ -5,87 +5,105 @@
 const (
 	// HeldFor is how long a claim is kept for repeats after its end.
 	HeldFor = 2 * time.Minute // (ours)
-	most    = 65536           // claims at a time (ours)
-	mostOf  = 64 << 20        // bytes of receipts at a time (ours)
+	// maxClaims bounds the claims at a time.
+	maxClaims = 65536 // (ours)
+	// maxBytes bounds the bytes of all responses kept at a time.
+	maxBytes = 64 << 20 // (ours)
 )
 
-// Key names a claim: who asks, and the client's key.
+// Key identifies a claim: the calling service, and the text of its Idempotency-Key.
 type Key struct{ Caller, Text string }
 
-// Print is a digest of the inquiry; a repeat must have the same.
+// Print is the fingerprint of a request: a digest that a repeat must share.
 type Print [32]byte
 
-// Table is a decision value: the claims of one sidecar. Nothing that was claimed
-// is forgotten before its time: rather a new claim is refused, or a receipt let
-// go and its repeats told so.
+// Table is the claims of one sidecar, for use by one goroutine. No claim is
+// forgotten before its time: when the table is full, a new claim is refused, and
+// when responses take too many bytes, the oldest is dropped and its repeats told so.
 type Table[T any] struct {
 	size   func(T) int
 	claims map[Key]*held[T]
-	order  []Key // finished claims, the oldest first
-	full   int   // how many of them, from the oldest on, have lost their receipts
-	bytes  int
+	// finished are the claims that have ended, the oldest first.
+	finished []Key
+	// dropped is how many of the finished, from the oldest on, have no response any more.
+	dropped int
+	// bytes is the size of all responses that are kept.
+	bytes int
 }
 
 type held[T any] struct {
-	print   Print
-	done    bool
-	gone    bool // the receipt
-	at      time.Duration
+	fingerprint Print
+	done        bool
+	// dropped tells that the response is kept no longer.
+	dropped bool
+	// endedAt is when the first request ended.
+	endedAt time.Duration
 	receipt T
+	// waiting are the repeats that came while the first request ran.
 	waiting []func(Answer[T])
 }
 
-// NewTable makes a table; size weighs a receipt.
+// NewTable makes a table; size is the number of bytes that a response takes up.
 func NewTable[T any](size func(T) int) *Table[T] {
 	return &Table[T]{size: size, claims: map[Key]*held[T]{}}
 }
 
-// Lay claims a key; reply is called once there is a verdict, at once or when the
-// first inquiry of the key ends.
-func (t *Table[T]) Lay(key Key, print Print, now time.Duration, reply func(Answer[T])) {
-	for len(t.order) > 0 && now-t.claims[t.order[0]].at > HeldFor {
-		if t.full == 0 {
-			t.let(t.order[0])
-		}
-		t.full--
-		delete(t.claims, t.order[0])
-		t.order = t.order[1:]
-	}
-	h, ok := t.claims[key]
+// Lay claims a key; reply is called once there is a verdict: at once, or when the
+// first request of the key ends.
+func (t *Table[T]) Lay(key Key, fingerprint Print, now time.Duration, reply func(Answer[T])) {
+	t.expire(now)
+	claim, ok := t.claims[key]
 	switch {
-	case !ok && len(t.claims) >= most:
+	case !ok && len(t.claims) >= maxClaims:
 		reply(Answer[T]{Verdict: Crowded})
 	case !ok:
-		t.claims[key] = &held[T]{print: print}
+		t.claims[key] = &held[T]{fingerprint: fingerprint}
 		reply(Answer[T]{Verdict: First})
-	case h.print != print:
+	case claim.fingerprint != fingerprint:
 		reply(Answer[T]{Verdict: Clash})
-	case h.gone:
+	case claim.dropped:
 		reply(Answer[T]{Verdict: Gone})
-	case h.done:
-		reply(Answer[T]{Verdict: Repeat, Receipt: h.receipt})
+	case claim.done:
+		reply(Answer[T]{Verdict: Repeat, Receipt: claim.receipt})
 	default:
-		h.waiting = append(h.waiting, reply)
+		claim.waiting = append(claim.waiting, reply)
+	}
+}
+
+// expire forgets the claims that have been kept for long enough.
+func (t *Table[T]) expire(now time.Duration) {
+	for len(t.finished) > 0 {
+		oldest := t.finished[0]
+		if now-t.claims[oldest].endedAt <= HeldFor {
+			return
+		}
+		if t.dropped == 0 {
+			t.dropOldest()
+		}
+		t.dropped--
+		delete(t.claims, oldest)
+		t.finished = t.finished[1:]
 	}
 }
 
-// let lets a claim's receipt go; the next in order is then the oldest with one.
-func (t *Table[T]) let(key Key) {
-	h := t.claims[key]
-	t.bytes -= t.size(h.receipt)
+// dropOldest drops the oldest response that is still kept.
+func (t *Table[T]) dropOldest() {
+	claim := t.claims[t.finished[t.dropped]]
+	t.bytes -= t.size(claim.receipt)
 	var none T
-	h.receipt, h.gone = none, true
-	t.full++
+	claim.receipt = none
+	claim.dropped = true
+	t.dropped++
 }
 
-// Finish ends a first claim. keep is false when the inquiry surely did not run:
+// Finish ends a first claim. keep is false when the request surely did not run:
 // then a repeat may run.
 func (t *Table[T]) Finish(key Key, receipt T, keep bool, now time.Duration) {
-	h := t.claims[key]
-	for _, reply := range h.waiting {
+	claim := t.claims[key]
+	for _, reply := range claim.waiting {
 		reply(Answer[T]{Verdict: Repeat, Receipt: receipt, Again: !keep})
 	}
-	h.waiting = nil
+	claim.waiting = nil
 	if !keep {
 		delete(t.claims, key)
 		return
@@ -93,20 +111,24 @@
 	t.end(key, receipt, now)
 }
 
-// Restore puts in a claim that an earlier life of this node had laid; one that is
+// Restore puts in a claim of an earlier incarnation of this node; one that is
 // there already stays.
-func (t *Table[T]) Restore(key Key, print Print, receipt T, now time.Duration) {
+func (t *Table[T]) Restore(key Key, fingerprint Print, receipt T, now time.Duration) {
 	if _, ok := t.claims[key]; !ok {
-		t.claims[key] = &held[T]{print: print}
+		t.claims[key] = &held[T]{fingerprint: fingerprint}
 		t.end(key, receipt, now)
 	}
 }
 
+// end keeps the response of a claim, and drops the oldest ones to make room.
 func (t *Table[T]) end(key Key, receipt T, now time.Duration) {
-	h := t.claims[key]
-	h.done, h.at, h.receipt = true, now, receipt
-	t.order = append(t.order, key)
-	for t.bytes += t.size(receipt); t.bytes > mostOf; {
-		t.let(t.order[t.full])
+	claim := t.claims[key]
+	claim.done = true
+	claim.endedAt = now
+	claim.receipt = receipt
+	t.finished = append(t.finished, key)
+	t.bytes += t.size(receipt)
+	for t.bytes > maxBytes {
+		t.dropOldest()
 	}
 }
--- a/claim/table_test.go
+++ b/claim/table_test.go
@@ -49,14 +49,14 @@
 				t.Fatalf("seed %d: told at once %v, of %+v", seed, told, m)
 			}
 			if m := known[key]; m != nil && !m.done && rng.IntN(3) > 0 {
-				m.receipt = rng.IntN(mostOf / 20)
+				m.receipt = rng.IntN(maxBytes / 20)
 				keep := rng.IntN(4) > 0
 				if m.done, m.at = keep, now; !keep {
 					delete(known, key)
 				}
 				table.Finish(key, m.receipt, keep, now)
 			}
-			if table.bytes > mostOf || table.bytes < 0 {
+			if table.bytes > maxBytes || table.bytes < 0 {
 				t.Fatalf("seed %d: %d bytes are kept", seed, table.bytes)
 			}
 		}
@@ -65,9 +65,9 @@
 		}
 	}
 	full := NewTable(func(int) int { return 0 })
-	for i := range most + 1 {
+	for i := range maxClaims + 1 {
 		full.Lay(Key{Text: fmt.Sprint(i)}, Print{}, 0, func(a Answer[int]) {
-			if (a.Verdict == Crowded) != (i == most) {
+			if (a.Verdict == Crowded) != (i == maxClaims) {
 				t.Fatalf("claim %d: %v", i, a.Verdict)
 			}
 		})
--- a/collect/store.go
+++ b/collect/store.go
@@ -1,41 +1,37 @@
-// Package collect keeps finished spans on the cores and puts whole trees
-// together. (DESIGN 2.6)
+// Package collect is the trace collector of a core: it stores the events of finished
+// spans and builds the tree of a trace. (DESIGN 2.6)
 package collect
 
 import (
 	"context"
+	"slices"
 
 	"curlewwalk/trace"
 	"curlewwalk/wire"
 )
 
-// The kinds on the wire.
+// Message kinds on the wire.
 const (
 	KindPublish = "publish"
 	KindTrace   = "trace"
 )
 
-const (
-	mostTraces = 20000 // (ours)
-	mostEvents = 2000  // in one trace (ours)
-)
-
-// Batch is what a worker publishes.
+// Batch is a number of events that a sidecar publishes at once.
 type Batch struct {
 	Events []trace.Event `msgpack:"e"`
 }
 
-// Taken is the receipt of a batch.
+// Taken is the response to a batch: how many events were stored.
 type Taken struct {
 	N int `msgpack:"n"`
 }
 
-// Query asks for what a core has of a trace.
+// Query asks a core for the events that it has of a trace.
 type Query struct {
 	Trace trace.TraceID `msgpack:"t"`
 }
 
-// Store runs the bounded store of events by trace.
+// Store is a bounded store of events by trace, owned by the goroutine of Run.
 type Store struct {
 	in  chan []trace.Event
 	ask chan question
@@ -51,35 +47,22 @@
 	return &Store{in: make(chan []trace.Event), ask: make(chan question)}
 }
 
-// Run owns the store until ctx ends. When it is full the oldest trace goes.
+// Run serves the store until ctx ends.
 func (s *Store) Run(ctx context.Context) {
-	traces := map[trace.TraceID][]trace.Event{}
-	var order []trace.TraceID
+	kept := newTraces()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case batch := <-s.in:
-			for _, e := range batch {
-				have, ok := traces[e.Trace]
-				if !ok {
-					order = append(order, e.Trace)
-				}
-				if len(have) < mostEvents {
-					traces[e.Trace] = append(have, e)
-				}
-			}
-			for len(order) > mostTraces {
-				delete(traces, order[0])
-				order = order[1:]
-			}
+			kept.add(batch)
 		case q := <-s.ask:
-			q.reply <- append([]trace.Event(nil), traces[q.id]...)
+			q.reply <- slices.Clone(kept.byID[q.id])
 		}
 	}
 }
 
-// Publish handles a batch.
+// Publish handles a Batch from the wire.
 func (s *Store) Publish(ctx context.Context, in wire.Inquiry) (any, string) {
 	var b Batch
 	if !in.Into(&b) {
@@ -93,7 +76,7 @@
 	}
 }
 
-// Trace handles a query.
+// Trace handles a Query from the wire.
 func (s *Store) Trace(ctx context.Context, in wire.Inquiry) (any, string) {
 	var q Query
 	if !in.Into(&q) {
--- /dev/null
+++ b/collect/traces.go
@@ -0,0 +1,43 @@
+package collect
+
+import "curlewwalk/trace"
+
+const (
+	// maxTraces bounds the traces that a core keeps.
+	maxTraces = 20000 // (ours)
+	// maxEvents bounds the events that are kept of one trace.
+	maxEvents = 2000 // (ours)
+)
+
+// traces are the events of the newest traces. When there are too many traces, the
+// one that was first heard of goes.
+type traces struct {
+	byID map[trace.TraceID][]trace.Event
+	// order has the traces in the order in which they were first heard of.
+	order []trace.TraceID
+}
+
+func newTraces() *traces {
+	return &traces{byID: map[trace.TraceID][]trace.Event{}}
+}
+
+// add stores a batch of events. What is beyond the bound of a trace is dropped.
+func (t *traces) add(batch []trace.Event) {
+	for _, event := range batch {
+		t.addOne(event)
+	}
+	for len(t.order) > maxTraces {
+		delete(t.byID, t.order[0])
+		t.order = t.order[1:]
+	}
+}
+
+func (t *traces) addOne(event trace.Event) {
+	events, known := t.byID[event.Trace]
+	if !known {
+		t.order = append(t.order, event.Trace)
+	}
+	if len(events) < maxEvents {
+		t.byID[event.Trace] = append(events, event)
+	}
+}
--- a/launch/dispatcher.go
+++ b/launch/dispatcher.go
@@ -21,4 +21,4 @@
 }
 
 // Throughput implements actor.Dispatcher.
-func (d dispatcher) Throughput() int { return 300 }
+func (dispatcher) Throughput() int { return 300 }
--- a/lineage/book.go
+++ b/lineage/book.go
@@ -105,9 +105,9 @@
 func (b *Book) infer(key [2]string, all []*Open, now time.Time) Cause {
 	g := &guess{at: now, of: all, share: make([]float64, len(all))}
 	list := b.guesses[key]
-	made := b.made(key[1], list)
+	earlier := made(list)
 	for i, o := range all {
-		left := max(0.02, 1-(o.calls[key[1]]+made[o])/b.usual(o.Way, key[1]))
+		left := max(0.02, 1-(o.calls[key[1]]+earlier[o])/b.usual(o.Way, key[1]))
 		g.share[i] = left * b.rate(o.Way, key[1]) * b.habits[[2]string{o.Way, key[1]}].density(now.Sub(o.Since))
 	}
 	g.settle()
@@ -136,7 +136,7 @@
 }
 
 // made sums, for each candidate, the shares that it has in guesses.
-func (b *Book) made(way string, list []*guess) map[*Open]float64 {
+func made(list []*guess) map[*Open]float64 {
 	made := map[*Open]float64{}
 	for _, g := range list {
 		for i, o := range g.of {
@@ -150,11 +150,11 @@
 // more calls than its way usually makes; one that ended has just as many.
 func (b *Book) balance(key [2]string, list []*guess) {
 	for range rounds {
-		made := b.made(key[1], list)
+		sums := made(list)
 		for _, g := range list {
 			for i, o := range g.of {
 				room := max(0.02, b.usual(o.Way, key[1])-o.calls[key[1]])
-				if m := made[o]; m > room || o.ended && m > 0 {
+				if m := sums[o]; m > room || o.ended && m > 0 {
 					g.share[i] *= room / m
 				}
 			}
--- a/proof/defects/all.go
+++ b/proof/defects/all.go
@@ -23,7 +23,7 @@
 var All = []Defect{
 	{twice, "way/decision.go", "fate == Unknown && !d.Way.Repeatable ||", "", "./proof", "TestExtraLeg", nil},
 	{twice, "relay/ledger.go", "return !known", "return !known || true", "./proof/simulator", "TestLegs", nil},
-	{twice, "claim/table.go", "case h.done:", "case h.done && now < 0:", "./claim", "TestTable", nil},
+	{twice, "claim/table.go", "case claim.done:", "case claim.done && now < 0:", "./claim", "TestTable", nil},
 	{twice, "custody/owner.go", "want := min(Holders, len(others))", "want := 0", "./proof", "TestKeyOutlivesItsSidecar", nil},
 	{twice, "custody/holdings.go", "case ok && old.Boot != e.Boot:", "case false:", "./proof/simulator", "TestLegs", []string{"-seeds", "400"}},
 	{twice, "custody/holdings.go", "k.Owner == q.Owner && k.Boot != q.Boot", "k.Owner == q.Owner && k.Boot == q.Boot", "./proof/simulator", "TestLegs", []string{"-seeds", "400"}},
