--- a/cohort/statements_test.go
+++ b/cohort/statements_test.go
@@ -89,8 +89,15 @@
 // revision, or in another boot than the sidecar's own statement says; not the dead.
 func TestLacking(t *testing.T) {
 	v := NewView(map[string]Node{"a": {Addr: "a", Boot: 1, Rev: 5}, "b": {Addr: "b", Boot: 1, Rev: 5}, "c": {Addr: "c", Boot: 1}, "d": {Addr: "d", Boot: 1}}, nil)
-	told := []Peer{{Addr: "a", Boot: 1, Rev: 5}, {Addr: "b", Boot: 1, Rev: 6}, {Addr: "c", Boot: 2}, {Addr: "d", Boot: 2, Said: &Statement{}},
-		{Addr: "e", Boot: 3}, {Addr: "f", Boot: 3, Said: &Statement{Dead: true}}, {Addr: "g", Said: &Statement{Boot: 4}}}
+	told := []Peer{
+		{Addr: "a", Boot: 1, Rev: 5},
+		{Addr: "b", Boot: 1, Rev: 6},
+		{Addr: "c", Boot: 2},
+		{Addr: "d", Boot: 2, Said: &Statement{}},
+		{Addr: "e", Boot: 3},
+		{Addr: "f", Boot: 3, Said: &Statement{Dead: true}},
+		{Addr: "g", Said: &Statement{Boot: 4}},
+	}
 	if got := (Statements{}).Hear("own", told, noon, noon).Lacking(v, told); !slices.Equal(got, []string{"b", "d", "e"}) {
 		t.Errorf("lacking: %v", got)
 	}
--- a/relay/unsure_test.go
+++ b/relay/unsure_test.go
@@ -17,8 +17,10 @@
 		t.Fatal("no table")
 	}
 	unsure := false
-	n := &Near{Table: func() *way.Table { return table }, Dialect: Plain{}, Draining: func() bool { return false }, Bodies: &Bodies{Most: 1 << 20, All: 1 << 20},
-		Unsure: func() bool { return unsure }}
+	n := &Near{
+		Table: func() *way.Table { return table }, Dialect: Plain{}, Draining: func() bool { return false }, Bodies: &Bodies{Most: 1 << 20, All: 1 << 20},
+		Unsure: func() bool { return unsure },
+	}
 	for _, c := range []struct {
 		unsure bool
 		status int
--- a/way/lapsed_test.go
+++ b/way/lapsed_test.go
@@ -33,10 +33,14 @@
 		"the own one and the sixth":    {false, 6, 6},
 	} {
 		s, now := newSite(at), time.Now()
-		d := Decision{Way: desired.Way{Name: "w", Service: "s"}, Expiry: now.Add(time.Minute), Locality: "north", Rand: rand.New(rand.NewPCG(1, 1)),
-			Means: Means{Aim: now.Add(time.Second), Room: time.Minute, Patience: time.Minute, Late: true, Hold: now.Add(time.Minute),
+		d := Decision{
+			Way: desired.Way{Name: "w", Service: "s"}, Expiry: now.Add(time.Minute), Locality: "north", Rand: rand.New(rand.NewPCG(1, 1)),
+			Means: Means{
+				Aim: now.Add(time.Second), Room: time.Minute, Patience: time.Minute, Late: true, Hold: now.Add(time.Minute),
 				Cost:   func(target cohort.Target) Cost { return s.costs.Of("w", target) },
-				Unsure: func() bool { return c.unsure }, Spend: func() bool { return true }}}
+				Unsure: func() bool { return c.unsure }, Spend: func() bool { return true },
+			},
+		}
 		o := d.Ask(table, s.view, now)
 		for o.Send && len(d.Legs()) < 20 {
 			l := Leg{Target: o.Target, Fate: NotRun, Lapsed: true}
