Let a follower's pause grow while no core answers, and spread it

The pause now grows from 0.1 to 0.4 s and is longer by chance by up to half.

TestPauseGrows: 10 s without an answer are at most 30 calls, not 100; seen failing with the pause left at 0.1 s.

--- a/feed/choice.go
+++ b/feed/choice.go
@@ -16,6 +16,11 @@
 	// mostPatience bounds it: longer than this no answer may take, and a claim lapses
 	// after 4 s without one. (ours)
 	mostPatience = 3600 * time.Millisecond
+	// firstPause is between a call that was not answered, or a look for a live core, and
+	// the next; each further one is twice as long, up to mostPause: a hundred followers
+	// that ask ten times a second keep a core that has just started from starting. (ours)
+	firstPause = 100 * time.Millisecond
+	mostPause  = 400 * time.Millisecond
 	// avoidFor is how long a core that failed comes after the others; then it may be
 	// followed again, as one of the follower's own locality must be. (ours)
 	avoidFor = 10 * time.Second
@@ -33,6 +38,7 @@
 	core          cohort.Seat          // asked last
 	answered      bool                 // it answered, if only that it is not sure
 	patience      time.Duration
+	pause         time.Duration // grows while nothing is answered
 }
 
 func newChoice(own, locality string) *choice {
@@ -77,7 +83,7 @@
 
 // took notes an answer, and how long ago its core was last sure of it.
 func (c *choice) took(age time.Duration, now time.Time) {
-	c.answered, c.patience = true, firstPatience
+	c.answered, c.patience, c.pause = true, firstPatience, 0
 	if age > unsure {
 		c.failed[c.core.Addr] = now
 	}
@@ -89,7 +95,11 @@
 func (c *choice) missed(waited bool, now time.Time) {
 	c.answered = false
 	c.failed[c.core.Addr] = now
+	c.none()
 	if waited {
 		c.patience = min(2*c.patience, mostPatience)
 	}
 }
+
+// none notes that there was no answer or nobody to ask: the pause grows.
+func (c *choice) none() { c.pause = max(firstPause, min(2*c.pause, mostPause)) }
--- a/feed/choice_test.go
+++ b/feed/choice_test.go
@@ -67,7 +67,7 @@
 		s, _ := c.next(live, now)
 		asked[s.Addr] = true
 		c.took(time.Hour, now)
-		now = now.Add(pauseOnNo)
+		now = now.Add(firstPause)
 	}
 	if len(asked) != 3 {
 		t.Fatalf("asked %v only", asked)
@@ -120,3 +120,35 @@
 		}
 	}
 }
+
+// While no core answers or none lives, the pause between calls grows up to a bound, and
+// the first answer takes it back; those who lost the same core come back spread.
+func TestPauseGrows(t *testing.T) {
+	c, now := newChoice("side-1", "north"), beginning
+	c.next(seatsOf("north"), now)
+	asked := 0
+	for ; now.Sub(beginning) < 10*time.Second; asked++ {
+		c.missed(false, now)
+		if c.pause < firstPause || c.pause > mostPause {
+			t.Fatalf("a pause of %v", c.pause)
+		}
+		now = now.Add(c.pause)
+	}
+	if asked > 30 {
+		t.Errorf("asked %d times in 10 s", asked)
+	}
+	c.took(0, now)
+	if c.none(); c.pause != firstPause {
+		t.Errorf("%v after an answer", c.pause)
+	}
+	late := map[time.Duration]bool{}
+	for range 100 {
+		got := spread(firstPause)
+		if late[got] = true; got < firstPause || got > firstPause*3/2 {
+			t.Errorf("%v for %v", got, firstPause)
+		}
+	}
+	if len(late) < 50 {
+		t.Errorf("%d different pauses of 100", len(late))
+	}
+}
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -2,16 +2,15 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"curlewwalk/cohort"
 	"curlewwalk/wire"
 )
 
-const (
-	holdFor   = 500 * time.Millisecond // how long a core may hold a Follow (ours)
-	pauseOnNo = 100 * time.Millisecond // (ours)
-)
+// holdFor is how long a core may hold a Follow.
+const holdFor = 500 * time.Millisecond // (ours)
 
 // Follower follows one core's feed and changes core on loss. (DESIGN 8.2)
 type Follower struct {
@@ -37,6 +36,7 @@
 	for ctx.Err() == nil {
 		next, ok := choose.next(f.Seats().Live(time.Now()), time.Now())
 		if !ok {
+			choose.none()
 			f.Hasten()
 		} else {
 			if next.Addr != core.Addr || next.Boot != core.Boot {
@@ -58,7 +58,7 @@
 				choose.missed(time.Since(asked) >= choose.patience, time.Now())
 			}
 		}
-		pause.Reset(pauseOnNo)
+		pause.Reset(spread(max(firstPause, choose.pause)))
 		select {
 		case <-pause.C:
 		case <-ctx.Done():
@@ -73,3 +73,9 @@
 	ok = f.Net.Call(ctx, core.Addr, wire.Feed, KindFollow, place).Into(&n)
 	return n, ok
 }
+
+// spread is a pause, by up to half of it longer, so that those who lost the same core do
+// not come back together.
+func spread(pause time.Duration) time.Duration {
+	return pause + time.Duration(rand.Int64N(int64(pause/2)))
+}
