--- a/proof/defects/all.go
+++ b/proof/defects/all.go
@@ -51,7 +51,7 @@
 	{leaving, "roster/sleep.go", "return now.Sub(s.woken) < drowsy", "return false", "./proof", "TestWokenWithOldBeats", nil},
 	{emptied, "roster/claim.go", "ClaimFor = 4 * time.Second", "ClaimFor = 40 * time.Second", "./proof", "TestEmptiedUnheard", nil},
 	{emptied, "cohort/statements.go", "if len(agreed) < majority {", "if majority = min(majority, len(agreed)); false {", "./proof/simulator", "TestClaims", nil},
-	{emptied, "cohort/statements.go", "return agreed[majority-1], true", "return agreed[0], true", "./proof/simulator", "TestClaims", nil},
+	{emptied, "cohort/statements.go", "return agreed[majority-1], true", "return agreed[0], true", "./cohort", "TestSure", nil},
 	{emptied, "cohort/statements.go", "said, asked.Add(-", "said, now.Add(-", "./cohort", "TestStatementsAge", nil},
 	{emptied, "feed/follower.go", "f.Take(ctx, core, n, asked)", "f.Take(ctx, core, n, asked.Add(n.Age))", "./proof", "TestEmptiedUnheard", nil},
 	{emptied, "core/warden.go", "return n.seeker.Seats().Wall(clock.Wall(), n.keeper.Voter().Self.Slot, time.Now())", "return clock.Wall()", "./proof", "TestWindows", nil},
