Defects of duty and contact, each caught by its proof

TestUnsettledElsewhere did not catch its own at first: the core had its own word to finish too, and met the other by that. It settles its own first now; caught by hand.

--- a/register/transition_test.go
+++ b/register/transition_test.go
@@ -227,6 +227,10 @@
 // core on duty, which has it not: else no core would ever be sure again.
 func TestUnsettledElsewhere(t *testing.T) {
 	b := newHarness(t, Mark{1 << 17, 5}, map[int]Mark{3: {1 << 17, 6}})
+	self := b.Voter()
+	if v := b.vote(b.ctx, Ballot{From: self.Self, Act: Settle, Epoch: self.Mark.Epoch, Mark: self.Mark, Word: self.Word}); v == nil || v.Settled != 5 {
+		t.Fatalf("its own word is not settled: %+v", v)
+	}
 	b.onDuty.Store(true)
 	b.run()
 	b.eventually(t, "stamp 6 to be settled", func() bool { v := b.Voter(); return v.Mark.Stamp == 6 && v.Settled == 6 })
