--- a/process/document.go
+++ b/process/document.go
@@ -29,13 +29,12 @@
 }
 
 func readDocument(w http.ResponseWriter, r *http.Request, most int64, wait time.Duration) ([]byte, *DocumentError) {
-	conn := http.NewResponseController(w)
-	conn.SetReadDeadline(time.Now().Add(wait))
+	// net/http takes the deadline off again at the end of the body.
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(wait))
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
 	var big *http.MaxBytesError
 	switch {
 	case err == nil:
-		conn.SetReadDeadline(time.Time{})
 		return b, nil
 	case errors.As(err, &big):
 		return nil, &DocumentError{http.StatusRequestEntityTooLarge, fmt.Sprintf("over %d bytes", most)}
--- a/proof/defects/all.go
+++ b/proof/defects/all.go
@@ -59,6 +59,7 @@
 	{force, "feed/copy.go", "if w.Stamp <= c.stamp {", "if w.Stamp == c.stamp {", "./proof/simulator", "TestMembers", nil},
 	{force, "register/clerk.go", "case o.Kind == Put && o.Edition != 0 && o.Edition <= c.held.Edition:", "case false:", "./proof/simulator", "TestRegister", nil},
 	{readBack, "register/clerk.go", "known && !same {", "known && same && !same {", "./proof", "TestEditions", nil},
+	{readBack, "desired/taken.go", "return bytes.Equal(t.Digest, digest), true", "return true, true", "./proof", "TestEqualNumbers", nil},
 	{readBack, "register/clerk.go", "w.Edition, w.Sent, w.Taken = o.Edition, o.Sent, w.Take(o.Edition, o.Digest)", "w.Edition, w.Sent, w.Taken = o.Edition, o.Sent, nil", "./register", "TestOneNumberOneConfiguration", nil},
 	{readBack, "register/disk.go", "Sent: h.Sent, Taken: h.Taken,", "Sent: h.Sent,", "./register", "TestTakenNumbersOnDisk", nil},
 	{emptied, "core/door.go", "n.keeper.Newest(ctx, n.refresh)\n\tif !ok || ctx.Err() != nil {", "n.keeper.Newest(context.WithoutCancel(ctx), n.refresh)\n\tif !ok {", "./proof", "TestOldEvacuationAtFrozenCore", nil},
--- /dev/null
+++ b/proof/equal_numbers_test.go
@@ -0,0 +1,72 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+
+	"curlewwalk/proof/fleet"
+)
+
+// Two operators race with one configuration each under the same number, each at a core of
+// its own, while the cores are killed and started one after the other, the one on duty
+// first. One is acknowledged and the other learns that it is not; and so they are told at
+// every core, whenever they ask again.
+func TestEqualNumbers(t *testing.T) {
+	f, ctx := start(t, coresOnly(3))
+	// put has an order taken or refused, at this core or at the next ones.
+	put := func(core, number, operator int) (status int) {
+		err := fleet.Await(ctx, "a clear answer", func(ctx context.Context) bool {
+			core++
+			r, err := f.Operate(ctx, f.Cores[core%3], "PUT", "/v1/desired", configuration(1000*number+operator), "Curlewwalk-Edition", fmt.Sprint(number))
+			if err == nil && r.Status != 200 && r.Status != 409 && r.Status != 503 {
+				t.Errorf("%d of operator %d: %d %s", number, operator, r.Status, r.Body)
+			}
+			status = r.Status
+			return err == nil && (status == 200 || status == 409)
+		})
+		if err != nil {
+			t.Error(err)
+		}
+		return status
+	}
+	race := func(number int) []int {
+		got := make([]int, 2)
+		done := make(chan bool)
+		for operator := range got {
+			go func() {
+				got[operator] = put(number+operator, number, operator)
+				done <- true
+			}()
+		}
+		<-done
+		<-done
+		return got
+	}
+	told := map[int][]int{}
+	for number := 1; number <= 24; number++ {
+		victim := f.Cores[number/4%3]
+		switch number % 4 {
+		case 0:
+			victim.Kill()
+		case 2:
+			if !victim.Running() {
+				must(t, victim.Start())
+			}
+		}
+		told[number] = race(number)
+		if got := slices.Sorted(slices.Values(told[number])); !slices.Equal(got, []int{200, 409}) {
+			t.Errorf("under %d they got %v", number, told[number])
+		}
+	}
+	for number, before := range told {
+		for core := range f.Cores {
+			for operator, want := range before {
+				if got := put(core, number, operator); got != want {
+					t.Errorf("%d of operator %d got %d, and then %d", number, operator, want, got)
+				}
+			}
+		}
+	}
+}
