Tell an order on a locality that its configuration is not the newest, as before

An order bound by If-Match to another configuration, whose locality had been ordered on since, was acknowledged or overtaken instead of mismatched. Seen failing first: register.TestEvacuationBoundToAConfiguration.

--- a/core/control.go
+++ b/core/control.go
@@ -102,8 +102,10 @@
 	switch {
 	case err == nil:
 	case err.Status == http.StatusRequestEntityTooLarge:
-		process.JSON(w, http.StatusUnprocessableEntity, faulty{Error: what + " does not check",
-			Faults: []desired.Fault{{Path: path, Message: err.Message}}})
+		process.JSON(w, http.StatusUnprocessableEntity, faulty{
+			Error:  what + " does not check",
+			Faults: []desired.Fault{{Path: path, Message: err.Message}},
+		})
 	default:
 		process.Error(w, err.Status, err.Message)
 	}
--- a/register/clerk.go
+++ b/register/clerk.go
@@ -294,7 +294,8 @@
 // it came. One that asked for the same makes it good as well; one that asked for the
 // opposite is newer, and stays. (DESIGN 6.3)
 func superseded(held desired.Word, o Order) (Result, bool) {
-	if o.Since == nil || o.Kind != Empty && o.Kind != TakeBack {
+	bound := o.IfMatch == nil || *o.IfMatch == held.DesiredStamp
+	if o.Since == nil || o.Kind != Empty && o.Kind != TakeBack || !bound {
 		return "", false
 	}
 	at, known := held.EvacuatedAt(o.Locality)
--- a/register/evacuation_test.go
+++ b/register/evacuation_test.go
@@ -78,6 +78,30 @@
 	}
 }
 
+// An order that is bound to a configuration that is not the newest is told so, whatever
+// else was ordered on its locality.
+func TestEvacuationBoundToAConfiguration(t *testing.T) {
+	b := newBench(t, 3)
+	newest, other := uint64(2), uint64(7)
+	for _, step := range []struct {
+		order Order
+		match *uint64
+		want  Result
+	}{
+		{asOf(Empty, "west", 0), nil, Taken},
+		{Order{Kind: Put, Bytes: []byte("plain")}, nil, Taken},
+		{asOf(Empty, "west", 0), &newest, Taken},
+		{asOf(Empty, "west", 0), &other, Mismatch},
+		{asOf(TakeBack, "west", 0), &other, Mismatch},
+		{asOf(TakeBack, "west", 0), &newest, Overtaken},
+	} {
+		step.order.IfMatch = step.match
+		id := b.give(1, step.order)
+		b.rest()
+		b.expect(id, step.want)
+	}
+}
+
 // The record of orders on localities is bounded; a copy older than what was dropped from
 // it is left without effect, and one that came since is carried out.
 func TestEvacuationsAreBounded(t *testing.T) {
