Wire: hand receipts on while another call's long frame is being written

The circuit's thread wrote frames itself, so that a long one to a slow peer (a body of 1 MiB takes 1.4 s at 6 Mbit/s) held up the receipts of all other calls on the circuit, which expired as unknown though they had been answered; its callers' pings too. Frames from 16 KiB on are written beside the thread, one at a time; a call whose frame was not wholly written when the circuit ends is unsent, as before.

--- a/wire/circuit.go
+++ b/wire/circuit.go
@@ -30,6 +30,8 @@
 	calls chan *call
 	in    chan inbound
 	done  chan struct{}
+	// launch starts what writes a long frame.
+	launch func(name string, run func())
 }
 
 type call struct {
@@ -75,6 +77,7 @@
 		return nil, err
 	}
 	life := context.WithoutCancel(ctx)
+	c.launch = func(name string, run func()) { l.Go(life, name, func(context.Context) { run() }) }
 	l.Go(life, "circuit-read", func(context.Context) { c.read(r) })
 	l.Go(life, "circuit", func(context.Context) { c.run() })
 	return c, nil
@@ -162,106 +165,10 @@
 	}
 }
 
-// run owns the open calls. It alone writes to the connection.
+// run owns the open calls. Nothing is written but on its word, one frame at a time.
 func (c *Circuit) run() {
-	open := map[uint64]*call{}
-	// dropped are those whose callers gave up; their receipts may still come.
-	dropped := map[uint64]bool{}
-	var next uint64
-	var peer silence
-	// It runs only while calls are open: a node has a circuit to each other one, and an
-	// idle one should cost nothing.
-	tick := time.NewTimer(pingAfter)
-	defer tick.Stop()
-	defer func() {
-		c.conn.Close()
-		close(c.done)
-		for _, k := range open {
-			k.reply <- Receipt{Fate: Lost}
-		}
-	}()
-	write := func(s trace.Span, m message) (sent bool, ok bool) {
-		b, err := encode(s, m)
-		if err != nil {
-			return false, true
-		}
-		n, err := writeFrame(c.conn, b)
-		if n == len(b) {
-			c.count.call(m.Kind, n)
-		}
-		return n == len(b), err == nil
-	}
-	for {
-		select {
-		case k := <-c.calls:
-			next++
-			k.id = next
-			if k.givenUp.Load() {
-				continue // not begun, and not to be
-			}
-			if len(open) == 0 {
-				peer.begin(time.Now(), c.conn.bytes.Load())
-				tick.Reset(pingAfter)
-			}
-			if k.elsewhere && peer.suspect() {
-				k.reply <- Receipt{Fate: Unsent}
-				continue
-			}
-			sent, ok := write(k.span, message{ID: k.id, Kind: k.kind, Body: k.body})
-			k.body = nil
-			if sent {
-				open[k.id] = k
-			} else {
-				// Part of a frame can't be read as a message. (DESIGN 3.3)
-				k.reply <- Receipt{Fate: Unsent}
-			}
-			if !ok {
-				return
-			}
-		case in := <-c.in:
-			if in.err != nil {
-				return
-			}
-			if in.msg.Kind == KindPing {
-				c.count.receipt(KindPing, in.bytes)
-				continue
-			}
-			k, ok := open[in.msg.ID]
-			if !ok {
-				if !dropped[in.msg.ID] {
-					return // a receipt that nobody asked for: the circuit can't be trusted
-				}
-				c.count.receipt(kindDropped, in.bytes)
-				delete(dropped, in.msg.ID)
-				continue
-			}
-			if k.kind != in.msg.Kind {
-				return
-			}
-			delete(open, in.msg.ID)
-			if k.givenUp.Load() {
-				c.count.receipt(kindDropped, in.bytes)
-				continue
-			}
-			c.count.receipt(k.kind, in.bytes)
-			k.reply <- Receipt{Fate: Answered, Fault: in.msg.Fault, Span: in.span, Traced: in.traced, body: in.msg.Body}
-		case <-tick.C:
-			for id, k := range open {
-				if k.givenUp.Load() {
-					delete(open, id)
-					dropped[id] = true
-				}
-			}
-			if len(open) == 0 {
-				continue
-			}
-			tick.Reset(pingAfter)
-			if peer.look(time.Now(), c.conn.bytes.Load()) {
-				return
-			}
-			if _, ok := write(trace.Span{}, message{Kind: KindPing}); !ok {
-				return
-			}
-		}
+	calls := newOpenCalls(c)
+	defer calls.end()
+	for calls.step() {
 	}
 }
