--- a/boot/checker.go
+++ b/boot/checker.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"strings"
+	"time"
 
 	"curlewwalk/desired"
 )
@@ -30,6 +31,28 @@
 	}
 }
 
+// duration checks that a duration is within bounds.
+func (c *checker) duration(field string, value, least, most time.Duration) {
+	if value < least || value > most {
+		c.bad(field, value, fmt.Sprintf("from %v to %v", least, brief(most)))
+	}
+}
+
+// brief formats a bound as a setting would be written: 1m in place of 1m0s.
+func brief(d time.Duration) string {
+	if minutes, whole := strings.CutSuffix(d.String(), "m0s"); whole {
+		return minutes + "m"
+	}
+	return d.String()
+}
+
+// share checks that a share is from 0 to a bound; NaN is not.
+func (c *checker) share(field string, value, most float64) {
+	if !(value >= 0 && value <= most) {
+		c.bad(field, value, fmt.Sprintf("from 0 to %v", most))
+	}
+}
+
 func (c *checker) common(s *Common) {
 	if !desired.IsName(s.Locality) {
 		c.bad("locality", s.Locality, desired.NameForm)
--- a/boot/core.go
+++ b/boot/core.go
@@ -23,45 +23,61 @@
 // Static tells whether the core has a seat by its settings.
 func (s Core) Static() bool { return s.Slot != 0 }
 
-// ReadCore reads and checks the settings of a core.
+// ReadCore reads and checks the settings of a core. Exit tells whether the program
+// is to end at once, with which code and text.
 func ReadCore(args []string, groups ...Group) (Core, Exit) {
 	var s Core
-	exit := read("core", &s, &s.Common, args, groups, func(c *checker) {
-		s.Founders = split(s.Founders)
-		asks := !s.Static() && (s.First || len(s.Founders) > 0 || len(s.Seeds) > 0)
-		if s.Slots < 1 || s.Slots > 7 || s.Slots%2 == 0 {
-			c.bad("slots", s.Slots, "1, 3, 5 or 7")
-		} else if !asks && (s.Slot < 1 || s.Slot > s.Slots) {
-			c.bad("slot", s.Slot, "1 to slots, or none, with founders or seeds to ask")
-		}
-		for i, a := range s.Founders {
-			c.address("founders", a, true)
-			if slices.Contains(s.Founders[:i], a) {
-				c.bad("founders", a, "given once")
-			}
-		}
-		if len(s.Founders) > mostFounders {
-			c.bad("founders", len(s.Founders), "at most 31 addresses")
-		}
-		if s.First && len(s.Founders) == 0 {
-			c.bad("first", s.First, "given with founders only")
-		}
-		if s.GoneAfter < 2*time.Second {
-			c.bad("gone-after", s.GoneAfter, "2s or more")
-		}
-		if s.Data == "" {
-			c.bad("data", s.Data, "a folder's path")
-		}
-	})
+	exit := read("core", &s, &s.Common, args, groups, s.check)
 	// Whoever founds the system can be asked for the others as well.
-	for _, a := range s.Founders {
-		if !slices.Contains(s.Seeds, a) {
-			s.Seeds = append(s.Seeds, a)
+	for _, founder := range s.Founders {
+		if !slices.Contains(s.Seeds, founder) {
+			s.Seeds = append(s.Seeds, founder)
 		}
 	}
 	return s, exit
 }
 
+// check reports what is wrong.
+func (s *Core) check(c *checker) {
+	s.Founders = split(s.Founders)
+	s.checkSlot(c)
+	s.checkFounders(c)
+	if s.GoneAfter < 2*time.Second {
+		c.bad("gone-after", s.GoneAfter, "2s or more")
+	}
+	if s.Data == "" {
+		c.bad("data", s.Data, "a folder's path")
+	}
+}
+
+// checkSlot checks the static slot, which a core must have that has nobody to ask
+// for one.
+func (s *Core) checkSlot(c *checker) {
+	asks := !s.Static() && (s.First || len(s.Founders) > 0 || len(s.Seeds) > 0)
+	if s.Slots < 1 || s.Slots > 7 || s.Slots%2 == 0 {
+		c.bad("slots", s.Slots, "1, 3, 5 or 7")
+		return
+	}
+	if !asks && (s.Slot < 1 || s.Slot > s.Slots) {
+		c.bad("slot", s.Slot, "1 to slots, or none, with founders or seeds to ask")
+	}
+}
+
+func (s *Core) checkFounders(c *checker) {
+	for i, founder := range s.Founders {
+		c.address("founders", founder, true)
+		if slices.Contains(s.Founders[:i], founder) {
+			c.bad("founders", founder, "given once")
+		}
+	}
+	if len(s.Founders) > mostFounders {
+		c.bad("founders", len(s.Founders), "at most 31 addresses")
+	}
+	if s.First && len(s.Founders) == 0 {
+		c.bad("first", s.First, "given with founders only")
+	}
+}
+
 // split takes lists with commas apart.
 func split(lists []string) []string {
 	var out []string
--- a/boot/read.go
+++ b/boot/read.go
@@ -11,54 +11,33 @@
 // Version is the version that --version prints.
 const Version = "curlewwalk 0.1"
 
-// read fills settings from the file that args name, then from args, and checks.
+// read fills settings from the file that args name, then from args, and checks
+// them. common is the part of settings that both programs have.
 func read(program string, settings any, common *Common, args []string, groups []Group, check func(*checker)) Exit {
-	p := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := p.AddGroup("Settings", "", settings); err != nil {
-		panic(err) // the settings' own tags are wrong
-	}
-	for _, g := range groups {
-		if _, err := p.AddGroup(g.Name, "", g.Data); err != nil {
-			panic(err)
+	parser := newParser(program, settings, groups)
+	if err := parseArgs(parser, args); err != nil {
+		var help *flags.Error
+		if errors.As(err, &help) && help.Type == flags.ErrHelp {
+			return Exit{Now: true, Text: err.Error()}
 		}
-	}
-	fail := func(text string) Exit {
-		return Exit{Now: true, Code: 2, Text: program + ": settings: " + strings.ReplaceAll(text, "\n", "; ")}
-	}
-	parse := func() error {
-		rest, err := p.ParseArgs(args)
-		if err == nil && len(rest) > 0 {
-			err = fmt.Errorf("%q: no such argument", rest[0])
-		}
-		return err
-	}
-	var help *flags.Error
-	if err := parse(); errors.As(err, &help) && help.Type == flags.ErrHelp {
-		return Exit{Now: true, Text: err.Error()}
-	} else if err != nil {
-		return fail(err.Error())
+		return failure(program, err.Error())
 	}
 	if common.Version {
 		return Exit{Now: true, Text: Version}
 	}
-	if common.File != "" {
-		if err := flags.NewIniParser(p).ParseFile(common.File); err != nil {
-			return fail(err.Error())
-		}
-		if err := parse(); err != nil {
-			return fail(err.Error())
-		}
+	if err := parseFile(parser, common.File, args); err != nil {
+		return failure(program, err.Error())
 	}
-	for _, g := range groups {
-		if g.Fill != nil {
-			g.Fill(settings)
+	for _, group := range groups {
+		if group.Fill != nil {
+			group.Fill(settings)
 		}
 	}
 	c := &checker{}
 	c.common(common)
 	check(c)
 	if len(c.faults) > 0 {
-		return fail(c.faults[0])
+		return failure(program, c.faults[0])
 	}
 	if common.Advertise == "" {
 		common.Advertise = common.Wire
@@ -68,3 +47,44 @@
 	}
 	return Exit{}
 }
+
+// newParser makes the parser of a program's settings and of further groups. It
+// panics if their tags are wrong, which no input can cause.
+func newParser(program string, settings any, groups []Group) *flags.Parser {
+	parser := flags.NewNamedParser(program, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Settings", "", settings); err != nil {
+		panic(err)
+	}
+	for _, group := range groups {
+		if _, err := parser.AddGroup(group.Name, "", group.Data); err != nil {
+			panic(err)
+		}
+	}
+	return parser
+}
+
+// parseArgs parses flags; an argument that is no flag is an error.
+func parseArgs(parser *flags.Parser, args []string) error {
+	rest, err := parser.ParseArgs(args)
+	if err == nil && len(rest) > 0 {
+		err = fmt.Errorf("%q: no such argument", rest[0])
+	}
+	return err
+}
+
+// parseFile parses a settings file, if there is one, and then the flags again: a
+// flag wins over the file.
+func parseFile(parser *flags.Parser, name string, args []string) error {
+	if name == "" {
+		return nil
+	}
+	if err := flags.NewIniParser(parser).ParseFile(name); err != nil {
+		return err
+	}
+	return parseArgs(parser, args)
+}
+
+// failure is the exit over settings that can't be used, on one line.
+func failure(program, text string) Exit {
+	return Exit{Now: true, Code: 2, Text: program + ": settings: " + strings.ReplaceAll(text, "\n", "; ")}
+}
--- a/boot/sidecar.go
+++ b/boot/sidecar.go
@@ -37,53 +37,61 @@
 	TraceQueue int               `long:"trace-queue" ini-name:"trace-queue" default:"8192" description:"events that may wait to be published"`
 }
 
-// ReadSidecar reads and checks the settings of a sidecar.
+// ReadSidecar reads and checks the settings of a sidecar. Exit tells whether the
+// program is to end at once, with which code and text.
 func ReadSidecar(args []string, groups ...Group) (Sidecar, Exit) {
 	var s Sidecar
-	exit := read("sidecar", &s, &s.Common, args, groups, func(c *checker) {
-		c.address("inquiries", s.Inquiries, true)
-		for svc, addr := range s.Outgoing {
-			c.address("outgoing "+svc, addr, true)
-		}
-		if s.MaxBody < 1<<10 || s.MaxBody > largestBody {
-			c.bad("max-body", s.MaxBody, fmt.Sprintf("1024 to %d", largestBody))
-		}
-		if s.Memory != 0 && (s.Memory > 1<<30 || s.Memory<<20/4 < s.MaxBody) {
-			c.bad("memory", s.Memory, "0, or at least 4 times max-body")
-		}
-		if s.BodyMemory == 0 {
-			if s.BodyMemory = usualBodies; s.Memory > 0 {
-				s.BodyMemory = min(usualBodies, s.Memory<<20/4)
-			}
-		}
-		if s.Beat < 50*time.Millisecond || s.Beat > 10*time.Second {
-			c.bad("beat", s.Beat, "from 50ms to 10s")
-		}
-		for name, d := range map[string]time.Duration{"fresh-halving": s.Halving, "shun": s.Shun, "ramp": s.Ramp} {
-			if d < 0 || d > time.Minute {
-				c.bad(name, d, "from 0s to 1m")
-			}
-		}
-		if !(s.RampFrom > 0 && s.RampFrom <= 1) {
-			c.bad("ramp-from", s.RampFrom, "above 0 and at most 1")
-		}
-		if s.BodyMemory < s.MaxBody {
-			c.bad("body-memory", s.BodyMemory, "at least max-body")
-		}
-		if s.ServeOn < 0 {
-			c.bad("serve-on", s.ServeOn, "a duration of 0s or more")
-		}
-		if !(s.Hold >= 0 && s.Hold <= 0.5) {
-			c.bad("hold", s.Hold, "from 0 to 0.5")
-		}
-		if !(s.Crossing >= 0 && s.Crossing <= 1) {
-			c.bad("crossing", s.Crossing, "from 0 to 1")
-		}
-		if s.ComeBack <= 0 {
-			c.bad("come-back", s.ComeBack, "a duration of more than 0s")
-		}
-		c.atLeast("extra-legs", s.ExtraLegs, 0)
-		c.atLeast("trace-queue", s.TraceQueue, 1)
-	})
+	exit := read("sidecar", &s, &s.Common, args, groups, s.check)
 	return s, exit
 }
+
+// check fills in what depends on other settings and reports what is wrong. The
+// fault of the setting that stands first here is the one that is printed.
+func (s *Sidecar) check(c *checker) {
+	c.address("inquiries", s.Inquiries, true)
+	for service, addr := range s.Outgoing {
+		c.address("outgoing "+service, addr, true)
+	}
+	s.checkSizes(c)
+	c.duration("beat", s.Beat, 50*time.Millisecond, 10*time.Second)
+	c.duration("fresh-halving", s.Halving, 0, time.Minute)
+	c.duration("shun", s.Shun, 0, time.Minute)
+	c.duration("ramp", s.Ramp, 0, time.Minute)
+	if !(s.RampFrom > 0 && s.RampFrom <= 1) {
+		c.bad("ramp-from", s.RampFrom, "above 0 and at most 1")
+	}
+	if s.BodyMemory < s.MaxBody {
+		c.bad("body-memory", s.BodyMemory, "at least max-body")
+	}
+	if s.ServeOn < 0 {
+		c.bad("serve-on", s.ServeOn, "a duration of 0s or more")
+	}
+	c.share("hold", s.Hold, 0.5)
+	c.share("crossing", s.Crossing, 1)
+	if s.ComeBack <= 0 {
+		c.bad("come-back", s.ComeBack, "a duration of more than 0s")
+	}
+	c.atLeast("extra-legs", s.ExtraLegs, 0)
+	c.atLeast("trace-queue", s.TraceQueue, 1)
+}
+
+// checkSizes checks the bounds on bodies and memory, and sets the one on all
+// bodies if it isn't given.
+func (s *Sidecar) checkSizes(c *checker) {
+	if s.MaxBody < 1<<10 || s.MaxBody > largestBody {
+		c.bad("max-body", s.MaxBody, fmt.Sprintf("1024 to %d", largestBody))
+	}
+	if s.Memory != 0 && (s.Memory > 1<<30 || s.bodyShare() < s.MaxBody) {
+		c.bad("memory", s.Memory, "0, or at least 4 times max-body")
+	}
+	if s.BodyMemory != 0 {
+		return
+	}
+	s.BodyMemory = usualBodies
+	if s.Memory > 0 {
+		s.BodyMemory = min(usualBodies, s.bodyShare())
+	}
+}
+
+// bodyShare is the part of the memory that bodies may take, in bytes.
+func (s *Sidecar) bodyShare() int64 { return s.Memory << 20 / 4 }
--- a/roster/announcement.go
+++ b/roster/announcement.go
@@ -39,44 +39,58 @@
 // mostCapacity bounds what a backend may say that it can bear. (ours)
 const mostCapacity = 100000
 
+// faults collects what is wrong with an announcement, in words for its sender.
+type faults []string
+
+func (f *faults) add(format string, args ...any) { *f = append(*f, fmt.Sprintf(format, args...)) }
+
 // check lists what is wrong and reads the warmup.
-func (a *Announcement) check() (share float64, ramp, left time.Duration, faults []string) {
-	fault := func(format string, args ...any) { faults = append(faults, fmt.Sprintf(format, args...)) }
+func (a *Announcement) check() (share float64, ramp, left time.Duration, wrong []string) {
+	var f faults
 	if a.Instance == "" || len(a.Instance) > 128 {
-		fault("instance: must have 1 to 128 bytes")
+		f.add("instance: must have 1 to 128 bytes")
 	}
 	if !desired.IsName(a.Service) {
-		fault("service: %q must be %s", a.Service, desired.NameForm)
+		f.add("service: %q must be %s", a.Service, desired.NameForm)
 	}
-	if ap, err := netip.ParseAddrPort(a.Address); err != nil || ap.Port() == 0 {
-		fault("address: %q is no IP address and port", a.Address)
+	if addr, err := netip.ParseAddrPort(a.Address); err != nil || addr.Port() == 0 {
+		f.add("address: %q is no IP address and port", a.Address)
 	}
 	if a.Capacity < 1 || a.Capacity > mostCapacity {
-		fault("capacity: %d is not from 1 to %d", a.Capacity, mostCapacity)
+		f.add("capacity: %d is not from 1 to %d", a.Capacity, mostCapacity)
 	}
 	if a.Locality != "" && !desired.IsName(a.Locality) {
-		fault("locality: %q must be %s", a.Locality, desired.NameForm)
+		f.add("locality: %q must be %s", a.Locality, desired.NameForm)
 	}
-	share = 1
-	if w := a.Warmup; w != nil {
-		if share = w.Share; share == 0 && w.Left != "" {
-			share = 1
-		}
-		if math.IsNaN(share) || share <= 0 || share > 1 {
-			fault("warmup.share: %v is not above 0 and at most 1", w.Share)
-		}
-		if w.Ramp != "" {
-			var err error
-			if ramp, err = time.ParseDuration(w.Ramp); err != nil || ramp < 0 {
-				fault("warmup.ramp: %q is no duration", w.Ramp)
-			}
+	if a.Warmup == nil {
+		return 1, 0, 0, f
+	}
+	share, ramp, left = a.Warmup.read(&f)
+	return share, ramp, left, f
+}
+
+// read reads the share of its capacity that the backend can bear now, how long
+// until it can bear all of it, and how much longer it bears only its service's rate.
+func (w *Warmup) read(f *faults) (share float64, ramp, left time.Duration) {
+	share = w.Share
+	if share == 0 && w.Left != "" {
+		share = 1
+	}
+	if math.IsNaN(share) || share <= 0 || share > 1 {
+		f.add("warmup.share: %v is not above 0 and at most 1", w.Share)
+	}
+	var err error
+	if w.Ramp != "" {
+		ramp, err = time.ParseDuration(w.Ramp)
+		if err != nil || ramp < 0 {
+			f.add("warmup.ramp: %q is no duration", w.Ramp)
 		}
-		if w.Left != "" {
-			var err error
-			if left, err = time.ParseDuration(w.Left); err != nil || left < 0 || left > mostLeft {
-				fault("warmup.left: %q is no duration of at most %v", w.Left, mostLeft)
-			}
+	}
+	if w.Left != "" {
+		left, err = time.ParseDuration(w.Left)
+		if err != nil || left < 0 || left > mostLeft {
+			f.add("warmup.left: %q is no duration of at most %v", w.Left, mostLeft)
 		}
 	}
-	return share, ramp, left, faults
+	return share, ramp, left
 }
