Route decision: sum up the attempts first, then decide step by step

No change of behaviour. way.Decision.Ask was one function of 53 lines with five variables begun on one line. The defect of this line in proof/defects follows it. Runs: go test ./way ./relay ./proof/defects, ./proof/simulator -run Legs pass.

--- a/proof/defects/all.go
+++ b/proof/defects/all.go
@@ -21,7 +21,7 @@
 
 // All lists the defects.
 var All = []Defect{
-	{twice, "way/decision.go", "fate == Unknown && !d.Way.Repeatable ||", "", "./proof", "TestExtraLeg", nil},
+	{twice, "way/decision.go", "past.fate == Unknown && !d.Way.Repeatable", "false", "./proof", "TestExtraLeg", nil},
 	{twice, "relay/ledger.go", "return !known", "return !known || true", "./proof/simulator", "TestLegs", nil},
 	{twice, "claim/table.go", "case claim.done:", "case claim.done && now < 0:", "./claim", "TestTable", nil},
 	{twice, "custody/owner.go", "want := min(Holders, len(others))", "want := 0", "./proof", "TestKeyOutlivesItsSidecar", nil},
--- a/way/decision.go
+++ b/way/decision.go
@@ -51,63 +51,106 @@
 // Legs lists the legs so far.
 func (d *Decision) Legs() []Leg { return d.legs }
 
-// Ask decides what comes next, on the snapshots as they are now.
-func (d *Decision) Ask(t *Table, v *cohort.View, now time.Time) Order {
-	fate, expired, back, reached, turned := NotRun, !now.Before(d.Expiry), cmp.Or(d.Means.Back, time.Second), 0, 0
-	reason := "no backend of " + d.Way.Service
-	if n := len(d.legs); n > 0 {
-		last := d.legs[n-1]
-		if last.Fate == Answered {
-			return Order{}
+// history is what is known from the attempts so far.
+type history struct {
+	// fate is NotRun only if every attempt is proven not to have run.
+	fate   Fate
+	reason string
+	// back is when the client may try again at the soonest.
+	back time.Duration
+	// expired tells that the deadline has passed here or at an attempt's backend.
+	expired bool
+	// reached counts the attempts that came to a backend or may have; turned counts
+	// those that were refused before.
+	reached, turned int
+}
+
+// end ends the request with what is known.
+func (h history) end(status int, reason string) Order {
+	return end(status, h.fate, reason, h.back)
+}
+
+// history sums up the attempts so far.
+func (d *Decision) history(now time.Time) history {
+	past := history{
+		fate:    NotRun,
+		reason:  "no backend of " + d.Way.Service,
+		back:    cmp.Or(d.Means.Back, time.Second),
+		expired: !now.Before(d.Expiry),
+	}
+	for _, leg := range d.legs {
+		past.reason = leg.Reason
+		past.back = max(past.back, leg.Back)
+		if leg.Fate == Unknown {
+			past.fate = Unknown
 		}
-		reason, expired = last.Reason, expired || last.Expired
-		for _, l := range d.legs {
-			back = max(back, l.Back)
-			if l.Fate == Unknown {
-				fate = Unknown
-			}
-			if l.Reached || l.Fate == Unknown {
-				reached++
-			} else {
-				turned++
-			}
+		if leg.Reached || leg.Fate == Unknown {
+			past.reached++
+		} else {
+			past.turned++
 		}
 	}
-	if expired {
-		return end(http.StatusGatewayTimeout, fate, reason, back)
+	if n := len(d.legs); n > 0 && d.legs[n-1].Expired {
+		past.expired = true
 	}
-	if fate == Unknown && !d.Way.Repeatable || reached >= cmp.Or(d.Way.Legs, mostLegs) || len(d.legs) >= mostAsked {
-		return end(status(fate), fate, reason, back)
-	}
-	if d.lapsed() {
-		return end(status(fate), fate, reason, back)
+	return past
+}
+
+// Ask decides what comes next, on the snapshots as they are now.
+func (d *Decision) Ask(t *Table, v *cohort.View, now time.Time) Order {
+	if n := len(d.legs); n > 0 && d.legs[n-1].Fate == Answered {
+		return Order{}
 	}
-	patient := d.Means.Late && turned >= turnedAway
-	if patient {
-		d.again = len(d.legs)
+	past := d.history(now)
+	if past.expired {
+		return past.end(http.StatusGatewayTimeout, past.reason)
 	}
-	target, ok := d.choose(t, v, now)
-	if !ok && d.Means.Late && turned > 0 {
-		patient, d.again = true, len(d.legs)
-		target, ok = d.choose(t, v, now)
+	if d.exhausted(past) || d.lapsed() {
+		return past.end(status(past.fate), past.reason)
 	}
+	target, patient, ok := d.target(t, v, past, now)
 	if !ok && now.Add(askAgain).Before(d.Means.Hold) {
 		// Those that refused it without a backend's having seen it may be asked again.
 		d.again = len(d.legs)
 		return Order{Wait: askAgain}
 	}
 	if !ok {
-		return end(status(fate), fate, reason, back)
+		return past.end(status(past.fate), past.reason)
 	}
 	if !d.Means.Late && d.Means.vain(target, d.Expiry.Sub(now)) && d.Rand.IntN(trickle) > 0 {
-		return end(status(fate), fate, "the time left does not cover what it takes", back)
+		return past.end(status(past.fate), "the time left does not cover what it takes")
 	}
-	if reached > 0 && !d.Means.Spend() {
-		return end(status(fate), fate, "no means for another leg after: "+reason, back)
+	if past.reached > 0 && !d.Means.Spend() {
+		return past.end(status(past.fate), "no means for another leg after: "+past.reason)
 	}
 	return Order{Send: true, Target: target, Patient: patient}
 }
 
+// exhausted tells whether no further attempt may be made: one may have run that
+// must not run twice, or there were as many as the route allows.
+func (d *Decision) exhausted(past history) bool {
+	if past.fate == Unknown && !d.Way.Repeatable {
+		return true
+	}
+	return past.reached >= cmp.Or(d.Way.Legs, mostLegs) || len(d.legs) >= mostAsked
+}
+
+// target chooses where the next attempt goes. A patient one was refused before and
+// rather waits in line to be late: it may go to those that refused it, too.
+func (d *Decision) target(t *Table, v *cohort.View, past history, now time.Time) (target cohort.Target, patient, ok bool) {
+	patient = d.Means.Late && past.turned >= turnedAway
+	if patient {
+		d.again = len(d.legs)
+	}
+	target, ok = d.choose(t, v, now)
+	if ok || !d.Means.Late || past.turned == 0 {
+		return target, patient, ok
+	}
+	d.again = len(d.legs)
+	target, ok = d.choose(t, v, now)
+	return target, true, ok
+}
+
 // lapsed tells whether nobody may be expected to admit the inquiry now.
 func (d *Decision) lapsed() bool {
 	n := 0
