Ask for a contact that was missed before an order is turned away

Under load 80 (15 fleets at once) TestDiskOnDuty/full failed at its start: a core that was ready a moment before turned the first configuration away, since its looks were late. A core whose contact is old now asks a majority first, for 0.7 s, as one that was woken.

Tests: TestOrderRegainsContact, seen failing first.

--- a/register/keeper.go
+++ b/register/keeper.go
@@ -28,7 +28,10 @@
 	seatLimit  = 2 * time.Second        // how long a change of the set may hold up others (ours)
 	lookEvery  = 300 * time.Millisecond // how often a majority is asked for newer words (ours)
 	moreFor    = 100 * time.Millisecond // how long a complete round waits for what else it may tell (ours)
-	probeEvery = 500 * time.Millisecond // how often a disk that failed is tried (ours)
+	// regainLimit is how long an order waits for a contact that was missed; whoever
+	// gave it takes a second of silence for a failure.
+	regainLimit = 700 * time.Millisecond // (ours)
+	probeEvery  = 500 * time.Millisecond // how often a disk that failed is tried (ours)
 )
 
 // Peers reaches the other slots.
@@ -242,8 +245,12 @@
 	return k.Write(ctx, o).told(o), ""
 }
 
-// Write carries an order out on this core.
+// Write carries an order out on this core. One that has missed the others asks them
+// first: on a processor that is late, or just woken, the contact is only not known yet.
 func (k *Keeper) Write(ctx context.Context, o Order) Answer {
+	if !k.Connected() && !k.regain(ctx) {
+		return Answer{Result: NotTaken}
+	}
 	o.ID = rand.Uint64()
 	o.Until = time.Since(k.start) + orderLimit
 	if o.Kind == Reseat {
@@ -257,6 +264,18 @@
 	return Answer{Result: Unknown}
 }
 
+// regain asks a majority at once; false if none answers.
+func (k *Keeper) regain(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, regainLimit)
+	defer cancel()
+	begin := time.Now()
+	top, held, ok := k.newest(ctx, Look)
+	if ok {
+		k.box.Send(ctx, msgLooked{at: begin, top: top, held: held})
+	}
+	return ok
+}
+
 // ReadBack reads the newest word from a majority, and has it mended first if
 // the majority does not hold it yet. (DESIGN 6.4)
 func (k *Keeper) ReadBack(ctx context.Context, refresh func(ctx context.Context) Answer) (desired.Word, bool) {
--- a/register/transition_test.go
+++ b/register/transition_test.go
@@ -269,3 +269,15 @@
 		t.Errorf("it promised %d, then %d, and holds %+v", promised, v.Promised, v.Mark)
 	}
 }
+
+// A core whose contact is old, as one that was frozen or late, asks for it before it
+// takes an order, and takes it then.
+func TestOrderRegainsContact(t *testing.T) {
+	b := newHarness(t, Mark{1 << 17, 5}, map[int]Mark{2: {1 << 17, 5}})
+	b.onDuty.Store(true)
+	b.eventually(t, "the contact to be old", func() bool { return !b.Connected() }) // it looks at nobody yet
+	b.run()
+	if a := b.Write(b.ctx, Order{Kind: Empty, Locality: "north"}); a.Result != Taken {
+		t.Errorf("%+v", a)
+	}
+}
