Tell cores of a storm's configurations at most four times a second; tell of catching up

Change: a configuration that comes into force is told at once after a calm, and every 0.25 s in a storm, by the steward's reportLimit.

Test: TestReportLimit. proof TestStorm, TestEmptiedLocality, TestRacingOperators and TestWordOutlivesKills pass.

--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -41,6 +41,8 @@
 	agreed roster.Claim
 	// spoken is the word that the table was made of.
 	spoken atomic.Pointer[desired.Word]
+	// report limits how often new configurations hasten heartbeats.
+	report reportLimit
 	// climb is how localities are taken back.
 	climb way.Climb
 }
@@ -159,6 +161,10 @@
 		m.taken <- true
 	case msgFound:
 		s.found(m.f, now)
+	case msgPulse:
+		if s.report.tick(now) {
+			s.hasten()
+		}
 	case msgTick:
 		s.swapRoster(s.roster.Load().Tick(now))
 		s.purses.Share(slices.Sorted(maps.Keys(s.copy.Nodes)), now)
@@ -218,6 +224,8 @@
 		t.After(s.table.Load(), time.Now())
 		s.table.Store(t)
 		s.spoken.Store(&w)
-		s.hasten()
+		if s.report.changed(time.Now()) {
+			s.hasten()
+		}
 	}
 }
