Tell what voters refused apart in the explored states

Cause: the clerk has learnt to gather refusals, and the encoding by which the exploration merges states left them out, so some states were taken for known that were not.

--- a/register/state.go
+++ b/register/state.go
@@ -16,7 +16,7 @@
 // Clone is a copy of the clerk that shares nothing that changes.
 func (c *Clerk) Clone() *Clerk {
 	out := *c
-	out.votes, out.orders = maps.Clone(c.votes), slices.Clone(c.orders)
+	out.votes, out.against, out.orders = maps.Clone(c.votes), maps.Clone(c.against), slices.Clone(c.orders)
 	return &out
 }
 
@@ -39,9 +39,17 @@
 		b = appendMark(b, o.proposed)
 		b = appendFlags(b, c.began < o.at)
 	}
-	for _, slot := range slices.Sorted(maps.Keys(c.votes)) {
+	if c.phase == idle {
+		return b // the votes of a round that is over count for nothing
+	}
+	return appendVotes(appendVotes(b, c.votes), c.against)
+}
+
+func appendVotes(b []byte, votes map[int]Vote) []byte {
+	b = appendNumbers(b, uint64(len(votes)))
+	for _, slot := range slices.Sorted(maps.Keys(votes)) {
 		b = appendNumbers(b, uint64(slot))
-		b = c.votes[slot].AppendState(b)
+		b = votes[slot].AppendState(b)
 	}
 	return b
 }
