Hold operators' histories of simulated second losses against a sequential register

Every configuration that is put and every read is recorded with its answer; what was never answered, or without telling what became of it, is open; what was answered as not taken must never show. github.com/anishathalye/porcupine (tests only) looks for an order that fits. TestLinearizable shows that it finds old reads, reads that go back, another text under one number, and what nobody put.

--- /dev/null
+++ b/proof/simulator/history.go
@@ -0,0 +1,60 @@
+package simulator
+
+import (
+	"time"
+
+	"curlewwalk/desired"
+	"curlewwalk/register"
+)
+
+// Call is an operator's call with what it was answered.
+type Call struct {
+	// Write puts Text under Edition (zero: without a number); else Text and Edition are
+	// what was read.
+	Write   bool
+	Edition uint64
+	Text    string
+	// From and To are when it was sent and answered. An open one was never answered, or
+	// without telling what became of it: it may be carried out at any time after From.
+	From, To time.Duration
+	Open     bool
+}
+
+// History records operators' calls.
+type History struct{ calls []*Call }
+
+// Calls lists what operators were told, and what is open.
+func (h *History) Calls() (out []Call) {
+	for _, c := range h.calls {
+		out = append(out, *c)
+	}
+	return out
+}
+
+// put records that a configuration is put.
+func (h *History) put(o register.Order, now time.Duration) *Call {
+	c := &Call{Write: true, Edition: o.Edition, Text: string(o.Bytes), From: now, Open: true}
+	h.calls = append(h.calls, c)
+	return c
+}
+
+// answered records what became of a put. One that was not taken never will be: it is
+// struck from the history, so that a read which shows it has nothing to come from.
+func (h *History) answered(c *Call, r register.Result, now time.Duration) {
+	switch r {
+	case register.Taken:
+		c.To, c.Open = now, false
+	case register.NotTaken, register.Mismatch, register.Conflict:
+		for i := range h.calls {
+			if h.calls[i] == c {
+				h.calls = append(h.calls[:i:i], h.calls[i+1:]...)
+				return
+			}
+		}
+	}
+}
+
+// read records what a read that began at a moment shows.
+func (h *History) read(from time.Duration, w desired.Word, now time.Duration) {
+	h.calls = append(h.calls, &Call{Edition: w.Edition, Text: string(w.Desired), From: from, To: now})
+}
--- /dev/null
+++ b/proof/simulator/history_test.go
@@ -0,0 +1,133 @@
+package simulator
+
+import (
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"curlewwalk/register"
+)
+
+// configuration is the state of the model that histories are held against: one value,
+// whose number never falls, and what was put under that number.
+type configuration struct {
+	edition        uint64
+	text, numbered string
+}
+
+// sequential is what the register is like if calls come one after the other. A number
+// that is lower than the one held is acknowledged and changes nothing, as is a repeat of
+// that one with the same text.
+var sequential = porcupine.Model{
+	Init: func() any { return configuration{} },
+	Step: func(state, input, _ any) (bool, any) {
+		now, c := state.(configuration), input.(Call)
+		switch {
+		case !c.Write:
+			return now.edition == c.Edition && now.text == c.Text, now
+		case c.Edition == 0:
+			return true, configuration{now.edition, c.Text, now.numbered}
+		case c.Edition > now.edition:
+			return true, configuration{c.Edition, c.Text, c.Text}
+		case c.Edition == now.edition && !c.Open:
+			return now.numbered == c.Text, now
+		}
+		return true, now
+	},
+}
+
+// judgeWithin bounds the search for an order of one history's calls.
+const judgeWithin = 2 * time.Second
+
+// linearizable tells whether calls can be put in one order in which each takes effect
+// between its sending and its answer; Unknown: not found out in time.
+func linearizable(calls []Call) porcupine.CheckResult {
+	shown := map[string]bool{}
+	for _, c := range calls {
+		if !c.Write {
+			shown[c.Text] = true
+		}
+	}
+	var ops []porcupine.Operation
+	for i, c := range calls {
+		end := int64(c.To)
+		if c.Open {
+			// One without a number that nobody ever read need not have been carried out,
+			// and leaves nothing behind if it was.
+			if c.Edition == 0 && !shown[c.Text] {
+				continue
+			}
+			end = math.MaxInt64
+		}
+		ops = append(ops, porcupine.Operation{ClientId: i, Input: c, Call: int64(c.From), Return: end})
+	}
+	return porcupine.CheckOperationsTimeout(sequential, ops, judgeWithin)
+}
+
+// The check finds what must not be, and lets through what may be.
+func TestLinearizable(t *testing.T) {
+	put := func(edition uint64, text string, from, to time.Duration) Call {
+		return Call{Write: true, Edition: edition, Text: text, From: from, To: to}
+	}
+	read := func(edition uint64, text string, from, to time.Duration) Call {
+		return Call{Edition: edition, Text: text, From: from, To: to}
+	}
+	open := put(0, "open", 4, 0)
+	open.Open = true
+	for _, c := range []struct {
+		name  string
+		calls []Call
+		want  porcupine.CheckResult
+	}{
+		{"read after a write", []Call{put(0, "a", 1, 2), read(0, "a", 3, 4)}, porcupine.Ok},
+		{"an old read", []Call{put(0, "a", 1, 2), put(0, "b", 3, 4), read(0, "a", 5, 6)}, porcupine.Illegal},
+		{"a read that goes back", []Call{put(0, "a", 1, 2), put(0, "b", 3, 9), read(0, "b", 4, 5), read(0, "a", 6, 7)}, porcupine.Illegal},
+		{"an open write that shows late", []Call{put(0, "a", 1, 2), open, read(0, "a", 5, 6), read(0, "open", 8, 9)}, porcupine.Ok},
+		{"an open write that shows and is gone", []Call{put(0, "a", 1, 2), open, read(0, "open", 5, 6), read(0, "a", 8, 9)}, porcupine.Illegal},
+		{"what nobody put", []Call{read(0, "a", 5, 6)}, porcupine.Illegal},
+		{"an overtaken number", []Call{put(2, "b", 1, 2), put(1, "a", 3, 4), read(2, "b", 5, 6)}, porcupine.Ok},
+		{"a repeat", []Call{put(2, "b", 1, 2), put(0, "c", 3, 4), put(2, "b", 5, 6), read(2, "c", 7, 8)}, porcupine.Ok},
+		{"another text under the same number", []Call{put(2, "b", 1, 2), put(2, "c", 3, 4)}, porcupine.Illegal},
+		{"an overtaken number in force", []Call{put(2, "b", 1, 2), put(1, "a", 3, 4), read(1, "a", 5, 6)}, porcupine.Illegal},
+	} {
+		if got := linearizable(c.calls); got != c.want {
+			t.Errorf("%s: %s", c.name, got)
+		}
+	}
+	h := &History{}
+	refused := h.put(register.Order{Bytes: []byte("a")}, 1)
+	h.answered(refused, register.NotTaken, 2)
+	if calls := h.Calls(); slices.ContainsFunc(calls, func(c Call) bool { return c.Write }) {
+		t.Errorf("what was not taken stays: %+v", calls)
+	}
+}
+
+// histories counts the histories that were checked, and those too hard to check in time.
+type histories struct{ whole, unknown, calls int }
+
+// check holds a run's history against the sequential model.
+func (h *histories) check(t *testing.T, seed uint64, r *Register) {
+	t.Helper()
+	calls := r.History.Calls()
+	h.calls += len(calls)
+	switch linearizable(calls) {
+	case porcupine.Ok:
+		h.whole++
+	case porcupine.Unknown:
+		h.unknown++
+	default:
+		t.Errorf("seed %d with %d slots: what operators were told fits no order of their calls", seed, r.slots)
+	}
+}
+
+// end tells how many were checked; too hard must stay the exception.
+func (h *histories) end(t *testing.T) {
+	t.Helper()
+	t.Logf("%d histories of %d calls are linearizable, %d were not judged in time", h.whole, h.calls, h.unknown)
+	if h.whole == 0 || h.unknown > h.whole/10 {
+		t.Error("the histories are not judged")
+	}
+}
--- a/proof/simulator/register.go
+++ b/proof/simulator/register.go
@@ -83,6 +83,8 @@
 	Trace func(string)
 	// Broken lists what must never happen and did.
 	Broken []string
+	// History is what operators asked for and were told.
+	History History
 	// Acked, Reads, Refused and Swaps count what went on.
 	Acked, Reads, Refused, Swaps, Kills int
 	// Joins, Grown, Shrunk and Swapped count changes of the set, Struck those that
@@ -450,10 +452,22 @@
 	if o.Kind == register.Reseat {
 		o.Until = r.now + 2*time.Second
 	}
-	r.asks[o.ID] = back
+	r.asks[o.ID] = r.recorded(o, back)
 	r.obey(c, c.clerk.Take(o, r.now))
 }
 
+// recorded is back, with what a configuration is answered kept in the history.
+func (r *Register) recorded(o register.Order, back func(register.Answer)) func(register.Answer) {
+	if o.Kind != register.Put {
+		return back
+	}
+	call := r.History.put(o, r.now)
+	return func(a register.Answer) {
+		r.History.answered(call, a.Result, r.now)
+		back(a)
+	}
+}
+
 // write has an operator put a configuration at any core that is up; every other
 // one is an edition, some of them late.
 func (r *Register) write() {
@@ -491,9 +505,10 @@
 	if !c.up || c.frozen > r.now {
 		return
 	}
-	least, edition := r.acked, r.edition
+	least, edition, begun := r.acked, r.edition, r.now
 	got := func(w desired.Word) {
 		r.Reads++
+		r.History.read(begun, w, r.now)
 		r.check(w, "a reader")
 		if w.Stamp < least {
 			r.broken("stamp %d was read after %d was acknowledged", w.Stamp, least)
--- a/proof/simulator/simulator_test.go
+++ b/proof/simulator/simulator_test.go
@@ -170,6 +170,7 @@
 // cores are full members of a set that bears the next loss.
 func TestSecondLoss(t *testing.T) {
 	lost, planned, slowest := 0, 0, time.Duration(0)
+	var told histories
 	const share = 10 // a seed is four runs of six rounds
 	for seed := *first; seed < *first+uint64(*seeds+share-1)/share; seed++ {
 		for _, size := range []int{3, 4, 5, 11} {
@@ -178,6 +179,7 @@
 				l.Trace = func(s string) { t.Log(s) }
 			}
 			l.Run(6)
+			told.check(t, seed, l.Register)
 			for _, b := range l.Broken {
 				t.Errorf("seed %d with %d cores: %s", seed, size, b)
 			}
@@ -191,4 +193,5 @@
 	if lost == 0 || planned == 0 {
 		t.Error("the losses did not come about")
 	}
+	told.end(t)
 }
