--- a/proof/cmd/defects/main.go
+++ b/proof/cmd/defects/main.go
@@ -22,49 +22,74 @@
 	if _, err := flags.Parse(&opt); err != nil {
 		os.Exit(2)
 	}
+	tried, missed, err := try(opt.Only, opt.Count)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	fmt.Printf("%d defects, %d not caught\n", tried, missed)
+	if missed > 0 {
+		os.Exit(1)
+	}
+}
+
+// try puts the defects that have only in them into so many copies of the tree, and
+// counts those that were tried and those that were not caught.
+func try(only string, copies int) (tried, missed int, err error) {
 	work := make(chan defects.Defect)
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	missed := 0
-	for range opt.Count {
-		root, err := os.MkdirTemp("", "curlewwalk-defects-")
-		if err == nil {
-			err = exec.Command("sh", "-c", `git ls-files -z | xargs -0 cp --parents -t "$0"`, root).Run()
-		}
+	results := make(chan bool)
+	var workers sync.WaitGroup
+	for range copies {
+		root, err := copyTree()
 		if err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			os.Exit(2)
+			return 0, 0, err
 		}
 		defer os.RemoveAll(root)
-		wg.Go(func() {
+		workers.Go(func() {
 			for d := range work {
-				caught, said, err := d.Caught(root)
-				mu.Lock()
-				switch {
-				case err != nil:
-					missed++
-					fmt.Printf("ERROR  %-42s %-26s %v\n%s\n", d.Line, d.Test, err, said)
-				case caught:
-					fmt.Printf("caught %-42s %-26s %s\n", d.Line, d.Test, d.File)
-				default:
-					missed++
-					fmt.Printf("MISSED %-42s %-26s %s: %s -> %s\n", d.Line, d.Test, d.File, d.Old, d.New)
-				}
-				mu.Unlock()
+				results <- caught(d, root)
 			}
 		})
 	}
-	n := 0
-	for _, d := range defects.All {
-		if strings.Contains(d.File+" "+d.Test+" "+d.Line, opt.Only) {
-			n++
-			work <- d
+	go func() {
+		for _, d := range defects.All {
+			if strings.Contains(d.File+" "+d.Test+" "+d.Line, only) {
+				work <- d
+			}
+		}
+		close(work)
+		workers.Wait()
+		close(results)
+	}()
+	for ok := range results {
+		tried++
+		if !ok {
+			missed++
 		}
 	}
-	close(work)
-	wg.Wait()
-	fmt.Printf("%d defects, %d not caught\n", n, missed)
-	if missed > 0 {
-		os.Exit(1)
+	return tried, missed, nil
+}
+
+// copyTree copies the files that git knows to a folder of its own.
+func copyTree() (root string, err error) {
+	root, err = os.MkdirTemp("", "curlewwalk-defects-")
+	if err != nil {
+		return "", err
+	}
+	return root, exec.Command("sh", "-c", `git ls-files -z | xargs -0 cp --parents -t "$0"`, root).Run()
+}
+
+// caught tries one defect in a copy and prints what came of it.
+func caught(d defects.Defect, root string) bool {
+	ok, said, err := d.Caught(root)
+	switch {
+	case err != nil:
+		fmt.Printf("ERROR  %-42s %-26s %v\n%s\n", d.Line, d.Test, err, said)
+		return false
+	case ok:
+		fmt.Printf("caught %-42s %-26s %s\n", d.Line, d.Test, d.File)
+	default:
+		fmt.Printf("MISSED %-42s %-26s %s: %s -> %s\n", d.Line, d.Test, d.File, d.Old, d.New)
 	}
+	return ok
 }
--- a/proof/cmd/fleet/main.go
+++ b/proof/cmd/fleet/main.go
@@ -11,6 +11,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"curlewwalk/proof/fleet"
+	"curlewwalk/proof/ledger"
 )
 
 type options struct {
@@ -95,6 +96,11 @@
 	if opt.Links > 0 {
 		fmt.Println("links of inner calls:", links)
 	}
+	return judge(v)
+}
+
+// judge prints what must never happen and did; it is an error if anything is.
+func judge(v ledger.Verdict) error {
 	for _, b := range v.Broken {
 		fmt.Println("BROKEN:", b)
 	}
--- a/proof/day/day.go
+++ b/proof/day/day.go
@@ -52,21 +52,44 @@
 // Run runs it with so many events and returns what must never happen and did.
 func (d *Day) Run(ctx context.Context, events int) (v ledger.Verdict, err error) {
 	d.ctx = ctx
-	if err := d.F.Relay(); err != nil {
+	if err := d.start(); err != nil {
 		return v, err
 	}
-	if err := d.F.Start(ctx); err != nil {
+	load, stop := context.WithCancel(ctx)
+	defer stop()
+	var wg sync.WaitGroup
+	wg.Go(func() { d.F.Load(load, d.F.Callers()...) })
+	if err := d.play(events); err != nil {
 		return v, err
 	}
+	d.readBack()
+	stop()
+	wg.Wait()
+	v = d.F.Ledger.Judge()
+	d.judgePeaks()
+	v.Broken = append(v.Broken, d.broken...)
+	return v, nil
+}
+
+// start starts the fleet behind relays.
+func (d *Day) start() error {
+	if err := d.F.Relay(); err != nil {
+		return err
+	}
+	if err := d.F.Start(d.ctx); err != nil {
+		return err
+	}
 	d.newest = d.F.First
 	d.acked[d.newest] = d.F.Configuration()
 	for i, b := range d.F.Backends {
 		d.standing[b] = i
 	}
-	load, stop := context.WithCancel(ctx)
-	defer stop()
-	var wg sync.WaitGroup
-	wg.Go(func() { d.F.Load(load, d.F.Callers()...) })
+	return nil
+}
+
+// play has so many events happen and a last fault, each followed by the return of
+// service.
+func (d *Day) play(events int) error {
 	all := d.all()
 	if d.Only != "" {
 		all = slices.DeleteFunc(all, func(e event) bool { return !strings.Contains(e.name, d.Only) })
@@ -76,24 +99,25 @@
 		ev := all[order[i%len(all)]]
 		begin := time.Now()
 		if err := ev.do(); err != nil {
-			return v, fmt.Errorf("%s: %w", ev.name, err)
+			return fmt.Errorf("%s: %w", ev.name, err)
 		}
 		back := d.serviceReturns(ev.name)
 		d.say("%-34s %6.1fs, service back after %v", ev.name, time.Since(begin).Seconds(), back.Round(time.Millisecond))
-		if ctx.Err() != nil {
-			return v, ctx.Err()
+		if d.ctx.Err() != nil {
+			return d.ctx.Err()
 		}
 	}
 	last := all[order[events%len(all)]]
 	d.say("last fault: %s", last.name)
 	if err := last.do(); err != nil {
-		return v, err
+		return err
 	}
 	d.serviceReturns(last.name)
-	d.readBack()
-	stop()
-	wg.Wait()
-	v = d.F.Ledger.Judge()
+	return nil
+}
+
+// judgePeaks tells of backends that ran far more at a time than they can bear.
+func (d *Day) judgePeaks() {
 	for _, b := range d.F.Backends {
 		bear := float64(b.Capacity)
 		if b.Share > 0 {
@@ -103,8 +127,6 @@
 			d.wrong("%s ran %d at a time and can bear %.1f", b.Instance, b.Peak.Load(), bear)
 		}
 	}
-	v.Broken = append(v.Broken, d.broken...)
-	return v, nil
 }
 
 // Slowest is the slowest return of service, and the slowest configuration.
@@ -129,48 +151,24 @@
 // serviceReturns waits until each kind of inquiry succeeds from every machine,
 // and the operator's word can be read from every core; it keeps how long each took.
 func (d *Day) serviceReturns(after string) time.Duration {
-	begin := time.Now()
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	until := func(kind, what string, ok func() bool) {
-		wg.Go(func() {
-			for !ok() {
-				if time.Since(begin) > 2*returnWithin || d.ctx.Err() != nil {
-					mu.Lock()
-					defer mu.Unlock()
-					d.wrong("%s: %s %s does not return", after, kind, what)
-					return
-				}
-				d.pause(20 * time.Millisecond)
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			d.back[kind] = append(d.back[kind], time.Since(begin))
-		})
-	}
+	w := &returnWait{day: d, after: after, begin: time.Now()}
 	for i := range d.F.Sidecars {
 		for _, p := range d.F.Size.Plans {
-			if p.Share == 0 {
-				continue
+			if p.Share != 0 {
+				w.untilServed(i, p)
 			}
-			d.serial++
-			c := d.F.NewCaller(i, 1)
-			c.Name = fmt.Sprintf("check-%d", d.serial)
-			until(p.Name, fmt.Sprintf("from machine %d", i), func() bool {
-				a := c.Once(d.ctx, p)
-				return a.Status == http.StatusOK && a.Outcome == ""
-			})
 		}
 	}
 	for _, p := range d.F.Cores {
-		until("reading the word", "at "+p.Name, func() bool {
+		w.until("reading the word", "at "+p.Name, func() bool {
 			r, err := d.F.Operate(d.ctx, p, http.MethodGet, "/v1/desired", nil)
 			return err == nil && r.Status == http.StatusOK
 		})
 	}
-	wg.Wait()
-	took := time.Since(begin)
-	if d.slowest = max(d.slowest, took); took > returnWithin {
+	w.all.Wait()
+	took := time.Since(w.begin)
+	d.slowest = max(d.slowest, took)
+	if took > returnWithin {
 		d.wrong("%s: service returned only after %v", after, took)
 	}
 	return took
--- a/proof/ledger/ledger.go
+++ b/proof/ledger/ledger.go
@@ -151,64 +151,87 @@
 	emptyWithin = 5 * time.Second
 )
 
+// broken notes that something happened that must never.
+func (v *Verdict) broken(format string, args ...any) {
+	v.Broken = append(v.Broken, fmt.Sprintf(format, args...))
+}
+
+// cut counts an inquiry that got no answer, and says how.
+func (v *Verdict) cut(how string) {
+	v.Cut++
+	v.Cuts = append(v.Cuts, how)
+}
+
 // Judge checks the records, once all callers have stopped.
 func (l *Ledger) Judge() Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	v := Verdict{Sent: len(l.sent), Answered: len(l.answered)}
-	broken := func(format string, args ...any) { v.Broken = append(v.Broken, fmt.Sprintf(format, args...)) }
 	for id, runs := range l.ran {
-		v.Ran += len(runs)
-		s, ok := l.sent[id]
-		if !ok {
-			broken("%s ran at %s, but nobody sent it", id, runs[0].Instance)
-			continue
-		}
-		if len(runs) > 1+l.again(id) && !s.Repeatable {
-			broken("%s must run once and ran %d times", id, len(runs))
-		}
-		for _, r := range runs {
-			if r.Locality != s.Locality {
-				v.Crossed++
-			}
-			l.judgeRun(s, r, broken)
-		}
+		l.judgeRuns(&v, id, runs)
 	}
-	l.judgeExtra(broken)
+	l.judgeExtra(v.broken)
 	v.Spread = l.spread()
-	for id, a := range l.answered {
-		switch {
-		case a.Outcome == "not-run":
-			again := l.again(id)
-			if again > 0 {
-				v.Cut++
-				v.Cuts = append(v.Cuts, fmt.Sprintf("%s: sent %d times without an answer, then refused", id, again))
-			} else {
-				v.NotRun++
-			}
-			// What may be repeated may have run any number of times of one sending.
-			if n := len(l.ran[id]); n > again && (again == 0 || !l.sent[id].Repeatable) {
-				broken("%s was promised not to have run and ran %d times", id, n)
-			}
-		case a.Outcome == "cut":
-			v.Cut++
-			v.Cuts = append(v.Cuts, id+": "+a.Cut)
-		case a.Outcome != "":
-			v.Unknown++
-			if a.Status != http.StatusGatewayTimeout {
-				v.Lost++
-			}
-		default:
-			v.Good++
-			if len(l.ran[id]) == 0 {
-				broken("%s got an answer and never ran", id)
-			}
+	for id, answer := range l.answered {
+		l.judgeAnswer(&v, id, answer)
+	}
+	return v
+}
+
+// judgeRuns judges all runs of one inquiry.
+func (l *Ledger) judgeRuns(v *Verdict, id string, runs []Ran) {
+	v.Ran += len(runs)
+	sent, ok := l.sent[id]
+	if !ok {
+		v.broken("%s ran at %s, but nobody sent it", id, runs[0].Instance)
+		return
+	}
+	if len(runs) > 1+l.again(id) && !sent.Repeatable {
+		v.broken("%s must run once and ran %d times", id, len(runs))
+	}
+	for _, run := range runs {
+		if run.Locality != sent.Locality {
+			v.Crossed++
+		}
+		l.judgeRun(sent, run, v.broken)
+	}
+}
+
+// judgeAnswer holds an answer against the runs of its inquiry.
+func (l *Ledger) judgeAnswer(v *Verdict, id string, answer Answered) {
+	switch {
+	case answer.Outcome == "not-run":
+		l.judgeRefusal(v, id)
+	case answer.Outcome == "cut":
+		v.cut(id + ": " + answer.Cut)
+	case answer.Outcome != "":
+		v.Unknown++
+		if answer.Status != http.StatusGatewayTimeout {
+			v.Lost++
 		}
-		if a.Wrong != "" {
-			broken("%s got a wrong answer: %s", id, a.Wrong)
+	default:
+		v.Good++
+		if len(l.ran[id]) == 0 {
+			v.broken("%s got an answer and never ran", id)
 		}
 	}
-	return v
+	if answer.Wrong != "" {
+		v.broken("%s got a wrong answer: %s", id, answer.Wrong)
+	}
+}
+
+// judgeRefusal judges an inquiry that was promised not to have run.
+func (l *Ledger) judgeRefusal(v *Verdict, id string) {
+	again := l.again(id)
+	if again > 0 {
+		v.cut(fmt.Sprintf("%s: sent %d times without an answer, then refused", id, again))
+	} else {
+		v.NotRun++
+	}
+	// What may be repeated may have run any number of times of one sending.
+	if ran := len(l.ran[id]); ran > again && (again == 0 || !l.sent[id].Repeatable) {
+		v.broken("%s was promised not to have run and ran %d times", id, ran)
+	}
 }
 
 // again is how many sendings of an inquiry the answer to it says nothing of.
