--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -1,11 +1,9 @@
 package fleet
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -295,20 +293,12 @@
 			continue
 		}
 		err := Await(ctx, fmt.Sprintf("%s at stamp %d with %d backends", p.Name, stamp, backends), func(ctx context.Context) bool {
-			var nodes []sidecarNode
-			if _, err := p.Get(ctx, "/v1/nodes", &nodes); err != nil {
+			known, ok := serving(ctx, p)
+			if !ok || known != backends {
 				return false
 			}
-			known := 0
-			for _, n := range nodes {
-				for _, b := range n.Backends {
-					if !b.Leaving {
-						known++
-					}
-				}
-			}
 			at, err := f.Stamp(ctx, p)
-			return err == nil && at >= stamp && known == backends
+			return err == nil && at >= stamp
 		})
 		if err != nil {
 			return err
@@ -317,6 +307,23 @@
 	return nil
 }
 
+// serving counts the backends that a sidecar knows of and that are not leaving; ok
+// is false if it does not answer.
+func serving(ctx context.Context, p *Program) (count int, ok bool) {
+	var nodes []sidecarNode
+	if _, err := p.Get(ctx, "/v1/nodes", &nodes); err != nil {
+		return 0, false
+	}
+	for _, node := range nodes {
+		for _, backend := range node.Backends {
+			if !backend.Leaving {
+				count++
+			}
+		}
+	}
+	return count, true
+}
+
 // Stamp reads the stamp that a sidecar has in force.
 func (f *Fleet) Stamp(ctx context.Context, p *Program) (uint64, error) {
 	var st struct {
@@ -337,70 +344,6 @@
 	return b
 }
 
-// Reply is an answer to an operator.
-type Reply struct {
-	Status int
-	Stamp  uint64
-	// Edition is the operator's own number of what was read.
-	Edition uint64
-	Taken   string
-	Body    []byte
-}
-
-// Operate sends an operator's request to a core.
-func (f *Fleet) Operate(ctx context.Context, core *Program, method, path string, body []byte, header ...string) (Reply, error) {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+core.Control+path, bytes.NewReader(body))
-	if err != nil {
-		return Reply{}, err
-	}
-	for i := 0; i+1 < len(header); i += 2 {
-		req.Header.Set(header[i], header[i+1])
-	}
-	resp, err := f.Client.Do(req)
-	if err != nil {
-		return Reply{}, err
-	}
-	defer resp.Body.Close()
-	r := Reply{Status: resp.StatusCode}
-	if r.Body, err = io.ReadAll(resp.Body); err != nil {
-		return r, err
-	}
-	r.Stamp, _ = strconv.ParseUint(resp.Header.Get("Curlewwalk-Stamp"), 10, 64)
-	r.Edition, _ = strconv.ParseUint(resp.Header.Get("Curlewwalk-Edition"), 10, 64)
-	var out struct{ Taken string }
-	json.Unmarshal(r.Body, &out)
-	r.Taken = out.Taken
-	return r, nil
-}
-
-// Empty asks a core to empty a locality, and TakeBack to take it back; the ledger
-// goes by when they were asked.
-func (f *Fleet) Empty(ctx context.Context, core *Program, locality string) (Reply, error) {
-	f.Ledger.Emptied(locality, time.Now())
-	return f.mustOperate(ctx, core, http.MethodPut, "/v1/localities/"+locality+"/emptied", nil)
-}
-
-// TakeBack asks a core to take a locality back.
-func (f *Fleet) TakeBack(ctx context.Context, core *Program, locality string) (Reply, error) {
-	f.Ledger.TakenBack(locality, time.Now())
-	return f.mustOperate(ctx, core, http.MethodDelete, "/v1/localities/"+locality+"/emptied", nil)
-}
-
-// mustOperate is Operate for what must be taken.
-func (f *Fleet) mustOperate(ctx context.Context, core *Program, method, path string, body []byte) (Reply, error) {
-	r, err := f.Operate(ctx, core, method, path, body)
-	if err == nil && r.Status != http.StatusOK {
-		err = fmt.Errorf("%s %s: status %d %s", method, path, r.Status, r.Body)
-	}
-	return r, err
-}
-
-// Put puts a configuration to the nth core and returns its stamp.
-func (f *Fleet) Put(ctx context.Context, core int, body []byte) (uint64, error) {
-	r, err := f.mustOperate(ctx, f.Cores[core], http.MethodPut, "/v1/desired", body)
-	return r.Stamp, err
-}
-
 // CoreIPs are the machines of the cores.
 func (f *Fleet) CoreIPs() (out []string) {
 	for _, p := range f.Cores {
--- /dev/null
+++ b/proof/fleet/operate.go
@@ -0,0 +1,76 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Reply is an answer to an operator.
+type Reply struct {
+	Status int
+	Stamp  uint64
+	// Edition is the operator's own number of what was read.
+	Edition uint64
+	Taken   string
+	Body    []byte
+}
+
+// Operate sends an operator's request to a core.
+func (f *Fleet) Operate(ctx context.Context, core *Program, method, path string, body []byte, header ...string) (Reply, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+core.Control+path, bytes.NewReader(body))
+	if err != nil {
+		return Reply{}, err
+	}
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := f.Client.Do(req)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer resp.Body.Close()
+	r := Reply{Status: resp.StatusCode}
+	if r.Body, err = io.ReadAll(resp.Body); err != nil {
+		return r, err
+	}
+	r.Stamp, _ = strconv.ParseUint(resp.Header.Get("Curlewwalk-Stamp"), 10, 64)
+	r.Edition, _ = strconv.ParseUint(resp.Header.Get("Curlewwalk-Edition"), 10, 64)
+	var out struct{ Taken string }
+	json.Unmarshal(r.Body, &out)
+	r.Taken = out.Taken
+	return r, nil
+}
+
+// Empty asks a core to empty a locality, and TakeBack to take it back; the ledger
+// goes by when they were asked.
+func (f *Fleet) Empty(ctx context.Context, core *Program, locality string) (Reply, error) {
+	f.Ledger.Emptied(locality, time.Now())
+	return f.mustOperate(ctx, core, http.MethodPut, "/v1/localities/"+locality+"/emptied", nil)
+}
+
+// TakeBack asks a core to take a locality back.
+func (f *Fleet) TakeBack(ctx context.Context, core *Program, locality string) (Reply, error) {
+	f.Ledger.TakenBack(locality, time.Now())
+	return f.mustOperate(ctx, core, http.MethodDelete, "/v1/localities/"+locality+"/emptied", nil)
+}
+
+// mustOperate is Operate for what must be taken.
+func (f *Fleet) mustOperate(ctx context.Context, core *Program, method, path string, body []byte) (Reply, error) {
+	r, err := f.Operate(ctx, core, method, path, body)
+	if err == nil && r.Status != http.StatusOK {
+		err = fmt.Errorf("%s %s: status %d %s", method, path, r.Status, r.Body)
+	}
+	return r, err
+}
+
+// Put puts a configuration to the nth core and returns its stamp.
+func (f *Fleet) Put(ctx context.Context, core int, body []byte) (uint64, error) {
+	r, err := f.mustOperate(ctx, f.Cores[core], http.MethodPut, "/v1/desired", body)
+	return r.Stamp, err
+}
