Answer an order on a zone before its caller takes the core for silent

Besides, the adapter's patience of 3 s bounded nothing: core.obey dropped the deadline with the cancellation. Ruled out: that the core refused it; that the next core did not take it (nothing was sent there between 20.7 s and the end of the evacuation at 21.7 s, by a trial that prints each order's begin).

--- a/core/door.go
+++ b/core/door.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"curlewwalk/desired"
+	"curlewwalk/launch"
 	"curlewwalk/register"
 )
 
@@ -49,6 +50,9 @@
 // carried out; and it is not begun if whoever gave it has gone away meanwhile, since the
 // same was then given elsewhere, and perhaps something newer. (DESIGN 6.3)
 func (n *Node) evacuate(ctx context.Context, o register.Order) register.Answer {
+	if !n.keeper.Connected() {
+		return register.Answer{Result: register.NotTaken} // nor could it be carried out
+	}
 	since, ok := n.keeper.Newest(ctx, n.refresh)
 	if !ok || ctx.Err() != nil {
 		return register.Answer{Result: register.NotTaken}
@@ -59,7 +63,20 @@
 
 // obey carries an order out.
 func (n *Node) obey(ctx context.Context, o register.Order) register.Answer {
-	return n.write(context.WithoutCancel(ctx), o)
+	return await(ctx, n.p.Launcher, func(ctx context.Context) register.Answer { return n.write(ctx, o) })
+}
+
+// await carries out an order that goes on though whoever gave it goes away, and returns
+// its answer, or that it is not known when ctx ends before.
+func await(ctx context.Context, l *launch.Launcher, order func(ctx context.Context) register.Answer) register.Answer {
+	answer := make(chan register.Answer, 1)
+	l.Go(context.WithoutCancel(ctx), "order", func(ctx context.Context) { answer <- order(ctx) })
+	select {
+	case a := <-answer:
+		return a
+	case <-ctx.Done():
+		return register.Answer{Result: register.Unknown}
+	}
 }
 
 // Read reads the newest word back from a majority; false if none answers.
