--- a/proof/simulator/history.go
+++ b/proof/simulator/history.go
@@ -58,3 +58,15 @@
 func (h *History) read(from time.Duration, w desired.Word, now time.Duration) {
 	h.calls = append(h.calls, &Call{Edition: w.Edition, Text: string(w.Desired), From: from, To: now})
 }
+
+// recorded is back, with what a configuration is answered kept in the history.
+func (r *Register) recorded(o register.Order, back func(register.Answer)) func(register.Answer) {
+	if o.Kind != register.Put {
+		return back
+	}
+	call := r.History.put(o, r.now)
+	return func(a register.Answer) {
+		r.History.answered(call, a.Result, r.now)
+		back(a)
+	}
+}
--- a/proof/simulator/register.go
+++ b/proof/simulator/register.go
@@ -456,18 +456,6 @@
 	r.obey(c, c.clerk.Take(o, r.now))
 }
 
-// recorded is back, with what a configuration is answered kept in the history.
-func (r *Register) recorded(o register.Order, back func(register.Answer)) func(register.Answer) {
-	if o.Kind != register.Put {
-		return back
-	}
-	call := r.History.put(o, r.now)
-	return func(a register.Answer) {
-		r.History.answered(call, a.Result, r.now)
-		back(a)
-	}
-}
-
 // write has an operator put a configuration at any core that is up; every other
 // one is an edition, some of them late.
 func (r *Register) write() {
