--- a/proof/cutoff_test.go
+++ b/proof/cutoff_test.go
@@ -148,73 +148,76 @@
 		{"not heard", 1, 8 * time.Second, func(f *fleet.Fleet, i int) { f.Net.OneWay([]string{f.Cores[i].IP}, others(f, i)) }},
 		{"again and again", 3, 2500 * time.Millisecond, func(f *fleet.Fleet, i int) { f.Net.Split(f.Cores[i].IP) }},
 	} {
-		for _, core := range []int{0, 2} {
-			t.Run(fmt.Sprintf("%s, slot %d", v.name, core+1), func(t *testing.T) {
-				f, ctx := begin(t, coresOnly(3))
-				must(t, f.Relay())
-				must(t, f.Start(ctx))
-				cut := f.Cores[core]
-				made := &changes{f: f, every: 300 * time.Millisecond}
-				for i, p := range f.Cores {
-					if i != core {
-						made.cores = append(made.cores, p)
+		t.Run(v.name, func(t *testing.T) {
+			for _, core := range []int{0, 2} {
+				t.Run(fmt.Sprintf("slot %d", core+1), func(t *testing.T) {
+					t.Parallel()
+					f, ctx := begin(t, coresOnly(3))
+					must(t, f.Relay())
+					must(t, f.Start(ctx))
+					cut := f.Cores[core]
+					made := &changes{f: f, every: 300 * time.Millisecond}
+					for i, p := range f.Cores {
+						if i != core {
+							made.cores = append(made.cores, p)
+						}
 					}
-				}
-				stopChanges := made.start(ctx)
-				must(t, fleet.Await(ctx, "a change", func(context.Context) bool { return made.count.Load() > 0 }))
-				q := &questioner{f: f, core: cut, made: made}
-				stopQuestions := q.start(ctx)
-				must(t, fleet.Await(ctx, "answers of the core", func(context.Context) bool { q.mu.Lock(); defer q.mu.Unlock(); return q.answered > 3 }))
-				for range v.times {
-					count := made.count.Load()
-					v.cut(f, core)
-					began := time.Now()
-					// What it began before it misses the others may still end badly.
-					must(t, fleet.Await(ctx, "the cut to be known", func(context.Context) bool { return time.Since(began) > 2*time.Second }))
-					before := promised(ctx, t, cut)
-					must(t, fleet.Await(ctx, "the cut to last", func(context.Context) bool { return time.Since(began) > v.lasts }))
-					if after := promised(ctx, t, cut); after > before+3 { // one epoch
-						t.Errorf("cut off it promised %d, then %d", before, after)
-					}
-					if made.count.Load() < count+2 {
-						t.Errorf("%d changes were taken beside the cut", made.count.Load()-count)
+					stopChanges := made.start(ctx)
+					must(t, fleet.Await(ctx, "a change", func(context.Context) bool { return made.count.Load() > 0 }))
+					q := &questioner{f: f, core: cut, made: made}
+					stopQuestions := q.start(ctx)
+					must(t, fleet.Await(ctx, "answers of the core", func(context.Context) bool { q.mu.Lock(); defer q.mu.Unlock(); return q.answered > 3 }))
+					for range v.times {
+						count := made.count.Load()
+						v.cut(f, core)
+						began := time.Now()
+						// What it began before it misses the others may still end badly.
+						must(t, fleet.Await(ctx, "the cut to be known", func(context.Context) bool { return time.Since(began) > 2*time.Second }))
+						before := promised(ctx, t, cut)
+						must(t, fleet.Await(ctx, "the cut to last", func(context.Context) bool { return time.Since(began) > v.lasts }))
+						if after := promised(ctx, t, cut); after > before+3 { // one epoch
+							t.Errorf("cut off it promised %d, then %d", before, after)
+						}
+						if made.count.Load() < count+2 {
+							t.Errorf("%d changes were taken beside the cut", made.count.Load()-count)
+						}
+						wrong, unclear, _, slowest := q.told()
+						t.Logf("cut off: %d answers were none, the slowest after %v", unclear, slowest.Round(time.Millisecond))
+						for _, w := range wrong {
+							t.Error("cut off: ", w)
+						}
+						f.Net.Whole()
+						whole := time.Now()
+						must(t, fleet.Await(ctx, "the core to serve the newest configuration", func(ctx context.Context) bool {
+							want := made.acked.Load()
+							r, err := f.Operate(ctx, cut, "GET", "/v1/desired", nil)
+							return err == nil && r.Status == http.StatusOK && r.Stamp >= want
+						}))
+						if took := time.Since(whole); took > 4*time.Second {
+							t.Errorf("it served only %v after the cut", took)
+						} else {
+							t.Logf("it served %v after the cut", took.Round(time.Millisecond))
+						}
 					}
-					wrong, unclear, _, slowest := q.told()
-					t.Logf("cut off: %d answers were none, the slowest after %v", unclear, slowest.Round(time.Millisecond))
-					for _, w := range wrong {
-						t.Error("cut off: ", w)
+					mended := time.Now()
+					made.mu.Lock()
+					during := made.longest
+					made.longest = 0
+					made.mu.Unlock()
+					must(t, fleet.Await(ctx, "3 s to pass", func(context.Context) bool { return time.Since(mended) > 3*time.Second }))
+					stopQuestions()
+					stopChanges()
+					after, refused := made.report()
+					wrong, _, _, _ := q.told()
+					for _, w := range append(wrong, refused...) {
+						t.Error("refused or old: ", w)
 					}
-					f.Net.Whole()
-					whole := time.Now()
-					must(t, fleet.Await(ctx, "the core to serve the newest configuration", func(ctx context.Context) bool {
-						want := made.acked.Load()
-						r, err := f.Operate(ctx, cut, "GET", "/v1/desired", nil)
-						return err == nil && r.Status == http.StatusOK && r.Stamp >= want
-					}))
-					if took := time.Since(whole); took > 4*time.Second {
-						t.Errorf("it served only %v after the cut", took)
-					} else {
-						t.Logf("it served %v after the cut", took.Round(time.Millisecond))
+					if during > 5*time.Second || after > 2*time.Second {
+						t.Errorf("the slowest change took %v, and %v after the cut", during, after)
 					}
-				}
-				mended := time.Now()
-				made.mu.Lock()
-				during := made.longest
-				made.longest = 0
-				made.mu.Unlock()
-				must(t, fleet.Await(ctx, "3 s to pass", func(context.Context) bool { return time.Since(mended) > 3*time.Second }))
-				stopQuestions()
-				stopChanges()
-				after, refused := made.report()
-				wrong, _, _, _ := q.told()
-				for _, w := range append(wrong, refused...) {
-					t.Error("refused or old: ", w)
-				}
-				if during > 5*time.Second || after > 2*time.Second {
-					t.Errorf("the slowest change took %v, and %v after the cut", during, after)
-				}
-				t.Logf("the slowest change took %v, and %v after the cut", during.Round(time.Millisecond), after.Round(time.Millisecond))
-			})
-		}
+					t.Logf("the slowest change took %v, and %v after the cut", during.Round(time.Millisecond), after.Round(time.Millisecond))
+				})
+			}
+		})
 	}
 }
