--- a/core/node.go
+++ b/core/node.go
@@ -102,8 +102,10 @@
 // seat is what this core tells of itself.
 func (n *Node) seat() cohort.Seat {
 	v := n.keeper.Voter()
-	s := cohort.Seat{Slot: v.Self.Slot, Addr: n.set.Advertise, Inc: v.Self.Inc, Boot: n.p.Boot,
-		Locality: n.set.Locality, Established: v.Phase == register.Established, Settled: v.Settled, Wall: clock.Wall().UnixNano()}
+	s := cohort.Seat{
+		Slot: v.Self.Slot, Addr: n.set.Advertise, Inc: v.Self.Inc, Boot: n.p.Boot,
+		Locality: n.set.Locality, Established: v.Phase == register.Established, Settled: v.Settled, Wall: clock.Wall().UnixNano(),
+	}
 	sets := v.Sets()
 	s.Set, s.Slots, s.Held = register.Slots(sets.Now), len(sets.Now), v.Mark.Stamp
 	s.Unable = !n.keeper.Able()
--- a/core/usher.go
+++ b/core/usher.go
@@ -138,8 +138,10 @@
 	live := s.Live(now)
 	out := map[int]register.Place{}
 	for _, c := range s.All() {
-		out[c.Slot] = register.Place{Addr: c.Addr,
-			Live: slices.ContainsFunc(live, func(l cohort.Seat) bool { return l.Slot == c.Slot })}
+		out[c.Slot] = register.Place{
+			Addr: c.Addr,
+			Live: slices.ContainsFunc(live, func(l cohort.Seat) bool { return l.Slot == c.Slot }),
+		}
 	}
 	return out
 }
--- a/desired/bytes_test.go
+++ b/desired/bytes_test.go
@@ -11,10 +11,13 @@
 
 // big is a configuration of n ways.
 func big(n int) State {
-	st := State{Contracts: []Contract{
-		{Name: "quick", Aim: Duration{Duration: 500 * time.Microsecond}, Expiry: Duration{Duration: time.Millisecond}, Rank: 1},
-		{Name: "slow", Aim: Duration{Duration: time.Second}, Expiry: Duration{Duration: 90 * time.Second}, Rank: 9}},
-		Limits: Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderWait: Duration{Duration: 5 * time.Second}, Idle: Duration{Duration: time.Minute}}}
+	st := State{
+		Contracts: []Contract{
+			{Name: "quick", Aim: Duration{Duration: 500 * time.Microsecond}, Expiry: Duration{Duration: time.Millisecond}, Rank: 1},
+			{Name: "slow", Aim: Duration{Duration: time.Second}, Expiry: Duration{Duration: 90 * time.Second}, Rank: 9},
+		},
+		Limits: Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderWait: Duration{Duration: 5 * time.Second}, Idle: Duration{Duration: time.Minute}},
+	}
 	for i := range n {
 		s := Service{Name: fmt.Sprintf("service-%d", i), Connections: i}
 		if i%2 == 0 {
--- a/desired/check_test.go
+++ b/desired/check_test.go
@@ -12,7 +12,8 @@
 	for body, want := range map[string][]string{
 		`{}`: nil,
 		`{"contracts":[{"name":5,"aim":true,"expiry":"1s","rank":"high"}],"ways":[{"name":["x"],"repeatable":"yes"}]}`: {
-			"$.contracts[0].name", "$.contracts[0].aim", "$.contracts[0].rank", "$.ways[0].name", "$.ways[0].repeatable"},
+			"$.contracts[0].name", "$.contracts[0].aim", "$.contracts[0].rank", "$.ways[0].name", "$.ways[0].repeatable",
+		},
 		`{"ways":{"name":"x"},"contracts":"none"}`:               {"$.ways", "$.contracts"},
 		`{"ways":[{"name":"a","name":"b","host":{"deep":[1]}}]}`: {"$.ways[0].name", "$.ways[0].host"},
 		`{"ways":[5,"x",null]}`:                                  {"$.ways[0]", "$.ways[1]"},
@@ -56,13 +57,16 @@
 		way(`"split":[{"service":"a","weight":1000001},{"service":"A","weight":1}]`):    {"$.ways[0].split[0].weight", "$.ways[0].split[1].service"},
 		way(`"split":[{"service":"a","weight":-1},{"service":"b","weight":0.5,"x":1}]`): {"$.ways[0].split[0].weight", "$.ways[0].split[1].weight", "$.ways[0].split[1].x", "$.ways[0].split"},
 		head + `"services":[{"name":"a"},{"name":"b"}],"ways":[{"name":"w","prefix":"/","contract":"c","service":"s"},{"name":"v","prefix":"/v","contract":"c","split":[{"service":"a","weight":1},{"service":"x","weight":1}]}]}`: {
-			"$.ways[0].service", "$.ways[1].split[1].service"},
+			"$.ways[0].service", "$.ways[1].split[1].service",
+		},
 		`{"services":[{"name":"a","connections":0,"cold":{"for":"3s","rate":9.3}},{"name":"a"},{"name":"b","connections":-1,"cold":{"for":"0s","rate":0,"x":1},"y":1}]}`: {
-			"$.services[1].name", "$.services[2].connections", "$.services[2].cold.for", "$.services[2].cold.rate", "$.services[2].cold.x", "$.services[2].y"},
+			"$.services[1].name", "$.services[2].connections", "$.services[2].cold.for", "$.services[2].cold.rate", "$.services[2].cold.x", "$.services[2].y",
+		},
 		`{"services":[],"limits":{}}`: nil,
 		`{"limits":{"header_bytes":1024,"body_bytes":1048576,"header_wait":"5s","idle":"1m"}}`: nil,
 		`{"limits":{"header_bytes":-1,"body_bytes":-1,"header_wait":"-5s","idle":"soon","x":{}}}`: {
-			"$.limits.header_bytes", "$.limits.body_bytes", "$.limits.header_wait", "$.limits.idle", "$.limits.x"},
+			"$.limits.header_bytes", "$.limits.body_bytes", "$.limits.header_wait", "$.limits.idle", "$.limits.x",
+		},
 		`{"limits":{"a":1,"\u0061":2}}`: {"$.limits.a"},
 	} {
 		_, faults, ok := Parse([]byte(body))
--- a/proof/messages/messages_test.go
+++ b/proof/messages/messages_test.go
@@ -46,8 +46,10 @@
 
 var (
 	backend = cohort.Backend{Instance: "i", Service: "s", Address: "127.0.0.1:1", Locality: "north", Capacity: 4, Share: 1}
-	node    = cohort.Node{Addr: "127.0.0.1:2", Boot: 7, Rev: 3, Locality: "north", Stamp: 5, Backends: []cohort.Backend{backend}, Inc: 1,
-		Accuses: []cohort.Accusation{{Addr: "127.0.0.1:3"}}, Open: map[string]int64{"north": 1}, Budgets: map[string]contract.Tally{"c": {}}, Turn: 2}
+	node    = cohort.Node{
+		Addr: "127.0.0.1:2", Boot: 7, Rev: 3, Locality: "north", Stamp: 5, Backends: []cohort.Backend{backend}, Inc: 1,
+		Accuses: []cohort.Accusation{{Addr: "127.0.0.1:3"}}, Open: map[string]int64{"north": 1}, Budgets: map[string]contract.Tally{"c": {}}, Turn: 2,
+	}
 	seat = cohort.Seat{Slot: 2, Slots: 3, Addr: "127.0.0.1:4", Boot: 9, Locality: "north", Established: true, Set: []int{1, 2, 3}, Held: 4, Mark: 8}
 	peer = cohort.Peer{Addr: node.Addr, Boot: 7, Rev: 3, Said: &cohort.Statement{Age: 20, Stamp: 5, Alone: true}}
 	word = desired.Word{Stamp: 5, DesiredStamp: 4, Desired: []byte(`{}`), Emptied: []string{"north"}, Slots: []desired.Member{{Slot: 1, ID: 11}, {Slot: 2, ID: 12}}, Top: 2}
--- a/proof/overload_test.go
+++ b/proof/overload_test.go
@@ -53,7 +53,8 @@
 	r := newRig(t)
 	started := time.Now()
 	var open, peak atomic.Int64
-	b := &standin.Backend{Instance: "cold", Service: "desk", Locality: r.Locality(1), Capacity: 10, Share: 0.4, Control: r.Sidecars[1].Control,
+	b := &standin.Backend{
+		Instance: "cold", Service: "desk", Locality: r.Locality(1), Capacity: 10, Share: 0.4, Control: r.Sidecars[1].Control,
 		Ledger: r.Ledger, Client: r.Client, Handle: http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
 			n := open.Add(1)
 			defer open.Add(-1)
@@ -62,7 +63,8 @@
 			hold := time.NewTimer(100 * time.Millisecond)
 			defer hold.Stop()
 			<-hold.C
-		})}
+		}),
+	}
 	must(t, b.Start(r.Site.IP(1)+":8500"))
 	r.Backends = append(r.Backends, b)
 	must(t, r.AwaitServing(r.ctx, 1, 1))
--- a/proof/rig_test.go
+++ b/proof/rig_test.go
@@ -43,8 +43,10 @@
 	r.t.Helper()
 	n := r.known
 	r.known++
-	b := &standin.Backend{Instance: fmt.Sprintf("desk-%d", n), Service: "desk", Locality: r.Locality(machine), Capacity: 9,
-		Control: r.Sidecars[machine].Control, Plans: r.Size.Plans, Ledger: r.Ledger, Client: r.Client, Handle: h}
+	b := &standin.Backend{
+		Instance: fmt.Sprintf("desk-%d", n), Service: "desk", Locality: r.Locality(machine), Capacity: 9,
+		Control: r.Sidecars[machine].Control, Plans: r.Size.Plans, Ledger: r.Ledger, Client: r.Client, Handle: h,
+	}
 	must(r.t, b.Start(net.JoinHostPort(r.Site.IP(machine), fmt.Sprint(8000+n))))
 	r.Backends = append(r.Backends, b)
 	must(r.t, r.AwaitServing(r.ctx, 1, r.known))
--- a/proof/scale/compare.go
+++ b/proof/scale/compare.go
@@ -31,8 +31,12 @@
 				what string
 				a, b float64
 				each float64 // bytes of a message
-			}{{"calls", a.Calls, b.Calls, 1}, {"bytes of calls", a.CallBytes, b.CallBytes, each(b.CallBytes, b.Calls, a.CallBytes, a.Calls)},
-				{"receipts", a.Receipts, b.Receipts, 1}, {"bytes of receipts", a.ReceiptBytes, b.ReceiptBytes, each(b.ReceiptBytes, b.Receipts, a.ReceiptBytes, a.Receipts)}} {
+			}{
+				{"calls", a.Calls, b.Calls, 1},
+				{"bytes of calls", a.CallBytes, b.CallBytes, each(b.CallBytes, b.Calls, a.CallBytes, a.Calls)},
+				{"receipts", a.Receipts, b.Receipts, 1},
+				{"bytes of receipts", a.ReceiptBytes, b.ReceiptBytes, each(b.ReceiptBytes, b.Receipts, a.ReceiptBytes, a.Receipts)},
+			} {
 				if math.Abs(c.a-c.b) > tolerance*math.Max(c.a, c.b)+slack*c.each {
 					out = append(out, fmt.Sprintf("%s %s: %s a second: hollow %.2f, real %.2f", name, kind, c.what, c.a, c.b))
 				}
--- a/proof/scale/experiment.go
+++ b/proof/scale/experiment.go
@@ -92,9 +92,11 @@
 
 // Default is the experiment that --print writes.
 func Default() Experiment {
-	e := Experiment{Zones: []string{"north", "east", "south", "west"}, Shoals: 4, Every: Duration(10 * time.Millisecond), Settle: Duration(3 * time.Second), Steady: Duration(10 * time.Second),
+	e := Experiment{
+		Zones: []string{"north", "east", "south", "west"}, Shoals: 4, Every: Duration(10 * time.Millisecond), Settle: Duration(3 * time.Second), Steady: Duration(10 * time.Second),
 		Changes: 5, ChangesAMinute: 25, Failures: 2, FailuresAnHour: 900, Within: Duration(30 * time.Second), Tolerance: 0.1, Memory: 6000,
-		Parts: []int{100, 200, 400, 800, 1600}, PartsServices: 3000}
+		Parts: []int{100, 200, 400, 800, 1600}, PartsServices: 3000,
+	}
 	for _, n := range []int{50, 100, 200, 400} {
 		e.Sizes = append(e.Sizes, Size{Sidecars: n, Real: 4, Cores: 3, Services: 10, Handover: n <= 100, Herd: true, Alone: n <= 100})
 	}
--- a/proof/scale/hollow.go
+++ b/proof/scale/hollow.go
@@ -67,10 +67,12 @@
 	h.followed.Store(&time.Time{})
 	own := wire.Greeting{Version: wire.Version, Node: addr, Boot: h.boot}
 	h.net = wire.NewNet(s.launcher, own, net.IP(ip.AsSlice()))
-	h.host = &wire.Host{Own: own, Launcher: s.launcher, Listener: ln, Handlers: map[string]wire.Handler{cohort.KindHail: h.hail,
+	h.host = &wire.Host{Own: own, Launcher: s.launcher, Listener: ln, Handlers: map[string]wire.Handler{
+		cohort.KindHail: h.hail,
 		cohort.KindProbe: func(context.Context, wire.Inquiry) (any, string) {
 			return cohort.Probe{Boot: h.boot, Inc: h.inc.Load()}, ""
-		}}}
+		},
+	}}
 	h.seeker.Addr, h.seeker.Net, h.seeker.Launcher = addr, h.net, s.launcher
 	h.seeker.SetSeeds(s.opt.Seeds)
 	h.seeker.Own = func() cohort.Hail { n := h.node(); return cohort.Hail{Node: &n} }
@@ -93,11 +95,15 @@
 	h.host.Handlers[cohort.KindGossip] = roll.Answer
 	holder := custody.NewHolder()
 	maps.Copy(h.host.Handlers, holder.Handlers())
-	parts := map[string]func(context.Context){"net": h.net.Run, "host": h.host.Run, "seeker": h.seeker.Run, "follower": follower.Run,
-		"watcher": h.watcher.Run, "rollcall": roll.Run, "holder": holder.Run, "steward": h.steward}
+	parts := map[string]func(context.Context){
+		"net": h.net.Run, "host": h.host.Run, "seeker": h.seeker.Run, "follower": follower.Run,
+		"watcher": h.watcher.Run, "rollcall": roll.Run, "holder": holder.Run, "steward": h.steward,
+	}
 	if h.shoal.opt.Handover {
-		owner := &custody.Owner{Own: h.addr, Boot: h.boot, Locality: h.locality, View: h.whole, Net: h.net, Launcher: h.shoal.launcher,
-			Known: func() bool { return h.stamp.Load() > 0 }, Restore: func(context.Context, custody.Entry) {}}
+		owner := &custody.Owner{
+			Own: h.addr, Boot: h.boot, Locality: h.locality, View: h.whole, Net: h.net, Launcher: h.shoal.launcher,
+			Known: func() bool { return h.stamp.Load() > 0 }, Restore: func(context.Context, custody.Entry) {},
+		}
 		owner.Begin()
 		parts["custody"] = owner.Run
 	}
@@ -115,8 +121,10 @@
 // node is what the node tells of itself.
 func (h *hollow) node() cohort.Node {
 	r := h.roster.Load()
-	return cohort.Node{Addr: h.addr, Boot: h.boot, Rev: r.Rev, Locality: h.locality, Stamp: h.stamp.Load(), Backends: r.Backends(), Inc: h.inc.Load(), Open: r.Open(),
-		Accuses: h.watcher.Accused(), Budgets: h.budgets.Own()}
+	return cohort.Node{
+		Addr: h.addr, Boot: h.boot, Rev: r.Rev, Locality: h.locality, Stamp: h.stamp.Load(), Backends: r.Backends(), Inc: h.inc.Load(), Open: r.Open(),
+		Accuses: h.watcher.Accused(), Budgets: h.budgets.Own(),
+	}
 }
 
 // steward keeps the roster: the backend's announcements come from here too.
--- a/proof/scale/parts.go
+++ b/proof/scale/parts.go
@@ -71,8 +71,10 @@
 	for i := range nodes {
 		ip := site.IP(firstHollow + i%mostNodes)
 		service := serviceName(i % services)
-		nodes[i] = cohort.Node{Addr: ip + ":7400", Boot: uint64(1)<<63 + uint64(i), Rev: 1, Locality: zones[i%len(zones)], Stamp: 1, Open: map[string]int64{zones[i%len(zones)]: 0}, Budgets: map[string]contract.Tally{},
-			Backends: []cohort.Backend{{Instance: service + "-" + ip, Service: service, Address: ip + ":8000", Locality: zones[i%len(zones)], Capacity: 9, Share: 1}}}
+		nodes[i] = cohort.Node{
+			Addr: ip + ":7400", Boot: uint64(1)<<63 + uint64(i), Rev: 1, Locality: zones[i%len(zones)], Stamp: 1, Open: map[string]int64{zones[i%len(zones)]: 0}, Budgets: map[string]contract.Tally{},
+			Backends: []cohort.Backend{{Instance: service + "-" + ip, Service: service, Address: ip + ":8000", Locality: zones[i%len(zones)], Capacity: 9, Share: 1}},
+		}
 		f.Told(nodes[i], 0)
 		addrs = append(addrs, nodes[i].Addr)
 	}
@@ -185,8 +187,10 @@
 			if i%16 == 0 {
 				root = trace.Root() // 4 calls a trace
 			}
-			batch.Events[i] = trace.Event{Trace: root.Trace, Span: trace.NewID(), Parent: root.ID, Kind: trace.ServerReceive, Counter: uint64(i), Node: "127.10.2.1:7400", Boot: uint64(1)<<63 + uint64(b),
-				Since: time.Since(begin), Way: serviceName(b), Service: serviceName(i), Caller: serviceName(b), Instance: "service-1-127.10.2.1", Status: 200}
+			batch.Events[i] = trace.Event{
+				Trace: root.Trace, Span: trace.NewID(), Parent: root.ID, Kind: trace.ServerReceive, Counter: uint64(i), Node: "127.10.2.1:7400", Boot: uint64(1)<<63 + uint64(b),
+				Since: time.Since(begin), Way: serviceName(b), Service: serviceName(i), Caller: serviceName(b), Instance: "service-1-127.10.2.1", Status: 200,
+			}
 		}
 		var t collect.Taken
 		if !n.Call(ctx, ln.Addr().String(), wire.Control, collect.KindPublish, batch).Into(&t) || t.N != in {
--- a/proof/scale/run.go
+++ b/proof/scale/run.go
@@ -248,8 +248,10 @@
 			e.What = "each beyond rest"
 			e.Role = name
 			by := seconds / float64(events)
-			e.Values = map[string]float64{"bytes_in": (l.in() - base.in()) * by, "bytes_out": (l.out() - base.out()) * by, "messages": (l.messages() - base.messages()) * by,
-				"processor_seconds": (use.Processor - base.Usage.Processor) * by, "events": float64(events)}
+			e.Values = map[string]float64{
+				"bytes_in": (l.in() - base.in()) * by, "bytes_out": (l.out() - base.out()) * by, "messages": (l.messages() - base.messages()) * by,
+				"processor_seconds": (use.Processor - base.Usage.Processor) * by, "events": float64(events),
+			}
 			out = append(out, e)
 		}
 	}
--- a/proof/simulator/leg.go
+++ b/proof/simulator/leg.go
@@ -454,8 +454,10 @@
 // legs asks the decision and obeys, as relay.Near.run does.
 func (l *Legs) legs(n *legNode, id, name string, got func(legAnswer)) {
 	expiry := l.now + 2*time.Second
-	d := &way.Decision{Way: desired.Way{Name: "w", Service: "s"}, Expiry: l.base.Add(expiry), Locality: n.Locality, Rand: l.rng,
-		Means: way.Means{Cost: func(cohort.Target) way.Cost { return way.Cost{} }, Spend: func() bool { return true }}}
+	d := &way.Decision{
+		Way: desired.Way{Name: "w", Service: "s"}, Expiry: l.base.Add(expiry), Locality: n.Locality, Rand: l.rng,
+		Means: way.Means{Cost: func(cohort.Target) way.Cost { return way.Cost{} }, Spend: func() bool { return true }},
+	}
 	last := ""
 	var next func()
 	next = func() {
--- a/proof/simulator/register.go
+++ b/proof/simulator/register.go
@@ -24,12 +24,16 @@
 }
 
 // Harsh are the faults of the sweeps.
-var Harsh = Faults{Loss: 0.1, Double: 0.1, Delay: 120 * time.Millisecond, Kill: 3 * time.Second, Swap: 9 * time.Second,
-	Freeze: 4 * time.Second, Cut: 5 * time.Second, Until: 40 * time.Second}
+var Harsh = Faults{
+	Loss: 0.1, Double: 0.1, Delay: 120 * time.Millisecond, Kill: 3 * time.Second, Swap: 9 * time.Second,
+	Freeze: 4 * time.Second, Cut: 5 * time.Second, Until: 40 * time.Second,
+}
 
 // Shifting are the faults of runs whose cores come and go.
-var Shifting = Faults{Loss: 0.1, Double: 0.1, Delay: 120 * time.Millisecond, Kill: 6 * time.Second,
-	Freeze: 6 * time.Second, Cut: 8 * time.Second, Change: 4 * time.Second, Until: 60 * time.Second}
+var Shifting = Faults{
+	Loss: 0.1, Double: 0.1, Delay: 120 * time.Millisecond, Kill: 6 * time.Second,
+	Freeze: 6 * time.Second, Cut: 8 * time.Second, Change: 4 * time.Second, Until: 60 * time.Second,
+}
 
 // core is a simulated core process with its disk.
 type core struct {
@@ -96,8 +100,10 @@
 
 // NewRegister lays a run out.
 func NewRegister(seed uint64, slots int, f Faults) *Register {
-	r := &Register{rng: rand.New(rand.NewPCG(seed, 7)), slots: slots, faults: f, orders: map[uint64]register.Order{},
-		asks: map[uint64]func(register.Answer){}, settled: map[uint64][]byte{}, editions: map[uint64]uint64{}, begun: map[uint64][]register.Sets{}}
+	r := &Register{
+		rng: rand.New(rand.NewPCG(seed, 7)), slots: slots, faults: f, orders: map[uint64]register.Order{},
+		asks: map[uint64]func(register.Answer){}, settled: map[uint64][]byte{}, editions: map[uint64]uint64{}, begun: map[uint64][]register.Sets{},
+	}
 	r.Operators = newOperators(r)
 	for s := 1; s <= slots; s++ {
 		c := &core{slot: s, disk: r.blank(s)}
--- a/proof/simulator/slots.go
+++ b/proof/simulator/slots.go
@@ -59,8 +59,10 @@
 // tells is what a core tells of its seat.
 func (c *core) tells() cohort.Seat {
 	v := c.voter
-	s := cohort.Seat{Slot: v.Self.Slot, Slots: len(v.Sets().Now), Set: register.Slots(v.Sets().Now), Held: v.Mark.Stamp, Addr: c.addr, Inc: v.Self.Inc,
-		Established: v.Phase == register.Established, Settled: v.Settled}
+	s := cohort.Seat{
+		Slot: v.Self.Slot, Slots: len(v.Sets().Now), Set: register.Slots(v.Sets().Now), Held: v.Mark.Stamp, Addr: c.addr, Inc: v.Self.Inc,
+		Established: v.Phase == register.Established, Settled: v.Settled,
+	}
 	if v.Settled < v.Mark.Stamp {
 		s.Before = register.Slots(v.Sets().Before)
 	}
--- a/proof/word_test.go
+++ b/proof/word_test.go
@@ -240,7 +240,8 @@
 		`{"ways":[],"ways":[]}`: {"$.ways"},
 		`{"contracts":[{"name":"c","aim":"2s","expiry":"1s","rank":1},{"name":"c","aim":"x","expiry":"1h","rank":0}],"ways":[{"name":"w","prefix":"p","service":"S","contract":"d"}]}`: {
 			"$.contracts[0].aim", "$.contracts[1].name", "$.contracts[1].aim", "$.contracts[1].expiry", "$.contracts[1].rank",
-			"$.ways[0].service", "$.ways[0].prefix", "$.ways[0].contract"},
+			"$.ways[0].service", "$.ways[0].prefix", "$.ways[0].contract",
+		},
 		`{"ways":[{"name":1,"prefix":"/","service":"s","contract":2}]}`:                       {"$.ways[0].name", "$.ways[0].contract"},
 		`{"ways":[], "contracts":[{"name":"` + strings.Repeat("x", desired.MaxBytes) + `"}]}`: {"$"},
 	} {
--- a/relay/counts.go
+++ b/relay/counts.go
@@ -38,6 +38,8 @@
 
 // Read takes a reading.
 func (c *Counts) Read() Totals {
-	return Totals{Open: c.Open.Load(), Inquiries: c.Inquiries.Load(), Answered: c.Answered.Load(), NotRun: c.NotRun.Load(),
-		Unknown: c.Unknown.Load(), ExtraLegs: c.ExtraLegs.Load(), Joined: c.Joined.Load()}
+	return Totals{
+		Open: c.Open.Load(), Inquiries: c.Inquiries.Load(), Answered: c.Answered.Load(), NotRun: c.NotRun.Load(),
+		Unknown: c.Unknown.Load(), ExtraLegs: c.ExtraLegs.Load(), Joined: c.Joined.Load(),
+	}
 }
--- a/relay/header.go
+++ b/relay/header.go
@@ -13,8 +13,10 @@
 	HeaderKey     = "Idempotency-Key"
 )
 
-var hopByHop = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect"}
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
 
 // endToEnd copies a header without what concerns one hop only.
 func endToEnd(h http.Header) http.Header {
--- a/relay/near.go
+++ b/relay/near.go
@@ -278,11 +278,15 @@
 
 // run asks the decision and obeys, leg by leg.
 func (n *Near) run(ctx context.Context, q *inquiry) Receipt {
-	d := way.Decision{Way: q.way, Expiry: q.expiry, Locality: n.Locality, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Means: way.Means{Aim: q.aim, Room: q.room(), Patience: n.Budgets.Patience(q.contract.Name, q.room()),
+	d := way.Decision{
+		Way: q.way, Expiry: q.expiry, Locality: n.Locality, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Means: way.Means{
+			Aim: q.aim, Room: q.room(), Patience: n.Budgets.Patience(q.contract.Name, q.room()),
 			Cost: func(t cohort.Target) way.Cost { return n.Costs.Of(q.way.Name, t) },
 			Hold: n.hold(q), Back: n.back(), Late: n.Late, Crossing: n.crossing(q),
-			Spend: func() bool { return n.Purses.Spend(q.way.Service) }, Unsure: n.Unsure}}
+			Spend: func() bool { return n.Purses.Spend(q.way.Service) }, Unsure: n.Unsure,
+		},
+	}
 	note := trace.Event{Way: q.way.Name, Service: q.way.Service, Caller: q.caller, Link: q.cause.Link, Candidates: q.cause.Candidates}
 	n.Queue.Put(q.span, trace.ClientStart, note)
 	var last LegReceipt
--- a/relay/pair_test.go
+++ b/relay/pair_test.go
@@ -103,12 +103,15 @@
 	between(handlers)
 	host := &wire.Host{Launcher: l, Listener: kept, Handlers: handlers}
 	node := cohort.Node{Addr: listener.Addr().String(), Boot: 7, Locality: "north", Backends: []cohort.Backend{
-		{Instance: "a", Service: "desk", Address: p.entry.Address, Locality: "north", Capacity: 8, Share: 1}}}
+		{Instance: "a", Service: "desk", Address: p.entry.Address, Locality: "north", Capacity: 8, Share: 1},
+	}}
 	view := cohort.NewView(map[string]cohort.Node{node.Addr: node}, nil)
-	p.near = &Near{Locality: "north", Table: f.Table, View: func() *cohort.View { return view }, Net: wire.NewNet(l, wire.Greeting{}, nil),
+	p.near = &Near{
+		Locality: "north", Table: f.Table, View: func() *cohort.View { return view }, Net: wire.NewNet(l, wire.Greeting{}, nil),
 		Launcher: l, Queue: queue, Log: slog.New(slog.DiscardHandler), Lineage: lin, Bodies: &Bodies{Most: 1 << 20, All: 8 << 20},
 		Purses: contract.NewPurses("near", 20), Budgets: contract.NewBudgets(), Costs: way.NewCosts(), Life: ctx,
-		Draining: no, Dialect: told{}, Shun: time.Millisecond, ComeBack: 100 * time.Millisecond}
+		Draining: no, Dialect: told{}, Shun: time.Millisecond, ComeBack: 100 * time.Millisecond,
+	}
 	l.Go(ctx, "lineage", lin.Run)
 	l.Go(ctx, "host", host.Run)
 	l.Go(ctx, "net", p.near.Net.Run)
@@ -312,8 +315,10 @@
 		v.say(v.id, "ok")
 		return true
 	})
-	for _, fields := range []string{"X-Sum: 7\r\n", "X-Sum: 7\r\nContent-Length: 3\r\n", "X-Sum: 7\r\nTransfer-Encoding: chunked\r\n",
-		"X-Sum: 7\r\nTrailer: x\r\n", "X-Sum: 7\r\nConnection: close\r\n", "X-Sum: 7\r\n" + HeaderCaller + ": forged\r\n"} {
+	for _, fields := range []string{
+		"X-Sum: 7\r\n", "X-Sum: 7\r\nContent-Length: 3\r\n", "X-Sum: 7\r\nTransfer-Encoding: chunked\r\n",
+		"X-Sum: 7\r\nTrailer: x\r\n", "X-Sum: 7\r\nConnection: close\r\n", "X-Sum: 7\r\n" + HeaderCaller + ": forged\r\n",
+	} {
 		c := p.client(t)
 		c.say("POST /once/x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n%s\r\n", fields)
 		resp, body := c.hear()
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -92,8 +92,10 @@
 	watcher.View = func() *cohort.View { return n.steward.view.Load() }
 	n.seeker.Heard = func(context.Context, cohort.Seat) {}
 	table := func() *way.Table { return n.steward.table.Load() }
-	n.near = &relay.Near{Locality: set.Locality, Table: table, View: func() *cohort.View { return n.steward.view.Load() },
-		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log, Lineage: lin, Claims: claims, Purses: n.steward.purses, Budgets: n.steward.budgets, Costs: way.NewCosts(), Life: p.Life, Draining: n.shut}
+	n.near = &relay.Near{
+		Locality: set.Locality, Table: table, View: func() *cohort.View { return n.steward.view.Load() },
+		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log, Lineage: lin, Claims: claims, Purses: n.steward.purses, Budgets: n.steward.budgets, Costs: way.NewCosts(), Life: p.Life, Draining: n.shut,
+	}
 	n.near.Shun = set.Shun
 	n.near.Unsure = n.unsure
 	n.near.Home, n.near.Dialect, n.near.Hold, n.near.ComeBack, n.near.Late, n.near.Crossing = set.Caller, relay.Plain{}, set.Hold, set.ComeBack, set.Late, set.Crossing
@@ -104,8 +106,10 @@
 	n.holder = holder
 	maps.Copy(p.Host.Handlers, holder.Handlers())
 	n.near.Bodies = &relay.Bodies{Most: set.MaxBody, All: set.BodyMemory}
-	n.near.Custody = &custody.Owner{Own: set.Advertise, Boot: p.Boot, Locality: set.Locality, View: watcher.View, Net: p.Net, Launcher: p.Launcher,
-		Known: n.known, Restore: n.near.Restore}
+	n.near.Custody = &custody.Owner{
+		Own: set.Advertise, Boot: p.Boot, Locality: set.Locality, View: watcher.View, Net: p.Net, Launcher: p.Launcher,
+		Known: n.known, Restore: n.near.Restore,
+	}
 	n.near.Custody.Begin()
 	n.far = relay.NewFar(p.Life, p.Launcher)
 	n.far.Boot, n.far.Table, n.far.Queue, n.far.Lineage, n.far.Draining = p.Boot, table, n.queue, lin, n.draining.Load
@@ -137,12 +141,14 @@
 			p.Fail("outgoing "+svc, err)
 		}
 	}
-	follower := &feed.Follower{Own: set.Advertise, Locality: set.Locality, Seats: n.seeker.Seats, Net: p.Net, Hasten: n.seeker.Hasten,
+	follower := &feed.Follower{
+		Own: set.Advertise, Locality: set.Locality, Seats: n.seeker.Seats, Net: p.Net, Hasten: n.seeker.Hasten,
 		Take: func(ctx context.Context, c cohort.Seat, news feed.News, asked time.Time) {
 			// No more is asked for before it is in force: of words that come faster
 			// than that, the core then tells the newest only. (DESIGN 8.2)
 			launch.Ask(ctx, n.steward.box, func(r chan<- bool) any { return msgNews{c, news, asked, r} })
-		}}
+		},
+	}
 	for name, run := range map[string]func(context.Context){
 		"net": p.Net.Run, "host": p.Host.Run, "steward": n.steward.run, "seeker": n.seeker.Run,
 		"lineage": lin.Run, "claims": claims.Run, "follower": follower.Run, "watcher": watcher.Run, "rollcall": rollcall.Run, "holder": holder.Run, "custody": n.near.Custody.Run,
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -122,8 +122,10 @@
 // Node is what this sidecar tells of itself.
 func (s *steward) node() cohort.Node {
 	r := s.roster.Load()
-	return cohort.Node{Addr: s.addr, Boot: s.boot, Rev: r.Rev, Locality: s.locality, Stamp: s.table.Load().Stamp, Backends: r.Backends(), Inc: s.inc.Load(), Open: r.Open(),
-		Accuses: s.watcher.Accused(), Budgets: s.budgets.Own()}
+	return cohort.Node{
+		Addr: s.addr, Boot: s.boot, Rev: r.Rev, Locality: s.locality, Stamp: s.table.Load().Stamp, Backends: r.Backends(), Inc: s.inc.Load(), Open: r.Open(),
+		Accuses: s.watcher.Accused(), Budgets: s.budgets.Own(),
+	}
 }
 
 // services lists the services that ways lead to and backends are of.
