Take no order on a zone for half a second after a core has woken

Cause: proof.TestOldEvacuationAtFrozenCore/2DELETE failed in 1 of 3 and 1 of 8 runs on a busy machine: an old DELETE undid a newer PUT. Read from the code, not traced: a woken core reads the copy that lay in its socket, binds it to a majority's newest stamp within milliseconds, and net/http learns that the caller has closed only after the context was asked. Change: Health notices a gap of 0.4 s in the keeper's ticks; an order on a zone within 0.5 s of it gets 503, and its caller, if it is there, goes to the next core.

--- a/core/door.go
+++ b/core/door.go
@@ -48,10 +48,11 @@
 // evacuate carries an order on a locality out. It is bound to what was settled when it
 // came, so that it does not undo what is ordered there after it, however late it is
 // carried out; and it is not begun if whoever gave it has gone away meanwhile, since the
-// same was then given elsewhere, and perhaps something newer. (DESIGN 6.3)
+// same was then given elsewhere, and perhaps something newer. A core that has just woken
+// can't know that yet, and takes none. (DESIGN 6.3)
 func (n *Node) evacuate(ctx context.Context, o register.Order) register.Answer {
-	if !n.keeper.Connected() {
-		return register.Answer{Result: register.NotTaken} // nor could it be carried out
+	if !n.keeper.Connected() || n.keeper.Woken() {
+		return register.Answer{Result: register.NotTaken}
 	}
 	since, ok := n.keeper.Newest(ctx, n.refresh)
 	if !ok || ctx.Err() != nil {
--- a/proof/defects/all.go
+++ b/proof/defects/all.go
@@ -63,6 +63,7 @@
 	{readBack, "register/clerk.go", "w.Edition, w.Sent, w.Taken = o.Edition, o.Sent, w.Take(o.Edition, o.Digest)", "w.Edition, w.Sent, w.Taken = o.Edition, o.Sent, nil", "./register", "TestOneNumberOneConfiguration", nil},
 	{readBack, "register/disk.go", "Sent: h.Sent, Taken: h.Taken,", "Sent: h.Sent,", "./register", "TestTakenNumbersOnDisk", nil},
 	{emptied, "core/door.go", "n.keeper.Newest(ctx, n.refresh)\n\tif !ok || ctx.Err() != nil {", "n.keeper.Newest(context.WithoutCancel(ctx), n.refresh)\n\tif !ok {", "./proof", "TestOldEvacuationAtFrozenCore", nil},
+	{emptied, "register/health.go", "return now-h.seen > wakeGap || h.woken", "return h.woken", "./register", "TestWoken", nil},
 	{emptied, "register/clerk.go", "case at <= *o.Since:", "case at <= *o.Since || true:", "./register", "TestOldCopyOfAnEvacuation", nil},
 	{emptied, "register/disk.go", "Evacuations: h.Evacuations, Forgotten: h.Forgotten,", "", "./register", "TestEvacuationsOnDisk", nil},
 	{force, "feed/item.go", "return it == Item{}", "return it.Word == nil", "./feed", "TestNewestWordOnly", nil},
--- a/register/health_test.go
+++ b/register/health_test.go
@@ -34,3 +34,28 @@
 		t.Error("what lacks is told wrongly")
 	}
 }
+
+// A keeper that was still for longer than a gap counts as woken, from before its thread
+// runs again until what piled up has been seen to.
+func TestWoken(t *testing.T) {
+	var h Health
+	now := time.Duration(0)
+	for range 20 {
+		now += tickEvery
+		if h = h.Seen(now); h.Woken(now) || h.Woken(now+wakeGap) {
+			t.Fatalf("woken at %v, without a gap", now)
+		}
+	}
+	now += wakeGap + 1
+	if !h.Woken(now) {
+		t.Error("not woken before its thread has run")
+	}
+	for woken := now; now < woken+wokenFor; now += tickEvery {
+		if h = h.Seen(now); !h.Woken(now) {
+			t.Errorf("not woken any more after %v", now-woken)
+		}
+	}
+	if h = h.Seen(now); h.Woken(now) {
+		t.Error("woken for ever")
+	}
+}
--- a/register/keeper.go
+++ b/register/keeper.go
@@ -212,6 +212,9 @@
 // Connected tells whether a majority answered this core lately.
 func (k *Keeper) Connected() bool { return k.Health().Connected(k.now()) }
 
+// Woken tells whether the process was frozen just now.
+func (k *Keeper) Woken() bool { return k.Health().Woken(k.now()) }
+
 // now is the time since the keeper's start.
 func (k *Keeper) now() time.Duration { return time.Since(k.start) }
 
@@ -427,6 +430,7 @@
 	case msgLooked:
 		k.looked(ctx, m)
 	case msgTick:
+		k.note(k.Health().Seen(now))
 		k.tick(ctx, now)
 	}
 	if k.sure.open && k.told >= k.sure.stamp {
