--- a/cohort/digest_test.go
+++ b/cohort/digest_test.go
@@ -9,7 +9,7 @@
 	"github.com/google/go-cmp/cmp"
 )
 
-// crier is a process that hails cores; a core has a seat.
+// crier is a process that heartbeats cores; a core has a seat.
 type crier struct {
 	addr  string
 	seat  *Seat
@@ -17,13 +17,13 @@
 	talks map[string]Talk
 }
 
-func (p *crier) all() Hail {
-	return Hail{Seat: p.seat, Know: p.seats.All(), Digest: p.seats.Digest(p.seat)}
+func (p *crier) all() Heartbeat {
+	return Heartbeat{Seat: p.seat, Know: p.seats.All(), Digest: p.seats.Digest(p.seat)}
 }
 
-// hail has one call made: the hail or its receipt may be lost. It returns what was
+// heartbeat has one call made: the heartbeat or its receipt may be lost. It returns what was
 // told and answered.
-func (p *crier) hail(o *crier, now time.Time, lost int) (told, receipt Hail) {
+func (p *crier) heartbeat(o *crier, now time.Time, lost int) (told, receipt Heartbeat) {
 	told = p.talks[o.addr].Tell(p.all(), false)
 	told.Have = p.seats.Mark(o.addr)
 	if lost == 0 {
@@ -38,7 +38,7 @@
 	p.talks[o.addr] = next
 	p.seats, _ = p.seats.Heard(receipt, now)
 	if again {
-		p.hail(o, now, 2)
+		p.heartbeat(o, now, 2)
 	}
 	return told, receipt
 }
@@ -71,7 +71,7 @@
 			s = s.Marked()
 			c.seat = &s
 		}
-		beat := func(lossy bool) (told []Hail) {
+		beat := func(lossy bool) (told []Heartbeat) {
 			now += Beat
 			for _, p := range all {
 				for _, o := range all[:cores] {
@@ -85,7 +85,7 @@
 					if p.seat != nil {
 						word(p, func(s *Seat) { s.Wall = base.Add(now).UnixNano() })
 					}
-					a, b := p.hail(o, base.Add(now), lost)
+					a, b := p.heartbeat(o, base.Add(now), lost)
 					told = append(told, a, b)
 				}
 			}
--- a/cohort/hail.go
+++ b/cohort/heartbeat.go
@@ -2,11 +2,11 @@
 
 import "curlewwalk/contract"
 
-// Hail is how processes find and tell one another: who calls, and whom it
-// knows. The receipt is a Hail too. To one that has shown that it understands
+// Heartbeat is how processes find and tell one another: who calls, and whom it
+// knows. The receipt is a Heartbeat too. To one that has shown that it understands
 // them, differences are told: a node's pulse, a seat's mark, and whom one knows
 // only while the digests differ. (DESIGN 7.1)
-type Hail struct {
+type Heartbeat struct {
 	Node  *Node  `msgpack:"n,omitempty"`
 	Pulse *Pulse `msgpack:"p,omitempty"`
 	Seat  *Seat  `msgpack:"s,omitempty"`
@@ -14,7 +14,7 @@
 	// core's wall clock then, if it is told to a core.
 	Same uint64 `msgpack:"sm,omitempty"`
 	Wall int64  `msgpack:"w,omitempty"`
-	// Have is the mark of the seat that the caller has of whom it hails.
+	// Have is the mark of the seat that the caller has of whom it heartbeats.
 	Have uint64 `msgpack:"hv,omitempty"`
 	Know []Seat `msgpack:"k,omitempty"`
 	// Digest is that of the seats that the teller knows. It is never zero: none is
@@ -31,5 +31,5 @@
 	Budgets map[string]contract.Tally `msgpack:"bu,omitempty"`
 }
 
-// KindHail is the call's kind on the wire.
-const KindHail = "hail"
+// KindHeartbeat is the call's kind on the wire.
+const KindHeartbeat = "hail"
--- a/cohort/seats.go
+++ b/cohort/seats.go
@@ -198,9 +198,9 @@
 	return 0
 }
 
-// Heard takes what a hail or a receipt tells, and returns the seat that spoke for
+// Heard takes what a heartbeat or a receipt tells, and returns the seat that spoke for
 // itself, if one did.
-func (s Seats) Heard(h Hail, now time.Time) (next Seats, spoke *Seat) {
+func (s Seats) Heard(h Heartbeat, now time.Time) (next Seats, spoke *Seat) {
 	spoke = h.Seat
 	if c, ok := s.Marked(h.Same); ok && spoke == nil {
 		c.Wall, spoke = h.Wall, &c
@@ -211,10 +211,10 @@
 	return s.Hearsay(h.Know, now), spoke
 }
 
-// Answer is the receipt to a hail, as far as it is of cores; own is the seat of whom
+// Answer is the receipt to a heartbeat, as far as it is of cores; own is the seat of whom
 // answers, if it has one, and digest that of what it knows.
-func (s Seats) Answer(h Hail, own *Seat, digest uint64) Hail {
-	out := Hail{Digest: digest}
+func (s Seats) Answer(h Heartbeat, own *Seat, digest uint64) Heartbeat {
+	out := Heartbeat{Digest: digest}
 	if _, ok := s.Marked(h.Same); h.Same != 0 && !ok {
 		out.Whole = true
 	}
@@ -258,7 +258,7 @@
 	return h.seat, ok
 }
 
-// Targets lists whom to hail: all cores and candidates, and the seeds
+// Targets lists whom to heartbeat: all cores and candidates, and the seeds
 // while any slot lacks a live core.
 func (s Seats) Targets(own string, seeds []string, now time.Time) []string {
 	set := map[string]bool{}
--- a/cohort/seats_test.go
+++ b/cohort/seats_test.go
@@ -11,7 +11,7 @@
 }
 
 // The newest set that any core told of is the one that counts; a struck slot's core
-// is forgotten once it is silent, and its address is not hailed any more.
+// is forgotten once it is silent, and its address is not heartbeated any more.
 func TestSeatsFollowTheSet(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var s Seats
@@ -32,11 +32,11 @@
 		t.Error("the struck slot's core lingers")
 	}
 	if got := s.Targets("a", []string{"x"}, now); !slices.Equal(got, []string{"c", "d", "x"}) {
-		t.Errorf("hails %v", got)
+		t.Errorf("heartbeats to %v", got)
 	}
 	s = s.Hear(seat(4, "d", 3, 1, 3, 4), now)
 	if got := s.Targets("a", []string{"x"}, now); !slices.Equal(got, []string{"c", "d"}) {
-		t.Errorf("hails %v though all slots live", got)
+		t.Errorf("heartbeats to %v though all slots live", got)
 	}
 	// Two of the set refuse: the third is no majority, whoever sat in 2.
 	s = s.Refused("c", now.Add(time.Millisecond)).Refused("d", now.Add(time.Millisecond))
--- a/cohort/seeker.go
+++ b/cohort/seeker.go
@@ -22,21 +22,21 @@
 	apart = 20 * time.Millisecond // (ours)
 )
 
-// Seeker finds the cores and keeps hailing them. (DESIGN 7.1)
+// Seeker finds the cores and keeps heartbeating them. (DESIGN 7.1)
 type Seeker struct {
-	Own      func() Hail
+	Own      func() Heartbeat
 	Addr     string
 	Net      *wire.Net
 	Launcher *launch.Launcher
 	// Heard is told of each seat that spoke for itself; it must not wait.
 	Heard func(ctx context.Context, c Seat)
 	// Told, if set, is handed each receipt; it must not wait.
-	Told func(ctx context.Context, h Hail)
+	Told func(ctx context.Context, h Heartbeat)
 
 	seeds  atomic.Pointer[[]string]
 	table  atomic.Pointer[Seats]
 	digest atomic.Uint64 // of the table and the own seat
-	inbox  chan Hail
+	inbox  chan Heartbeat
 	back   chan echo
 	hasten chan struct{}
 
@@ -48,17 +48,17 @@
 	began time.Time // the last round
 }
 
-// echo is how a hail went; receipt is nil if there is none.
+// echo is how a heartbeat went; receipt is nil if there is none.
 type echo struct {
 	addr    string
-	told    Hail
-	receipt *Hail
+	told    Heartbeat
+	receipt *Heartbeat
 	refused bool
 }
 
 // NewSeeker makes a seeker; the exported fields are set by the caller.
 func NewSeeker() *Seeker {
-	s := &Seeker{inbox: make(chan Hail, 64), back: make(chan echo), hasten: make(chan struct{}, 1), talks: map[string]Talk{}}
+	s := &Seeker{inbox: make(chan Heartbeat, 64), back: make(chan echo), hasten: make(chan struct{}, 1), talks: map[string]Talk{}}
 	s.hold(Seats{})
 	s.SetSeeds(nil)
 	return s
@@ -73,7 +73,7 @@
 // Seats is the current table.
 func (s *Seeker) Seats() Seats { return *s.table.Load() }
 
-// Hasten makes the next round of hails start at once.
+// Hasten makes the next round of heartbeats start at once.
 func (s *Seeker) Hasten() {
 	select {
 	case s.hasten <- struct{}{}:
@@ -81,25 +81,25 @@
 	}
 }
 
-// Hear takes what arrived in a hail or its receipt; when the inbox is full it
+// Hear takes what arrived in a heartbeat or its receipt; when the inbox is full it
 // is dropped, since it will be told again.
-func (s *Seeker) Hear(h Hail) {
+func (s *Seeker) Hear(h Heartbeat) {
 	select {
 	case s.inbox <- h:
 	default:
 	}
 }
 
-// Answer is the receipt to a hail, as far as it is of cores; own is the seat of whom
+// Answer is the receipt to a heartbeat, as far as it is of cores; own is the seat of whom
 // answers, if it has one.
-func (s *Seeker) Answer(h Hail, own *Seat) Hail {
+func (s *Seeker) Answer(h Heartbeat, own *Seat) Heartbeat {
 	if h.Seat != nil || h.Same != 0 || len(h.Know) > 0 {
 		s.Hear(h)
 	}
 	return s.Seats().Answer(h, own, s.digest.Load())
 }
 
-// Run hails in rhythm until ctx ends.
+// Run heartbeats in rhythm until ctx ends.
 func (s *Seeker) Run(ctx context.Context) {
 	tick, rest := time.NewTicker(Beat), time.NewTimer(0)
 	defer tick.Stop()
@@ -129,7 +129,7 @@
 	s.digest.Store(t.Digest(s.seat))
 }
 
-func (s *Seeker) take(ctx context.Context, h Hail) {
+func (s *Seeker) take(ctx context.Context, h Heartbeat) {
 	before := len(s.Seats().Known())
 	t, spoke := s.Seats().Heard(h, time.Now())
 	s.hold(t)
@@ -156,8 +156,8 @@
 	}
 }
 
-// all is a hail that tells all.
-func (s *Seeker) all() Hail {
+// all is a heartbeat that tells all.
+func (s *Seeker) all() Heartbeat {
 	h := s.Own()
 	s.seat = h.Seat
 	s.hold(s.Seats())
@@ -168,7 +168,7 @@
 	return h
 }
 
-// round hails everybody; due tells whether tallies and sums are.
+// round heartbeats everybody; due tells whether tallies and sums are.
 func (s *Seeker) round(ctx context.Context, due bool) {
 	s.began = time.Now()
 	all, targets := s.all(), s.Seats().Targets(s.Addr, *s.seeds.Load(), s.began)
@@ -185,15 +185,15 @@
 	}
 }
 
-// tell hails one process with what it lacks.
-func (s *Seeker) tell(ctx context.Context, addr string, all Hail, due bool) {
+// tell heartbeats one process with what it lacks.
+func (s *Seeker) tell(ctx context.Context, addr string, all Heartbeat, due bool) {
 	e := echo{addr: addr, told: s.talks[addr].Tell(all, due)}
 	e.told.Have = s.Seats().Mark(addr)
-	s.Launcher.Go(ctx, "hail", func(ctx context.Context) {
+	s.Launcher.Go(ctx, "heartbeat", func(ctx context.Context) {
 		call, cancel := context.WithTimeout(ctx, Silence/2)
 		defer cancel()
-		var h Hail
-		r := s.Net.Call(call, addr, wire.Control, KindHail, e.told)
+		var h Heartbeat
+		r := s.Net.Call(call, addr, wire.Control, KindHeartbeat, e.told)
 		if e.refused = r.Refused; r.Into(&h) {
 			if e.receipt = &h; s.Told != nil {
 				s.Told(ctx, h)
--- a/cohort/talk.go
+++ b/cohort/talk.go
@@ -1,7 +1,7 @@
 package cohort
 
 // Talk is a decision value: what is told to one process, by what its receipts have
-// shown that it has. Whoever hails keeps one for each address; the zero value is for
+// shown that it has. Whoever heartbeats keeps one for each address; the zero value is for
 // one that has nothing, or whose version does not understand differences. What is
 // taken for known may be wrong, since that process may have started anew: then it asks
 // for the whole. (DESIGN 7.1)
@@ -12,9 +12,9 @@
 	digest uint64
 }
 
-// Tell cuts a hail that tells all to what is to be told; due tells whether the
+// Tell cuts a heartbeat that tells all to what is to be told; due tells whether the
 // tallies are.
-func (t Talk) Tell(all Hail, due bool) Hail {
+func (t Talk) Tell(all Heartbeat, due bool) Heartbeat {
 	if all.Digest == t.digest {
 		all.Know = nil
 	}
@@ -29,8 +29,8 @@
 }
 
 // Answered takes the receipt to what was told and returns the next value; again
-// tells whether to hail at once: something was held back that is not known there.
-func (t Talk) Answered(told, r Hail) (next Talk, again bool) {
+// tells whether to heartbeat at once: something was held back that is not known there.
+func (t Talk) Answered(told, r Heartbeat) (next Talk, again bool) {
 	next.digest = r.Digest
 	again = told.Digest == t.digest && told.Digest != r.Digest
 	if r.Digest == 0 || r.Whole {
--- a/core/applicant.go
+++ b/core/applicant.go
@@ -27,7 +27,7 @@
 		case <-wait.C:
 		}
 		next := cohort.Beat
-		if n.keeper.Voter().Phase == register.Seeking && !n.draining.Load() {
+		if n.keeper.Acceptor().Phase == register.Seeking && !n.draining.Load() {
 			n.ask(ctx)
 			next = applyEvery
 		}
@@ -37,7 +37,7 @@
 
 // ask asks the core on duty, or any that passes it on.
 func (n *Node) ask(ctx context.Context) {
-	a := register.Asker{ID: n.keeper.Voter().Self.ID, Addr: n.set.Advertise, Locality: n.set.Locality}
+	a := register.Asker{ID: n.keeper.Acceptor().Self.ID, Addr: n.set.Advertise, Locality: n.set.Locality}
 	ctx, cancel := context.WithTimeout(ctx, seatLimit)
 	defer cancel()
 	to := n.duty().Addr
--- a/core/control.go
+++ b/core/control.go
@@ -87,7 +87,7 @@
 }
 
 func (n *Node) getState(w http.ResponseWriter, r *http.Request) {
-	v := n.keeper.Voter()
+	v := n.keeper.Acceptor()
 	st := state{Self: n.seat(), Phase: v.Phase, Promised: v.Promised, Mark: v.Mark, Slots: v.Sets(), Seats: v.Seats, Duty: n.duty().Slot, Cores: n.seeker.Seats().Known()}
 	for _, c := range n.seeker.Seats().Live(time.Now()) {
 		st.Live = append(st.Live, c.Slot)
@@ -271,7 +271,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), time.Second)
 	defer cancel()
-	set, own := n.slots(), n.keeper.Voter().Self.Slot
+	set, own := n.slots(), n.keeper.Acceptor().Self.Slot
 	parts := make(chan part, len(set))
 	for _, slot := range set {
 		n.p.Launcher.Go(ctx, "trace-query", func(ctx context.Context) {
--- a/core/door.go
+++ b/core/door.go
@@ -94,7 +94,7 @@
 // Ready tells whether the core serves, and why not.
 func (n *Node) Ready(ctx context.Context) (bool, string) {
 	st, ok := n.directory.State(ctx)
-	lacking := lacksSeat(n.keeper.Voter(), n.joined.Load())
+	lacking := lacksSeat(n.keeper.Acceptor(), n.joined.Load())
 	n.joined.Store(lacking == "")
 	switch {
 	case n.draining.Load():
@@ -113,7 +113,7 @@
 // whether it did when this was last asked. A change of the set that brought it in has to
 // be finished: until then a loss in the set before may stop the cores. Changes after that
 // one leave it a member.
-func lacksSeat(v register.Voter, joined bool) string {
+func lacksSeat(v register.Acceptor, joined bool) string {
 	switch {
 	case v.Phase != register.Established:
 		return "not established in its slot"
--- a/core/door_test.go
+++ b/core/door_test.go
@@ -16,18 +16,18 @@
 	changed := desired.Word{Slots: now}
 	newcomer, struck := register.From{Slot: 4, Inc: 1, ID: 4}, register.From{Slot: 3, Inc: 1, ID: 3}
 	for _, c := range []struct {
-		name   string
-		voter  register.Voter
-		joined bool
-		ready  bool
+		name     string
+		acceptor register.Acceptor
+		joined   bool
+		ready    bool
 	}{
-		{"no seat yet", register.Voter{Self: newcomer, Phase: register.Seeking, Word: changing}, false, false},
-		{"seated by a change that is not finished", register.Voter{Self: newcomer, Phase: register.Established, Word: changing}, false, false},
-		{"seated by a finished change", register.Voter{Self: newcomer, Phase: register.Established, Word: changed}, false, true},
-		{"a member during a later change", register.Voter{Self: newcomer, Phase: register.Established, Word: changing}, true, true},
-		{"struck", register.Voter{Self: struck, Phase: register.Established, Word: changed}, true, false},
+		{"no seat yet", register.Acceptor{Self: newcomer, Phase: register.Seeking, Word: changing}, false, false},
+		{"seated by a change that is not finished", register.Acceptor{Self: newcomer, Phase: register.Established, Word: changing}, false, false},
+		{"seated by a finished change", register.Acceptor{Self: newcomer, Phase: register.Established, Word: changed}, false, true},
+		{"a member during a later change", register.Acceptor{Self: newcomer, Phase: register.Established, Word: changing}, true, true},
+		{"struck", register.Acceptor{Self: struck, Phase: register.Established, Word: changed}, true, false},
 	} {
-		if why := lacksSeat(c.voter, c.joined); (why == "") != c.ready {
+		if why := lacksSeat(c.acceptor, c.joined); (why == "") != c.ready {
 			t.Errorf("%s: %q", c.name, why)
 		}
 	}
--- a/core/leave.go
+++ b/core/leave.go
@@ -24,7 +24,7 @@
 	defer look.Stop()
 	left := false
 	for {
-		v := n.keeper.Voter()
+		v := n.keeper.Acceptor()
 		o, ok := register.Leave(v)
 		switch {
 		case left && v.Phase != register.Established:
--- a/core/metrics.go
+++ b/core/metrics.go
@@ -50,12 +50,12 @@
 func (n *Node) consensusMetrics() []*metrics.Metric {
 	return []*metrics.Metric{
 		metrics.Gauge("term", "Highest term (epoch) that this core has promised, and the one under which it accepted what it holds.", []string{"state"}, func(emit metrics.Emit) {
-			v := n.keeper.Voter()
+			v := n.keeper.Acceptor()
 			emit(float64(v.Promised), "promised")
 			emit(float64(v.Mark.Epoch), "accepted")
 		}),
 		metrics.Gauge("configuration_version", "Version of the configuration that this core accepted, and of the newest that it knows a majority to hold.", []string{"state"}, func(emit metrics.Emit) {
-			v := n.keeper.Voter()
+			v := n.keeper.Acceptor()
 			emit(float64(v.Mark.Stamp), "accepted")
 			emit(float64(v.Settled), "committed")
 		}),
@@ -73,12 +73,12 @@
 func (n *Node) membershipMetrics() []*metrics.Metric {
 	return []*metrics.Metric{
 		metrics.Gauge("members", "Members of the set in force, and of the set before while that is still needed.", []string{"set"}, func(emit metrics.Emit) {
-			sets := n.keeper.Voter().Sets()
+			sets := n.keeper.Acceptor().Sets()
 			emit(float64(len(sets.Now)), "current")
 			emit(float64(len(sets.Before)), "previous")
 		}),
 		metrics.Gauge("member", "Whether this core is a member of the set in force.", nil, metrics.Value(func() float64 {
-			return metrics.Bool(n.keeper.Voter().Member())
+			return metrics.Bool(n.keeper.Acceptor().Member())
 		})),
 		metrics.Gauge("cores_live", "Other cores that are heard.", nil, metrics.Value(func() float64 {
 			return float64(len(n.seeker.Seats().Live(time.Now())))
--- a/core/node.go
+++ b/core/node.go
@@ -60,13 +60,13 @@
 	n.usher = newUsher(n)
 	n.keeper.Settled = func(ctx context.Context, w desired.Word) { n.directory.Settled(ctx, w) }
 	n.keeper.Confirmed, n.keeper.Turned = n.confirmed, n.seeker.Hasten
-	n.seeker.Own = func() cohort.Hail { return cohort.Hail{Seat: n.told()} }
+	n.seeker.Own = func() cohort.Heartbeat { return cohort.Heartbeat{Seat: n.told()} }
 	n.seeker.Addr, n.seeker.Net, n.seeker.Launcher, n.seeker.Heard = set.Advertise, p.Net, p.Launcher, n.heard
-	n.seeker.Hear(cohort.Hail{Know: remembered(n.keeper.Voter())})
+	n.seeker.Hear(cohort.Heartbeat{Know: remembered(n.keeper.Acceptor())})
 	n.reload = &process.Reloader{Seeker: n.seeker}
 	n.reload.Apply(set.Common)
 
-	p.Host.Handlers[cohort.KindHail] = n.hail
+	p.Host.Handlers[cohort.KindHeartbeat] = n.heartbeat
 	p.Host.Handlers[feed.KindFollow] = n.directory.Answer
 	maps.Copy(p.Host.Handlers, n.keeper.Handlers())
 	p.Host.Handlers[register.KindSeat] = n.usher.asked
@@ -101,7 +101,7 @@
 
 // seat is what this core tells of itself.
 func (n *Node) seat() cohort.Seat {
-	v := n.keeper.Voter()
+	v := n.keeper.Acceptor()
 	s := cohort.Seat{
 		Slot: v.Self.Slot, Addr: n.set.Advertise, Inc: v.Self.Inc, Boot: n.p.Boot,
 		Locality: n.set.Locality, Established: v.Phase == register.Established, Settled: v.Settled, Wall: clock.Wall().UnixNano(),
@@ -124,9 +124,9 @@
 	return &s
 }
 
-// remembered are the members that a disk tells of: they are hailed first, whatever
+// remembered are the members that a disk tells of: they are heartbeated first, whatever
 // the seeds are now.
-func remembered(v register.Voter) (out []cohort.Seat) {
+func remembered(v register.Acceptor) (out []cohort.Seat) {
 	for _, m := range v.Sets().Union() {
 		if m.Addr != "" && m.ID != v.Self.ID {
 			out = append(out, cohort.Seat{Slot: m.Slot, Addr: m.Addr})
@@ -144,11 +144,11 @@
 	return s
 }
 
-// hail answers another process.
-func (n *Node) hail(ctx context.Context, in wire.Inquiry) (any, string) {
-	var h cohort.Hail
+// heartbeat answers another process.
+func (n *Node) heartbeat(ctx context.Context, in wire.Inquiry) (any, string) {
+	var h cohort.Heartbeat
 	if !in.Into(&h) {
-		return nil, "not a hail"
+		return nil, "not a heartbeat"
 	}
 	out, addr := n.seeker.Answer(h, n.told()), ""
 	switch {
@@ -170,7 +170,7 @@
 
 // heard copies what another core has and this one lacks. (DESIGN 6.4)
 func (n *Node) heard(ctx context.Context, c cohort.Seat) {
-	v := n.keeper.Voter()
+	v := n.keeper.Acceptor()
 	if (v.Phase == register.Established || v.Phase == register.Seeking) && c.Settled > v.Settled {
 		n.p.Launcher.Go(ctx, "catch", func(ctx context.Context) { n.keeper.Catch(ctx, c.Addr) })
 	}
@@ -189,7 +189,7 @@
 
 // slots is the newest set of slots that this core knows of.
 func (n *Node) slots() []int {
-	v := n.keeper.Voter()
+	v := n.keeper.Acceptor()
 	if set, _, held := n.seeker.Seats().Set(); len(set) > 0 && (held > v.Mark.Stamp || len(v.Sets().Now) == 0) {
 		return set
 	}
--- a/core/usher.go
+++ b/core/usher.go
@@ -14,7 +14,7 @@
 // seatLimit is how long a core that asks for a seat waits for the answer.
 const seatLimit = 2 * time.Second // (ours)
 
-// restFor is how long operators' orders have the clerk for themselves after a change
+// restFor is how long operators' orders have the proposer for themselves after a change
 // of the set that was not taken.
 const restFor = time.Second // (ours)
 
@@ -89,7 +89,7 @@
 }
 
 func (u *usher) on(ctx context.Context, msg any) {
-	now, v := time.Since(u.start), u.n.keeper.Voter()
+	now, v := time.Since(u.start), u.n.keeper.Acceptor()
 	switch m := msg.(type) {
 	case msgAsk:
 		if v.Member() && u.n.OnDuty() {
@@ -127,7 +127,7 @@
 // places tells of each slot whether its core is live; the own one is.
 func (u *usher) places() map[int]register.Place {
 	out := places(u.n.seeker.Seats())
-	if v := u.n.keeper.Voter(); v.Self.Slot != 0 {
+	if v := u.n.keeper.Acceptor(); v.Self.Slot != 0 {
 		out[v.Self.Slot] = register.Place{Addr: u.n.set.Advertise, Live: true}
 	}
 	return out
--- a/core/warden.go
+++ b/core/warden.go
@@ -29,7 +29,7 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			if w.n.OnDuty() && w.n.keeper.Voter().Phase == register.Established {
+			if w.n.OnDuty() && w.n.keeper.Acceptor().Phase == register.Established {
 				w.look(ctx)
 			}
 		}
@@ -58,5 +58,5 @@
 
 // wall is the middle one of the cores' wall clocks.
 func (n *Node) wall() time.Time {
-	return n.seeker.Seats().Wall(clock.Wall(), n.keeper.Voter().Self.Slot, time.Now())
+	return n.seeker.Seats().Wall(clock.Wall(), n.keeper.Acceptor().Self.Slot, time.Now())
 }
--- a/feed/directory.go
+++ b/feed/directory.go
@@ -23,7 +23,7 @@
 	force []force
 	// sure is as of when no newer word had been acknowledged; zero if never.
 	sure time.Time
-	// budgets are the sums over all nodes, for whoever hails.
+	// budgets are the sums over all nodes, for whoever heartbeats.
 	budgets atomic.Pointer[map[string]contract.Tally]
 	accused atomic.Pointer[map[string]uint64]
 }
--- a/feed/talk_test.go
+++ b/feed/talk_test.go
@@ -15,21 +15,21 @@
 	"curlewwalk/contract"
 )
 
-// teller is a sidecar that hails one core.
+// teller is a sidecar that heartbeats one core.
 type teller struct {
 	node cohort.Node
 	talk cohort.Talk
 }
 
-// letter is a hail or its receipt, under way.
+// letter is a heartbeat or its receipt, under way.
 type letter struct {
 	from    *teller
 	boot    uint64
-	told    cohort.Hail
-	receipt *cohort.Hail
+	told    cohort.Heartbeat
+	receipt *cohort.Heartbeat
 }
 
-// talks is a core, whose version may be an old one, and the sidecars that hail it.
+// talks is a core, whose version may be an old one, and the sidecars that heartbeat it.
 type talks struct {
 	t       *testing.T
 	rng     *rand.Rand
@@ -42,7 +42,7 @@
 	short, whole, asked int
 }
 
-func (k *talks) backends(n cohort.Node) []cohort.Backend {
+func (*talks) backends(n cohort.Node) []cohort.Backend {
 	return []cohort.Backend{{Instance: fmt.Sprint(n.Boot, " ", n.Rev)}}
 }
 
@@ -56,11 +56,11 @@
 	s.node.Backends = k.backends(s.node)
 }
 
-// tell sends a hail off.
+// tell sends a heartbeat off.
 func (k *talks) tell(s *teller, due bool) letter {
 	s.node.Turn++
 	n := s.node
-	told := s.talk.Tell(cohort.Hail{Node: &n, Digest: 7}, due)
+	told := s.talk.Tell(cohort.Heartbeat{Node: &n, Digest: 7}, due)
 	if told.Pulse != nil {
 		k.short++
 	} else {
@@ -69,9 +69,9 @@
 	return letter{from: s, boot: n.Boot, told: told}
 }
 
-// reach has a hail reach the core, as far as its version understands it.
+// reach has a heartbeat reach the core, as far as its version understands it.
 func (k *talks) reach(l letter) letter {
-	r := cohort.Hail{Digest: 7}
+	r := cohort.Heartbeat{Digest: 7}
 	switch {
 	case l.told.Node != nil:
 		k.feed.Told(*l.told.Node, k.now)
@@ -90,7 +90,7 @@
 	return l
 }
 
-// back has a receipt come back; more is a hail that goes off at once.
+// back has a receipt come back; more is a heartbeat that goes off at once.
 func (k *talks) back(l letter) (more letter, again bool) {
 	s := l.from
 	if l.boot != s.node.Boot {
@@ -155,9 +155,9 @@
 	return open
 }
 
-// Through lost, late and overtaken hails and receipts, starts anew of the core and of
+// Through lost, late and overtaken heartbeats and receipts, starts anew of the core and of
 // sidecars, and a core that is of an older version for a while, a core never has a
-// node with other backends than it told, and has what is newest of it after two hails
+// node with other backends than it told, and has what is newest of it after two heartbeats
 // that are answered, whatever it told before arrives later.
 func TestTalk(t *testing.T) {
 	short, whole, asked := 0, 0, 0
@@ -174,14 +174,14 @@
 			if rng.IntN(20) > 0 {
 				continue
 			}
-			// Two hails of one are answered, at once after one another.
+			// Two heartbeats of one are answered, at once after one another.
 			s := k.sides[rng.IntN(len(k.sides))]
 			l, again := k.back(k.reach(k.tell(s, true)))
 			if !again {
 				l = k.tell(s, true)
 			}
 			if _, again = k.back(k.reach(l)); again {
-				t.Fatalf("seed %d: a third hail is asked for", seed)
+				t.Fatalf("seed %d: a third heartbeat is asked for", seed)
 			}
 			// What it told before and what comes only now changes nothing any more.
 			k.letters = slices.DeleteFunc(k.letters, func(l letter) bool {
@@ -199,8 +199,8 @@
 		}
 		short, whole, asked = short+k.short, whole+k.whole, asked+k.asked
 	}
-	t.Logf("%d short hails, %d whole ones, %d of them asked for", short, whole, asked)
+	t.Logf("%d short heartbeats, %d whole ones, %d of them asked for", short, whole, asked)
 	if asked == 0 || short == 0 {
-		t.Errorf("%d short hails, %d whole ones, %d of them asked for", short, whole, asked)
+		t.Errorf("%d short heartbeats, %d whole ones, %d of them asked for", short, whole, asked)
 	}
 }
--- a/proof/exact_test.go
+++ b/proof/exact_test.go
@@ -171,7 +171,7 @@
 	r := newRig(t)
 	release := make(chan struct{})
 	var runs atomic.Int64
-	r.backend(1, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+	r.backend(1, http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
 		runs.Add(1)
 		io.Copy(io.Discard, q.Body)
 		<-release
--- a/proof/gate_test.go
+++ b/proof/gate_test.go
@@ -24,7 +24,7 @@
 	t.Parallel()
 	r := newRig(t)
 	running, release := make(chan struct{}, 1), make(chan struct{})
-	r.backend(1, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+	r.backend(1, http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
 		io.Copy(io.Discard, q.Body)
 		running <- struct{}{}
 		<-release
@@ -56,7 +56,7 @@
 	t.Parallel()
 	r := newRig(t)
 	var runs atomic.Int64
-	r.backend(1, http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { runs.Add(1) }))
+	r.backend(1, http.HandlerFunc(func(_ http.ResponseWriter, _ *http.Request) { runs.Add(1) }))
 	c, err := net.Dial("tcp", r.Inquiries(0))
 	must(t, err)
 	defer c.Close()
@@ -342,7 +342,7 @@
 	}
 	tell("hotline")
 	var a int
-	must(t, awaitPage(r.ctx, func(ctx context.Context) bool {
+	must(t, awaitPage(r.ctx, func(_ context.Context) bool {
 		resp, err := http.Post("http://"+old+"/once/x", "text/plain", bytes.NewReader([]byte("x")))
 		if err != nil {
 			t.Fatalf("the address that hotline was told: %v", err)
--- a/proof/messages/messages_test.go
+++ b/proof/messages/messages_test.go
@@ -60,7 +60,7 @@
 // kinds are all that are registered on the wire, each way.
 var kinds = []kind{
 	of("greeting", wire.Greeting{Version: 1, Node: "n", Boot: 7}, func(wire.Greeting) {}),
-	of(cohort.KindHail, cohort.Hail{Node: &node, Seat: &seat, Know: []cohort.Seat{seat}, Digest: 3, Have: 8}, hail),
+	of(cohort.KindHeartbeat, cohort.Heartbeat{Node: &node, Seat: &seat, Know: []cohort.Seat{seat}, Digest: 3, Have: 8}, heartbeat),
 	of(cohort.KindProbe, cohort.Probe{Boot: 7, Inc: 1}, probe),
 	of(cohort.KindGossip, cohort.Gossip{Own: peer, Digest: 3, Fetch: &cohort.Fetch{Nodes: []string{"x"}, Word: true, Stamp: 4}}, func(cohort.Gossip) {}),
 	of("gossiped", cohort.Gossiped{Peers: []cohort.Peer{peer}, Word: &word, Nodes: []cohort.Node{node}, Know: []cohort.Seat{seat}}, gossiped),
@@ -92,7 +92,7 @@
 	cohort.NewView(all, nil).Nodes()
 }
 
-func hail(h cohort.Hail) {
+func heartbeat(h cohort.Heartbeat) {
 	now := time.Now()
 	seats, _ := cohort.Seats{}.Heard(h, now)
 	seats, _ = seats.Heard(h, now.Add(cohort.Beat))
@@ -134,7 +134,7 @@
 	c := feed.NewCopy()
 	c.Meet(g.Nodes, map[string]uint64{node.Addr: 7})
 	see(g.Nodes...)
-	hail(cohort.Hail{Know: g.Know})
+	heartbeat(cohort.Heartbeat{Know: g.Know})
 	inForce(g.Word)
 }
 
@@ -165,12 +165,12 @@
 	c.Take(n)
 }
 
-func voter() register.Voter {
-	return register.Voter{Self: from, Mark: mark, Word: word, Seats: map[int]register.Chair{}}
+func acceptor() register.Acceptor {
+	return register.Acceptor{Self: from, Mark: mark, Word: word, Seats: map[int]register.Chair{}}
 }
 
 func ballot(b register.Ballot) {
-	next, _ := voter().On(b)
+	next, _ := acceptor().On(b)
 	next, _ = next.On(b)
 	next.Sets()
 	inForce(&next.Word)
@@ -178,7 +178,7 @@
 
 func vote(v register.Vote) {
 	v.By(word.Slots[0])
-	register.Top(map[int]register.Vote{1: v}, voter().Sets())
+	register.Top(map[int]register.Vote{1: v}, acceptor().Sets())
 }
 
 func patched(p desired.Patch) {
@@ -197,7 +197,7 @@
 func asker(a register.Asker) {
 	u := register.Usher{GoneFor: time.Second}
 	u = u.Look(word.Slots, nil, time.Second)
-	u.Seat(a, voter(), map[int]register.Place{1: {Addr: a.Addr}}, 2*time.Second)
+	u.Seat(a, acceptor(), map[int]register.Place{1: {Addr: a.Addr}}, 2*time.Second)
 }
 
 func batch(b collect.Batch) {
--- a/proof/model/check.go
+++ b/proof/model/check.go
@@ -13,7 +13,7 @@
 func (s *state) view() digest {
 	b := make([]byte, 0, 128)
 	for _, n := range s.nodes {
-		b = append(b, n.voter[:]...)
+		b = append(b, n.acceptor[:]...)
 	}
 	for _, a := range s.acked {
 		b = binary.AppendUvarint(b, a.stamp)
--- a/proof/model/scenario.go
+++ b/proof/model/scenario.go
@@ -27,7 +27,7 @@
 	AfterWipe bool
 }
 
-// order is what the clerk is given: a change of the set is decided on the set that the
+// order is what the proposer is given: a change of the set is decided on the set that the
 // node knows of.
 func (g Given) order(s *state) register.Order {
 	if g.Comes == "" && g.Goes == 0 {
--- a/proof/model/state.go
+++ b/proof/model/state.go
@@ -19,23 +19,23 @@
 	return d
 }
 
-// node is a core: its disk, its memory, and its clerk. It never changes; a step makes
+// node is a core: its disk, its memory, and its proposer. It never changes; a step makes
 // another.
 type node struct {
-	addr   string
-	disk   register.Voter
-	memory register.Voter
-	clerk  *register.Clerk
-	now    time.Duration
-	key    digest
-	voter  digest // of the memory alone
+	addr     string
+	disk     register.Acceptor
+	memory   register.Acceptor
+	proposer *register.Proposer
+	now      time.Duration
+	key      digest
+	acceptor digest // of the memory alone
 }
 
 func (n *node) sealed() *node {
 	b := n.memory.AppendState(make([]byte, 0, 512))
-	n.voter = digestOf(b)
+	n.acceptor = digestOf(b)
 	b = n.disk.AppendState(b)
-	b = n.clerk.AppendState(b, n.now)
+	b = n.proposer.AppendState(b, n.now)
 	n.key = digestOf(b)
 	return n
 }
@@ -117,12 +117,12 @@
 }
 
 // boot starts a core from its disk.
-func boot(addr string, disk register.Voter, now time.Duration) *node {
+func boot(addr string, disk register.Acceptor, now time.Duration) *node {
 	disk.OathDirty, disk.WordDirty = false, false
-	n := &node{addr: addr, disk: disk, memory: disk, clerk: &register.Clerk{}, now: now}
+	n := &node{addr: addr, disk: disk, memory: disk, proposer: &register.Proposer{}, now: now}
 	n.memory.Settled = 0
 	n.memory.Promised = max(disk.Promised, disk.Mark.Epoch)
-	n.clerk.Follow(n.memory, now)
+	n.proposer.Follow(n.memory, now)
 	return n.sealed()
 }
 
--- a/proof/model/step.go
+++ b/proof/model/step.go
@@ -11,7 +11,7 @@
 	"curlewwalk/register"
 )
 
-// later is beyond every limit of the clerk's.
+// later is beyond every limit of the proposer's.
 const later = time.Minute
 
 // never is when orders end.
@@ -109,15 +109,15 @@
 		next.drawn++
 	case timeout:
 		next.left.Timeouts--
-		next.clerk(e.node, func(n *node) []register.Outcome {
+		next.proposer(e.node, func(n *node) []register.Outcome {
 			n.now += later
-			return n.clerk.Tick(n.now)
+			return n.proposer.Tick(n.now)
 		})
 	case give:
 		next.open &^= 1 << e.n
 		o := s.scenario.Orders[e.n].order(s)
 		o.ID, o.Until = uint64(e.n+1), never
-		next.clerk(e.node, func(n *node) []register.Outcome { return n.clerk.Take(o, n.now) })
+		next.proposer(e.node, func(n *node) []register.Outcome { return n.proposer.Take(o, n.now) })
 	}
 	next.forget()
 	return next
@@ -126,42 +126,42 @@
 // take has a node take a message.
 func (s *state) take(m message, torn bool) {
 	if m.vote != nil {
-		s.clerk(m.to, func(n *node) []register.Outcome {
+		s.proposer(m.to, func(n *node) []register.Outcome {
 			if n.memory.Phase != register.Established {
 				return nil
 			}
-			return n.clerk.Hear(*m.vote, n.now)
+			return n.proposer.Hear(*m.vote, n.now)
 		})
 		return
 	}
 	old := s.nodes[m.to]
-	voter, vote := old.memory.On(*m.ballot)
+	acceptor, vote := old.memory.On(*m.ballot)
 	if torn {
 		s.left.Crashes--
 		disk := old.disk
-		disk.Mark, disk.Word = voter.Mark, voter.Word
+		disk.Mark, disk.Word = acceptor.Mark, acceptor.Word
 		s.nodes[m.to] = boot(old.addr, disk, old.now)
 		return
 	}
-	s.save(m.to, voter)
-	s.settles(voter)
+	s.save(m.to, acceptor)
+	s.settles(acceptor)
 	if v := vote.By(desired.Member{Slot: m.slot, ID: m.id}); v != nil && m.ballot.Act != register.Settle {
 		s.post(message{from: m.to, to: m.from, vote: v})
 	}
 }
 
-// save puts on disk what a voter says must be there, and goes on with it.
-func (s *state) save(at int, voter register.Voter) {
+// save puts on disk what an acceptor says must be there, and goes on with it.
+func (s *state) save(at int, acceptor register.Acceptor) {
 	old := s.nodes[at]
-	n := &node{addr: old.addr, disk: old.disk, memory: voter, clerk: old.clerk.Clone(), now: old.now}
-	if voter.WordDirty {
-		n.disk.Mark, n.disk.Word = voter.Mark, voter.Word
+	n := &node{addr: old.addr, disk: old.disk, memory: acceptor, proposer: old.proposer.Clone(), now: old.now}
+	if acceptor.WordDirty {
+		n.disk.Mark, n.disk.Word = acceptor.Mark, acceptor.Word
 	}
-	if voter.OathDirty {
-		n.disk.Self, n.disk.Phase, n.disk.Promised, n.disk.Seats = voter.Self, voter.Phase, voter.Promised, voter.Seats
+	if acceptor.OathDirty {
+		n.disk.Self, n.disk.Phase, n.disk.Promised, n.disk.Seats = acceptor.Self, acceptor.Phase, acceptor.Promised, acceptor.Seats
 	}
 	n.memory.WordDirty, n.memory.OathDirty = false, false
-	n.clerk.Follow(n.memory, n.now)
+	n.proposer.Follow(n.memory, n.now)
 	s.nodes[at] = n.sealed()
 	if n.memory.Struck() {
 		s.save(at, n.memory.Afresh(drawnID(s.drawn)))
@@ -169,10 +169,10 @@
 	}
 }
 
-// clerk lets a node's clerk do something, and carries out what it wants.
-func (s *state) clerk(at int, do func(*node) []register.Outcome) {
+// proposer lets a node's proposer do something, and carries out what it wants.
+func (s *state) proposer(at int, do func(*node) []register.Outcome) {
 	n := *s.nodes[at]
-	n.clerk = n.clerk.Clone()
+	n.proposer = n.proposer.Clone()
 	outs := do(&n)
 	s.nodes[at] = n.sealed()
 	for _, o := range outs {
@@ -198,14 +198,14 @@
 	}
 }
 
-// takeOwn has a node's own voter take its clerk's ballot, and the clerk the vote, at once:
+// takeOwn has a node's own acceptor take its proposer's ballot, and the proposer the vote, at once:
 // both are one core's, and no other message need come between.
 func (s *state) takeOwn(at int, b register.Ballot, m desired.Member) {
-	voter, vote := s.nodes[at].memory.On(b)
-	s.save(at, voter)
-	s.settles(voter)
+	acceptor, vote := s.nodes[at].memory.On(b)
+	s.save(at, acceptor)
+	s.settles(acceptor)
 	if v := vote.By(m); v != nil && b.Act != register.Settle {
-		s.clerk(at, func(n *node) []register.Outcome { return n.clerk.Hear(*v, n.now) })
+		s.proposer(at, func(n *node) []register.Outcome { return n.proposer.Hear(*v, n.now) })
 	}
 }
 
@@ -223,7 +223,7 @@
 func (s *state) forget() {
 	heeded := func(m message) bool {
 		if m.vote != nil {
-			return s.nodes[m.to].clerk.Heeds(*m.vote)
+			return s.nodes[m.to].proposer.Heeds(*m.vote)
 		}
 		to, b := s.nodes[m.to].memory, m.ballot
 		switch b.Act {
@@ -231,9 +231,9 @@
 			return to.Mark.Compare(b.Mark) < 0 || to.Settled < b.Mark.Stamp
 		case register.Propose:
 			stale := to.Promised > b.Epoch || to.Mark.Compare(b.Mark) > 0
-			return !stale || s.nodes[m.from].clerk.Holds(b.Epoch)
+			return !stale || s.nodes[m.from].proposer.Holds(b.Epoch)
 		}
-		return to.Promised <= b.Epoch || s.nodes[m.from].clerk.Holds(b.Epoch)
+		return to.Promised <= b.Epoch || s.nodes[m.from].proposer.Holds(b.Epoch)
 	}
 	if slices.ContainsFunc(s.flight, func(m message) bool { return !heeded(m) }) {
 		s.flight = slices.DeleteFunc(slices.Clone(s.flight), func(m message) bool { return !heeded(m) })
@@ -251,7 +251,7 @@
 	p := proposal{mark: b.Mark, node: at, word: wordDigest(b.Word)}
 	for _, o := range s.proposals {
 		if o.mark.Epoch == p.mark.Epoch && o.node != p.node {
-			s.breaks("two clerks propose in epoch %d", p.mark.Epoch)
+			s.breaks("two proposers propose in epoch %d", p.mark.Epoch)
 		}
 		if o.mark == p.mark && o.word != p.word {
 			s.breaks("two words under mark %v", p.mark)
@@ -265,7 +265,7 @@
 
 func wordDigest(w desired.Word) digest { return digestOf(register.AppendWord(nil, w)) }
 
-func (s *state) settles(v register.Voter) {
+func (s *state) settles(v register.Acceptor) {
 	if v.Settled != 0 && v.Settled == v.Mark.Stamp {
 		s.settle(v.Settled, v.Word)
 	}
--- a/proof/overload_test.go
+++ b/proof/overload_test.go
@@ -55,7 +55,7 @@
 	var open, peak atomic.Int64
 	b := &standin.Backend{
 		Instance: "cold", Service: "desk", Locality: r.Locality(1), Capacity: 10, Share: 0.4, Control: r.Sidecars[1].Control,
-		Ledger: r.Ledger, Client: r.Client, Handle: http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
+		Ledger: r.Ledger, Client: r.Client, Handle: http.HandlerFunc(func(_ http.ResponseWriter, _ *http.Request) {
 			n := open.Add(1)
 			defer open.Add(-1)
 			for old := peak.Load(); n > old && !peak.CompareAndSwap(old, n); old = peak.Load() {
--- a/proof/scale/hollow.go
+++ b/proof/scale/hollow.go
@@ -68,14 +68,14 @@
 	own := wire.Greeting{Version: wire.Version, Node: addr, Boot: h.boot}
 	h.net = wire.NewNet(s.launcher, own, net.IP(ip.AsSlice()))
 	h.host = &wire.Host{Own: own, Launcher: s.launcher, Listener: ln, Handlers: map[string]wire.Handler{
-		cohort.KindHail: h.hail,
+		cohort.KindHeartbeat: h.heartbeat,
 		cohort.KindProbe: func(context.Context, wire.Inquiry) (any, string) {
 			return cohort.Probe{Boot: h.boot, Inc: h.inc.Load()}, ""
 		},
 	}}
 	h.seeker.Addr, h.seeker.Net, h.seeker.Launcher = addr, h.net, s.launcher
 	h.seeker.SetSeeds(s.opt.Seeds)
-	h.seeker.Own = func() cohort.Hail { n := h.node(); return cohort.Hail{Node: &n} }
+	h.seeker.Own = func() cohort.Heartbeat { n := h.node(); return cohort.Heartbeat{Node: &n} }
 	h.seeker.Heard = func(context.Context, cohort.Seat) {}
 	h.seeker.Told = h.told
 	h.watcher.Own, h.watcher.Net, h.watcher.Launcher, h.watcher.Changed = addr, h.net, s.launcher, h.seeker.Hasten
@@ -165,8 +165,8 @@
 	h.view = nil
 }
 
-// told takes a core's receipt to a hail. An accusation is refuted at once.
-func (h *hollow) told(_ context.Context, in cohort.Hail) {
+// told takes a core's receipt to a heartbeat. An accusation is refuted at once.
+func (h *hollow) told(_ context.Context, in cohort.Heartbeat) {
 	if in.Budgets != nil {
 		h.budgets.Hear(in.Budgets)
 	}
@@ -217,7 +217,7 @@
 
 // found takes what other sidecars have, while no core tells.
 func (h *hollow) found(_ context.Context, f cohort.Found) {
-	h.seeker.Hear(cohort.Hail{Know: f.Know})
+	h.seeker.Hear(cohort.Heartbeat{Know: f.Know})
 	for i := range f.Nodes {
 		f.Nodes[i] = *h.shoal.equal(&f.Nodes[i])
 	}
@@ -233,11 +233,11 @@
 	h.force(word)
 }
 
-// hail answers another process.
-func (h *hollow) hail(_ context.Context, in wire.Inquiry) (any, string) {
-	var q cohort.Hail
+// heartbeat answers another process.
+func (h *hollow) heartbeat(_ context.Context, in wire.Inquiry) (any, string) {
+	var q cohort.Heartbeat
 	if !in.Into(&q) {
-		return nil, "not a hail"
+		return nil, "not a heartbeat"
 	}
 	return h.seeker.Answer(q, nil), ""
 }
--- a/proof/scale/parts.go
+++ b/proof/scale/parts.go
@@ -78,18 +78,18 @@
 		f.Told(nodes[i], 0)
 		addrs = append(addrs, nodes[i].Addr)
 	}
-	// What a sidecar hails with, and what a core answers, without traffic and with.
-	size("hail", cohort.Hail{Node: &nodes[0]})
+	// What a sidecar heartbeats with, and what a core answers, without traffic and with.
+	size("hail", cohort.Heartbeat{Node: &nodes[0]})
 	tallies := map[string]contract.Tally{}
 	for i := range services {
 		tallies[serviceName(i)] = contract.Tally{N: 100000, Late: time.Hour}
 		if i+1 == min(10, services) {
 			busy := nodes[0]
 			busy.Budgets = tallies
-			size("hail_with_10_tallies", cohort.Hail{Node: &busy})
+			size("hail_with_10_tallies", cohort.Heartbeat{Node: &busy})
 		}
 	}
-	size("receipt_with_all_tallies", cohort.Hail{Budgets: tallies})
+	size("receipt_with_all_tallies", cohort.Heartbeat{Budgets: tallies})
 	// The feed: a snapshot, from a core to a sidecar.
 	var news feed.News
 	var frame []byte
--- a/proof/scale/run.go
+++ b/proof/scale/run.go
@@ -259,7 +259,7 @@
 		role("duty", before.cores[:1], after.cores[:1])
 		role("core", before.cores[1:], after.cores[1:])
 	}
-	// The first real sidecar is a seed, which cores go on hailing.
+	// The first real sidecar is a seed, which cores go on heartbeating.
 	role("seed", before.real[:1], after.real[:1])
 	role("sidecar", before.real[1:], after.real[1:])
 	role("hollow", before.shoals, after.shoals)
--- a/proof/scale/scale_test.go
+++ b/proof/scale/scale_test.go
@@ -81,10 +81,10 @@
 		if h.Nodes != size.Sidecars-size.Real {
 			t.Errorf("%d hollow nodes of %+v", h.Nodes, size)
 		}
-		// Each beat brings a hail to each core, and a probe from each watcher.
-		hails, probes := h.Net[cohort.KindHail].Calls, h.Host[cohort.KindProbe].Calls
-		if want := float64(size.Cores) / cohort.Watchers; hails == 0 || math.Abs(hails/probes-want) > 0.5*want {
-			t.Errorf("%+v: %.2f hails and %.2f probes a second", size, hails, probes)
+		// Each beat brings a heartbeat to each core, and a probe from each watcher.
+		heartbeats, probes := h.Net[cohort.KindHeartbeat].Calls, h.Host[cohort.KindProbe].Calls
+		if want := float64(size.Cores) / cohort.Watchers; heartbeats == 0 || math.Abs(heartbeats/probes-want) > 0.5*want {
+			t.Errorf("%+v: %.2f heartbeats and %.2f probes a second", size, heartbeats, probes)
 		}
 		if h.Net[feed.KindFollow].Receipts == 0 {
 			t.Errorf("%+v: nothing was followed", size)
@@ -94,22 +94,22 @@
 		}
 		for _, role := range []string{"sidecar", "hollow"} {
 			l := find(size, "rest", role)
-			k := l.Net[cohort.KindHail]
+			k := l.Net[cohort.KindHeartbeat]
 			call, receipt := k.CallBytes/k.Calls, k.ReceiptBytes/k.Receipts
-			t.Logf("%d cores, %s: hails of %.0f bytes, receipts of %.0f, %.0f bytes a second", size.Cores, role, call, receipt, k.CallBytes+k.ReceiptBytes)
+			t.Logf("%d cores, %s: heartbeats of %.0f bytes, receipts of %.0f, %.0f bytes a second", size.Cores, role, call, receipt, k.CallBytes+k.ReceiptBytes)
 			if !(call < 150) || !(receipt < 150) { // in a calm, what differs is next to nothing
-				t.Errorf("%d cores, %s: hails of %.0f bytes, receipts of %.0f", size.Cores, role, call, receipt)
+				t.Errorf("%d cores, %s: heartbeats of %.0f bytes, receipts of %.0f", size.Cores, role, call, receipt)
 			}
 		}
-		// All hails that nodes send, cores get.
+		// All heartbeats that nodes send, cores get.
 		duty, nodes := find(size, "rest", "duty"), 0.0
 		for _, role := range []string{"seed", "sidecar", "hollow"} {
 			l := find(size, "rest", role)
-			nodes += float64(l.Nodes) * l.Net[cohort.KindHail].Calls / float64(size.Cores)
+			nodes += float64(l.Nodes) * l.Net[cohort.KindHeartbeat].Calls / float64(size.Cores)
 		}
 		others := float64(size.Cores-1) * 2 // a second, from the other cores
-		if got := duty.Host[cohort.KindHail].Calls; math.Abs(got-nodes-others) > 0.3*got {
-			t.Errorf("%+v: the core got %.1f hails a second, nodes sent it %.1f and cores %.1f", size, got, nodes, others)
+		if got := duty.Host[cohort.KindHeartbeat].Calls; math.Abs(got-nodes-others) > 0.3*got {
+			t.Errorf("%+v: the core got %.1f heartbeats a second, nodes sent it %.1f and cores %.1f", size, got, nodes, others)
 		}
 	}
 	for _, l := range r.Lines {
--- a/proof/simulator/losses.go
+++ b/proof/simulator/losses.go
@@ -119,9 +119,9 @@
 	l.run(l.now + settleFor)
 	l.note(old, "is stopped")
 	old.leaving = true
-	for end := l.now + leaveFor; l.now < end && old.voter.Phase == register.Established; {
-		o, ok := register.Leave(old.voter)
-		if !ok && len(old.voter.Sets().Before) == 0 {
+	for end := l.now + leaveFor; l.now < end && old.acceptor.Phase == register.Established; {
+		o, ok := register.Leave(old.acceptor)
+		if !ok && len(old.acceptor.Sets().Before) == 0 {
 			break
 		}
 		if duty := l.duty(old); ok && duty.up {
@@ -153,14 +153,14 @@
 	members := map[int]bool{}
 	here := l.present()
 	for _, c := range here {
-		if !c.voter.Member() || len(c.voter.Sets().Before) > 0 {
+		if !c.acceptor.Member() || len(c.acceptor.Sets().Before) > 0 {
 			l.broken("%s is no full member %v after all were back: %s", c.addr, settleFor, l.show())
 			return
 		}
-		members[c.voter.Self.Slot] = true
+		members[c.acceptor.Self.Slot] = true
 	}
 	for _, c := range here {
-		set := register.Slots(c.voter.Sets().Now)
+		set := register.Slots(c.acceptor.Sets().Now)
 		live := len(set) - len(slices.DeleteFunc(slices.Clone(set), func(s int) bool { return members[s] }))
 		if live-l.bearable() < register.Majority(len(set)) {
 			l.broken("%d of %v live, which does not bear %d losses: %s", live, set, l.bearable(), l.show())
--- a/proof/simulator/member.go
+++ b/proof/simulator/member.go
@@ -15,7 +15,7 @@
 	"curlewwalk/rendezvous"
 )
 
-// Members is a run of membership, feed and following: sidecars that hail, probe,
+// Members is a run of membership, feed and following: sidecars that heartbeat, probe,
 // accuse, refute and follow, and cores that sum up, through losses, delays, cuts,
 // freezes and kills. Feeds, copies, watches and seats are the production's.
 type Members struct {
@@ -28,7 +28,7 @@
 	// Broken lists what must never happen and did; the others count.
 	Broken                            []string
 	Words, Accused, Refuted, Out, Led int
-	// Short counts hails that told a difference, Whole those that were asked for whole.
+	// Short counts heartbeats that told a difference, Whole those that were asked for whole.
 	Short, Whole int
 	// Patched counts words that were told by a difference, Unread those that could not be
 	// made whole.
@@ -104,7 +104,7 @@
 	s.watch, s.seats, s.copy, s.bad = cohort.NewWatch(s.addr), cohort.Seats{}, feed.NewCopy(), map[string]time.Duration{}
 	s.has = feed.Holding{}
 	s.talks, s.turn = map[string]cohort.Talk{}, 0
-	m.every(&s.memberHost, cohort.Beat, func() { m.hail(s) })
+	m.every(&s.memberHost, cohort.Beat, func() { m.heartbeat(s) })
 	m.every(&s.memberHost, cohort.Beat, func() { m.probe(s) })
 	m.every(&s.memberHost, 200*time.Millisecond, func() { m.follow(s) })
 }
@@ -164,8 +164,8 @@
 	})
 }
 
-// hail tells the cores of this node and learns of their seats and of accusers.
-func (m *Members) hail(s *memberSide) {
+// heartbeat tells the cores of this node and learns of their seats and of accusers.
+func (m *Members) heartbeat(s *memberSide) {
 	s.node.Stamp = s.stamp
 	s.node.Accuses = s.watch.Accused(s.copy.Nodes)
 	m.Accused += len(s.node.Accuses)
@@ -175,17 +175,17 @@
 	}
 }
 
-// tell hails one core with what it lacks.
+// tell heartbeats one core with what it lacks.
 func (m *Members) tell(s *memberSide, c *memberCore) {
 	whole := s.node
 	whole.Turn = s.turn
-	told := s.talks[c.addr].Tell(cohort.Hail{Node: &whole, Digest: 1}, s.turn%4 == 0)
+	told := s.talks[c.addr].Tell(cohort.Heartbeat{Node: &whole, Digest: 1}, s.turn%4 == 0)
 	if told.Pulse != nil {
 		m.Short++
 	}
 	m.call(&s.memberHost, &c.memberHost, 750*time.Millisecond, func() any {
 		c.feed.Wake(m.now)
-		r := cohort.Hail{Digest: 1}
+		r := cohort.Heartbeat{Digest: 1}
 		if told.Node != nil {
 			c.feed.Told(*told.Node, m.now)
 		} else {
@@ -201,7 +201,7 @@
 		}
 		return r
 	}, func(answer any, refused bool) {
-		r, ok := answer.(cohort.Hail)
+		r, ok := answer.(cohort.Heartbeat)
 		if !ok {
 			return
 		}
@@ -303,7 +303,7 @@
 	})
 }
 
-// catch copies what another core has settled, as hails between cores bring about.
+// catch copies what another core has settled, as heartbeats between cores bring about.
 func (m *Members) catch(c *memberCore) {
 	for _, o := range m.cores {
 		m.call(&c.memberHost, &o.memberHost, time.Second, func() any { return o.word }, func(answer any, _ bool) {
--- a/proof/simulator/operators.go
+++ b/proof/simulator/operators.go
@@ -67,7 +67,7 @@
 // core is one that an operator might reach.
 func (o *Operators) core() *core {
 	c := o.r.any()
-	if !c.up || c.frozen > o.r.now || c.voter.Phase != register.Established {
+	if !c.up || c.frozen > o.r.now || c.acceptor.Phase != register.Established {
 		return nil
 	}
 	return c
@@ -308,8 +308,8 @@
 // comes to it.
 func (r *Register) newest(c *core, got func(stamp uint64)) {
 	votes, done := map[int]register.Vote{}, false
-	own := c.voter.Sets()
-	r.spread(c, register.Ballot{From: c.voter.Self, Act: register.Look}, false, votes, func(register.Vote) {
+	own := c.acceptor.Sets()
+	r.spread(c, register.Ballot{From: c.acceptor.Self, Act: register.Look}, false, votes, func(register.Vote) {
 		counted := register.Counted(votes)
 		if done || !register.Complete(counted, own) {
 			return
@@ -317,7 +317,7 @@
 		done = true
 		if top, held := register.Newest(counted, own); held {
 			got(top.Mark.Stamp)
-		} else if c.voter.Phase == register.Established {
+		} else if c.acceptor.Phase == register.Established {
 			r.order(c, register.Order{Kind: register.Refresh}, func(a register.Answer) {
 				if a.Result == register.Taken {
 					got(a.Word.Stamp)
--- a/proof/simulator/register.go
+++ b/proof/simulator/register.go
@@ -37,17 +37,17 @@
 
 // core is a simulated core process with its disk.
 type core struct {
-	slot   int
-	up     bool
-	frozen time.Duration // until then it does nothing; what comes piles up
-	cut    int           // which side of a split it is on
-	disk   register.Voter
-	voter  register.Voter
-	clerk  *register.Clerk
-	votes  map[int]register.Vote // of the current search for a seat
-	asked  register.From         // the claim of that search; zero while it only reads
-	told   uint64
-	life   int
+	slot     int
+	up       bool
+	frozen   time.Duration // until then it does nothing; what comes piles up
+	cut      int           // which side of a split it is on
+	disk     register.Acceptor
+	acceptor register.Acceptor
+	proposer *register.Proposer
+	votes    map[int]register.Vote // of the current search for a seat
+	asked    register.From         // the claim of that search; zero while it only reads
+	told     uint64
+	life     int
 
 	// What follows is of runs without static seats.
 	addr  string
@@ -113,8 +113,8 @@
 	return r
 }
 
-func (r *Register) blank(slot int) register.Voter {
-	return register.Voter{Self: register.From{Slot: slot, ID: r.rng.Uint64() | 1}, Founded: r.slots, Phase: register.Virgin, Seats: map[int]register.Chair{}}
+func (r *Register) blank(slot int) register.Acceptor {
+	return register.Acceptor{Self: register.From{Slot: slot, ID: r.rng.Uint64() | 1}, Founded: r.slots, Phase: register.Virgin, Seats: map[int]register.Chair{}}
 }
 
 func (r *Register) some(d time.Duration) time.Duration {
@@ -123,7 +123,7 @@
 
 func (r *Register) note(c *core, format string, args ...any) {
 	if r.Trace != nil {
-		r.Trace(fmt.Sprintf("%12v %s slot %d.%d/%x ", r.now, c.addr, c.voter.Self.Slot, c.voter.Self.Inc, c.voter.Self.ID>>52) + fmt.Sprintf(format, args...))
+		r.Trace(fmt.Sprintf("%12v %s slot %d.%d/%x ", r.now, c.addr, c.acceptor.Self.Slot, c.acceptor.Self.Inc, c.acceptor.Self.ID>>52) + fmt.Sprintf(format, args...))
 	}
 }
 
@@ -186,7 +186,7 @@
 func (r *Register) show() (s string) {
 	for _, c := range r.cores {
 		if !c.gone {
-			v := c.voter
+			v := c.acceptor
 			s += fmt.Sprintf("\n%s [%d/%x up=%v %s promised %d %v settled %d of %v before %v top %d]", c.addr, v.Self.Slot, v.Self.ID>>52, c.up, v.Phase, v.Promised, v.Mark, v.Settled, register.Slots(v.Sets().Now), register.Slots(v.Sets().Before), v.Word.Top)
 		}
 	}
@@ -223,10 +223,10 @@
 	r.note(c, "boots")
 	c.life++
 	life := c.life
-	c.voter = c.disk
-	c.voter.Settled = 0
-	c.clerk = &register.Clerk{}
-	c.clerk.Follow(c.voter, r.now)
+	c.acceptor = c.disk
+	c.acceptor.Settled = 0
+	c.proposer = &register.Proposer{}
+	c.proposer.Follow(c.acceptor, r.now)
 	c.seats, c.usher, c.votes, c.busy = cohort.Seats{}, register.Usher{GoneFor: time.Second}, nil, false
 	var tick func()
 	tick = func() {
@@ -237,7 +237,7 @@
 	}
 	tick()
 	if r.asking {
-		r.hailing(c, life)
+		r.heartbeating(c, life)
 	}
 }
 
@@ -261,15 +261,15 @@
 	if r.asking && r.seek(c) {
 		return
 	}
-	if c.voter.Phase != register.Established {
+	if c.acceptor.Phase != register.Established {
 		r.lookForSeat(c)
 		return
 	}
-	c.clerk.Follow(c.voter, r.now)
-	if (c.voter.Mark.Stamp > c.voter.Settled || len(c.voter.Word.Formerly) > 0) && r.rng.IntN(20) == 0 && (!r.asking || r.duty(c) == c) {
+	c.proposer.Follow(c.acceptor, r.now)
+	if (c.acceptor.Mark.Stamp > c.acceptor.Settled || len(c.acceptor.Word.Formerly) > 0) && r.rng.IntN(20) == 0 && (!r.asking || r.duty(c) == c) {
 		r.order(c, register.Order{Kind: register.Refresh}, func(register.Answer) {})
 	}
-	r.obey(c, c.clerk.Tick(r.now))
+	r.obey(c, c.proposer.Tick(r.now))
 }
 
 // lookForSeat is what an empty core does from time to time.
@@ -278,11 +278,11 @@
 		return
 	}
 	if c.votes != nil && c.asked == (register.From{}) {
-		if next, ok := c.voter.Born(c.votes); ok {
+		if next, ok := c.acceptor.Born(c.votes); ok {
 			r.save(c, next)
 			return
 		}
-		self, may := c.voter.Claimant(c.votes)
+		self, may := c.acceptor.Claimant(c.votes)
 		if c.asked = (register.From{}); may {
 			c.asked = self
 		}
@@ -290,14 +290,14 @@
 		c.asked = register.From{}
 	}
 	c.votes = map[int]register.Vote{}
-	b := register.Ballot{From: c.voter.Self, Act: register.Read}
+	b := register.Ballot{From: c.acceptor.Self, Act: register.Read}
 	if c.asked != (register.From{}) {
 		b = register.Ballot{From: c.asked, Act: register.Sit}
 	}
 	votes := c.votes
 	r.spread(c, b, true, votes, func(v register.Vote) {
 		if self := c.asked; self == b.From && b.Act == register.Sit {
-			if next, ok := c.voter.Seated(self, votes); ok {
+			if next, ok := c.acceptor.Seated(self, votes); ok {
 				r.save(c, next)
 				r.tell(c)
 			}
@@ -323,7 +323,7 @@
 			})
 		}
 	}
-	ask(c.voter.Sets().Union())
+	ask(c.acceptor.Sets().Union())
 }
 
 // put brings a ballot to a slot, and its vote back, through what may happen.
@@ -337,7 +337,7 @@
 	}
 	life := from.life
 	r.send(from, to, func() {
-		next, vote := to.voter.On(b)
+		next, vote := to.acceptor.On(b)
 		if r.rng.IntN(400) == 0 && r.now < r.faults.Until { // power is lost at the disk
 			if r.rng.IntN(2) == 0 {
 				to.disk = next
@@ -358,7 +358,7 @@
 // find is the core that one takes for a member.
 func (r *Register) find(from *core, m desired.Member) *core {
 	slot := m.Slot
-	if from.voter.Self.Slot == slot && (m.ID == 0 || m.ID == from.voter.Self.ID) {
+	if from.acceptor.Self.Slot == slot && (m.ID == 0 || m.ID == from.acceptor.Self.ID) {
 		return from
 	}
 	if r.asking {
@@ -400,23 +400,23 @@
 	}
 }
 
-func (r *Register) save(c *core, next register.Voter) {
-	if next.Mark != c.voter.Mark || next.Promised != c.voter.Promised || next.Phase != c.voter.Phase {
+func (r *Register) save(c *core, next register.Acceptor) {
+	if next.Mark != c.acceptor.Mark || next.Promised != c.acceptor.Promised || next.Phase != c.acceptor.Phase {
 		r.note(c, "%s, promised %d, holds %v %q of %v", next.Phase, next.Promised, next.Mark, next.Word.Desired, register.Slots(next.Sets().Now))
 	}
-	c.voter, c.disk = next, next
-	c.clerk.Follow(next, r.now)
+	c.acceptor, c.disk = next, next
+	c.proposer.Follow(next, r.now)
 }
 
 // tell checks each word that a core takes for settled.
 func (r *Register) tell(c *core) {
-	v := c.voter
+	v := c.acceptor
 	if v.Settled != v.Mark.Stamp || v.Settled <= c.told {
 		return
 	}
 	c.told = v.Settled
 	r.note(c, "takes stamp %d for settled", v.Settled)
-	r.check(v.Word, fmt.Sprintf("core %d", c.voter.Self.Slot))
+	r.check(v.Word, fmt.Sprintf("core %d", c.acceptor.Self.Slot))
 }
 
 func (r *Register) check(w desired.Word, who string) {
@@ -447,7 +447,7 @@
 			}
 		}
 		for _, s := range o.To {
-			r.put(c, s, *o.Ballot, func(v register.Vote) { r.obey(c, c.clerk.Hear(v, r.now)) })
+			r.put(c, s, *o.Ballot, func(v register.Vote) { r.obey(c, c.proposer.Hear(v, r.now)) })
 		}
 	}
 }
@@ -459,14 +459,14 @@
 		o.Until = r.now + 2*time.Second
 	}
 	r.asks[o.ID] = r.recorded(o, back)
-	r.obey(c, c.clerk.Take(o, r.now))
+	r.obey(c, c.proposer.Take(o, r.now))
 }
 
 // write has an operator put a configuration at any core that is up; every other
 // one is an edition, some of them late.
 func (r *Register) write() {
 	c := r.any()
-	if !c.up || c.frozen > r.now || c.voter.Phase != register.Established {
+	if !c.up || c.frozen > r.now || c.acceptor.Phase != register.Established {
 		return
 	}
 	text := fmt.Appendf(nil, "configuration %d", r.seq+1)
@@ -512,8 +512,8 @@
 		}
 	}
 	votes, done := map[int]register.Vote{}, false
-	own := c.voter.Sets()
-	r.spread(c, register.Ballot{From: c.voter.Self, Act: register.Read}, false, votes, func(register.Vote) {
+	own := c.acceptor.Sets()
+	r.spread(c, register.Ballot{From: c.acceptor.Self, Act: register.Read}, false, votes, func(register.Vote) {
 		counted := register.Counted(votes)
 		if done || !register.Complete(counted, own) {
 			return
@@ -521,7 +521,7 @@
 		done = true
 		if top, held := register.Newest(counted, own); held {
 			got(top.Word)
-		} else if c.voter.Phase == register.Established {
+		} else if c.acceptor.Phase == register.Established {
 			r.order(c, register.Order{Kind: register.Refresh}, func(a register.Answer) {
 				if a.Result == register.Taken {
 					got(a.Word)
--- a/proof/simulator/simulator_test.go
+++ b/proof/simulator/simulator_test.go
@@ -120,7 +120,7 @@
 			sum.Patched, sum.Unread = sum.Patched+m.Patched, sum.Unread+m.Unread
 		}
 	}
-	t.Logf("%d words, %d accusations told, %d refuted, %d times another core was followed, %d short hails, %d asked for whole, %d words told by differences, %d of them in vain",
+	t.Logf("%d words, %d accusations told, %d refuted, %d times another core was followed, %d short heartbeats, %d asked for whole, %d words told by differences, %d of them in vain",
 		sum.Words, sum.Accused, sum.Refuted, sum.Led, sum.Short, sum.Whole, sum.Patched, sum.Unread)
 	if sum.Patched == 0 || sum.Words == 0 || sum.Accused == 0 || sum.Refuted == 0 || sum.Led == 0 || sum.Short == 0 || sum.Whole == 0 {
 		t.Error("the failures or the work did not come about")
--- a/proof/simulator/slots.go
+++ b/proof/simulator/slots.go
@@ -43,22 +43,22 @@
 
 func (r *Register) wall() time.Time { return epochOfTime.Add(r.now) }
 
-// hailing has a core hail all others in rhythm.
-func (r *Register) hailing(c *core, life int) {
-	var hail func()
-	hail = func() {
+// heartbeating has a core heartbeat all others in rhythm.
+func (r *Register) heartbeating(c *core, life int) {
+	var heartbeat func()
+	heartbeat = func() {
 		if !c.up || c.life != life {
 			return
 		}
-		r.when(c, func() { r.hail(c) })
-		r.after(cohort.Beat, hail)
+		r.when(c, func() { r.heartbeat(c) })
+		r.after(cohort.Beat, heartbeat)
 	}
-	hail()
+	heartbeat()
 }
 
 // tells is what a core tells of its seat.
 func (c *core) tells() cohort.Seat {
-	v := c.voter
+	v := c.acceptor
 	s := cohort.Seat{
 		Slot: v.Self.Slot, Slots: len(v.Sets().Now), Set: register.Slots(v.Sets().Now), Held: v.Mark.Stamp, Addr: c.addr, Inc: v.Self.Inc,
 		Established: v.Phase == register.Established, Settled: v.Settled,
@@ -69,9 +69,9 @@
 	return s
 }
 
-// hail tells a core's seat to the others, which tell theirs; then it looks how its
+// heartbeat tells a core's seat to the others, which tell theirs; then it looks how its
 // seat and the others' stand.
-func (r *Register) hail(c *core) {
+func (r *Register) heartbeat(c *core) {
 	know := c.seats.Known()
 	seat := c.tells()
 	for _, to := range r.cores {
@@ -92,9 +92,9 @@
 			})
 		})
 	}
-	c.usher = c.usher.Look(c.voter.Sets().Now, c.places(r.wall()), r.now)
-	if c.voter.Member() && r.duty(c) == c {
-		if o, ok := c.usher.Strike(c.voter, r.now); ok {
+	c.usher = c.usher.Look(c.acceptor.Sets().Now, c.places(r.wall()), r.now)
+	if c.acceptor.Member() && r.duty(c) == c {
+		if o, ok := c.usher.Strike(c.acceptor, r.now); ok {
 			r.reseat(c, o)
 		}
 	}
@@ -103,17 +103,17 @@
 // heard takes what a core told of itself.
 func (r *Register) heard(c *core, s cohort.Seat) {
 	c.seats = c.seats.Hear(s, r.wall())
-	v := c.voter
+	v := c.acceptor
 	switch {
 	case s.Settled > v.Settled:
 		from := r.at(s.Addr)
 		r.send(c, from, func() {
-			_, vote := from.voter.On(register.Ballot{From: v.Self, Act: register.Read})
+			_, vote := from.acceptor.On(register.Ballot{From: v.Self, Act: register.Read})
 			r.send(from, c, func() {
 				if vote.Settled != vote.Mark.Stamp {
 					return
 				}
-				next, _ := c.voter.On(register.Ballot{From: c.voter.Self, Act: register.Settle, Epoch: vote.Mark.Epoch, Mark: vote.Mark, Word: vote.Word})
+				next, _ := c.acceptor.On(register.Ballot{From: c.acceptor.Self, Act: register.Settle, Epoch: vote.Mark.Epoch, Mark: vote.Mark, Word: vote.Word})
 				r.save(c, next)
 				r.tell(c)
 			})
@@ -127,7 +127,7 @@
 	for _, s := range c.seats.All() {
 		out[s.Slot] = register.Place{Addr: s.Addr, Live: slices.ContainsFunc(live, func(l cohort.Seat) bool { return l.Slot == s.Slot })}
 	}
-	if v := c.voter; v.Self.Slot != 0 {
+	if v := c.acceptor; v.Self.Slot != 0 {
 		out[v.Self.Slot] = register.Place{Addr: c.addr, Live: true}
 	}
 	return out
@@ -135,13 +135,13 @@
 
 // duty is the core that one takes for the one on duty.
 func (r *Register) duty(c *core) *core {
-	set := register.Slots(c.voter.Sets().Now)
-	if s, _, held := c.seats.Set(); len(s) > 0 && (held > c.voter.Mark.Stamp || len(set) == 0) {
+	set := register.Slots(c.acceptor.Sets().Now)
+	if s, _, held := c.seats.Set(); len(s) > 0 && (held > c.acceptor.Mark.Stamp || len(set) == 0) {
 		set = s
 	}
-	member := c.voter.Phase == register.Established && slices.Contains(set, c.voter.Self.Slot)
+	member := c.acceptor.Phase == register.Established && slices.Contains(set, c.acceptor.Self.Slot)
 	for _, s := range c.seats.Live(r.wall()) {
-		if s.Slot != c.voter.Self.Slot && slices.Contains(set, s.Slot) && (s.Slot < c.voter.Self.Slot || !member) {
+		if s.Slot != c.acceptor.Self.Slot && slices.Contains(set, s.Slot) && (s.Slot < c.acceptor.Self.Slot || !member) {
 			return r.at(s.Addr)
 		}
 	}
@@ -150,12 +150,12 @@
 
 // seek is what a core does for its seat; it tells whether that is all for now.
 func (r *Register) seek(c *core) bool {
-	if c.voter.Struck() {
+	if c.acceptor.Struck() {
 		r.note(c, "is struck")
 		r.Struck++
-		r.save(c, c.voter.Afresh(r.rng.Uint64()|1))
+		r.save(c, c.acceptor.Afresh(r.rng.Uint64()|1))
 	}
-	if c.voter.Phase != register.Seeking {
+	if c.acceptor.Phase != register.Seeking {
 		return false
 	}
 	if !c.leaving && r.rng.IntN(4) == 0 {
@@ -167,12 +167,12 @@
 }
 
 func (r *Register) ask(c, to *core) {
-	a := register.Asker{ID: c.voter.Self.ID, Addr: c.addr}
+	a := register.Asker{ID: c.acceptor.Self.ID, Addr: c.addr}
 	r.send(c, to, func() {
-		if !to.voter.Member() || r.duty(to) != to {
+		if !to.acceptor.Member() || r.duty(to) != to {
 			return
 		}
-		if o, ok := to.usher.Seat(a, to.voter, to.places(r.wall()), r.now); ok {
+		if o, ok := to.usher.Seat(a, to.acceptor, to.places(r.wall()), r.now); ok {
 			r.reseat(to, o)
 		}
 	})
@@ -304,7 +304,7 @@
 	r.Swaps++
 	c.gone, c.up = true, false
 	c.life++
-	c.disk = register.Voter{}
+	c.disk = register.Acceptor{}
 }
 
 // wipe starts a core again at its address, with an empty disk.
@@ -326,11 +326,11 @@
 		if c.gone {
 			continue
 		}
-		if !c.voter.Member() {
+		if !c.acceptor.Member() {
 			return c.addr + " is no member"
 		}
-		live = append(live, c.voter.Self.Slot)
-		set = register.Slots(c.voter.Sets().Now)
+		live = append(live, c.acceptor.Self.Slot)
+		set = register.Slots(c.acceptor.Sets().Now)
 		sets[fmt.Sprint(set)] = true
 	}
 	missing := 0
--- a/register/voter.go
+++ b/register/acceptor.go
@@ -8,9 +8,9 @@
 	"curlewwalk/desired"
 )
 
-// Voter is one core's share of the register. On answers with the next state;
+// Acceptor is one core's share of the register. On answers with the next state;
 // a state with Dirty set must be on disk before the vote is sent. (DESIGN 6.2)
-type Voter struct {
+type Acceptor struct {
 	Self From
 	// Founded is how many static slots there are; zero where slots come and go.
 	// Founders are those that it began with there, for one of them.
@@ -32,7 +32,7 @@
 func Majority(n int) int { return n/2 + 1 }
 
 // On takes a ballot.
-func (v Voter) On(b Ballot) (Voter, Vote) {
+func (v Acceptor) On(b Ballot) (Acceptor, Vote) {
 	v.OathDirty, v.WordDirty = false, false
 	ok := v.admit(b)
 	switch {
@@ -72,7 +72,7 @@
 }
 
 // admit refuses all but reads while not established, and whoever lost its seat.
-func (v Voter) admit(b Ballot) bool {
+func (v Acceptor) admit(b Ballot) bool {
 	if b.Act == Read || b.Act == Look {
 		return true
 	}
@@ -85,14 +85,14 @@
 	return v.Phase == Established && (b.Act == Sit || b.From.holds(v.Seats[b.From.Slot]))
 }
 
-func (v Voter) accept(m Mark, w desired.Word) Voter {
+func (v Acceptor) accept(m Mark, w desired.Word) Acceptor {
 	v.Mark, v.Word, v.WordDirty = m, w, true
 	v.Promised = max(v.Promised, m.Epoch)
 	return v.named()
 }
 
-// named gives a voter that seeks a seat the slot under which the held word names it.
-func (v Voter) named() Voter {
+// named gives an acceptor that seeks a seat the slot under which the held word names it.
+func (v Acceptor) named() Acceptor {
 	if v.Phase != Seeking {
 		return v
 	}
@@ -104,7 +104,7 @@
 	return v
 }
 
-func (v Voter) seat(seats map[int]Chair) Voter {
+func (v Acceptor) seat(seats map[int]Chair) Acceptor {
 	next := maps.Clone(v.Seats)
 	if next == nil {
 		next = map[int]Chair{}
@@ -123,7 +123,7 @@
 // word or have lost one. Those already born must have seen this very disk at
 // their birth: else it came in place of another, and takes its seat by Sit.
 // (DESIGN 6.5)
-func (v Voter) Born(votes map[int]Vote) (Voter, bool) {
+func (v Acceptor) Born(votes map[int]Vote) (Acceptor, bool) {
 	if v.Phase != Virgin || len(votes) < v.Founded-1 {
 		return v, false
 	}
@@ -145,7 +145,7 @@
 // Claimant is the incarnation with which an empty core asks for its seat: one
 // more than any that the others know of. It may ask once a majority of the
 // established answer.
-func (v Voter) Claimant(votes map[int]Vote) (From, bool) {
+func (v Acceptor) Claimant(votes map[int]Vote) (From, bool) {
 	inc := v.Self.Inc
 	for _, o := range votes {
 		inc = max(inc, o.Seats[v.Self.Slot].Inc)
@@ -155,8 +155,8 @@
 
 // Seated decides whether an empty core has copied from a majority of the
 // established, from the votes they gave to its Sit. (DESIGN 6.5)
-func (v Voter) Seated(self From, votes map[int]Vote) (Voter, bool) {
-	// A voter that was swapped out itself may not know it: it does not count.
+func (v Acceptor) Seated(self From, votes map[int]Vote) (Acceptor, bool) {
+	// An acceptor that was swapped out itself may not know it: it does not count.
 	copied := Counted(votes)
 	maps.DeleteFunc(copied, func(_ int, o Vote) bool { return !o.OK })
 	if v.Phase == Established || len(copied) < Majority(v.Founded) {
@@ -176,7 +176,7 @@
 	return v, true
 }
 
-// Counted leaves the votes that may be counted: those of voters that still hold their seats as far as any of the votes says.
+// Counted leaves the votes that may be counted: those of acceptors that still hold their seats as far as any of the votes says.
 func Counted(votes map[int]Vote) map[int]Vote {
 	out := map[int]Vote{}
 	for s, o := range votes {
@@ -205,8 +205,8 @@
 	return top, settled || sets.Quorum(same)
 }
 
-// Sets are the sets that this voter knows of.
-func (v Voter) Sets() Sets {
+// Sets are the sets that this acceptor knows of.
+func (v Acceptor) Sets() Sets {
 	switch {
 	case len(v.Word.Slots) > 0:
 		return Sets{Now: v.Word.Slots, Before: v.Word.Formerly}
@@ -216,19 +216,19 @@
 	return Sets{Now: v.Founders}
 }
 
-// Member tells whether the set in force, as far as this voter knows, names it.
-func (v Voter) Member() bool { return v.Phase == Established && has(v.Sets().Now, v.Self) }
+// Member tells whether the set in force, as far as this acceptor knows, names it.
+func (v Acceptor) Member() bool { return v.Phase == Established && has(v.Sets().Now, v.Self) }
 
 // Struck tells whether a settled word has struck its slot. While a majority of the
 // set before is still needed, its vote is.
-func (v Voter) Struck() bool {
+func (v Acceptor) Struck() bool {
 	return v.Founded == 0 && v.Phase == Established && v.Settled == v.Mark.Stamp && !has(v.Sets().Union(), v.Self)
 }
 
 // Founder is an empty core's first state as one of the founders, at the first start
 // of a whole system. All know the identities of all, so no word is needed between
 // them. (DESIGN 6.5)
-func (v Voter) Founder(slot int, addrs []string) Voter {
+func (v Acceptor) Founder(slot int, addrs []string) Acceptor {
 	for i, a := range addrs {
 		v.Founders = append(v.Founders, desired.Member{Slot: i + 1, ID: founderID(a), Addr: a})
 	}
@@ -242,16 +242,16 @@
 	return binary.BigEndian.Uint64(sum[:]) | 1
 }
 
-// Afresh is what becomes of a voter whose slot was struck: it seeks a seat under a
+// Afresh is what becomes of an acceptor whose slot was struck: it seeks a seat under a
 // new identity. What it holds it may keep: no set yet counts what that identity says.
-func (v Voter) Afresh(id uint64) Voter {
+func (v Acceptor) Afresh(id uint64) Acceptor {
 	v.Phase, v.Self, v.OathDirty = Seeking, From{ID: id}, true
 	return v
 }
 
 // settle notes that the held word is settled; one that it names has its seat by it.
 // The word may have been read from a disk that lost power before it took the slot.
-func (v Voter) settle(stamp uint64) Voter {
+func (v Acceptor) settle(stamp uint64) Acceptor {
 	v.Settled = max(v.Settled, stamp)
 	v = v.named()
 	if v.Phase == Seeking && v.Settled == v.Mark.Stamp && v.Self.Slot != 0 && has(v.Sets().Now, v.Self) {
--- a/register/ballot.go
+++ b/register/ballot.go
@@ -2,7 +2,7 @@
 
 import "curlewwalk/desired"
 
-// Act is what a ballot asks of a voter.
+// Act is what a ballot asks of an acceptor.
 type Act string
 
 // The acts.
@@ -15,7 +15,7 @@
 	Sit     Act = "sit"
 )
 
-// Ballot is a message to a voter.
+// Ballot is a message to an acceptor.
 type Ballot struct {
 	From  From         `msgpack:"f"`
 	Act   Act          `msgpack:"a"`
--- a/register/chair.go
+++ b/register/chair.go
@@ -1,6 +1,6 @@
 package register
 
-// Chair is what a voter knows of a slot: the highest incarnation, and whose
+// Chair is what an acceptor knows of a slot: the highest incarnation, and whose
 // disk has it.
 type Chair struct {
 	Inc uint64 `msgpack:"i" json:"incarnation"`
--- a/register/closure_test.go
+++ b/register/closure_test.go
@@ -8,31 +8,31 @@
 	"curlewwalk/desired"
 )
 
-// seated is a voter of a set that holds a word.
-func seated(slot int, m Mark, w desired.Word) Voter {
-	return Voter{Self: From{Slot: slot, Inc: 1, ID: uint64(100 + slot)}, Phase: Established, Promised: m.Epoch, Mark: m, Word: w, Settled: m.Stamp, Founders: set(1, 2, 3)}
+// seated is an acceptor of a set that holds a word.
+func seated(slot int, m Mark, w desired.Word) Acceptor {
+	return Acceptor{Self: From{Slot: slot, Inc: 1, ID: uint64(100 + slot)}, Phase: Established, Promised: m.Epoch, Mark: m, Word: w, Settled: m.Stamp, Founders: set(1, 2, 3)}
 }
 
-// A clerk that was left behind asks those of each set that it hears of, and proposes
+// A proposer that was left behind asks those of each set that it hears of, and proposes
 // nothing before majorities of the newest have promised.
 func TestPrepareClosesOverSets(t *testing.T) {
 	first := desired.Word{Stamp: 1, Desired: []byte("old")}
 	second := desired.Word{Stamp: 3, Desired: []byte("old"), Slots: set(2, 3, 4), Top: 4}
 	third := desired.Word{Stamp: 6, Desired: []byte("new"), Slots: set(3, 4, 5), Top: 5}
-	voters := map[int]Voter{1: seated(1, Mark{10, 1}, first), 2: seated(2, Mark{10, 3}, second)}
+	acceptors := map[int]Acceptor{1: seated(1, Mark{10, 1}, first), 2: seated(2, Mark{10, 3}, second)}
 	for s := 3; s <= 5; s++ {
-		voters[s] = seated(s, Mark{11, 6}, third)
+		acceptors[s] = seated(s, Mark{11, 6}, third)
 	}
-	c := &Clerk{}
-	c.Follow(voters[1], 0)
+	c := &Proposer{}
+	c.Follow(acceptors[1], 0)
 	outs := c.Take(Order{ID: 1, Kind: Refresh, Until: time.Minute}, time.Second)
 	asked := []int{}
 	give := func(slots ...int) {
 		b := outs[0].Ballot
 		outs = nil
 		for _, s := range slots {
-			next, vote := voters[s].On(*b)
-			voters[s] = next
+			next, vote := acceptors[s].On(*b)
+			acceptors[s] = next
 			outs = append(outs, c.Hear(vote, time.Second)...)
 		}
 		for _, o := range outs {
@@ -59,15 +59,15 @@
 // A settled change is sealed by the next word at once, and nothing is proposed before
 // those that it needs have answered.
 func TestChangeIsSealed(t *testing.T) {
-	voters := map[int]Voter{}
+	acceptors := map[int]Acceptor{}
 	for s := 1; s <= 3; s++ {
-		voters[s] = Voter{Self: From{Slot: s, Inc: 1, ID: uint64(100 + s)}, Phase: Established, Founders: set(1, 2, 3)}
+		acceptors[s] = Acceptor{Self: From{Slot: s, Inc: 1, ID: uint64(100 + s)}, Phase: Established, Founders: set(1, 2, 3)}
 	}
-	voters[4] = Voter{Self: From{ID: 104}, Phase: Seeking}
+	acceptors[4] = Acceptor{Self: From{ID: 104}, Phase: Seeking}
 	run := func(up ...int) (answer Answer) {
-		c := &Clerk{}
+		c := &Proposer{}
 		now := time.Second
-		c.Follow(voters[1], now)
+		c.Follow(acceptors[1], now)
 		outs := c.Take(Order{ID: 1, Kind: Reseat, Seat: set(4)[0], Of: set(1, 2, 3), Until: time.Minute}, now)
 		for range 1000 {
 			if len(outs) == 0 {
@@ -85,8 +85,8 @@
 			}
 			for _, m := range o.To {
 				if slices.Contains(up, m.Slot) {
-					next, vote := voters[m.Slot].On(*o.Ballot)
-					voters[m.Slot] = next
+					next, vote := acceptors[m.Slot].On(*o.Ballot)
+					acceptors[m.Slot] = next
 					if v := vote.By(m); v != nil {
 						outs = append(outs, c.Hear(*v, now)...)
 					}
@@ -96,25 +96,25 @@
 		t.Fatal("it does not come to an end")
 		return answer
 	}
-	if a := run(1, 2, 3); a.Result != NotTaken || voters[1].Mark != (Mark{}) {
-		t.Errorf("without the newcomer: %s, %+v", a.Result, voters[1].Mark)
+	if a := run(1, 2, 3); a.Result != NotTaken || acceptors[1].Mark != (Mark{}) {
+		t.Errorf("without the newcomer: %s, %+v", a.Result, acceptors[1].Mark)
 	}
 	if a := run(1, 2, 3, 4); a.Result != Taken {
 		t.Errorf("with it: %s", a.Result)
 	}
-	for s, v := range voters {
+	for s, v := range acceptors {
 		if w := v.Word; w.Stamp != 2 || len(w.Formerly) != 0 || len(w.Slots) != 4 || !v.Member() {
 			t.Errorf("%d holds %+v", s, w)
 		}
 	}
 }
 
-// A change that does not fit what the clerk holds is judged under a new epoch: what it
+// A change that does not fit what the proposer holds is judged under a new epoch: what it
 // holds may have been overtaken.
 func TestChangeOnOvertakenWord(t *testing.T) {
 	v := seated(1, Mark{}, desired.Word{})
 	v.Founders = set(1)
-	c := &Clerk{}
+	c := &Proposer{}
 	now := time.Second
 	c.Follow(v, now)
 	run := func(outs []Outcome) (last Result) {
@@ -135,7 +135,7 @@
 	if got := run(c.Take(Order{ID: 1, Kind: Put, Bytes: []byte("a"), Until: time.Minute}, now)); got != Taken {
 		t.Fatal(got)
 	}
-	// Another clerk has struck slot 2 of a set that this one never heard of.
+	// Another proposer has struck slot 2 of a set that this one never heard of.
 	w := v.Word
 	w.Stamp, w.Slots, w.Top = 5, set(1), 2
 	v, _ = v.On(Ballot{Act: Settle, Epoch: 1 << 20, Mark: Mark{1 << 20, 5}, Word: w})
@@ -151,13 +151,13 @@
 // come and no order waits; but not for ever, if no majority votes.
 func TestSealOutlastsTicks(t *testing.T) {
 	for _, answered := range []bool{true, false} {
-		voters := map[int]Voter{}
+		acceptors := map[int]Acceptor{}
 		for s := 1; s <= 4; s++ {
-			voters[s] = Voter{Self: From{Slot: s, Inc: 1, ID: uint64(100 + s)}, Phase: Established, Founders: set(1, 2, 3, 4)}
+			acceptors[s] = Acceptor{Self: From{Slot: s, Inc: 1, ID: uint64(100 + s)}, Phase: Established, Founders: set(1, 2, 3, 4)}
 		}
-		c := &Clerk{}
+		c := &Proposer{}
 		now := time.Second
-		c.Follow(voters[1], now)
+		c.Follow(acceptors[1], now)
 		outs := c.Take(Order{ID: 1, Kind: Reseat, Out: 4, Of: set(1, 2, 3, 4), Until: time.Minute}, now)
 		sealed, settled := false, false
 		for len(outs) > 0 {
@@ -176,8 +176,8 @@
 				if sealed && !answered {
 					continue
 				}
-				next, vote := voters[m.Slot].On(*o.Ballot)
-				voters[m.Slot] = next
+				next, vote := acceptors[m.Slot].On(*o.Ballot)
+				acceptors[m.Slot] = next
 				outs = append(outs, c.Hear(vote, now)...)
 			}
 		}
--- a/register/conflict_test.go
+++ b/register/conflict_test.go
@@ -9,14 +9,14 @@
 	"curlewwalk/vault"
 )
 
-// unsettled lets a proposer's proposal reach one voter only: it is left half done.
-func (b *bench) unsettled(slot, voter int) {
+// unsettled lets a proposer's proposal reach one acceptor only: it is left half done.
+func (b *bench) unsettled(slot, acceptor int) {
 	b.t.Helper()
 	for _, o := range b.sent[slot] {
 		if o.Ballot.Act != Propose {
 			b.t.Fatalf("%s is under way", o.Ballot.Act)
 		}
-		b.voters[voter-1], _ = b.voters[voter-1].On(*o.Ballot)
+		b.acceptors[acceptor-1], _ = b.acceptors[acceptor-1].On(*o.Ballot)
 	}
 	b.sent[slot] = nil
 }
@@ -142,9 +142,9 @@
 				b.sent[3] = nil
 				for _, o := range sent {
 					for _, s := range []int{3, asks} {
-						next, vote := b.voters[s-1].On(*o.Ballot)
-						b.voters[s-1] = next
-						b.obey(3, b.clerks[3].Hear(vote, b.now))
+						next, vote := b.acceptors[s-1].On(*o.Ballot)
+						b.acceptors[s-1] = next
+						b.obey(3, b.proposers[3].Hear(vote, b.now))
 					}
 				}
 			}
@@ -212,18 +212,18 @@
 	}
 	again := func() {
 		t.Helper()
-		voter, err := (&Disk{Vault: v}).Load(Start{Slot: 1, Slots: 1})
-		if err != nil || voter.Phase != Established {
-			t.Fatal(voter.Phase, err)
+		acceptor, err := (&Disk{Vault: v}).Load(Start{Slot: 1, Slots: 1})
+		if err != nil || acceptor.Phase != Established {
+			t.Fatal(acceptor.Phase, err)
 		}
-		b.voters[0], b.clerks[1] = voter, &Clerk{}
-		b.clerks[1].Follow(voter, b.now)
+		b.acceptors[0], b.proposers[1] = acceptor, &Proposer{}
+		b.proposers[1].Follow(acceptor, b.now)
 	}
 	put(edition(3, "three"), Taken)
 	put(edition(4, "four"), Taken)
-	voter := b.voters[0]
-	voter.OathDirty, voter.WordDirty = true, true
-	if err := (&Disk{Vault: v}).Save(voter); err != nil {
+	acceptor := b.acceptors[0]
+	acceptor.OathDirty, acceptor.WordDirty = true, true
+	if err := (&Disk{Vault: v}).Save(acceptor); err != nil {
 		t.Fatal(err)
 	}
 	again()
@@ -256,9 +256,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	voter := seated(1, Mark{Epoch: 1, Stamp: w.Stamp}, w)
-	voter.OathDirty, voter.WordDirty = true, true
-	if err := (&Disk{Vault: v}).Save(voter); err != nil {
+	acceptor := seated(1, Mark{Epoch: 1, Stamp: w.Stamp}, w)
+	acceptor.OathDirty, acceptor.WordDirty = true, true
+	if err := (&Disk{Vault: v}).Save(acceptor); err != nil {
 		t.Fatal(err)
 	}
 	got, err := (&Disk{Vault: v}).Load(Start{})
--- a/register/denied_test.go
+++ b/register/denied_test.go
@@ -7,9 +7,9 @@
 	"curlewwalk/desired"
 )
 
-// rehearse puts what a clerk wants to voters, which answer at once, and returns the
+// rehearse puts what a proposer wants to acceptors, which answer at once, and returns the
 // answers to orders. Slots in lost answer nothing.
-func rehearse(c *Clerk, voters map[int]Voter, outs []Outcome, now time.Duration, lost ...int) (answers []Answer) {
+func rehearse(c *Proposer, acceptors map[int]Acceptor, outs []Outcome, now time.Duration, lost ...int) (answers []Answer) {
 	for len(outs) > 0 {
 		o := outs[0]
 		outs = outs[1:]
@@ -20,8 +20,8 @@
 			if len(lost) > 0 && lost[0] == m.Slot {
 				continue
 			}
-			next, vote := voters[m.Slot].On(*o.Ballot)
-			voters[m.Slot] = next
+			next, vote := acceptors[m.Slot].On(*o.Ballot)
+			acceptors[m.Slot] = next
 			if m.Slot == c.Self.Slot {
 				c.Follow(next, now)
 			}
@@ -32,37 +32,37 @@
 }
 
 // A core comes back from a cut with a promise of an epoch that nobody else gave: the
-// clerk on duty goes on under its own epoch while majorities are left without that core,
+// proposer on duty goes on under its own epoch while majorities are left without that core,
 // and takes a higher one once they are not.
 func TestPromiseOfOneDisturbsNothing(t *testing.T) {
 	word := desired.Word{Stamp: 2, DesiredStamp: 2}
-	voters := map[int]Voter{}
+	acceptors := map[int]Acceptor{}
 	for slot := 1; slot <= 3; slot++ {
-		voters[slot] = seated(slot, Mark{1 << 16, 2}, word)
+		acceptors[slot] = seated(slot, Mark{1 << 16, 2}, word)
 	}
-	c := &Clerk{}
-	c.Follow(voters[2], 0)
+	c := &Proposer{}
+	c.Follow(acceptors[2], 0)
 	now := time.Duration(0)
 	order := func(id uint64) []Outcome {
 		return c.Take(Order{ID: id, Kind: Empty, Locality: "north", Until: now + orderLimit}, now)
 	}
-	if a := rehearse(c, voters, order(1), now); len(a) != 1 || a[0].Result != Taken {
+	if a := rehearse(c, acceptors, order(1), now); len(a) != 1 || a[0].Result != Taken {
 		t.Fatalf("%+v", a)
 	}
 	epoch := c.epoch
-	back := voters[1]
+	back := acceptors[1]
 	back.Promised = epoch + 10<<16
-	voters[1] = back
+	acceptors[1] = back
 	now += time.Second
-	if a := rehearse(c, voters, order(2), now); len(a) != 1 || a[0].Result != Taken || c.epoch != epoch {
+	if a := rehearse(c, acceptors, order(2), now); len(a) != 1 || a[0].Result != Taken || c.epoch != epoch {
 		t.Fatalf("%+v under epoch %d, not %d", a, c.epoch, epoch)
 	}
 	// The third is gone: a majority needs the one that came back.
 	now += time.Second
-	answers := rehearse(c, voters, order(3), now, 3)
+	answers := rehearse(c, acceptors, order(3), now, 3)
 	for range 20 {
 		now += tickEvery
-		answers = append(answers, rehearse(c, voters, c.Tick(now), now, 3)...)
+		answers = append(answers, rehearse(c, acceptors, c.Tick(now), now, 3)...)
 	}
 	if len(answers) != 1 || answers[0].Result != Taken || c.epoch <= back.Promised {
 		t.Errorf("%+v under epoch %d", answers, c.epoch)
--- a/register/disk.go
+++ b/register/disk.go
@@ -23,13 +23,13 @@
 	keepWords = 16 // old words stay for operators to look at (ours)
 )
 
-// Disk keeps a voter in a vault.
+// Disk keeps an acceptor in a vault.
 type Disk struct {
 	Vault *vault.Vault
 	oaths uint64
 }
 
-// oath is the small part of a voter: what it promised and who sits where.
+// oath is the small part of an acceptor: what it promised and who sits where.
 type oath struct {
 	ID       uint64        `json:"id"`
 	Inc      uint64        `json:"incarnation"`
@@ -65,9 +65,9 @@
 	Top      int              `json:"top,omitempty"`
 }
 
-// Load reads a voter. One whose newest files can't be read whole has lost what
+// Load reads an acceptor. One whose newest files can't be read whole has lost what
 // it promised: its files are set aside and it must take its seat anew.
-func (d *Disk) Load(s Start) (Voter, error) {
+func (d *Disk) Load(s Start) (Acceptor, error) {
 	v := s.Empty(rand.Uint64() | 1)
 	oathName, oathData, oathTorn, err := d.Vault.Newest(kindOath)
 	if err != nil {
@@ -86,7 +86,7 @@
 		return d.lose(s, oathName)
 	}
 	fmt.Sscanf(oathName, "%d", &d.oaths)
-	v = Voter{Self: From{Slot: s.Slot, ID: o.ID, Inc: o.Inc}, Founded: s.Slots, Phase: o.Phase, Promised: o.Promised, Seats: o.Seats}
+	v = Acceptor{Self: From{Slot: s.Slot, ID: o.ID, Inc: o.Inc}, Founded: s.Slots, Phase: o.Phase, Promised: o.Promised, Seats: o.Seats}
 	if o.Slot != nil {
 		v.Self.Slot, v.Founded, v.Founders = *o.Slot, o.Founded, o.Founders
 	}
@@ -118,7 +118,7 @@
 // lose takes a new identity, and sets aside what was before. The identity is on disk before
 // anything else changes: wherever this ends, what is found next is as it was, or has the
 // new identity, and is never an empty disk, which a founder's would be born on once more.
-func (d *Disk) lose(s Start, newestOath string) (Voter, error) {
+func (d *Disk) lose(s Start, newestOath string) (Acceptor, error) {
 	fmt.Sscanf(newestOath, "%d", &d.oaths)
 	s.First = false
 	v := s.Empty(rand.Uint64() | 1)
@@ -134,9 +134,9 @@
 	return v, d.Vault.SetAside(kindWord, 0)
 }
 
-// Save puts the dirty parts of a voter on disk: the word first, since an oath
+// Save puts the dirty parts of an acceptor on disk: the word first, since an oath
 // says that what it stands for is there.
-func (d *Disk) Save(v Voter) error {
+func (d *Disk) Save(v Acceptor) error {
 	if v.WordDirty {
 		head, err := json.Marshal(wordHead{
 			Mark: v.Mark, DesiredStamp: v.Word.DesiredStamp, Emptied: v.Word.Emptied,
--- a/register/disk_model_test.go
+++ b/register/disk_model_test.go
@@ -134,7 +134,7 @@
 	return nil
 }
 
-func (w modelFile) Close() error { return nil }
+func (modelFile) Close() error { return nil }
 
 // restarted is the folder of the next process, as it is after names and files were kept
 // or lost.
@@ -189,14 +189,14 @@
 	}
 }
 
-// diskModel is a voter's life on a disk: what it may have told others, and what may have
+// diskModel is an acceptor's life on a disk: what it may have told others, and what may have
 // come of what it did not.
 type diskModel struct {
 	t     *testing.T
 	start Start
 	words map[Mark]string
 	// told is the last state that was saved, so that votes may have gone out on it.
-	told  Voter
+	told  Acceptor
 	saved bool
 	seen  int
 }
@@ -205,7 +205,7 @@
 	return &diskModel{t: t, words: map[Mark]string{}, start: Start{First: true, Founders: []string{"a", "b", "c"}, Addr: "a"}}
 }
 
-// ballots are a voter's life: promises, words that are proposed and settled, epochs that
+// ballots are an acceptor's life: promises, words that are proposed and settled, epochs that
 // overtake one another, more words than are kept.
 func (d *diskModel) ballots(changes int) (out []Ballot) {
 	epoch, stamp := uint64(5), uint64(0)
@@ -223,7 +223,7 @@
 	return out
 }
 
-// live loads a voter and has it take ballots until something fails; what failed to be
+// live loads an acceptor and has it take ballots until something fails; what failed to be
 // saved it never told, and it goes on as it was, as the keeper does.
 func (d *diskModel) live(files *modelFiles, ballots []Ballot) (loaded bool, err error) {
 	disk := &Disk{Vault: vault.On(files)}
@@ -272,7 +272,7 @@
 	}
 }
 
-// A process that ends, or a machine that loses power, at any step of a voter's life, at
+// A process that ends, or a machine that loses power, at any step of an acceptor's life, at
 // each byte of each write, comes back with the same identity and with all that it ever
 // told, whatever is kept or lost of names and files that were not synced.
 func TestDiskEndsAnywhere(t *testing.T) {
@@ -284,7 +284,7 @@
 		t.Fatal(err)
 	}
 	for end := range whole.steps {
-		d.told, d.saved = Voter{}, false
+		d.told, d.saved = Acceptor{}, false
 		files := newModelFiles()
 		files.end = end
 		if _, err := d.live(files, ballots); !errors.Is(err, errEnd) {
@@ -306,7 +306,7 @@
 		t.Fatal(err)
 	}
 	for end := range whole.steps {
-		d.told, d.saved = Voter{}, false
+		d.told, d.saved = Acceptor{}, false
 		files := newModelFiles()
 		files.end, files.full = end, true
 		if loaded, _ := d.live(files, ballots); !loaded {
@@ -317,7 +317,7 @@
 	t.Logf("%d steps, %d restarts", whole.steps, d.seen)
 }
 
-// The newest file of a kind does not match its checksum any more: the voter has lost what
+// The newest file of a kind does not match its checksum any more: the acceptor has lost what
 // it promised. However often the process or the power ends while it makes a new identity,
 // also at a first start of the whole system, the old identity never votes with less.
 func TestDiskLosesAnywhere(t *testing.T) {
--- a/register/edition_test.go
+++ b/register/edition_test.go
@@ -11,40 +11,40 @@
 	"curlewwalk/vault"
 )
 
-// bench is clerks and voters without a wire.
+// bench is proposers and acceptors without a wire.
 type bench struct {
-	t       *testing.T
-	now     time.Duration
-	voters  []Voter
-	clerks  map[int]*Clerk
-	answers map[uint64]Answer
-	seq     uint64
-	// sent are the ballots of each clerk that are on their way.
+	t         *testing.T
+	now       time.Duration
+	acceptors []Acceptor
+	proposers map[int]*Proposer
+	answers   map[uint64]Answer
+	seq       uint64
+	// sent are the ballots of each proposer that are on their way.
 	sent map[int][]Outcome
 	// proposed counts the words that were proposed.
 	proposed int
 }
 
 func newBench(t *testing.T, slots int) *bench {
-	b := &bench{t: t, clerks: map[int]*Clerk{}, answers: map[uint64]Answer{}, sent: map[int][]Outcome{}}
+	b := &bench{t: t, proposers: map[int]*Proposer{}, answers: map[uint64]Answer{}, sent: map[int][]Outcome{}}
 	chairs := map[int]Chair{}
 	for s := 1; s <= slots; s++ {
 		chairs[s] = Chair{Inc: 1, ID: uint64(s)}
 	}
 	for s := 1; s <= slots; s++ {
 		self := From{Slot: s, Inc: 1, ID: uint64(s)}
-		b.voters = append(b.voters, Voter{Self: self, Founded: slots, Phase: Established, Seats: chairs})
-		b.clerks[s] = &Clerk{}
-		b.clerks[s].Follow(b.voters[s-1], 0)
+		b.acceptors = append(b.acceptors, Acceptor{Self: self, Founded: slots, Phase: Established, Seats: chairs})
+		b.proposers[s] = &Proposer{}
+		b.proposers[s].Follow(b.acceptors[s-1], 0)
 	}
 	return b
 }
 
-// give hands a clerk an order.
+// give hands a proposer an order.
 func (b *bench) give(slot int, o Order) uint64 {
 	b.seq++
 	o.ID, o.Until = b.seq, b.now+3*time.Second
-	b.obey(slot, b.clerks[slot].Take(o, b.now))
+	b.obey(slot, b.proposers[slot].Take(o, b.now))
 	return o.ID
 }
 
@@ -62,7 +62,7 @@
 	}
 }
 
-// step lets a clerk's ballots so far come to the voters, and their votes back;
+// step lets a proposer's ballots so far come to the acceptors, and their votes back;
 // false if there were none.
 func (b *bench) step(slot int) bool {
 	sent := b.sent[slot]
@@ -70,9 +70,9 @@
 	for _, o := range sent {
 		for _, m := range o.To {
 			s := m.Slot
-			next, vote := b.voters[s-1].On(*o.Ballot)
-			b.voters[s-1] = next
-			b.obey(slot, b.clerks[slot].Hear(vote, b.now))
+			next, vote := b.acceptors[s-1].On(*o.Ballot)
+			b.acceptors[s-1] = next
+			b.obey(slot, b.proposers[slot].Hear(vote, b.now))
 		}
 	}
 	return len(sent) > 0
@@ -81,13 +81,13 @@
 // rest lets all that is on its way come, and a second pass.
 func (b *bench) rest() {
 	for range 10 {
-		for slot := range b.clerks {
+		for slot := range b.proposers {
 			for b.step(slot) {
 			}
 		}
 		b.now += 100 * time.Millisecond
-		for slot, c := range b.clerks {
-			c.Follow(b.voters[slot-1], b.now)
+		for slot, c := range b.proposers {
+			c.Follow(b.acceptors[slot-1], b.now)
 			b.obey(slot, c.Tick(b.now))
 		}
 	}
@@ -96,10 +96,10 @@
 // newest is the word that a majority holds.
 func (b *bench) newest() desired.Word {
 	votes := map[int]Vote{}
-	for i := range b.voters {
-		_, votes[i+1] = b.voters[i].On(Ballot{Act: Read})
+	for i := range b.acceptors {
+		_, votes[i+1] = b.acceptors[i].On(Ballot{Act: Read})
 	}
-	top, held := Newest(votes, b.voters[0].Sets())
+	top, held := Newest(votes, b.acceptors[0].Sets())
 	if !held {
 		b.t.Fatal("no majority holds the newest word")
 	}
@@ -173,7 +173,7 @@
 	}
 }
 
-// Two clerks race: whichever way their ballots fall among each other, both
+// Two proposers race: whichever way their ballots fall among each other, both
 // editions are acknowledged, and the higher one is held.
 func TestEditionsRace(t *testing.T) {
 	for steps := range 64 {
@@ -193,7 +193,7 @@
 	}
 }
 
-// An edition whose ballots were lost, and that another clerk's word came in the
+// An edition whose ballots were lost, and that another proposer's word came in the
 // way of, is proposed again and not left in doubt.
 func TestEditionOvertaken(t *testing.T) {
 	b := newBench(t, 3)
@@ -202,7 +202,7 @@
 	b.expect(first, Taken)
 	overtaken := b.give(1, edition(1, "one"))
 	b.sent[1] = nil
-	b.clerks[2].Follow(b.voters[1], b.now)
+	b.proposers[2].Follow(b.acceptors[1], b.now)
 	other := b.give(2, Order{Kind: Empty, Locality: "east"})
 	for b.step(2) {
 	}
@@ -265,7 +265,7 @@
 	b.sent[1] = nil // the ballots for 3 are lost, and all that come after
 	for range 40 {
 		b.now += 50 * time.Millisecond
-		b.obey(1, b.clerks[1].Tick(b.now))
+		b.obey(1, b.proposers[1].Tick(b.now))
 		b.sent[1] = nil
 		if b.has(low) && !b.has(high) {
 			b.expect(low, NotTaken)
@@ -287,19 +287,19 @@
 		t.Fatal(err)
 	}
 	d := Disk{Vault: v}
-	voter, err := d.Load(Start{Slot: 1, Slots: 1})
+	acceptor, err := d.Load(Start{Slot: 1, Slots: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
-	voter.Phase, voter.Self.Inc = Established, 1
-	voter.Mark = Mark{Epoch: 2, Stamp: 3}
-	voter.Word = desired.Word{Stamp: 3, DesiredStamp: 3, Edition: 9, Desired: []byte("{\n}\n"), Sent: []byte("a\n\x00b")}
-	voter.OathDirty, voter.WordDirty = true, true
-	if err := d.Save(voter); err != nil {
+	acceptor.Phase, acceptor.Self.Inc = Established, 1
+	acceptor.Mark = Mark{Epoch: 2, Stamp: 3}
+	acceptor.Word = desired.Word{Stamp: 3, DesiredStamp: 3, Edition: 9, Desired: []byte("{\n}\n"), Sent: []byte("a\n\x00b")}
+	acceptor.OathDirty, acceptor.WordDirty = true, true
+	if err := d.Save(acceptor); err != nil {
 		t.Fatal(err)
 	}
 	got, err := (&Disk{Vault: v}).Load(Start{Slot: 1, Slots: 1})
-	if diff := cmp.Diff(voter.Word, got.Word, cmpopts.EquateEmpty()); diff != "" || err != nil {
+	if diff := cmp.Diff(acceptor.Word, got.Word, cmpopts.EquateEmpty()); diff != "" || err != nil {
 		t.Error(diff, err)
 	}
 	old := "{\"epoch\":4,\"stamp\":4,\"desired_stamp\":4,\"emptied\":[\"west\"]}\n{}"
--- a/register/epoch_test.go
+++ b/register/epoch_test.go
@@ -25,7 +25,7 @@
 }
 
 // The count of slots outlasts years of replacements: one every ten seconds for thirty
-// years, and as many epochs as a contest of clerks ten times a second begins in that
+// years, and as many epochs as a contest of proposers ten times a second begins in that
 // time.
 func TestSlotsOutlastYears(t *testing.T) {
 	const year = 365 * 24 * 3600
--- a/register/evacuation_test.go
+++ b/register/evacuation_test.go
@@ -61,7 +61,7 @@
 		b.expect(first, Taken)
 		old := b.give(1, asOf(Empty, "west", 1))
 		b.sent[1] = nil
-		b.clerks[2].Follow(b.voters[1], b.now)
+		b.proposers[2].Follow(b.acceptors[1], b.now)
 		newer := b.give(2, asOf(TakeBack, by, 1))
 		for b.step(2) {
 		}
--- a/register/keeper.go
+++ b/register/keeper.go
@@ -42,7 +42,7 @@
 	OnDuty() bool
 }
 
-// Keeper runs the voter and the clerk of one core on one thread, next to its
+// Keeper runs the acceptor and the proposer of one core on one thread, next to its
 // disk. (DESIGN 6)
 type Keeper struct {
 	Net      *wire.Net
@@ -54,19 +54,19 @@
 	// Turned is told when the core has become able or unable; it must not wait.
 	Turned func()
 
-	box    *launch.Mailbox
-	disk   *Disk
-	voter  Voter
-	clerk  *Clerk
-	start  time.Time
-	orders map[uint64]chan<- Answer
-	seated time.Duration
+	box      *launch.Mailbox
+	disk     *Disk
+	acceptor Acceptor
+	proposer *Proposer
+	start    time.Time
+	orders   map[uint64]chan<- Answer
+	seated   time.Duration
 	// trying is whether a try for the seat is under way, and asked the highest
 	// incarnation asked for so far. A seat taken under a lower one than another try
 	// was granted would be no seat: there is one try at a time, and each asks for more.
 	trying bool
 	asked  uint64
-	shown  atomic.Pointer[Voter]
+	shown  atomic.Pointer[Acceptor]
 	health atomic.Pointer[Health]
 	// able is as Turned was told last, probed when the disk was tried last.
 	able   bool
@@ -105,7 +105,7 @@
 	}
 	msgVote  struct{ v Vote }
 	msgSaved struct {
-		next Voter
+		next Acceptor
 		err  error
 		done func(ctx context.Context, ok bool)
 	}
@@ -125,15 +125,15 @@
 	msgTick struct{}
 )
 
-// NewKeeper loads the voter from disk and starts the keeper's actor.
+// NewKeeper loads the acceptor from disk and starts the keeper's actor.
 func NewKeeper(l *launch.Launcher, d *Disk, s Start) (*Keeper, error) {
 	v, err := d.Load(s)
 	if err != nil {
 		return nil, err
 	}
-	k := &Keeper{Launcher: l, disk: d, voter: v, start: time.Now(), orders: map[uint64]chan<- Answer{}}
-	k.clerk = &Clerk{}
-	k.clerk.Follow(v, 0)
+	k := &Keeper{Launcher: l, disk: d, acceptor: v, start: time.Now(), orders: map[uint64]chan<- Answer{}}
+	k.proposer = &Proposer{}
+	k.proposer.Follow(v, 0)
 	k.show()
 	k.able = true
 	k.note(Health{})
@@ -170,7 +170,7 @@
 // newest asks a majority for the newest word, by a Look or a Read. held tells whether
 // majorities are known to hold it; more than a majority are asked to find out.
 func (k *Keeper) newest(ctx context.Context, act Act) (top Vote, held, ok bool) {
-	self := k.Voter()
+	self := k.Acceptor()
 	if self.Phase != Established {
 		return Vote{}, false, false
 	}
@@ -200,8 +200,8 @@
 	return top.Mark.Stamp, ok
 }
 
-// Voter shows the voter as it is on disk.
-func (k *Keeper) Voter() Voter { return *k.shown.Load() }
+// Acceptor shows the acceptor as it is on disk.
+func (k *Keeper) Acceptor() Acceptor { return *k.shown.Load() }
 
 // Health shows what the core can do.
 func (k *Keeper) Health() Health { return *k.health.Load() }
@@ -318,7 +318,7 @@
 	ctx, cancel := context.WithTimeout(ctx, voteLimit)
 	defer cancel()
 	var v Vote
-	self := k.Voter().Self
+	self := k.Acceptor().Self
 	if k.Net.Call(ctx, addr, wire.Control, KindBallot, Ballot{From: self, Act: Read}).Into(&v) && v.Settled == v.Mark.Stamp {
 		k.vote(ctx, Ballot{From: self, Act: Settle, Epoch: v.Mark.Epoch, Mark: v.Mark, Word: v.Word})
 	}
@@ -344,7 +344,7 @@
 	more := time.NewTimer(voteLimit)
 	defer more.Stop()
 	far := partial
-	own := k.Voter().Sets()
+	own := k.Acceptor().Sets()
 	in, open, asked := make(chan *Vote), 0, []desired.Member{}
 	ask := func(set []desired.Member) {
 		for _, s := range set {
@@ -392,7 +392,7 @@
 
 // put brings a ballot to one member.
 func (k *Keeper) put(ctx context.Context, m desired.Member, b Ballot) *Vote {
-	self := k.Voter().Self
+	self := k.Acceptor().Self
 	if m.Slot == self.Slot && (m.ID == 0 || m.ID == self.ID) {
 		return k.vote(ctx, b)
 	}
@@ -420,7 +420,7 @@
 	case msgOrder:
 		k.order(ctx, m, now)
 	case msgVote:
-		k.obey(ctx, k.clerk.Hear(m.v, now))
+		k.obey(ctx, k.proposer.Hear(m.v, now))
 	case msgSaved:
 		k.saved(ctx, m)
 	case msgReads:
@@ -439,20 +439,20 @@
 	}
 }
 
-// ballot puts a ballot to the own voter. What it only shows is what is on disk, and
+// ballot puts a ballot to the own acceptor. What it only shows is what is on disk, and
 // shown at once. Any other vote is sent when what it stands for is on disk.
 func (k *Keeper) ballot(ctx context.Context, m msgBallot) {
 	if m.b.Act == Look || m.b.Act == Read {
-		_, vote := k.voter.On(m.b)
+		_, vote := k.acceptor.On(m.b)
 		m.reply <- &vote
 		return
 	}
-	if m.b.Act == Settle && k.voter.admit(m.b) {
+	if m.b.Act == Settle && k.acceptor.admit(m.b) {
 		// Majorities hold it: whether the own disk takes it too changes nothing of that.
 		k.tell(ctx, m.b.Word)
 	}
 	var vote Vote
-	decide := func(v Voter) (next Voter, ok bool) {
+	decide := func(v Acceptor) (next Acceptor, ok bool) {
 		next, vote = v.On(m.b)
 		return next, true
 	}
@@ -466,17 +466,17 @@
 	k.submit(ctx, transition{decide: decide, done: done, until: k.now() + voteLimit})
 }
 
-// order hands an order to the clerk. A core that has no contact with a majority takes
+// order hands an order to the proposer. A core that has no contact with a majority takes
 // none: the order could only run out of time here, and whoever gave it may go to
-// another core at once. Nor does the clerk raise epochs that would disturb the others
+// another core at once. Nor does the proposer raise epochs that would disturb the others
 // once the contact is back. (DESIGN 6.3)
 func (k *Keeper) order(ctx context.Context, m msgOrder, now time.Duration) {
-	if k.voter.Phase != Established || !k.Health().Connected(now) {
+	if k.acceptor.Phase != Established || !k.Health().Connected(now) {
 		m.reply <- Answer{Result: NotTaken}
 		return
 	}
 	k.orders[m.o.ID] = m.reply
-	k.obey(ctx, k.clerk.Take(m.o, now))
+	k.obey(ctx, k.proposer.Take(m.o, now))
 }
 
 // looked takes what a majority showed. A newest word that is still not passed on when
@@ -498,7 +498,7 @@
 
 // copy takes a word that majorities hold from one that holds it.
 func (k *Keeper) copy(ctx context.Context, holder Vote) {
-	self := k.Voter()
+	self := k.Acceptor()
 	if self.Mark != holder.Mark {
 		ctx, cancel := context.WithTimeout(ctx, voteLimit)
 		defer cancel()
@@ -514,37 +514,37 @@
 func (k *Keeper) tick(ctx context.Context, now time.Duration) {
 	k.turn(ctx, now)
 	k.probe(ctx, now)
-	if k.voter.Struck() && !k.saving {
-		k.Log.Info("the slot was struck", "slot", k.voter.Self.Slot)
+	if k.acceptor.Struck() && !k.saving {
+		k.Log.Info("the slot was struck", "slot", k.acceptor.Self.Slot)
 		k.leave(ctx, now)
 	}
-	switch k.voter.Phase {
+	switch k.acceptor.Phase {
 	case Seeking:
 		return // the core asks for a seat
 	case Virgin, Lost:
 		if !k.trying && (now-k.seated >= seatEvery || k.seated == 0) {
 			k.seated, k.trying = now, true
 			k.Launcher.Go(ctx, "look-for-seat", func(ctx context.Context) {
-				k.box.Send(ctx, msgReads{k.others(ctx, Ballot{From: k.Voter().Self, Act: Read})})
+				k.box.Send(ctx, msgReads{k.others(ctx, Ballot{From: k.Acceptor().Self, Act: Read})})
 			})
 		}
 		return
 	}
-	k.clerk.Follow(k.voter, now)
+	k.proposer.Follow(k.acceptor, now)
 	if k.refreshDue(now) {
 		k.seated = now
 		o := Order{ID: rand.Uint64(), Kind: Refresh, Until: now + orderLimit}
 		k.orders[o.ID] = make(chan Answer, 1)
-		k.obey(ctx, k.clerk.Take(o, now))
+		k.obey(ctx, k.proposer.Take(o, now))
 	}
-	k.obey(ctx, k.clerk.Tick(now))
+	k.obey(ctx, k.proposer.Tick(now))
 }
 
 // refreshDue tells whether this core has to make sure of the newest word: one that no
 // majority is known to hold, here or with another, as after a cold start or when a
-// clerk stopped half way. That is for the core on duty.
+// proposer stopped half way. That is for the core on duty.
 func (k *Keeper) refreshDue(now time.Duration) bool {
-	open := k.voter.Mark.Stamp > k.voter.Settled || len(k.voter.Word.Formerly) > 0 || k.unsettled
+	open := k.acceptor.Mark.Stamp > k.acceptor.Settled || len(k.acceptor.Word.Formerly) > 0 || k.unsettled
 	return open && len(k.orders) == 0 && now-k.seated >= seatEvery && k.Health().Connected(now) && k.Peers.OnDuty()
 }
 
@@ -553,7 +553,7 @@
 func (k *Keeper) turn(ctx context.Context, now time.Duration) {
 	able, connected := k.Health().Able(now), k.Health().Connected(now)
 	if !connected || !able && !k.Peers.OnDuty() {
-		k.obey(ctx, k.clerk.GiveBack())
+		k.obey(ctx, k.proposer.GiveBack())
 	}
 	if able == k.able {
 		return
@@ -566,7 +566,7 @@
 }
 
 func (k *Keeper) show() {
-	v := k.voter
+	v := k.acceptor
 	k.shown.Store(&v)
 }
 
--- a/register/keeper_test.go
+++ b/register/keeper_test.go
@@ -14,11 +14,11 @@
 	"curlewwalk/wire"
 )
 
-// slow is a voter on the wire that grants a seat at once and is late to say so.
+// slow is an acceptor on the wire that grants a seat at once and is late to say so.
 type slow struct {
-	mu    sync.Mutex
-	voter Voter
-	late  time.Duration
+	mu       sync.Mutex
+	acceptor Acceptor
+	late     time.Duration
 }
 
 func (s *slow) ballot(ctx context.Context, in wire.Inquiry) (any, string) {
@@ -27,8 +27,8 @@
 		return nil, "not a ballot"
 	}
 	s.mu.Lock()
-	next, vote := s.voter.On(b)
-	s.voter = next
+	next, vote := s.acceptor.On(b)
+	s.acceptor = next
 	s.mu.Unlock()
 	if b.Act == Sit {
 		select {
@@ -43,14 +43,14 @@
 func (s *slow) knows(slot int) Chair {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.voter.Seats[slot]
+	return s.acceptor.Seats[slot]
 }
 
 // addresses are peers that stay where they are.
 type addresses map[int]string
 
 func (a addresses) Addr(slot int) (string, bool) { s, ok := a[slot]; return s, ok }
-func (a addresses) OnDuty() bool                 { return false }
+func (addresses) OnDuty() bool                   { return false }
 
 // An empty core whose seat is granted more slowly than it tries for it sits, in the
 // end, under the incarnation that the others know: else its votes would not count.
@@ -64,7 +64,7 @@
 		v.Founded, v.Settled = 3, 2
 		v.Seats = map[int]Chair{1: {Inc: 1, ID: 1}, 2: {Inc: 1, ID: 2}, 3: {Inc: 1, ID: 77}}
 		v.Self = From{Slot: slot, Inc: 1, ID: uint64(slot)}
-		s := &slow{voter: v, late: 700 * time.Millisecond}
+		s := &slow{acceptor: v, late: 700 * time.Millisecond}
 		others = append(others, s)
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -86,7 +86,7 @@
 	k.Settled, k.Confirmed = func(context.Context, desired.Word) {}, func(context.Context, time.Time) {}
 	l.Go(ctx, "net", k.Net.Run)
 	l.Go(ctx, "keeper", k.Run)
-	for k.Voter().Phase != Established {
+	for k.Acceptor().Phase != Established {
 		select {
 		case <-ctx.Done():
 			t.Fatal("it never got its seat")
@@ -94,7 +94,7 @@
 		}
 	}
 	time.Sleep(3 * seatEvery) // what else was asked for comes
-	self := k.Voter().Self
+	self := k.Acceptor().Self
 	for i, s := range others {
 		if c := s.knows(3); !self.holds(c) || c.ID != self.ID {
 			t.Errorf("slot %d knows %+v in slot 3, which sits there as %+v", i+1, c, self)
--- a/register/mark.go
+++ b/register/mark.go
@@ -1,5 +1,5 @@
-// Package register holds the operator's word on the cores: voters that keep
-// it, and the clerk of the duty core that writes it. Both are plain decision
+// Package register holds the operator's word on the cores: acceptors that keep
+// it, and the proposer of the duty core that writes it. Both are plain decision
 // values. (DESIGN 6)
 package register
 
--- a/register/named_test.go
+++ b/register/named_test.go
@@ -11,17 +11,17 @@
 // oath. It has that seat all the same, once it hears that the word is settled.
 func TestNamedBeforePowerWasLost(t *testing.T) {
 	dir := t.TempDir()
-	open := func() (*Disk, Voter) {
+	open := func() (*Disk, Acceptor) {
 		v, err := vault.Open(dir)
 		if err != nil {
 			t.Fatal(err)
 		}
 		d := &Disk{Vault: v}
-		voter, err := d.Load(Start{})
+		acceptor, err := d.Load(Start{})
 		if err != nil {
 			t.Fatal(err)
 		}
-		return d, voter
+		return d, acceptor
 	}
 	disk, newcomer := open()
 	word := desired.Word{Stamp: 5, Desired: []byte("{}"), Slots: append(set(1, 2), desired.Member{Slot: 4, ID: newcomer.Self.ID}), Top: 4}
--- a/register/order.go
+++ b/register/order.go
@@ -25,7 +25,7 @@
 	Reseat OrderKind = "reseat"
 )
 
-// Order is one operator's write for the clerk.
+// Order is one operator's write for the proposer.
 type Order struct {
 	ID    uint64    `msgpack:"i"`
 	Kind  OrderKind `msgpack:"k"`
@@ -50,7 +50,7 @@
 	// Brief says that of the word the answer needs only its numbers.
 	Brief bool          `msgpack:"br,omitempty"`
 	Until time.Duration `msgpack:"-"`
-	// at is when the clerk took it.
+	// at is when the proposer took it.
 	at time.Duration
 	// proposed is the mark under which the order went out, if it did.
 	proposed Mark
--- a/register/outcome.go
+++ b/register/outcome.go
@@ -2,7 +2,7 @@
 
 import "curlewwalk/desired"
 
-// Outcome is what the clerk wants done.
+// Outcome is what the proposer wants done.
 type Outcome struct {
 	// Ballot goes to every member in To.
 	Ballot *Ballot
--- a/register/patched.go
+++ b/register/patched.go
@@ -105,7 +105,7 @@
 }
 
 // apply makes what a patch tells, of the words of late or of the one held now.
-func (e *exchange) apply(p desired.Patch, own Voter) (desired.Version, bool) {
+func (e *exchange) apply(p desired.Patch, own Acceptor) (desired.Version, bool) {
 	if v, ok := e.applied(p); ok {
 		return v, true
 	}
@@ -147,7 +147,7 @@
 	if !in.Into(&p) {
 		return nil, faultVote
 	}
-	version, ok := k.exchange.apply(p.Patch, k.Voter())
+	version, ok := k.exchange.apply(p.Patch, k.Acceptor())
 	if !ok || version.Into(&p.Ballot.Word) != nil {
 		return nil, faultBase
 	}
@@ -164,7 +164,7 @@
 // Forward has another core carry an order out.
 func (k *Keeper) Forward(ctx context.Context, addr string, o Order) wire.Receipt {
 	o.Brief = o.Kind != Refresh
-	own := k.Voter()
+	own := k.Acceptor()
 	if p, can := k.exchange.order(o, own.Mark, own.Word); can {
 		r := k.Net.Call(ctx, addr, wire.Control, KindPatchedOrder, p)
 		if r.Fate != wire.Answered || r.Fault != faultBase && !r.UnknownKind() {
@@ -180,7 +180,7 @@
 	if !in.Into(&p) {
 		return nil, faultOrder
 	}
-	version, ok := k.exchange.apply(p, k.Voter())
+	version, ok := k.exchange.apply(p, k.Acceptor())
 	if !ok {
 		return nil, faultBase
 	}
--- a/register/patched_test.go
+++ b/register/patched_test.go
@@ -156,14 +156,14 @@
 		r.t.Fatalf("order %d: %+v", number, a.Word)
 	}
 	for slot, m := range r.members {
-		for m.Voter().Settled < a.Word.Stamp {
+		for m.Acceptor().Settled < a.Word.Stamp {
 			select {
 			case <-r.ctx.Done():
 				r.t.Fatalf("slot %d has not stamp %d", slot, a.Word.Stamp)
 			case <-time.After(time.Millisecond):
 			}
 		}
-		if w := m.Voter().Word; string(w.Desired) != string(o.Bytes) || string(w.Sent) != string(o.Sent) || w.Stamp != a.Word.Stamp {
+		if w := m.Acceptor().Word; string(w.Desired) != string(o.Bytes) || string(w.Sent) != string(o.Sent) || w.Stamp != a.Word.Stamp {
 			r.t.Fatalf("slot %d holds something else at stamp %d", slot, w.Stamp)
 		}
 	}
--- a/register/phase.go
+++ b/register/phase.go
@@ -1,6 +1,6 @@
 package register
 
-// Phase is how far a voter's disk has come.
+// Phase is how far an acceptor's disk has come.
 type Phase string
 
 // A virgin disk never held anything; a lost one is known to have held more
--- a/register/clerk.go
+++ b/register/proposer.go
@@ -19,26 +19,26 @@
 	finishWithin = time.Second // (ours)
 )
 
-type clerkPhase int
+type proposerPhase int
 
 const (
-	idle clerkPhase = iota
+	idle proposerPhase = iota
 	preparing
 	proposing
 	probing // whether what a changed set needs is there
 )
 
-// Clerk writes the word on behalf of the duty core, one order at a time, under
+// Proposer writes the word on behalf of the duty core, one order at a time, under
 // an epoch that a majority has promised to. (DESIGN 6.3)
-type Clerk struct {
+type Proposer struct {
 	Self    From
 	Founded int
 
 	founders []desired.Member
-	sets     Sets // of the own voter
+	sets     Sets // of the own acceptor
 	asked    []desired.Member
 	opened   time.Duration // when this round of votes was
-	phase    clerkPhase
+	phase    proposerPhase
 	epoch    uint64 // zero: none held
 	known    uint64 // the highest epoch heard of
 	mark     Mark
@@ -55,7 +55,7 @@
 }
 
 // Take queues an order.
-func (c *Clerk) Take(o Order, now time.Duration) []Outcome {
+func (c *Proposer) Take(o Order, now time.Duration) []Outcome {
 	o.at = now
 	if o.Kind == Put && o.Edition != 0 && o.Digest == nil {
 		o.Digest = desired.Digest(o.Sent, o.Bytes)
@@ -65,7 +65,7 @@
 }
 
 // Hear takes a vote.
-func (c *Clerk) Hear(v Vote, now time.Duration) []Outcome {
+func (c *Proposer) Hear(v Vote, now time.Duration) []Outcome {
 	c.known = max(c.known, v.Promised)
 	if c.phase == idle || v.Epoch != c.epoch || (c.phase == preparing || c.phase == probing) != (v.Act == Prepare) || (c.phase == proposing) != (v.Act == Propose) {
 		return nil
@@ -81,7 +81,7 @@
 	}
 	c.votes[v.From.Slot] = v
 	votes := Counted(c.votes)
-	// The own promise must be on disk first: it keeps a restarted clerk from
+	// The own promise must be on disk first: it keeps a restarted proposer from
 	// taking the same epoch again. (DESIGN 6.3)
 	_, self := votes[c.Self.Slot]
 	sets := c.setsOf(c.word)
@@ -104,9 +104,9 @@
 }
 
 // denied takes a vote for a higher epoch. While a proposal can still be settled without
-// that voter, the clerk goes on under its own: a core that was cut off with a promise
+// that acceptor, the proposer goes on under its own: a core that was cut off with a promise
 // that nobody else gave comes back without a new epoch. (DESIGN 6.3)
-func (c *Clerk) denied(v Vote, now time.Duration) {
+func (c *Proposer) denied(v Vote, now time.Duration) {
 	c.against[v.From.Slot] = v
 	_, self := c.against[c.Self.Slot]
 	if c.phase != proposing || self || !c.setsOf(c.word).reachable(c.against) {
@@ -115,7 +115,7 @@
 }
 
 // Tick lets time pass.
-func (c *Clerk) Tick(now time.Duration) []Outcome {
+func (c *Proposer) Tick(now time.Duration) []Outcome {
 	var out []Outcome
 	for i := 0; i < len(c.orders); i++ {
 		o := c.orders[i]
@@ -156,8 +156,8 @@
 }
 
 // GiveBack ends the orders that were not proposed: they surely never will be by this
-// clerk, and another core may take them.
-func (c *Clerk) GiveBack() (out []Outcome) {
+// proposer, and another core may take them.
+func (c *Proposer) GiveBack() (out []Outcome) {
 	var kept []Order
 	for i, o := range c.orders {
 		if o.proposed != (Mark{}) {
@@ -173,7 +173,7 @@
 	return out
 }
 
-func (c *Clerk) drop(now time.Duration) {
+func (c *Proposer) drop(now time.Duration) {
 	c.phase, c.epoch = idle, 0
 	rank := 1
 	for _, m := range c.sets.Now {
@@ -184,7 +184,7 @@
 	c.rest = now + yieldFor*time.Duration(rank)
 }
 
-func (c *Clerk) proceed(now time.Duration) []Outcome {
+func (c *Proposer) proceed(now time.Duration) []Outcome {
 	var out []Outcome
 	for c.phase == idle && len(c.orders) > 0 {
 		if c.epoch == 0 {
@@ -227,7 +227,7 @@
 // overtake has the highest of the editions that wait go before the first, if that
 // is one: once it is settled, the others need no write. Whoever gave them has no
 // receipt yet, so any order among them is as good.
-func (c *Clerk) overtake() {
+func (c *Proposer) overtake() {
 	waits := func(o Order) bool { return o.Kind == Put && o.Edition != 0 && o.IfMatch == nil }
 	if !waits(c.orders[0]) {
 		return
@@ -245,7 +245,7 @@
 }
 
 // judge ends an order that needs no write.
-func (c *Clerk) judge(o Order) (Answer, bool) {
+func (c *Proposer) judge(o Order) (Answer, bool) {
 	ans := Answer{ID: o.ID, Result: Taken, Word: c.held}
 	if res, done := superseded(c.held, o); done {
 		ans.Result = res
@@ -362,7 +362,7 @@
 
 // prepared: a majority promised; the highest word among them is proposed again
 // under the own epoch, which finishes whatever was left half done.
-func (c *Clerk) prepared(votes map[int]Vote, now time.Duration) []Outcome {
+func (c *Proposer) prepared(votes map[int]Vote, now time.Duration) []Outcome {
 	c.base, c.held = Mark{}, desired.Word{}
 	for _, v := range votes {
 		if c.base.Compare(v.Mark) < 0 {
@@ -378,7 +378,7 @@
 }
 
 // settled: a majority holds the proposal.
-func (c *Clerk) settled(now time.Duration) []Outcome {
+func (c *Proposer) settled(now time.Duration) []Outcome {
 	c.base, c.held = c.mark, c.word
 	c.phase = idle
 	out := []Outcome{{Ballot: &Ballot{From: c.Self, Act: Settle, Epoch: c.epoch, Mark: c.mark, Word: c.word}, To: union(c.asked, c.sets.Union())}}
@@ -396,7 +396,7 @@
 }
 
 // begin opens a new round of votes.
-func (c *Clerk) begin(p clerkPhase, now time.Duration) []Outcome {
+func (c *Proposer) begin(p proposerPhase, now time.Duration) []Outcome {
 	c.phase, c.votes, c.against, c.opened = p, map[int]Vote{}, map[int]Vote{}, now
 	c.asked = union(c.sets.Union(), c.self())
 	if p != preparing {
@@ -405,8 +405,8 @@
 	return c.send(now)
 }
 
-// self is the own voter, as far as no set names it.
-func (c *Clerk) self() []desired.Member {
+// self is the own acceptor, as far as no set names it.
+func (c *Proposer) self() []desired.Member {
 	if has(c.sets.Union(), c.Self) {
 		return nil
 	}
@@ -414,12 +414,12 @@
 }
 
 // setsOf are the sets of a word.
-func (c *Clerk) setsOf(w desired.Word) Sets {
-	return Voter{Word: w, Founded: c.Founded, Founders: c.founders}.Sets()
+func (c *Proposer) setsOf(w desired.Word) Sets {
+	return Acceptor{Word: w, Founded: c.Founded, Founders: c.founders}.Sets()
 }
 
 // further puts the current ballot to members that a vote has told of as well.
-func (c *Clerk) further(told []desired.Member) []Outcome {
+func (c *Proposer) further(told []desired.Member) []Outcome {
 	more := slices.DeleteFunc(told, func(m desired.Member) bool {
 		return slices.ContainsFunc(c.asked, func(a desired.Member) bool { return same(a, m) })
 	})
@@ -431,13 +431,13 @@
 }
 
 // send puts the current ballot to every slot that has not voted for it.
-func (c *Clerk) send(now time.Duration) []Outcome {
+func (c *Proposer) send(now time.Duration) []Outcome {
 	c.sent = now
 	to := slices.DeleteFunc(slices.Clone(c.asked), func(m desired.Member) bool { _, ok := c.votes[m.Slot]; return ok })
 	return []Outcome{{Ballot: c.ballot(), To: to}}
 }
 
-func (c *Clerk) ballot() *Ballot {
+func (c *Proposer) ballot() *Ballot {
 	b := &Ballot{From: c.Self, Act: Prepare, Epoch: c.epoch}
 	switch c.phase {
 	case proposing:
@@ -448,9 +448,9 @@
 	return b
 }
 
-// Follow tells the clerk how the own voter stands. One without a seat can't go on
+// Follow tells the proposer how the own acceptor stands. One without a seat can't go on
 // with what it began.
-func (c *Clerk) Follow(v Voter, now time.Duration) {
+func (c *Proposer) Follow(v Acceptor, now time.Duration) {
 	if v.Phase != Established && c.phase != idle {
 		c.drop(now)
 	}
--- a/register/sets.go
+++ b/register/sets.go
@@ -78,7 +78,7 @@
 	return true
 }
 
-// reachable tells whether majorities of each set are left without some voters.
+// reachable tells whether majorities of each set are left without some acceptors.
 func (s Sets) reachable(without map[int]Vote) bool {
 	for _, set := range s.each() {
 		if len(set)-in(set, without) < Majority(len(set)) {
--- a/register/sets_test.go
+++ b/register/sets_test.go
@@ -126,7 +126,7 @@
 		}
 		return Disk{Vault: v}
 	}
-	load := func(d *Disk, s Start) Voter {
+	load := func(d *Disk, s Start) Acceptor {
 		v, err := d.Load(s)
 		if err != nil {
 			t.Fatal(err)
--- a/register/start.go
+++ b/register/start.go
@@ -14,9 +14,9 @@
 	Addr     string
 }
 
-// Empty is the first state of a voter on an empty disk with an identity.
-func (s Start) Empty(id uint64) Voter {
-	v := Voter{Self: From{Slot: s.Slot, ID: id}, Phase: Virgin, Founded: s.Slots, Seats: map[int]Chair{}, OathDirty: true}
+// Empty is the first state of an acceptor on an empty disk with an identity.
+func (s Start) Empty(id uint64) Acceptor {
+	v := Acceptor{Self: From{Slot: s.Slot, ID: id}, Phase: Virgin, Founded: s.Slots, Seats: map[int]Chair{}, OathDirty: true}
 	if s.Slot != 0 {
 		return v
 	}
--- a/register/state.go
+++ b/register/state.go
@@ -13,16 +13,16 @@
 // share nothing, and canonical encodings. Two states of one encoding behave alike from
 // here on. (DESIGN 14.9)
 
-// Clone is a copy of the clerk that shares nothing that changes.
-func (c *Clerk) Clone() *Clerk {
+// Clone is a copy of the proposer that shares nothing that changes.
+func (c *Proposer) Clone() *Proposer {
 	out := *c
 	out.votes, out.against, out.orders = maps.Clone(c.votes), maps.Clone(c.against), slices.Clone(c.orders)
 	return &out
 }
 
-// AppendState appends an encoding of the clerk. Times are told as far as they matter to
-// somebody whose next look at the clock is far later than any limit of the clerk's.
-func (c *Clerk) AppendState(b []byte, now time.Duration) []byte {
+// AppendState appends an encoding of the proposer. Times are told as far as they matter to
+// somebody whose next look at the clock is far later than any limit of the proposer's.
+func (c *Proposer) AppendState(b []byte, now time.Duration) []byte {
 	b = appendFrom(b, c.Self)
 	b = appendMembers(b, c.founders)
 	b = appendSets(b, c.sets)
@@ -54,8 +54,8 @@
 	return b
 }
 
-// AppendState appends an encoding of the voter.
-func (v Voter) AppendState(b []byte) []byte {
+// AppendState appends an encoding of the acceptor.
+func (v Acceptor) AppendState(b []byte) []byte {
 	b = appendFrom(b, v.Self)
 	b = append(b, v.Phase...)
 	b = appendMembers(b, v.Founders)
@@ -140,13 +140,13 @@
 	return b
 }
 
-// Holds tells whether the clerk goes on under an epoch.
-func (c *Clerk) Holds(epoch uint64) bool { return c.phase != idle && c.epoch == epoch }
+// Holds tells whether the proposer goes on under an epoch.
+func (c *Proposer) Holds(epoch uint64) bool { return c.phase != idle && c.epoch == epoch }
 
-// Heeds tells whether a vote can still change what the clerk does: it opens a refusal, or
+// Heeds tells whether a vote can still change what the proposer does: it opens a refusal, or
 // belongs to the round of votes that is open, or to one that a change of the set may open
 // again under the same epoch.
-func (c *Clerk) Heeds(v Vote) bool {
+func (c *Proposer) Heeds(v Vote) bool {
 	if len(c.orders) == 0 && (c.phase == idle || c.own) {
 		return false
 	}
--- a/register/state_test.go
+++ b/register/state_test.go
@@ -15,11 +15,11 @@
 	}{
 		// Founded is zero where slots come and go; opened, sent, rest and began are told as
 		// far as they matter.
-		{Clerk{}, []string{
+		{Proposer{}, []string{
 			"Self", "Founded", "founders", "sets", "asked", "opened", "phase", "epoch", "known", "mark", "word", "base", "held",
 			"own", "orders", "votes", "against", "sent", "rest", "began",
 		}},
-		{Voter{}, []string{"Self", "Founded", "Founders", "Phase", "Promised", "Mark", "Word", "Seats", "Settled", "OathDirty", "WordDirty"}},
+		{Acceptor{}, []string{"Self", "Founded", "Founders", "Phase", "Promised", "Mark", "Word", "Seats", "Settled", "OathDirty", "WordDirty"}},
 		{Vote{}, []string{"From", "Act", "Epoch", "OK", "Phase", "Promised", "Mark", "Word", "Settled", "Seats", "Sets"}},
 		{Ballot{}, []string{"From", "Act", "Epoch", "Mark", "Word"}},
 	} {
--- a/register/transition.go
+++ b/register/transition.go
@@ -10,18 +10,18 @@
 // sent again by whoever needs it. (ours)
 const mostTransitions = 64
 
-// transition is one change of the voter. It is decided on the state that is on disk,
+// transition is one change of the acceptor. It is decided on the state that is on disk,
 // once the disk is free, so at most one write is under way and their order is kept.
 type transition struct {
 	// decide makes the next state; false if there is nothing to change.
-	decide func(v Voter) (next Voter, ok bool)
+	decide func(v Acceptor) (next Acceptor, ok bool)
 	// done is told once the next state is on disk, or that it will not be.
 	done func(ctx context.Context, ok bool)
 	// until is when nobody waits for it any more, after the keeper's start.
 	until time.Duration
 }
 
-// submit queues a change of the voter. Nothing of it may be told before done.
+// submit queues a change of the acceptor. Nothing of it may be told before done.
 func (k *Keeper) submit(ctx context.Context, t transition) {
 	k.expire(ctx)
 	if len(k.waiting) >= mostTransitions {
@@ -54,7 +54,7 @@
 	for !k.saving && len(k.waiting) > 0 {
 		t := k.waiting[0]
 		k.waiting = slices.Delete(k.waiting, 0, 1)
-		next, ok := t.decide(k.voter)
+		next, ok := t.decide(k.acceptor)
 		if !ok {
 			t.done(ctx, false)
 			continue
@@ -70,7 +70,7 @@
 
 // save writes a state beside the keeper's thread, which goes on meanwhile: a stalled
 // disk must not keep it from answering reads and from telling its state.
-func (k *Keeper) save(ctx context.Context, next Voter, done func(ctx context.Context, ok bool)) {
+func (k *Keeper) save(ctx context.Context, next Acceptor, done func(ctx context.Context, ok bool)) {
 	k.saving = true
 	k.note(k.Health().WriteBegan(k.now()))
 	k.Launcher.Go(ctx, "save", func(ctx context.Context) {
@@ -92,13 +92,13 @@
 	k.advance(ctx)
 }
 
-// commit takes a state that is on disk as the voter's.
-func (k *Keeper) commit(ctx context.Context, next Voter) {
+// commit takes a state that is on disk as the acceptor's.
+func (k *Keeper) commit(ctx context.Context, next Acceptor) {
 	next.OathDirty, next.WordDirty = false, false
-	k.voter = next
-	k.clerk.Follow(next, k.now())
+	k.acceptor = next
+	k.proposer.Follow(next, k.now())
 	k.show()
-	if v := k.voter; v.Settled == v.Mark.Stamp {
+	if v := k.acceptor; v.Settled == v.Mark.Stamp {
 		k.tell(ctx, v.Word)
 	}
 }
@@ -110,7 +110,7 @@
 		return
 	}
 	k.probed = now
-	rewrite := func(v Voter) (Voter, bool) {
+	rewrite := func(v Acceptor) (Acceptor, bool) {
 		v.OathDirty = true
 		return v, true
 	}
--- a/register/transition_test.go
+++ b/register/transition_test.go
@@ -29,31 +29,31 @@
 	return nil
 }
 
-// harness is a keeper with a disk that can be held up, and voters on the wire.
+// harness is a keeper with a disk that can be held up, and acceptors on the wire.
 type harness struct {
 	*Keeper
-	ctx    context.Context
-	vault  *vault.Vault
-	told   chan uint64    // stamps of settled words
-	sure   chan time.Time // as of when the keeper was sure
-	voters map[int]*slow
-	onDuty atomic.Bool
+	ctx       context.Context
+	vault     *vault.Vault
+	told      chan uint64    // stamps of settled words
+	sure      chan time.Time // as of when the keeper was sure
+	acceptors map[int]*slow
+	onDuty    atomic.Bool
 }
 
 // Addr implements Peers.
-func (b *harness) Addr(slot int) (string, bool) { return "", false }
+func (*harness) Addr(int) (string, bool) { return "", false }
 
 // OnDuty implements Peers.
 func (b *harness) OnDuty() bool { return b.onDuty.Load() }
 
 // newHarness starts the keeper of slot 1 of 3, which holds the word of a mark; others are
-// voters on the wire that hold theirs.
+// acceptors on the wire that hold theirs.
 func newHarness(t *testing.T, own Mark, others map[int]Mark) *harness {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	t.Cleanup(cancel)
 	l := launch.New(slog.New(slog.DiscardHandler), func(name string, cause any, stack []byte) { t.Errorf("%s: %v\n%s", name, cause, stack) })
-	b := &harness{ctx: ctx, told: make(chan uint64, 64), sure: make(chan time.Time, 1024), voters: map[int]*slow{}}
+	b := &harness{ctx: ctx, told: make(chan uint64, 64), sure: make(chan time.Time, 1024), acceptors: map[int]*slow{}}
 	members := []desired.Member{{Slot: 1, ID: 1}}
 	peers := addresses{}
 	for slot := 2; slot <= 3; slot++ {
@@ -64,7 +64,7 @@
 				t.Fatal(err)
 			}
 			s := &slow{}
-			b.voters[slot] = s
+			b.acceptors[slot] = s
 			h := &wire.Host{Launcher: l, Listener: ln, Own: wire.Greeting{Version: wire.Version, Node: ln.Addr().String()}, Handlers: map[string]wire.Handler{KindBallot: s.ballot}}
 			l.Go(ctx, "host", h.Run)
 			m.Addr = ln.Addr().String()
@@ -72,12 +72,12 @@
 		peers[slot] = m.Addr
 		members = append(members, m)
 	}
-	holds := func(slot int, m Mark) Voter {
+	holds := func(slot int, m Mark) Acceptor {
 		w := desired.Word{Stamp: m.Stamp, DesiredStamp: m.Stamp, Slots: members, Top: 3}
-		return Voter{Self: From{Slot: slot, Inc: 1, ID: uint64(slot)}, Phase: Established, Promised: m.Epoch, Mark: m, Word: w, OathDirty: true, WordDirty: true}
+		return Acceptor{Self: From{Slot: slot, Inc: 1, ID: uint64(slot)}, Phase: Established, Promised: m.Epoch, Mark: m, Word: w, OathDirty: true, WordDirty: true}
 	}
 	for slot, m := range others {
-		b.voters[slot].voter = holds(slot, m)
+		b.acceptors[slot].acceptor = holds(slot, m)
 	}
 	v, err := vault.Open(t.TempDir())
 	if err != nil {
@@ -134,7 +134,7 @@
 }
 
 // onDisk is what a restart would find.
-func (b *harness) onDisk(t *testing.T) Voter {
+func (b *harness) onDisk(t *testing.T) Acceptor {
 	t.Helper()
 	v, err := (&Disk{Vault: b.vault}).Load(Start{})
 	if err != nil {
@@ -144,16 +144,16 @@
 }
 
 // While the disk stalls no vote is given for what is not on it, and what only shows the
-// voter is answered at once, from what is. Once the disk goes on, the votes come in the
+// acceptor is answered at once, from what is. Once the disk goes on, the votes come in the
 // order of the ballots.
 func TestVotesWaitForTheDisk(t *testing.T) {
 	b := newHarness(t, Mark{1 << 17, 5}, nil)
-	self := b.Voter().Self
+	self := b.Acceptor().Self
 	g := b.shut()
 	epoch := uint64(2<<17 + 1)
 	votes := make(chan *Vote, 3)
 	word := func(stamp uint64) desired.Word {
-		w := b.Voter().Word
+		w := b.Acceptor().Word
 		w.Stamp = stamp
 		return w
 	}
@@ -194,7 +194,7 @@
 	g := b.shut()
 	g.failing.Store(true)
 	close(g.open)
-	self := b.Voter().Self
+	self := b.Acceptor().Self
 	if v := b.vote(b.ctx, Ballot{From: self, Act: Prepare, Epoch: 2<<17 + 1}); v != nil {
 		t.Errorf("voted: %+v", v)
 	}
@@ -212,35 +212,35 @@
 func TestSettledThoughDiskStalls(t *testing.T) {
 	b := newHarness(t, Mark{1 << 17, 5}, nil)
 	b.shut()
-	w := b.Voter().Word
+	w := b.Acceptor().Word
 	w.Stamp = 6
 	b.box.Send(b.ctx, msgBallot{Ballot{From: From{Slot: 2, Inc: 1, ID: 2}, Act: Settle, Epoch: 1 << 17, Mark: Mark{1 << 17, 6}, Word: w}, make(chan *Vote, 1)})
 	if got := receive(t, b, b.told); got != 6 {
 		t.Errorf("told of %d", got)
 	}
-	if got := b.Voter().Mark.Stamp; got != 5 {
-		t.Errorf("the voter shows %d, which is not on disk", got)
+	if got := b.Acceptor().Mark.Stamp; got != 5 {
+		t.Errorf("the acceptor shows %d, which is not on disk", got)
 	}
 }
 
-// A word that a clerk left with one other core only, as a look shows, is finished by the
+// A word that a proposer left with one other core only, as a look shows, is finished by the
 // core on duty, which has it not: else no core would ever be sure again.
 func TestUnsettledElsewhere(t *testing.T) {
 	b := newHarness(t, Mark{1 << 17, 5}, map[int]Mark{3: {1 << 17, 6}})
-	self := b.Voter()
+	self := b.Acceptor()
 	if v := b.vote(b.ctx, Ballot{From: self.Self, Act: Settle, Epoch: self.Mark.Epoch, Mark: self.Mark, Word: self.Word}); v == nil || v.Settled != 5 {
 		t.Fatalf("its own word is not settled: %+v", v)
 	}
 	b.onDuty.Store(true)
 	b.run()
-	b.eventually(t, "stamp 6 to be settled", func() bool { v := b.Voter(); return v.Mark.Stamp == 6 && v.Settled == 6 })
+	b.eventually(t, "stamp 6 to be settled", func() bool { v := b.Acceptor(); return v.Mark.Stamp == 6 && v.Settled == 6 })
 	for len(b.sure) > 0 {
 		<-b.sure
 	}
 	receive(t, b, b.sure)
 }
 
-// A word that majorities hold and nobody says is settled, since its clerk stopped, is
+// A word that majorities hold and nobody says is settled, since its proposer stopped, is
 // settled by a look, without the core on duty, and though the own disk stalls.
 func TestSettledByLook(t *testing.T) {
 	b := newHarness(t, Mark{1 << 17, 5}, map[int]Mark{2: {1 << 17, 6}, 3: {1 << 17, 6}})
@@ -259,13 +259,13 @@
 	b.onDuty.Store(true)
 	b.run()
 	b.eventually(t, "the contact to be missed", func() bool { return !b.Connected() })
-	promised := b.Voter().Promised
+	promised := b.Acceptor().Promised
 	for range 20 {
 		if a := b.Write(b.ctx, Order{Kind: Empty, Locality: "north"}); a.Result != NotTaken {
 			t.Fatalf("%+v", a)
 		}
 	}
-	if v := b.Voter(); v.Promised != promised || v.Mark.Stamp != 5 {
+	if v := b.Acceptor(); v.Promised != promised || v.Mark.Stamp != 5 {
 		t.Errorf("it promised %d, then %d, and holds %+v", promised, v.Promised, v.Mark)
 	}
 }
--- a/register/usher.go
+++ b/register/usher.go
@@ -67,7 +67,7 @@
 // Seat finds the change of the set that gives an asker a slot. Each disk gets a slot
 // never used before: instead of the one that this address had before its disk was
 // lost; else instead of one whose core is gone; else beside all others.
-func (u Usher) Seat(a Asker, v Voter, places map[int]Place, now time.Duration) (Order, bool) {
+func (u Usher) Seat(a Asker, v Acceptor, places map[int]Place, now time.Duration) (Order, bool) {
 	set := v.Sets().Now
 	if v.Founded > 0 || len(set) == 0 {
 		return Order{}, false // a system of static slots has none to give
@@ -100,7 +100,7 @@
 
 // Strike finds a slot to strike: one whose core is gone, when the set is of even
 // size or two are gone, the live ones being a majority of what is left.
-func (u Usher) Strike(v Voter, now time.Duration) (Order, bool) {
+func (u Usher) Strike(v Acceptor, now time.Duration) (Order, bool) {
 	set := v.Sets().Now
 	if v.Founded > 0 || len(set) <= max(leastSlots, len(v.Founders)) {
 		return Order{}, false
@@ -123,7 +123,7 @@
 // Such a set bears no more losses than the odd one without that member, and while the
 // member is away it bears one fewer. An odd set stays as it is: the member may be back
 // with its disk.
-func Leave(v Voter) (Order, bool) {
+func Leave(v Acceptor) (Order, bool) {
 	set := v.Sets().Now
 	even := len(set)%2 == 0 && len(set) > max(leastSlots, len(v.Founders))
 	if v.Founded > 0 || !v.Member() || !even || len(v.Sets().Before) > 0 {
--- a/register/usher_test.go
+++ b/register/usher_test.go
@@ -8,8 +8,8 @@
 )
 
 // hall is what the core on duty of three knows: all live, unless a test says else.
-func hall(n int) (Voter, map[int]Place) {
-	v := Voter{Phase: Established}
+func hall(n int) (Acceptor, map[int]Place) {
+	v := Acceptor{Phase: Established}
 	places := map[int]Place{}
 	for s := 1; s <= n; s++ {
 		addr := string(rune('a' + s - 1))
@@ -21,7 +21,7 @@
 }
 
 // watched is an usher that has looked at the same places for so long.
-func watched(v Voter, places map[int]Place, span time.Duration) (Usher, time.Duration) {
+func watched(v Acceptor, places map[int]Place, span time.Duration) (Usher, time.Duration) {
 	u := Usher{GoneFor: time.Second}
 	now := time.Second
 	for end := now + span; now < end; now += 500 * time.Millisecond {
@@ -156,7 +156,7 @@
 			t.Errorf("%+v: %+v %v", c, o, ok)
 		}
 	}
-	static := Voter{Founded: 3, Phase: Established, Self: From{Slot: 1, Inc: 1, ID: 1}}
+	static := Acceptor{Founded: 3, Phase: Established, Self: From{Slot: 1, Inc: 1, ID: 1}}
 	if _, ok := Leave(static); ok {
 		t.Error("a static slot is left")
 	}
--- a/register/vote.go
+++ b/register/vote.go
@@ -2,7 +2,7 @@
 
 import "curlewwalk/desired"
 
-// Vote is a voter's receipt.
+// Vote is an acceptor's receipt.
 type Vote struct {
 	From     From          `msgpack:"f"`
 	Act      Act           `msgpack:"a"`
@@ -18,7 +18,7 @@
 	Sets Sets `msgpack:"sg"`
 }
 
-// member is the voter as a member of the sets that it holds, which tell its address.
+// member is the acceptor as a member of the sets that it holds, which tell its address.
 func (v Vote) member() desired.Member {
 	for _, m := range v.Sets.Union() {
 		if has([]desired.Member{m}, v.From) {
--- a/relay/far.go
+++ b/relay/far.go
@@ -30,13 +30,13 @@
 	Halving time.Duration
 
 	started time.Time
-	ledger  *clerk
+	ledger  *proposer
 	links   *links
 }
 
 // NewFar makes the far side and starts its ledger.
 func NewFar(ctx context.Context, l *launch.Launcher) *Far {
-	f := &Far{started: time.Now(), ledger: newClerk()}
+	f := &Far{started: time.Now(), ledger: newProposer()}
 	l.Go(ctx, "ledger", f.ledger.run)
 	f.links = newLinks(ctx, l, func(p place) bool { return f.Roster().Stands(p.instance, p.address) })
 	return f
--- a/relay/ledger.go
+++ b/relay/ledger.go
@@ -49,8 +49,8 @@
 	return v, known
 }
 
-// clerk runs a ledger. Its loop is the only one to touch it.
-type clerk struct {
+// proposer runs a ledger. Its loop is the only one to touch it.
+type proposer struct {
 	begin  chan mark
 	refuse chan mark
 }
@@ -60,10 +60,10 @@
 	reply chan bool
 }
 
-func newClerk() *clerk { return &clerk{begin: make(chan mark), refuse: make(chan mark)} }
+func newProposer() *proposer { return &proposer{begin: make(chan mark), refuse: make(chan mark)} }
 
 // run owns the ledger until ctx ends.
-func (c *clerk) run(ctx context.Context) {
+func (c *proposer) run(ctx context.Context) {
 	l, start := NewLedger(), time.Now()
 	for {
 		select {
--- a/relay/ledger_test.go
+++ b/relay/ledger_test.go
@@ -11,7 +11,7 @@
 func TestLedger(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	l := newClerk()
+	l := newProposer()
 	go l.run(ctx)
 	if !ask(ctx, l.begin, "a") || ask(ctx, l.begin, "a") {
 		t.Error("a leg must begin once")
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -82,7 +82,7 @@
 	}
 	lin := lineage.NewKeeper()
 	claims := claim.New(func(r relay.Receipt) int { return len(r.Body) })
-	n.seeker.Own = func() cohort.Hail { nd := n.steward.node(); return cohort.Hail{Node: &nd} }
+	n.seeker.Own = func() cohort.Heartbeat { nd := n.steward.node(); return cohort.Heartbeat{Node: &nd} }
 	n.seeker.Addr, n.seeker.Net, n.seeker.Launcher = set.Advertise, p.Net, p.Launcher
 	n.reload = &process.Reloader{Seeker: n.seeker}
 	n.reload.Apply(set.Common)
@@ -120,13 +120,13 @@
 	rollcall.Seats, rollcall.Word, rollcall.Seeds = n.seeker.Seats, n.steward.spoken.Load, n.seeker.Seeds
 	rollcall.News, rollcall.Sure = n.steward.news, n.steward.agreed.Renew
 	rollcall.Take = func(ctx context.Context, f cohort.Found) {
-		n.seeker.Hear(cohort.Hail{Know: f.Know})
+		n.seeker.Hear(cohort.Heartbeat{Know: f.Know})
 		n.steward.box.Send(ctx, msgFound{f})
 	}
 	n.far.Roster = func() roster.Roster { return *n.steward.roster.Load() }
 	n.outgoing = &outgoing{p: p, near: n.near, host: netip.MustParseAddrPort(set.Advertise).Addr(), fixed: set.Outgoing, known: n.steward.services, webs: map[string]*process.Web{}}
 
-	p.Host.Handlers[cohort.KindHail] = n.hail
+	p.Host.Handlers[cohort.KindHeartbeat] = n.heartbeat
 	p.Host.Handlers[cohort.KindProbe] = func(context.Context, wire.Inquiry) (any, string) {
 		return cohort.Probe{Boot: p.Boot, Inc: n.steward.inc.Load()}, ""
 	}
@@ -201,11 +201,11 @@
 	return n.closed.Load() && (n.set.Caller == "" || n.far.Counts.Open.Load() == 0)
 }
 
-// hail answers another process.
-func (n *Node) hail(_ context.Context, in wire.Inquiry) (any, string) {
-	var h cohort.Hail
+// heartbeat answers another process.
+func (n *Node) heartbeat(_ context.Context, in wire.Inquiry) (any, string) {
+	var h cohort.Heartbeat
 	if !in.Into(&h) {
-		return nil, "not a hail"
+		return nil, "not a heartbeat"
 	}
 	return n.seeker.Answer(h, nil), ""
 }
--- a/window/window_test.go
+++ b/window/window_test.go
@@ -94,7 +94,7 @@
 			}
 			stale = w
 			for _, s := range Decide(c, see.Closures, now) {
-				// The clerk judges by the newest word.
+				// The proposer judges by the newest word.
 				switch {
 				case s.Begin && !w.Noted(s.Window):
 					begun[s.Window]++
