Bound the end of a process, and pause between tries at the core on duty

Cause, end: a part that did not end kept a stopping process for 2 s beyond the drain bound, 5.5 s of 6 s of grace, so the platform killed it.

Change: 0.3 s for the parts to end; 50 ms between two tries.

Before: TestEndIsBounded 2.0 s, fails. After: passes.

--- a/core/node.go
+++ b/core/node.go
@@ -24,6 +24,10 @@
 // writeLimit is how long an order may take, wherever it is carried out.
 const writeLimit = 5 * time.Second // (ours)
 
+// passOnPause is how long an order that was not taken waits for the core that has the duty
+// now to learn of it.
+const passOnPause = 50 * time.Millisecond // (ours)
+
 // Doors opens further addresses of a core, for those who speak otherwise. (DESIGN 18)
 type Doors func(n *Node)
 
@@ -207,7 +211,12 @@
 	for {
 		c := n.duty()
 		a := n.writeAt(ctx, c, o)
-		if a.Result != register.NotTaken || ctx.Err() != nil || n.duty().Addr == c.Addr {
+		if a.Result != register.NotTaken || n.duty().Addr == c.Addr {
+			return a
+		}
+		select {
+		case <-time.After(passOnPause):
+		case <-ctx.Done():
 			return a
 		}
 	}
--- a/process/process.go
+++ b/process/process.go
@@ -106,12 +106,16 @@
 	}
 }
 
-// End ends all parts and waits for them, but not for ever.
+// endLimit is how long parts may take to end once all that was handed over is done, or its
+// time is over: what is left of the grace time by then is short.
+const endLimit = 300 * time.Millisecond // (ours)
+
+// End ends all parts and waits for them, for endLimit at most.
 func (p *Process) End() {
 	p.end()
 	p.Launcher.Stop()
 	select {
 	case <-p.Launcher.Idle():
-	case <-time.After(2 * time.Second):
+	case <-time.After(endLimit):
 	}
 }
--- a/process/stop_test.go
+++ b/process/stop_test.go
@@ -141,3 +141,22 @@
 	c.Close()
 	<-done
 }
+
+// A part that does not end keeps its process for a short while only: the grace time is
+// nearly over when the parts are ended.
+func TestEndIsBounded(t *testing.T) {
+	life, end := context.WithCancel(context.Background())
+	launcher := launch.New(slog.New(slog.DiscardHandler), func(name string, cause any, stack []byte) { t.Errorf("%s: %v\n%s", name, cause, stack) })
+	p := &Process{Life: life, end: end, Launcher: launcher}
+	stuck := make(chan struct{})
+	defer close(stuck)
+	launcher.Go(life, "stuck", func(context.Context) { <-stuck })
+	began := time.Now()
+	p.End()
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("the process went on for %v", took)
+	}
+	if life.Err() == nil {
+		t.Error("its parts were not told to end")
+	}
+}
