--- a/boot/sidecar.go
+++ b/boot/sidecar.go
@@ -16,7 +16,7 @@
 // Sidecar are the data plane's settings.
 type Sidecar struct {
 	Common
-	Inquiries  string            `long:"inquiries" ini-name:"inquiries" description:"address where this machine's clients send requests (IP:port, required)"`
+	Requests   string            `long:"inquiries" ini-name:"inquiries" description:"address where this machine's clients send requests (IP:port, required)"`
 	Outgoing   map[string]string `long:"outgoing" ini-name:"outgoing" description:"fixed address for the outgoing calls of a backend service (service:IP:port); else one is chosen and told to the backend"`
 	Caller     string            `long:"caller" ini-name:"caller" description:"service that all callers on this machine belong to, if they are one's; else each service has an address of its own"`
 	MaxBody    int64             `long:"max-body" ini-name:"max-body" default:"16777216" description:"largest body of an inquiry or an answer, in bytes"`
@@ -48,7 +48,7 @@
 // check fills in what depends on other settings and reports what is wrong. The
 // fault of the setting that stands first here is the one that is printed.
 func (s *Sidecar) check(c *checker) {
-	c.address("inquiries", s.Inquiries, true)
+	c.address("inquiries", s.Requests, true)
 	for service, addr := range s.Outgoing {
 		c.address("outgoing "+service, addr, true)
 	}
--- a/claim/claims.go
+++ b/claim/claims.go
@@ -57,7 +57,7 @@
 		select {
 		case got := <-reply:
 			if !got.Again {
-				return got.Verdict, got.Receipt, nil
+				return got.Verdict, got.Response, nil
 			}
 		case <-ctx.Done():
 			return Repeat, none, ctx.Err()
@@ -66,11 +66,11 @@
 }
 
 // Finish ends a first claim; keep is false when the request surely did not run.
-func (c *Claims[T]) Finish(ctx context.Context, key Key, receipt T, keep bool) {
-	c.put(ctx, func(t *Table[T], now time.Duration) { t.Finish(key, receipt, keep, now) })
+func (c *Claims[T]) Finish(ctx context.Context, key Key, response T, keep bool) {
+	c.put(ctx, func(t *Table[T], now time.Duration) { t.Finish(key, response, keep, now) })
 }
 
 // Restore puts in a claim of an earlier incarnation of this node.
-func (c *Claims[T]) Restore(ctx context.Context, key Key, fingerprint Print, receipt T) {
-	c.put(ctx, func(t *Table[T], now time.Duration) { t.Restore(key, fingerprint, receipt, now) })
+func (c *Claims[T]) Restore(ctx context.Context, key Key, fingerprint Print, response T) {
+	c.put(ctx, func(t *Table[T], now time.Duration) { t.Restore(key, fingerprint, response, now) })
 }
--- a/claim/table.go
+++ b/claim/table.go
@@ -37,8 +37,8 @@
 	// dropped tells that the response is kept no longer.
 	dropped bool
 	// endedAt is when the first request ended.
-	endedAt time.Duration
-	receipt T
+	endedAt  time.Duration
+	response T
 	// waiting are the repeats that came while the first request ran.
 	waiting []func(Answer[T])
 }
@@ -64,7 +64,7 @@
 	case claim.dropped:
 		reply(Answer[T]{Verdict: Gone})
 	case claim.done:
-		reply(Answer[T]{Verdict: Repeat, Receipt: claim.receipt})
+		reply(Answer[T]{Verdict: Repeat, Response: claim.response})
 	default:
 		claim.waiting = append(claim.waiting, reply)
 	}
@@ -89,45 +89,45 @@
 // dropOldest drops the oldest response that is still kept.
 func (t *Table[T]) dropOldest() {
 	claim := t.claims[t.finished[t.dropped]]
-	t.bytes -= t.size(claim.receipt)
+	t.bytes -= t.size(claim.response)
 	var none T
-	claim.receipt = none
+	claim.response = none
 	claim.dropped = true
 	t.dropped++
 }
 
 // Finish ends a first claim. keep is false when the request surely did not run:
 // then a repeat may run.
-func (t *Table[T]) Finish(key Key, receipt T, keep bool, now time.Duration) {
+func (t *Table[T]) Finish(key Key, response T, keep bool, now time.Duration) {
 	claim := t.claims[key]
 	for _, reply := range claim.waiting {
-		reply(Answer[T]{Verdict: Repeat, Receipt: receipt, Again: !keep})
+		reply(Answer[T]{Verdict: Repeat, Response: response, Again: !keep})
 	}
 	claim.waiting = nil
 	if !keep {
 		delete(t.claims, key)
 		return
 	}
-	t.end(key, receipt, now)
+	t.end(key, response, now)
 }
 
 // Restore puts in a claim of an earlier incarnation of this node; one that is
 // there already stays.
-func (t *Table[T]) Restore(key Key, fingerprint Print, receipt T, now time.Duration) {
+func (t *Table[T]) Restore(key Key, fingerprint Print, response T, now time.Duration) {
 	if _, ok := t.claims[key]; !ok {
 		t.claims[key] = &held[T]{fingerprint: fingerprint}
-		t.end(key, receipt, now)
+		t.end(key, response, now)
 	}
 }
 
 // end keeps the response of a claim, and drops the oldest ones to make room.
-func (t *Table[T]) end(key Key, receipt T, now time.Duration) {
+func (t *Table[T]) end(key Key, response T, now time.Duration) {
 	claim := t.claims[key]
 	claim.done = true
 	claim.endedAt = now
-	claim.receipt = receipt
+	claim.response = response
 	t.finished = append(t.finished, key)
-	t.bytes += t.size(receipt)
+	t.bytes += t.size(response)
 	for t.bytes > maxBytes {
 		t.dropOldest()
 	}
--- a/claim/table_test.go
+++ b/claim/table_test.go
@@ -8,16 +8,16 @@
 )
 
 // Against a plain model, under pressure of count and bytes: nothing claimed runs
-// again before its time, and a repeat gets the first one's receipt or is told that
+// again before its time, and a repeat gets the first one's response or is told that
 // it is gone.
 func TestTable(t *testing.T) {
 	for seed := range uint64(20) {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		table := NewTable(func(n int) int { return n })
 		type model struct {
-			receipt int
-			at      time.Duration
-			done    bool
+			response int
+			at       time.Duration
+			done     bool
 		}
 		known := map[Key]*model{}
 		var now time.Duration
@@ -36,7 +36,7 @@
 				case a.Verdict == First && m == nil:
 					firsts++
 					known[key] = &model{}
-				case a.Verdict == Repeat && !a.Again && m != nil && a.Receipt == known[key].receipt:
+				case a.Verdict == Repeat && !a.Again && m != nil && a.Response == known[key].response:
 					repeats++
 				case a.Verdict == Gone && m != nil && m.done:
 					gone++
@@ -49,12 +49,12 @@
 				t.Fatalf("seed %d: told at once %v, of %+v", seed, told, m)
 			}
 			if m := known[key]; m != nil && !m.done && rng.IntN(3) > 0 {
-				m.receipt = rng.IntN(maxBytes / 20)
+				m.response = rng.IntN(maxBytes / 20)
 				keep := rng.IntN(4) > 0
 				if m.done, m.at = keep, now; !keep {
 					delete(known, key)
 				}
-				table.Finish(key, m.receipt, keep, now)
+				table.Finish(key, m.response, keep, now)
 			}
 			if table.bytes > maxBytes || table.bytes < 0 {
 				t.Fatalf("seed %d: %d bytes are kept", seed, table.bytes)
--- a/claim/verdict.go
+++ b/claim/verdict.go
@@ -3,9 +3,9 @@
 // Verdict is what a claim came to.
 type Verdict int
 
-// First: run it, then call Finish. Repeat: the receipt is the first one's. Gone:
-// the first one ended, and its receipt is kept no longer. Clash: the same key was
-// used for another inquiry. Crowded: no room to claim.
+// First: run it, then call Finish. Repeat: the response is the first one's. Gone:
+// the first one ended, and its response is kept no longer. Clash: the same key was
+// used for another request. Crowded: no room to claim.
 const (
 	First Verdict = iota
 	Repeat
@@ -14,10 +14,10 @@
 	Crowded
 )
 
-// Answer is a verdict with the receipt, if there is one. Again says that the
+// Answer is a verdict with the response, if there is one. Again says that the
 // first gave its claim up while this one waited: lay it anew.
 type Answer[T any] struct {
-	Verdict Verdict
-	Receipt T
-	Again   bool
+	Verdict  Verdict
+	Response T
+	Again    bool
 }
--- a/cohort/digest_test.go
+++ b/cohort/digest_test.go
@@ -21,26 +21,26 @@
 	return Heartbeat{Seat: p.seat, Know: p.seats.All(), Digest: p.seats.Digest(p.seat)}
 }
 
-// heartbeat has one call made: the heartbeat or its receipt may be lost. It returns what was
+// heartbeat has one call made: the heartbeat or its response may be lost. It returns what was
 // told and answered.
-func (p *crier) heartbeat(o *crier, now time.Time, lost int) (told, receipt Heartbeat) {
+func (p *crier) heartbeat(o *crier, now time.Time, lost int) (told, response Heartbeat) {
 	told = p.talks[o.addr].Tell(p.all(), false)
 	told.Have = p.seats.Mark(o.addr)
 	if lost == 0 {
-		return told, receipt
+		return told, response
 	}
-	receipt = o.seats.Answer(told, o.seat, o.seats.Digest(o.seat))
+	response = o.seats.Answer(told, o.seat, o.seats.Digest(o.seat))
 	o.seats, _ = o.seats.Heard(told, now)
 	if lost == 1 {
-		return told, receipt
+		return told, response
 	}
-	next, again := p.talks[o.addr].Answered(told, receipt)
+	next, again := p.talks[o.addr].Answered(told, response)
 	p.talks[o.addr] = next
-	p.seats, _ = p.seats.Heard(receipt, now)
+	p.seats, _ = p.seats.Heard(response, now)
 	if again {
 		p.heartbeat(o, now, 2)
 	}
-	return told, receipt
+	return told, response
 }
 
 // Cores and sidecars that tell differences, through losses, starts anew, new seats and
--- a/cohort/heartbeat.go
+++ b/cohort/heartbeat.go
@@ -3,7 +3,7 @@
 import "curlewwalk/contract"
 
 // Heartbeat is how processes find and tell one another: who calls, and whom it
-// knows. The receipt is a Heartbeat too. To one that has shown that it understands
+// knows. The response is a Heartbeat too. To one that has shown that it understands
 // them, differences are told: a node's pulse, a seat's mark, and whom one knows
 // only while the digests differ. (DESIGN 7.1)
 type Heartbeat struct {
@@ -20,12 +20,12 @@
 	// Digest is that of the seats that the teller knows. It is never zero: none is
 	// told by a version that does not understand differences.
 	Digest uint64 `msgpack:"d,omitempty"`
-	// Whole is set in a receipt to one who told a difference from what is not known.
+	// Whole is set in a response to one who told a difference from what is not known.
 	Whole bool `msgpack:"wh,omitempty"`
-	// Accused is set in a core's receipt to a sidecar that others accuse: the
+	// Accused is set in a core's response to a sidecar that others accuse: the
 	// highest incarnation that they accuse.
 	Accused *uint64 `msgpack:"ac,omitempty"`
-	// Sums asks for Budgets, the sums over all nodes, in a core's receipt to a
+	// Sums asks for Budgets, the sums over all nodes, in a core's response to a
 	// sidecar.
 	Sums    bool                      `msgpack:"su,omitempty"`
 	Budgets map[string]contract.Tally `msgpack:"bu,omitempty"`
--- a/cohort/load.go
+++ b/cohort/load.go
@@ -9,7 +9,7 @@
 type Load struct {
 	// Legs counts our own legs now open there.
 	Legs atomic.Int64
-	// told is what the far sidecar said with its last receipt.
+	// told is what the far sidecar said with its last response.
 	told atomic.Int64
 	// toldAt is when it did, after born.
 	toldAt atomic.Int64
@@ -22,13 +22,13 @@
 // toldFor is how long a told load is worth something.
 const toldFor = 300 * time.Millisecond // (ours)
 
-// Tell takes the number of inquiries that the far sidecar had open.
+// Tell takes the number of requests that the far sidecar had open.
 func (l *Load) Tell(open int) {
 	l.told.Store(int64(open))
 	l.toldAt.Store(int64(time.Since(born)))
 }
 
-// Busy estimates the open inquiries at the backend.
+// Busy estimates the open requests at the backend.
 func (l *Load) Busy() int64 {
 	if time.Since(born)-time.Duration(l.toldAt.Load()) > toldFor {
 		return l.Legs.Load()
--- a/cohort/rollcall.go
+++ b/cohort/rollcall.go
@@ -95,7 +95,7 @@
 }
 
 // Answer handles a Gossip call.
-func (c *Rollcall) Answer(_ context.Context, in wire.Inquiry) (any, string) {
+func (c *Rollcall) Answer(_ context.Context, in wire.Request) (any, string) {
 	var q Gossip
 	if !in.Into(&q) {
 		return nil, "not a gossip"
--- a/cohort/rollcall_test.go
+++ b/cohort/rollcall_test.go
@@ -113,7 +113,7 @@
 }
 
 // round lets each of a fleet ask once, and returns what one did on average: the calls,
-// and the bytes of these and their receipts.
+// and the bytes of these and their responses.
 func round(t *testing.T, fleet []*caller) (calls, bytes float64) {
 	before := map[*caller]wire.Count{}
 	for _, c := range fleet {
@@ -134,7 +134,7 @@
 			t.Errorf("one round's finds were handed on %d times", c.takes)
 		}
 		calls += float64(now.Calls-was.Calls) / float64(len(fleet))
-		bytes += float64(now.CallBytes+now.ReceiptBytes-was.CallBytes-was.ReceiptBytes) / float64(len(fleet))
+		bytes += float64(now.CallBytes+now.ResponseBytes-was.CallBytes-was.ResponseBytes) / float64(len(fleet))
 	}
 	return calls, bytes
 }
@@ -225,7 +225,7 @@
 	}
 	// Six are cut off, as if their answers were lost.
 	for _, c := range fleet[5:] {
-		c.host.Handlers[KindGossip] = func(context.Context, wire.Inquiry) (any, string) { return nil, "lost" }
+		c.host.Handlers[KindGossip] = func(context.Context, wire.Request) (any, string) { return nil, "lost" }
 	}
 	for range 6 {
 		round(t, fleet[:5])
@@ -269,7 +269,7 @@
 		if w := fleet[i].word; w == nil || w.Stamp != 8 || string(w.Desired) != string(configuration) {
 			t.Errorf("%d has the word: %v", i, w != nil && w.Stamp == 8)
 		}
-		if got := after.ReceiptBytes - before.ReceiptBytes; got > most {
+		if got := after.ResponseBytes - before.ResponseBytes; got > most {
 			t.Errorf("%d was answered %d bytes", i, got)
 		}
 	}
--- a/cohort/seats.go
+++ b/cohort/seats.go
@@ -198,7 +198,7 @@
 	return 0
 }
 
-// Heard takes what a heartbeat or a receipt tells, and returns the seat that spoke for
+// Heard takes what a heartbeat or a response tells, and returns the seat that spoke for
 // itself, if one did.
 func (s Seats) Heard(h Heartbeat, now time.Time) (next Seats, spoke *Seat) {
 	spoke = h.Seat
@@ -211,7 +211,7 @@
 	return s.Hearsay(h.Know, now), spoke
 }
 
-// Answer is the receipt to a heartbeat, as far as it is of cores; own is the seat of whom
+// Answer is the response to a heartbeat, as far as it is of cores; own is the seat of whom
 // answers, if it has one, and digest that of what it knows.
 func (s Seats) Answer(h Heartbeat, own *Seat, digest uint64) Heartbeat {
 	out := Heartbeat{Digest: digest}
--- a/cohort/seeker.go
+++ b/cohort/seeker.go
@@ -30,7 +30,7 @@
 	Launcher *launch.Launcher
 	// Heard is told of each seat that spoke for itself; it must not wait.
 	Heard func(ctx context.Context, c Seat)
-	// Told, if set, is handed each receipt; it must not wait.
+	// Told, if set, is handed each response; it must not wait.
 	Told func(ctx context.Context, h Heartbeat)
 
 	seeds  atomic.Pointer[[]string]
@@ -48,12 +48,12 @@
 	began time.Time // the last round
 }
 
-// echo is how a heartbeat went; receipt is nil if there is none.
+// echo is how a heartbeat went; response is nil if there is none.
 type echo struct {
-	addr    string
-	told    Heartbeat
-	receipt *Heartbeat
-	refused bool
+	addr     string
+	told     Heartbeat
+	response *Heartbeat
+	refused  bool
 }
 
 // NewSeeker makes a seeker; the exported fields are set by the caller.
@@ -81,7 +81,7 @@
 	}
 }
 
-// Hear takes what arrived in a heartbeat or its receipt; when the inbox is full it
+// Hear takes what arrived in a heartbeat or its response; when the inbox is full it
 // is dropped, since it will be told again.
 func (s *Seeker) Hear(h Heartbeat) {
 	select {
@@ -90,7 +90,7 @@
 	}
 }
 
-// Answer is the receipt to a heartbeat, as far as it is of cores; own is the seat of whom
+// Answer is the response to a heartbeat, as far as it is of cores; own is the seat of whom
 // answers, if it has one.
 func (s *Seeker) Answer(h Heartbeat, own *Seat) Heartbeat {
 	if h.Seat != nil || h.Same != 0 || len(h.Know) > 0 {
@@ -143,10 +143,10 @@
 
 func (s *Seeker) echoed(ctx context.Context, e echo) {
 	switch {
-	case e.receipt != nil:
-		next, again := s.talks[e.addr].Answered(e.told, *e.receipt)
+	case e.response != nil:
+		next, again := s.talks[e.addr].Answered(e.told, *e.response)
 		s.talks[e.addr] = next
-		s.take(ctx, *e.receipt)
+		s.take(ctx, *e.response)
 		if again {
 			s.tell(ctx, e.addr, s.all(), false)
 		}
@@ -195,7 +195,7 @@
 		var h Heartbeat
 		r := s.Net.Call(call, addr, wire.Control, KindHeartbeat, e.told)
 		if e.refused = r.Refused; r.Into(&h) {
-			if e.receipt = &h; s.Told != nil {
+			if e.response = &h; s.Told != nil {
 				s.Told(ctx, h)
 			}
 		}
--- a/cohort/talk.go
+++ b/cohort/talk.go
@@ -1,6 +1,6 @@
 package cohort
 
-// Talk is a decision value: what is told to one process, by what its receipts have
+// Talk is a decision value: what is told to one process, by what its responses have
 // shown that it has. Whoever heartbeats keeps one for each address; the zero value is for
 // one that has nothing, or whose version does not understand differences. What is
 // taken for known may be wrong, since that process may have started anew: then it asks
@@ -28,7 +28,7 @@
 	return all
 }
 
-// Answered takes the receipt to what was told and returns the next value; again
+// Answered takes the response to what was told and returns the next value; again
 // tells whether to heartbeat at once: something was held back that is not known there.
 func (t Talk) Answered(told, r Heartbeat) (next Talk, again bool) {
 	next.digest = r.Digest
--- a/collect/store.go
+++ b/collect/store.go
@@ -63,7 +63,7 @@
 }
 
 // Publish handles a Batch from the wire.
-func (s *Store) Publish(ctx context.Context, in wire.Inquiry) (any, string) {
+func (s *Store) Publish(ctx context.Context, in wire.Request) (any, string) {
 	var b Batch
 	if !in.Into(&b) {
 		return nil, "not a batch"
@@ -77,7 +77,7 @@
 }
 
 // Trace handles a Query from the wire.
-func (s *Store) Trace(ctx context.Context, in wire.Inquiry) (any, string) {
+func (s *Store) Trace(ctx context.Context, in wire.Request) (any, string) {
 	var q Query
 	if !in.Into(&q) {
 		return nil, "not a query"
--- a/contract/budget_test.go
+++ b/contract/budget_test.go
@@ -33,24 +33,24 @@
 // The budget is what the promise allows less what was late; patience shrinks
 // with it, and without news of others a node uses its own share.
 func TestBudget(t *testing.T) {
-	const aim, expiry = 100 * time.Millisecond, 1100 * time.Millisecond
+	const aim, deadline = 100 * time.Millisecond, 1100 * time.Millisecond
 	b := NewBudgets()
 	for range 100 {
-		b.Ended("c", 50*time.Millisecond, aim, expiry, true)
+		b.Ended("c", 50*time.Millisecond, aim, deadline, true)
 	}
-	if got := b.Own()["c"].Left(expiry - aim); got != 5*time.Second {
+	if got := b.Own()["c"].Left(deadline - aim); got != 5*time.Second {
 		t.Errorf("100 in time leave %v", got)
 	}
-	b.Ended("c", 300*time.Millisecond, aim, expiry, true)
-	b.Ended("c", time.Millisecond, aim, expiry, false)
-	if got := b.Own()["c"].Left(expiry - aim); got != 5100*time.Millisecond-1200*time.Millisecond {
+	b.Ended("c", 300*time.Millisecond, aim, deadline, true)
+	b.Ended("c", time.Millisecond, aim, deadline, false)
+	if got := b.Own()["c"].Left(deadline - aim); got != 5100*time.Millisecond-1200*time.Millisecond {
 		t.Errorf("one late and one refused leave %v", got)
 	}
-	before := b.Patience("c", expiry-aim)
+	before := b.Patience("c", deadline-aim)
 	for range 10 {
-		b.Ended("c", 0, aim, expiry, false)
+		b.Ended("c", 0, aim, deadline, false)
 	}
-	if after := b.Patience("c", expiry-aim); before != 39*time.Millisecond || after != 0 {
+	if after := b.Patience("c", deadline-aim); before != 39*time.Millisecond || after != 0 {
 		t.Errorf("patience %v, then %v", before, after)
 	}
 	if _, whole := b.Sums(); whole {
--- a/contract/budgets.go
+++ b/contract/budgets.go
@@ -31,12 +31,12 @@
 	return b
 }
 
-// Ended takes an inquiry that has ended. One that was not answered is as late
+// Ended takes a request that has ended. One that was not answered is as late
 // as can be.
-func (b *Budgets) Ended(contract string, took, aim, expiry time.Duration, answered bool) {
-	late := min(max(0, took-aim), expiry-aim)
+func (b *Budgets) Ended(contract string, took, aim, deadline time.Duration, answered bool) {
+	late := min(max(0, took-aim), deadline-aim)
 	if !answered {
-		late = expiry - aim
+		late = deadline - aim
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -74,7 +74,7 @@
 	return b.Own(), false
 }
 
-// Patience is how much later than its aim an inquiry may be planned to end: a
+// Patience is how much later than its aim a request may be planned to end: a
 // hundredth of what is left, so that the last of it is spent slowly.
 func (b *Budgets) Patience(contract string, room time.Duration) time.Duration {
 	sums, _ := b.Sums()
--- a/core/control.go
+++ b/core/control.go
@@ -27,7 +27,7 @@
 	headerEdition = "Curlewwalk-Edition"
 )
 
-// written is the receipt of an operator's write.
+// written is the response of an operator's write.
 type written struct {
 	Stamp uint64          `json:"stamp,omitempty"`
 	Taken register.Result `json:"taken"`
@@ -38,7 +38,7 @@
 	Error   string   `json:"error,omitempty"`
 }
 
-// faulty is the receipt of a configuration that does not check.
+// faulty is the response of a configuration that does not check.
 type faulty struct {
 	Error  string          `json:"error"`
 	Faults []desired.Fault `json:"faults"`
@@ -137,7 +137,7 @@
 		process.JSON(w, http.StatusUnprocessableEntity, faulty{Error: "configuration does not check", Faults: faults})
 		return
 	}
-	n.receipt(w, r, a)
+	n.response(w, r, a)
 }
 
 func (n *Node) locality(kind register.OrderKind) http.HandlerFunc {
@@ -148,7 +148,7 @@
 			return
 		}
 		if m, ok := ifMatch(w, r); ok {
-			n.receipt(w, r, n.evacuate(r.Context(), register.Order{Kind: kind, Locality: name, IfMatch: m}))
+			n.response(w, r, n.evacuate(r.Context(), register.Order{Kind: kind, Locality: name, IfMatch: m}))
 		}
 	}
 }
@@ -166,8 +166,8 @@
 	return &stamp, err == nil
 }
 
-// receipt tells what is known of an order that was carried out.
-func (n *Node) receipt(w http.ResponseWriter, r *http.Request, a register.Answer) {
+// response tells what is known of an order that was carried out.
+func (n *Node) response(w http.ResponseWriter, r *http.Request, a register.Answer) {
 	out := written{Taken: a.Result, Stamp: a.Word.Stamp}
 	status := http.StatusOK
 	switch a.Result {
--- a/core/node.go
+++ b/core/node.go
@@ -149,7 +149,7 @@
 }
 
 // heartbeat answers another process.
-func (n *Node) heartbeat(ctx context.Context, in wire.Inquiry) (any, string) {
+func (n *Node) heartbeat(ctx context.Context, in wire.Request) (any, string) {
 	var h cohort.Heartbeat
 	if !in.Into(&h) {
 		return nil, "not a heartbeat"
--- a/core/usher.go
+++ b/core/usher.go
@@ -66,7 +66,7 @@
 
 // asked answers a core that asks for a seat; what is not for this core is passed on
 // to the one on duty.
-func (u *usher) asked(ctx context.Context, in wire.Inquiry) (any, string) {
+func (u *usher) asked(ctx context.Context, in wire.Request) (any, string) {
 	var a register.Asker
 	if !in.Into(&a) {
 		return nil, "does not ask for a seat"
--- a/custody/custody_test.go
+++ b/custody/custody_test.go
@@ -76,7 +76,7 @@
 					h.Release(e)
 					delete(known, text)
 				} else {
-					e.Receipt = []byte("receipt")
+					e.Response = []byte("receipt")
 					h.Take(e, now)
 					m.settled, m.until = true, now+e.For
 				}
@@ -90,7 +90,7 @@
 				switch {
 				case m != nil && m.boot != boot:
 					told++
-					if got.Taken || got.Known == nil || got.Known.Boot != m.boot || (got.Known.Receipt != nil) != m.settled {
+					if got.Taken || got.Known == nil || got.Known.Boot != m.boot || (got.Known.Response != nil) != m.settled {
 						t.Fatalf("seed %d: %+v of %+v", seed, got, m)
 					}
 				case !got.Taken:
@@ -115,7 +115,7 @@
 	}
 	big := NewHoldings()
 	for i := range 3 * mostOf / (1 << 20) {
-		e := Entry{Owner: "o", N: 1, Key: claim.Key{Text: fmt.Sprint(i)}, For: time.Minute, Receipt: make([]byte, 1<<20)}
+		e := Entry{Owner: "o", N: 1, Key: claim.Key{Text: fmt.Sprint(i)}, For: time.Minute, Response: make([]byte, 1<<20)}
 		if !big.Take(e, 0).Taken || big.bytes > mostOf {
 			t.Fatalf("entry %d: %d bytes are held", i, big.bytes)
 		}
@@ -123,7 +123,7 @@
 	handed := 0
 	all := big.Handover(Handover{Owner: "o", Boot: 1}, 0).Entries
 	for _, e := range all {
-		handed += len(e.Receipt)
+		handed += len(e.Response)
 	}
 	if len(all) != 3*mostOf/(1<<20) || handed == 0 || handed > handedOf {
 		t.Errorf("%d entries with %d bytes of receipts are handed over", len(all), handed)
@@ -145,11 +145,11 @@
 	if got := tr.Lacking(nodes, 9, 0); len(got) > 0 {
 		t.Errorf("held by two: %+v", got)
 	}
-	e.Receipt = []byte("r")
+	e.Response = []byte("r")
 	tr.Settle(e, 10*time.Second)
 	reborn := []cohort.Node{ranked[0], ranked[1], ranked[2]}
 	reborn[0].Boot = 2
-	if got := tr.Lacking(reborn, 9, 20*time.Second); len(got) != 1 || got[0].To.Addr != ranked[0].Addr || string(got[0].Receipt) != "r" || got[0].For != 50*time.Second {
+	if got := tr.Lacking(reborn, 9, 20*time.Second); len(got) != 1 || got[0].To.Addr != ranked[0].Addr || string(got[0].Response) != "r" || got[0].For != 50*time.Second {
 		t.Errorf("after another boot: %+v", got)
 	}
 	if got := tr.Lacking(reborn[1:], 9, 20*time.Second); len(got) != 1 || got[0].To.Addr != ranked[2].Addr {
--- a/custody/entry.go
+++ b/custody/entry.go
@@ -28,8 +28,8 @@
 	Print claim.Print `msgpack:"p"`
 	// For is how long it is to be held from now on.
 	For time.Duration `msgpack:"f"`
-	// Receipt is set once the inquiry has ended.
-	Receipt []byte `msgpack:"r,omitempty"`
+	// Response is set once the request has ended.
+	Response []byte `msgpack:"r,omitempty"`
 }
 
 // Held answers that an entry was taken, or tells of the claim that an earlier
--- a/custody/holder.go
+++ b/custody/holder.go
@@ -34,12 +34,12 @@
 }
 
 // Count is how many claims are held for others, and how many of them with a
-// receipt.
+// response.
 func (h *Holder) Count() (held, settled int64) { return h.held.Load(), h.settled.Load() }
 
 // answer has the loop answer a call whose body is a Q.
 func answer[Q, A any](h *Holder, fn func(held *Holdings, q Q, now time.Duration) A) wire.Handler {
-	return func(ctx context.Context, in wire.Inquiry) (any, string) {
+	return func(ctx context.Context, in wire.Request) (any, string) {
 		var q Q
 		if !in.Into(&q) {
 			return nil, "not of this kind"
--- a/custody/holdings.go
+++ b/custody/holdings.go
@@ -8,7 +8,7 @@
 
 const (
 	most     = 131072   // entries held at a time (ours)
-	mostOf   = 64 << 20 // bytes of receipts held at a time (ours)
+	mostOf   = 64 << 20 // bytes of responses held at a time (ours)
 	handedOf = 24 << 20 // and handed over in one answer, which is one frame (ours)
 )
 
@@ -35,7 +35,7 @@
 // Take holds a claim, or what has become of it. A claim of an earlier boot is
 // never overwritten by a new one: it is told instead.
 func (h *Holdings) Take(e Entry, now time.Duration) Held {
-	if len(h.held) >= most || h.bytes+len(e.Receipt) > mostOf {
+	if len(h.held) >= most || h.bytes+len(e.Response) > mostOf {
 		for at, k := range h.held {
 			if now >= k.until {
 				h.drop(at)
@@ -51,23 +51,23 @@
 	switch {
 	case ok && old.Boot != e.Boot:
 		return Held{Known: &old.Entry}
-	case ok && old.N > e.N, ok && old.N == e.N && e.Receipt == nil:
+	case ok && old.N > e.N, ok && old.N == e.N && e.Response == nil:
 		return Held{Taken: true} // overtaken on the way
 	case !ok && len(h.held) >= most:
 		return Held{}
-	case h.bytes+len(e.Receipt) > mostOf:
-		e.Receipt = nil // that it was claimed is worth more than what was answered
+	case h.bytes+len(e.Response) > mostOf:
+		e.Response = nil // that it was claimed is worth more than what was answered
 	}
 	h.drop(at)
 	h.held[at] = kept{Entry: e, until: now + e.For}
-	h.bytes += len(e.Receipt)
-	if e.Receipt != nil {
+	h.bytes += len(e.Response)
+	if e.Response != nil {
 		h.settled++
 	}
 	return Held{Taken: true}
 }
 
-// Release gives up a claim whose inquiry surely did not run; not a later one.
+// Release gives up a claim whose request surely did not run; not a later one.
 func (h *Holdings) Release(e Entry) {
 	at := place{e.Owner, e.Key}
 	if old, ok := h.held[at]; ok && old.Boot == e.Boot && old.N == e.N {
@@ -76,14 +76,14 @@
 }
 
 // Handover lists what earlier boots of a node laid claim to: all of it, with as many
-// of the receipts as one answer bears.
+// of the responses as one answer bears.
 func (h *Holdings) Handover(q Handover, now time.Duration) (out Handed) {
 	bytes := 0
 	for _, k := range h.held {
 		if k.Owner == q.Owner && k.Boot != q.Boot && now < k.until {
 			e := k.Entry
-			if bytes += len(e.Receipt); bytes > handedOf {
-				e.Receipt = nil
+			if bytes += len(e.Response); bytes > handedOf {
+				e.Response = nil
 			}
 			out.Entries = append(out.Entries, e)
 		}
@@ -91,11 +91,11 @@
 	return out
 }
 
-// Count is how many claims are held, and how many of them with a receipt.
+// Count is how many claims are held, and how many of them with a response.
 func (h *Holdings) Count() (held, settled int) { return len(h.held), h.settled }
 
 func (h *Holdings) drop(at place) {
-	if r := h.held[at].Receipt; r != nil {
+	if r := h.held[at].Response; r != nil {
 		h.bytes -= len(r)
 		h.settled--
 	}
--- a/custody/owner.go
+++ b/custody/owner.go
@@ -18,7 +18,7 @@
 	rounds   = 3                      // how often others are tried in place of silent ones (ours)
 	askEvery = 20 * time.Millisecond  // (ours)
 	askWait  = 400 * time.Millisecond // (ours)
-	// bearFor is how long a node that does not hand over keeps keyed inquiries
+	// bearFor is how long a node that does not hand over keeps keyed requests
 	// waiting; then one such is borne, since each claim has two holders.
 	bearFor = 5 * time.Second // (ours)
 	// settleIn is how long after a start the others take to see it and to entrust
@@ -26,7 +26,7 @@
 	settleIn = 1200 * time.Millisecond // (ours)
 	// repairAtOnce is how many claims are entrusted anew side by side.
 	repairAtOnce = 64 // (ours)
-	// largest is the largest receipt that others keep.
+	// largest is the largest response that others keep.
 	largest = 256 << 10 // (ours)
 )
 
@@ -49,7 +49,7 @@
 	// settled tells that others have had the time to entrust anew what an earlier
 	// boot held for them.
 	settled atomic.Bool
-	// trusts are looked at for a moment by each keyed inquiry. (DESIGN 13)
+	// trusts are looked at for a moment by each keyed request. (DESIGN 13)
 	mu     sync.Mutex
 	trusts *Trusts
 	start  time.Time
@@ -191,7 +191,7 @@
 
 // Entrust has a new claim held by two others, or by all if there are fewer. If
 // an earlier boot had laid it, known is that claim; ok is false if it could not
-// be entrusted: then the inquiry must not run.
+// be entrusted: then the request must not run.
 func (o *Owner) Entrust(ctx context.Context, key claim.Key, print claim.Print, left time.Duration) (t Trust, known *Entry, ok bool) {
 	t.Entry = Entry{Owner: o.Own, Boot: o.Boot, N: o.next.Add(1), Key: key, Print: print, For: left + claim.HeldFor}
 	others := o.others()
@@ -268,17 +268,17 @@
 	}
 }
 
-// Settle tells the holders what was answered; without a receipt the inquiry did
+// Settle tells the holders what was answered; without a response the request did
 // not run and the claim is given up. Nobody waits for it.
-func (o *Owner) Settle(ctx context.Context, t Trust, receipt []byte) {
+func (o *Owner) Settle(ctx context.Context, t Trust, response []byte) {
 	kind := KindRelease
 	switch {
-	case receipt == nil:
+	case response == nil:
 		o.with(func(all *Trusts, _ time.Duration) { all.Drop(t.Entry) })
-	case len(receipt) > largest:
+	case len(response) > largest:
 		return // the claim stands without it
 	default:
-		kind, t.Receipt, t.For = KindHold, receipt, claim.HeldFor
+		kind, t.Response, t.For = KindHold, response, claim.HeldFor
 		o.with(func(all *Trusts, now time.Duration) { all.Settle(t.Entry, now) })
 	}
 	for _, addr := range t.by {
--- a/custody/trusts.go
+++ b/custody/trusts.go
@@ -12,7 +12,7 @@
 type Trusts struct {
 	own, locality string
 	held          map[claim.Key]*trust
-	bytes         int // of receipts
+	bytes         int // of responses
 }
 
 type trust struct {
@@ -40,7 +40,7 @@
 		x = &trust{by: map[string]uint64{}}
 		t.held[e.Key] = x
 	}
-	if x.Receipt == nil {
+	if x.Response == nil {
 		t.note(x, e, now)
 	}
 	x.by[by.Addr] = by.Boot
@@ -53,19 +53,19 @@
 	}
 }
 
-// note keeps what became of a claim. Beyond the bound its receipt is let go: that it
+// note keeps what became of a claim. Beyond the bound its response is let go: that it
 // was claimed is worth more than what was answered.
 func (t *Trusts) note(x *trust, e Entry, now time.Duration) {
-	if t.bytes+len(e.Receipt) > mostOf {
-		e.Receipt = nil
+	if t.bytes+len(e.Response) > mostOf {
+		e.Response = nil
 	}
-	t.bytes += len(e.Receipt) - len(x.Receipt)
+	t.bytes += len(e.Response) - len(x.Response)
 	x.Entry, x.until = e, now+e.For
 }
 
 func (t *Trusts) forget(key claim.Key) {
 	if x := t.held[key]; x != nil {
-		t.bytes -= len(x.Receipt)
+		t.bytes -= len(x.Response)
 		delete(t.held, key)
 	}
 }
--- a/desired/bytes_test.go
+++ b/desired/bytes_test.go
@@ -13,8 +13,8 @@
 func big(n int) State {
 	st := State{
 		Contracts: []Contract{
-			{Name: "quick", Aim: Duration{Duration: 500 * time.Microsecond}, Expiry: Duration{Duration: time.Millisecond}, Rank: 1},
-			{Name: "slow", Aim: Duration{Duration: time.Second}, Expiry: Duration{Duration: 90 * time.Second}, Rank: 9},
+			{Name: "quick", Aim: Duration{Duration: 500 * time.Microsecond}, Deadline: Duration{Duration: time.Millisecond}, Rank: 1},
+			{Name: "slow", Aim: Duration{Duration: time.Second}, Deadline: Duration{Duration: 90 * time.Second}, Rank: 9},
 		},
 		Limits: Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderWait: Duration{Duration: 5 * time.Second}, Idle: Duration{Duration: time.Minute}},
 	}
--- a/desired/check.go
+++ b/desired/check.go
@@ -150,9 +150,9 @@
 		c.name(&p, "name", k.Name)
 		c.alone(&p, k.Name, i, seen)
 		c.duration(&p, "aim", k.Aim)
-		c.duration(&p, "expiry", k.Expiry)
-		if k.Aim.Bad == "" && k.Expiry.Bad == "" && k.Aim.Duration > k.Expiry.Duration {
-			c.fault(&p, "aim", "%v is later than the expiry %v", k.Aim.Duration, k.Expiry.Duration)
+		c.duration(&p, "expiry", k.Deadline)
+		if k.Aim.Bad == "" && k.Deadline.Bad == "" && k.Aim.Duration > k.Deadline.Duration {
+			c.fault(&p, "aim", "%v is later than the expiry %v", k.Aim.Duration, k.Deadline.Duration)
 		}
 		if k.Rank < 1 || k.Rank > MaxRank {
 			c.fault(&p, "rank", "%d is no rank: 1 (first) to %d", k.Rank, MaxRank)
--- a/desired/cold.go
+++ b/desired/cold.go
@@ -7,6 +7,6 @@
 	Stray
 	// For is how long it is cold.
 	For Duration `json:"for"`
-	// Rate is how many inquiries a second it bears meanwhile.
+	// Rate is how many requests a second it bears meanwhile.
 	Rate float64 `json:"rate"`
 }
--- a/desired/contract.go
+++ b/desired/contract.go
@@ -1,6 +1,6 @@
 package desired
 
-// Contract is the promise for one kind of inquiry.
+// Contract is the promise for one kind of request.
 //
 //easyjson:json
 type Contract struct {
@@ -8,8 +8,8 @@
 	Name string `json:"name"`
 	// Aim is the time that answers should take.
 	Aim Duration `json:"aim"`
-	// Expiry is when an answer is worth nothing any more.
-	Expiry Duration `json:"expiry"`
+	// Deadline is when an answer is worth nothing any more.
+	Deadline Duration `json:"expiry"`
 	// Rank says who goes first when there is not enough; 1 is the highest.
 	Rank int `json:"rank"`
 }
--- a/desired/desired_easyjson.go
+++ b/desired/desired_easyjson.go
@@ -737,7 +737,7 @@
 			if in.IsNull() {
 				in.Skip()
 			} else {
-				(out.Expiry).UnmarshalEasyJSON(in)
+				(out.Deadline).UnmarshalEasyJSON(in)
 			}
 		case "rank":
 			if in.IsNull() {
@@ -772,7 +772,7 @@
 	{
 		const prefix string = ",\"expiry\":"
 		out.RawString(prefix)
-		(in.Expiry).MarshalEasyJSON(out)
+		(in.Deadline).MarshalEasyJSON(out)
 	}
 	{
 		const prefix string = ",\"rank\":"
--- a/desired/portion.go
+++ b/desired/portion.go
@@ -1,6 +1,6 @@
 package desired
 
-// Portion is a service's part of a way's inquiries.
+// Portion is a service's part of a way's requests.
 //
 //easyjson:json
 type Portion struct {
--- a/desired/way.go
+++ b/desired/way.go
@@ -1,6 +1,6 @@
 package desired
 
-// Way is one route: which inquiries go to which service, under which contract.
+// Way is one route: which requests go to which service, under which contract.
 //
 //easyjson:json
 type Way struct {
@@ -9,14 +9,14 @@
 	Host    string   `json:"host,omitempty"`
 	Prefix  string   `json:"prefix"`
 	Methods []string `json:"methods,omitempty"`
-	// Service takes the inquiries; or Split divides them among several.
+	// Service takes the requests; or Split divides them among several.
 	Service string    `json:"service,omitempty"`
 	Split   []Portion `json:"split,omitempty"`
-	// Contract names the contract that the way's inquiries run under.
+	// Contract names the contract that the way's requests run under.
 	Contract string `json:"contract"`
-	// Repeatable says that running an inquiry twice does no harm.
+	// Repeatable says that running a request twice does no harm.
 	Repeatable bool `json:"repeatable,omitempty"`
-	// Legs is how many legs an inquiry may have at most; 0 leaves it to us.
+	// Legs is how many legs a request may have at most; 0 leaves it to us.
 	Legs int `json:"legs,omitempty"`
 }
 
--- a/feed/directory.go
+++ b/feed/directory.go
@@ -151,7 +151,7 @@
 }
 
 // Answer handles a Follow call.
-func (d *Directory) Answer(ctx context.Context, in wire.Inquiry) (any, string) {
+func (d *Directory) Answer(ctx context.Context, in wire.Request) (any, string) {
 	var q Follow
 	if !in.Into(&q) {
 		return nil, "not a follow"
--- a/feed/talk_test.go
+++ b/feed/talk_test.go
@@ -21,12 +21,12 @@
 	talk cohort.Talk
 }
 
-// letter is a heartbeat or its receipt, under way.
+// letter is a heartbeat or its response, under way.
 type letter struct {
-	from    *teller
-	boot    uint64
-	told    cohort.Heartbeat
-	receipt *cohort.Heartbeat
+	from     *teller
+	boot     uint64
+	told     cohort.Heartbeat
+	response *cohort.Heartbeat
 }
 
 // talks is a core, whose version may be an old one, and the sidecars that heartbeat it.
@@ -86,17 +86,17 @@
 			k.t.Fatalf("a node with other backends: %s", d)
 		}
 	}
-	l.receipt = &r
+	l.response = &r
 	return l
 }
 
-// back has a receipt come back; more is a heartbeat that goes off at once.
+// back has a response come back; more is a heartbeat that goes off at once.
 func (k *talks) back(l letter) (more letter, again bool) {
 	s := l.from
 	if l.boot != s.node.Boot {
 		return letter{}, false // who had called is gone
 	}
-	s.talk, again = s.talk.Answered(l.told, *l.receipt)
+	s.talk, again = s.talk.Answered(l.told, *l.response)
 	if !again {
 		return letter{}, false
 	}
@@ -139,7 +139,7 @@
 		k.letters = append(k.letters[:i:i], k.letters[i+1:]...)
 		switch {
 		case k.rng.IntN(5) == 0:
-		case l.receipt == nil:
+		case l.response == nil:
 			k.letters = append(k.letters, k.reach(l))
 		default:
 			if more, again := k.back(l); again {
@@ -155,7 +155,7 @@
 	return open
 }
 
-// Through lost, late and overtaken heartbeats and receipts, starts anew of the core and of
+// Through lost, late and overtaken heartbeats and responses, starts anew of the core and of
 // sidecars, and a core that is of an older version for a while, a core never has a
 // node with other backends than it told, and has what is newest of it after two heartbeats
 // that are answered, whatever it told before arrives later.
@@ -185,7 +185,7 @@
 			}
 			// What it told before and what comes only now changes nothing any more.
 			k.letters = slices.DeleteFunc(k.letters, func(l letter) bool {
-				late := l.from == s && l.boot == s.node.Boot && l.receipt == nil
+				late := l.from == s && l.boot == s.node.Boot && l.response == nil
 				if late {
 					k.reach(l)
 				}
--- a/launch/mailbox.go
+++ b/launch/mailbox.go
@@ -39,8 +39,8 @@
 	m.l.sys.Root.Send(m.pid, parcel{ctx: trace.CopySlot(context.WithoutCancel(ctx)), msg: msg})
 }
 
-// Ask sends what build makes of a receipt channel and waits for the receipt.
-func Ask[T any](ctx context.Context, m *Mailbox, build func(receipt chan<- T) any) (T, bool) {
+// Ask sends what build makes of a response channel and waits for the response.
+func Ask[T any](ctx context.Context, m *Mailbox, build func(response chan<- T) any) (T, bool) {
 	ch := make(chan T, 1)
 	m.Send(ctx, build(ch))
 	select {
--- a/lineage/book.go
+++ b/lineage/book.go
@@ -15,12 +15,12 @@
 	leastSeen = 0.01 // a candidate's share below this is not told (ours)
 )
 
-// Book is the decision value: which inquiries are open, and which ways are
+// Book is the decision value: which requests are open, and which ways are
 // known to make which calls. One thread owns it.
 type Book struct {
 	open    map[trace.ID]*Open
 	habits  map[[2]string]*habit
-	ended   map[string]float64     // inquiries ended, by way
+	ended   map[string]float64     // requests ended, by way
 	guesses map[[2]string][]*guess // by service and way of the call
 	mingled map[[2]string]*mingled // by service and way
 }
@@ -30,13 +30,13 @@
 	return &Book{open: map[trace.ID]*Open{}, habits: map[[2]string]*habit{}, ended: map[string]float64{}, guesses: map[[2]string][]*guess{}, mingled: map[[2]string]*mingled{}}
 }
 
-// Enter opens an inquiry.
+// Enter opens a request.
 func (b *Book) Enter(o Open) {
 	o.calls = map[string]float64{}
 	b.open[o.Span.ID] = &o
 }
 
-// Leave closes an inquiry. Its end tells something of earlier guesses: calls
+// Leave closes a request. Its end tells something of earlier guesses: calls
 // that its way usually makes must be among them.
 func (b *Book) Leave(id trace.ID) {
 	o, ok := b.open[id]
@@ -72,7 +72,7 @@
 	}
 	var all []*Open
 	for _, o := range b.open {
-		if o.Service == service && now.Before(o.Expiry) {
+		if o.Service == service && now.Before(o.Deadline) {
 			all = append(all, o)
 		}
 	}
@@ -93,11 +93,11 @@
 	})
 }
 
-// sure ties a call to the one inquiry that can have caused it.
+// sure ties a call to the one request that can have caused it.
 func (b *Book) sure(o *Open, way string, now time.Time) Cause {
 	o.calls[way]++
 	b.habit(o.Way, way).learn(now.Sub(o.Since), 1)
-	return Cause{Parent: o.Span, Link: trace.LinkProven, Candidates: []trace.ID{o.Span.ID}, Expiry: o.Expiry, Rank: o.Rank}
+	return Cause{Parent: o.Span, Link: trace.LinkProven, Candidates: []trace.ID{o.Span.ID}, Deadline: o.Deadline, Rank: o.Rank}
 }
 
 // infer ties a call to the likeliest of several: by how often and when the way
@@ -122,12 +122,12 @@
 			best = i
 		}
 	}
-	c := Cause{Parent: all[best].Span, Link: trace.LinkInferred, Candidates: []trace.ID{all[best].Span.ID}, Expiry: all[best].Expiry, Rank: all[best].Rank}
+	c := Cause{Parent: all[best].Span, Link: trace.LinkInferred, Candidates: []trace.ID{all[best].Span.ID}, Deadline: all[best].Deadline, Rank: all[best].Rank}
 	for i, o := range all {
 		if i != best && g.share[i] >= leastSeen {
 			c.Candidates = append(c.Candidates, o.Span.ID)
-			if o.Expiry.After(c.Expiry) {
-				c.Expiry = o.Expiry
+			if o.Deadline.After(c.Deadline) {
+				c.Deadline = o.Deadline
 			}
 			c.Rank = min(c.Rank, o.Rank)
 		}
@@ -146,7 +146,7 @@
 	return made
 }
 
-// balance moves shares until each call has one cause and each inquiry has no
+// balance moves shares until each call has one cause and each request has no
 // more calls than its way usually makes; one that ended has just as many.
 func (b *Book) balance(key [2]string, list []*guess) {
 	for range rounds {
@@ -163,7 +163,7 @@
 	}
 }
 
-// rate is how many calls of a way an inquiry of another makes on average.
+// rate is how many calls of a way a request of another makes on average.
 func (b *Book) rate(way, call string) float64 {
 	calls := 0.0
 	if h := b.habits[[2]string{way, call}]; h != nil {
--- a/lineage/book_test.go
+++ b/lineage/book_test.go
@@ -52,7 +52,7 @@
 		vary := func(d time.Duration) time.Duration { return d/2 + time.Duration(rng.Int64N(int64(d))) }
 		total := vary(work)
 		s := trace.Root()
-		b.Enter(Open{Span: s, Service: "orders", Way: way, Since: base.Add(now), Expiry: base.Add(now + time.Minute)})
+		b.Enter(Open{Span: s, Service: "orders", Way: way, Since: base.Add(now), Deadline: base.Add(now + time.Minute)})
 		after(total/2, func() {
 			c := b.Link("orders", call, trace.Span{}, base.Add(now))
 			made++
@@ -79,7 +79,7 @@
 }
 
 // How many calls are tied to their true cause when nothing is passed along, by
-// how many inquiries the backend works on at a time.
+// how many requests the backend works on at a time.
 func TestShareRight(t *testing.T) {
 	for _, c := range []struct {
 		slots int
@@ -100,18 +100,18 @@
 	}
 }
 
-// A call with several likely causes gets the latest of their expiries, so that a
+// A call with several likely causes gets the latest of their deadlines, so that a
 // wrong link fails no call that has time left, and the highest of their ranks.
-func TestLatestExpiry(t *testing.T) {
+func TestLatestDeadline(t *testing.T) {
 	b, now := NewBook(), time.Now()
 	soon, late := trace.Root(), trace.Root()
-	b.Enter(Open{Span: soon, Service: "s", Way: "w", Rank: 3, Since: now, Expiry: now.Add(10 * time.Millisecond)})
-	b.Enter(Open{Span: late, Service: "s", Way: "w", Rank: 1, Since: now, Expiry: now.Add(time.Second)})
+	b.Enter(Open{Span: soon, Service: "s", Way: "w", Rank: 3, Since: now, Deadline: now.Add(10 * time.Millisecond)})
+	b.Enter(Open{Span: late, Service: "s", Way: "w", Rank: 1, Since: now, Deadline: now.Add(time.Second)})
 	c := b.Link("s", "call", trace.Span{}, now.Add(time.Millisecond))
-	if !c.Expiry.Equal(now.Add(time.Second)) || c.Rank != 1 || len(c.Candidates) != 2 {
+	if !c.Deadline.Equal(now.Add(time.Second)) || c.Rank != 1 || len(c.Candidates) != 2 {
 		t.Errorf("%+v", c)
 	}
-	if c := b.Link("s", "call", soon, now); !c.Expiry.Equal(now.Add(10*time.Millisecond)) || c.Rank != 3 || c.Link != trace.LinkProven {
+	if c := b.Link("s", "call", soon, now); !c.Deadline.Equal(now.Add(10*time.Millisecond)) || c.Rank != 3 || c.Link != trace.LinkProven {
 		t.Errorf("proven: %+v", c)
 	}
 }
--- a/lineage/cause.go
+++ b/lineage/cause.go
@@ -11,8 +11,8 @@
 	Parent     trace.Span
 	Link       trace.Link
 	Candidates []trace.ID
-	// Expiry is the latest among the candidates, so that a wrong link fails no call
+	// Deadline is the latest among the candidates, so that a wrong link fails no call
 	// that has time left; zero if there are none. Rank is the highest among them.
-	Expiry time.Time
-	Rank   int
+	Deadline time.Time
+	Rank     int
 }
--- a/lineage/habit.go
+++ b/lineage/habit.go
@@ -12,7 +12,7 @@
 )
 
 // habit is what was learned of one way making calls of another: how many, and
-// how long after the inquiry came. Inferred calls count by their shares.
+// how long after the request came. Inferred calls count by their shares.
 type habit struct {
 	calls float64
 	after [buckets]float64
@@ -30,7 +30,7 @@
 	h.after[bucket(d)] += share
 }
 
-// density is how likely the call comes just so long after the inquiry; with
+// density is how likely the call comes just so long after the request; with
 // nothing learned all moments are alike.
 func (h *habit) density(d time.Duration) float64 {
 	if h == nil || h.calls < 8 {
--- a/lineage/keeper.go
+++ b/lineage/keeper.go
@@ -49,7 +49,7 @@
 	}
 }
 
-// Enter opens an inquiry before its first byte goes to the backend.
+// Enter opens a request before its first byte goes to the backend.
 func (k *Keeper) Enter(ctx context.Context, o Open) {
 	select {
 	case k.enter <- o:
@@ -70,7 +70,7 @@
 	return k.ask(ctx, query{service: service, way: way, told: told})
 }
 
-// Mingled ties what may be a client's inquiry as well as an outgoing call.
+// Mingled ties what may be a client's request as well as an outgoing call.
 func (k *Keeper) Mingled(ctx context.Context, service, way string, told trace.Span, left time.Duration) Cause {
 	return k.ask(ctx, query{service: service, way: way, told: told, left: &left})
 }
--- a/lineage/mingled_test.go
+++ b/lineage/mingled_test.go
@@ -8,9 +8,9 @@
 	"curlewwalk/trace"
 )
 
-// A backend of nine slots gets clients' inquiries of its own kind, and at the same address
-// come its own calls and clients' inquiries of three kinds, one of which has less time
-// left than what is open. After a while clients' inquiries are tied to nothing, and most
+// A backend of nine slots gets clients' requests of its own kind, and at the same address
+// come its own calls and clients' requests of three kinds, one of which has less time
+// left than what is open. After a while clients' requests are tied to nothing, and most
 // calls to their true cause.
 func TestMingled(t *testing.T) {
 	clients, wrong, calls, right := 0, 0, 0, 0
@@ -26,7 +26,7 @@
 			at := base.Add(now)
 			if len(open) < 9 && rng.IntN(50) == 0 {
 				s, work := trace.Root(), 80*time.Millisecond+time.Duration(rng.Int64N(int64(160*time.Millisecond)))
-				b.Enter(Open{Span: s, Service: "home", Way: "browse", Since: at, Expiry: at.Add(1800 * time.Millisecond)})
+				b.Enter(Open{Span: s, Service: "home", Way: "browse", Since: at, Deadline: at.Add(1800 * time.Millisecond)})
 				open = append(open, run{span: s, call: now + (work / 2).Truncate(time.Millisecond), to: now + work})
 			}
 			kept := open[:0]
--- a/lineage/open.go
+++ b/lineage/open.go
@@ -1,4 +1,4 @@
-// Package lineage ties a backend's outgoing calls to the inquiries that caused
+// Package lineage ties a backend's outgoing calls to the requests that caused
 // them, though backends pass nothing along. (DESIGN 2.5)
 package lineage
 
@@ -8,14 +8,14 @@
 	"curlewwalk/trace"
 )
 
-// Open is an inquiry that a backend is working on.
+// Open is a request that a backend is working on.
 type Open struct {
-	Span    trace.Span
-	Service string
-	Way     string
-	Rank    int
-	Since   time.Time
-	Expiry  time.Time
+	Span     trace.Span
+	Service  string
+	Way      string
+	Rank     int
+	Since    time.Time
+	Deadline time.Time
 	// calls counts, by way, the outgoing calls surely tied to it.
 	calls map[string]float64
 	ended bool
--- a/metrics/wire.go
+++ b/metrics/wire.go
@@ -20,10 +20,10 @@
 	}
 	return []*Metric{
 		Counter("wire_messages_total", "Messages between processes.", labels, each(func(c wire.Count) (uint64, uint64) {
-			return c.Calls, c.Receipts
+			return c.Calls, c.Responses
 		})),
 		Counter("wire_bytes_total", "Bytes of messages between processes, framing included.", labels, each(func(c wire.Count) (uint64, uint64) {
-			return c.CallBytes, c.ReceiptBytes
+			return c.CallBytes, c.ResponseBytes
 		})),
 	}
 }
--- a/proof/await_test.go
+++ b/proof/await_test.go
@@ -28,7 +28,7 @@
 	})
 }
 
-// serves waits until every kind of inquiry that clients send succeeds from a
+// serves waits until every kind of request that clients send succeeds from a
 // machine.
 func serves(ctx context.Context, f *fleet.Fleet, machine int) error {
 	c := f.NewCaller(machine, 1)
--- a/proof/body_test.go
+++ b/proof/body_test.go
@@ -31,7 +31,7 @@
 		io.WriteString(w, ", second")
 		w.Header().Set("X-Sum", "of both")
 	}))
-	req, err := http.NewRequestWithContext(r.ctx, "POST", "http://"+r.Inquiries(0)+"/once/", io.MultiReader(strings.NewReader("good "), strings.NewReader("day")))
+	req, err := http.NewRequestWithContext(r.ctx, "POST", "http://"+r.Requests(0)+"/once/", io.MultiReader(strings.NewReader("good "), strings.NewReader("day")))
 	must(t, err)
 	req.Trailer = http.Header{"X-Check": {"a", "b"}}
 	resp, err := r.Client.Do(req)
@@ -73,7 +73,7 @@
 	must(t, f.AwaitServing(ctx, f.First, 1))
 	send := func(n int) (int, string, bool) {
 		body := bytes.Repeat([]byte{byte(n)}, n)
-		req, err := http.NewRequestWithContext(ctx, "POST", "http://"+f.Inquiries(0)+"/surveys/x", bytes.NewReader(body))
+		req, err := http.NewRequestWithContext(ctx, "POST", "http://"+f.Requests(0)+"/surveys/x", bytes.NewReader(body))
 		must(t, err)
 		resp, err := f.Client.Do(req)
 		if err != nil {
--- a/proof/budget_test.go
+++ b/proof/budget_test.go
@@ -13,7 +13,7 @@
 	Whole   bool
 	Budgets []struct {
 		Contract, Left string
-		Inquiries      int64
+		Requests       int64
 		Kept           bool
 	}
 }
@@ -24,7 +24,7 @@
 	t.Parallel()
 	r := newRig(t)
 	r.backend(1, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
-	shows := func(inquiries int64, kept bool) {
+	shows := func(requests int64, kept bool) {
 		t.Helper()
 		for _, p := range r.Programs() {
 			must(t, fleet.Await(r.ctx, p.Name+" to show the budget", func(ctx context.Context) bool {
@@ -35,7 +35,7 @@
 				}
 				for _, c := range b.Budgets {
 					if c.Contract == "once" {
-						return c.Inquiries == inquiries && c.Kept == kept
+						return c.Requests == requests && c.Kept == kept
 					}
 				}
 				return false
--- a/proof/custody_test.go
+++ b/proof/custody_test.go
@@ -54,7 +54,7 @@
 
 // ask sends an order under a key; a broken connection counts as status 0.
 func (k *keyed) ask(key, body string) (status int, text string) {
-	req, err := http.NewRequestWithContext(k.ctx, "POST", "http://"+k.Inquiries(0)+"/orders/1", bytes.NewReader([]byte(body)))
+	req, err := http.NewRequestWithContext(k.ctx, "POST", "http://"+k.Requests(0)+"/orders/1", bytes.NewReader([]byte(body)))
 	must(k.t, err)
 	req.Header.Set("Idempotency-Key", key)
 	resp, err := k.Client.Do(req)
@@ -105,7 +105,7 @@
 			if c.later {
 				k.release <- struct{}{}
 				want = <-first
-				// The holders are told of the receipt after the client was.
+				// The holders are told of the response after the client was.
 				must(t, k.held(2, 2))
 			}
 			var others []*fleet.Program
@@ -128,8 +128,8 @@
 	}
 }
 
-// held waits until the other nodes hold so many claims, and so many receipts.
-func (k *keyed) held(claims, receipts int) error {
+// held waits until the other nodes hold so many claims, and so many responses.
+func (k *keyed) held(claims, responses int) error {
 	return fleet.Await(k.ctx, "claims to be held", func(ctx context.Context) bool {
 		held, settled := 0, 0
 		for _, p := range k.Sidecars[1:] {
@@ -142,7 +142,7 @@
 			}
 			held, settled = held+st.Held, settled+st.Settled
 		}
-		return held == claims && settled == receipts
+		return held == claims && settled == responses
 	})
 }
 
--- a/proof/cut_test.go
+++ b/proof/cut_test.go
@@ -93,7 +93,7 @@
 
 // A machine that nobody reaches, whose locality is emptied: its sidecar, which
 // can't have heard, admits nothing once 5 s have passed; nor does one that is
-// frozen over that time and woken with inquiries piled up. Taken back and
+// frozen over that time and woken with requests piled up. Taken back and
 // reached again, it serves.
 func TestEmptiedUnheard(t *testing.T) {
 	for name, hide := range map[string]func(f *fleet.Fleet) (back func()){
--- a/proof/day/day.go
+++ b/proof/day/day.go
@@ -40,7 +40,7 @@
 	broken   []string
 	slowest  time.Duration              // return of service after a fault
 	spread   time.Duration              // slowest configuration in force
-	back     map[string][]time.Duration // return of service, by kind of inquiry and of its word
+	back     map[string][]time.Duration // return of service, by kind of request and of its word
 	standing map[*standin.Backend]int   // running backends by machine
 }
 
@@ -148,7 +148,7 @@
 	}
 }
 
-// serviceReturns waits until each kind of inquiry succeeds from every machine,
+// serviceReturns waits until each kind of request succeeds from every machine,
 // and the operator's word can be read from every core; it keeps how long each took.
 func (d *Day) serviceReturns(after string) time.Duration {
 	w := &returnWait{day: d, after: after, begin: time.Now()}
--- a/proof/day/returns.go
+++ b/proof/day/returns.go
@@ -23,7 +23,7 @@
 	mu sync.Mutex
 }
 
-// untilServed waits until one inquiry of a plan succeeds from a machine.
+// untilServed waits until one request of a plan succeeds from a machine.
 func (w *returnWait) untilServed(machine int, p standin.Plan) {
 	d := w.day
 	d.serial++
--- a/proof/edition_test.go
+++ b/proof/edition_test.go
@@ -14,7 +14,7 @@
 
 // many is a configuration of n ways, told from others by a number.
 func many(n, number int) []byte {
-	st := desired.State{Contracts: []desired.Contract{{Name: "c", Aim: desired.Duration{Duration: time.Second}, Expiry: desired.Duration{Duration: 2 * time.Second}, Rank: 1}}}
+	st := desired.State{Contracts: []desired.Contract{{Name: "c", Aim: desired.Duration{Duration: time.Second}, Deadline: desired.Duration{Duration: 2 * time.Second}, Rank: 1}}}
 	for i := range n {
 		st.Services = append(st.Services, desired.Service{Name: fmt.Sprint("s", i), Connections: number})
 		st.Ways = append(st.Ways, desired.Way{
--- a/proof/exact_test.go
+++ b/proof/exact_test.go
@@ -36,7 +36,7 @@
 	for _, uri := range []string{"/look/a", "/look/a%2Fb/..//c?x=%20&y", "/look/?", "/look/%e2%82%ac;p=1?a=b?c"} {
 		a := r.send("GET", uri, "", "X-One", "1", "Curlewwalk-Caller", "forged", "Connection", "X-Drop", "X-Drop", "hop", "Accept-Encoding", "identity", "Idempotency-Key", "k"+uri)
 		s := recv(r, got)
-		if s.Method != "GET" || s.URI != uri || s.Host != r.Inquiries(0) || s.Body != "" {
+		if s.Method != "GET" || s.URI != uri || s.Host != r.Requests(0) || s.Body != "" {
 			t.Errorf("backend saw %s %s host %s body %q", s.Method, s.URI, s.Host, s.Body)
 		}
 		for _, k := range []string{"X-B3-Traceid", "X-B3-Spanid", "X-B3-Parentspanid"} {
@@ -70,7 +70,7 @@
 	r.expect(r.send("POST", "/once/", strings.Repeat("x", 17<<20)), 413, "not-run")
 	r.expect(r.send("POST", "/once/", "x"), 503, "not-run") // no backend at all
 	// A body that is cut short is a bad request.
-	c, err := net.Dial("tcp", r.Inquiries(0))
+	c, err := net.Dial("tcp", r.Requests(0))
 	must(t, err)
 	defer c.Close()
 	fmt.Fprint(c, "POST /once/ HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc")
@@ -165,9 +165,9 @@
 	}
 }
 
-// Past its expiry an inquiry is answered at once, and a slow backend is not
+// Past its deadline a request is answered at once, and a slow backend is not
 // asked a second time.
-func TestExpiry(t *testing.T) {
+func TestDeadline(t *testing.T) {
 	r := newRig(t)
 	release := make(chan struct{})
 	var runs atomic.Int64
@@ -182,13 +182,13 @@
 	if runs.Load() != 1 {
 		t.Errorf("it ran %d times", runs.Load())
 	}
-	if a.took > once.Expiry+time.Second {
-		t.Errorf("an expiry of %v was answered after %v", once.Expiry, a.took)
+	if a.took > once.Deadline+time.Second {
+		t.Errorf("an expiry of %v was answered after %v", once.Deadline, a.took)
 	}
 }
 
 // The claims of Idempotency-Key: a repeat joins the running one, gets the same
-// receipt afterwards, and can't be another inquiry. What did not run may run.
+// response afterwards, and can't be another request. What did not run may run.
 func TestClaims(t *testing.T) {
 	r := newRig(t)
 	r.expect(r.send("POST", "/once/", "x", "Idempotency-Key", "a"), 503, "not-run")
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -35,11 +35,11 @@
 
 // ports on every machine
 const (
-	portWire      = 7400
-	portBehind    = 7399 // where wire binds when a relay stands on portWire
-	portControl   = 7401
-	portInquiries = 7402
-	portBackend   = 8000
+	portWire     = 7400
+	portBehind   = 7399 // where wire binds when a relay stands on portWire
+	portControl  = 7401
+	portRequests = 7402
+	portBackend  = 8000
 )
 
 func at(ip string, port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
@@ -114,11 +114,11 @@
 
 func (f *Fleet) newSidecar(i int) *Program {
 	ip := f.Site.IP(i)
-	return f.program(fmt.Sprintf("sidecar-%d", i), "sidecar", ip, f.Locality(i), "--inquiries="+at(ip, portInquiries))
+	return f.program(fmt.Sprintf("sidecar-%d", i), "sidecar", ip, f.Locality(i), "--inquiries="+at(ip, portRequests))
 }
 
-// Inquiries is where clients of the nth machine send.
-func (f *Fleet) Inquiries(n int) string { return at(f.Site.IP(n), portInquiries) }
+// Requests is where clients of the nth machine send.
+func (f *Fleet) Requests(n int) string { return at(f.Site.IP(n), portRequests) }
 
 // Start starts everything, puts the configuration and waits until it is in
 // force and the backends are known everywhere.
@@ -338,7 +338,7 @@
 	var ways, contracts []map[string]any
 	for _, p := range f.Size.Plans {
 		ways = append(ways, map[string]any{"name": p.Name, "prefix": p.Prefix, "methods": []string{p.Method}, "service": p.Service, "contract": p.Name, "repeatable": p.Repeatable})
-		contracts = append(contracts, map[string]any{"name": p.Name, "aim": p.Aim.String(), "expiry": p.Expiry.String(), "rank": p.Rank})
+		contracts = append(contracts, map[string]any{"name": p.Name, "aim": p.Aim.String(), "expiry": p.Deadline.String(), "rank": p.Rank})
 	}
 	b, _ := json.MarshalIndent(map[string]any{"ways": ways, "contracts": contracts}, "", "  ")
 	return b
@@ -354,7 +354,7 @@
 
 // NewCaller makes a client on the nth machine.
 func (f *Fleet) NewCaller(n int, rate float64) *standin.Caller {
-	return &standin.Caller{Name: fmt.Sprintf("caller-%d", n), Addr: f.Inquiries(n), Locality: f.Locality(n), Rate: rate, Plans: f.Size.Plans, Ledger: f.Ledger, Client: f.Client, Seed: uint64(n)}
+	return &standin.Caller{Name: fmt.Sprintf("caller-%d", n), Addr: f.Requests(n), Locality: f.Locality(n), Rate: rate, Plans: f.Size.Plans, Ledger: f.Ledger, Client: f.Client, Seed: uint64(n)}
 }
 
 // Load has clients on all machines send at the fleet's rate until ctx ends.
--- a/proof/frozen_test.go
+++ b/proof/frozen_test.go
@@ -107,7 +107,7 @@
 		<-release
 		io.WriteString(w, "done "+string(b))
 	}))
-	// The expiry is 3 s: half a second is left for the answers after the freeze. A backend
+	// The deadline is 3 s: half a second is left for the answers after the freeze. A backend
 	// of 9 is given half just after its sidecar's start.
 	const frozen, orders = 2400 * time.Millisecond, 4
 	var all sync.WaitGroup
--- a/proof/gate_test.go
+++ b/proof/gate_test.go
@@ -57,7 +57,7 @@
 	r := newRig(t)
 	var runs atomic.Int64
 	r.backend(1, http.HandlerFunc(func(_ http.ResponseWriter, _ *http.Request) { runs.Add(1) }))
-	c, err := net.Dial("tcp", r.Inquiries(0))
+	c, err := net.Dial("tcp", r.Requests(0))
 	must(t, err)
 	defer c.Close()
 	in := bufio.NewReader(c)
@@ -179,7 +179,7 @@
 	}
 }
 
-// A silent backend is closed to new inquiries by its beat's age alone.
+// A silent backend is closed to new requests by its beat's age alone.
 func TestSilentBackend(t *testing.T) {
 	r := newRig(t)
 	var runs atomic.Int64
@@ -356,7 +356,7 @@
 	}
 }
 
-// Why an inquiry got its answer can be read: from its trace and from the log.
+// Why a request got its answer can be read: from its trace and from the log.
 func TestWhy(t *testing.T) {
 	r := newRig(t)
 	r.rawBackend(1, func(int, net.Conn) {})
--- a/proof/ledger/extra.go
+++ b/proof/ledger/extra.go
@@ -13,7 +13,7 @@
 )
 
 // judgeExtra slides a window over the runs of each service: those beyond the
-// first of each inquiry are extra tries.
+// first of each request are extra tries.
 func (l *Ledger) judgeExtra(broken func(string, ...any)) {
 	for service, runs := range l.runsByService() {
 		slices.SortFunc(runs, func(a, b run) int { return a.at.Compare(b.at) })
@@ -21,7 +21,7 @@
 	}
 }
 
-// run is a run as the window counts it: one beyond an inquiry's first is extra.
+// run is a run as the window counts it: one beyond a request's first is extra.
 type run struct {
 	at    time.Time
 	extra bool
--- a/proof/ledger/ledger.go
+++ b/proof/ledger/ledger.go
@@ -9,10 +9,10 @@
 	"time"
 )
 
-// Sent is an inquiry that a caller sent.
+// Sent is a request that a caller sent.
 type Sent struct {
 	ID         string
-	Cause      string // the inquiry that a backend was working on, if one sent it
+	Cause      string // the request that a backend was working on, if one sent it
 	Caller     string // the calling service, or ""
 	Service    string
 	Locality   string // where its sender stands
@@ -23,7 +23,7 @@
 	At    time.Time
 }
 
-// Ran is an inquiry that a backend ran.
+// Ran is a request that a backend ran.
 type Ran struct {
 	ID       string
 	Service  string
@@ -80,7 +80,7 @@
 	fn()
 }
 
-// Sent records an inquiry before it goes out.
+// Sent records a request before it goes out.
 func (l *Ledger) Sent(s Sent) { l.with(func() { l.sent[s.ID] = s }) }
 
 // Ran records a run as it begins.
@@ -119,7 +119,7 @@
 	return out
 }
 
-// Spans tells with which identifiers an inquiry ran.
+// Spans tells with which identifiers a request ran.
 func (l *Ledger) Spans(id string) (r Ran, ok bool) {
 	l.with(func() {
 		if runs := l.ran[id]; len(runs) > 0 {
@@ -134,7 +134,7 @@
 	Sent, Ran, Answered, Good, NotRun, Unknown int
 	// Lost counts those of the unknown whose time was not over.
 	Lost int
-	// Cut counts inquiries that were handed over and got no answer at all.
+	// Cut counts requests that were handed over and got no answer at all.
 	Cut int
 	// Crossed counts runs in another locality than their sender's.
 	Crossed int
@@ -156,7 +156,7 @@
 	v.Broken = append(v.Broken, fmt.Sprintf(format, args...))
 }
 
-// cut counts an inquiry that got no answer, and says how.
+// cut counts a request that got no answer, and says how.
 func (v *Verdict) cut(how string) {
 	v.Cut++
 	v.Cuts = append(v.Cuts, how)
@@ -178,7 +178,7 @@
 	return v
 }
 
-// judgeRuns judges all runs of one inquiry.
+// judgeRuns judges all runs of one request.
 func (l *Ledger) judgeRuns(v *Verdict, id string, runs []Ran) {
 	v.Ran += len(runs)
 	sent, ok := l.sent[id]
@@ -197,7 +197,7 @@
 	}
 }
 
-// judgeAnswer holds an answer against the runs of its inquiry.
+// judgeAnswer holds an answer against the runs of its request.
 func (l *Ledger) judgeAnswer(v *Verdict, id string, answer Answered) {
 	switch {
 	case answer.Outcome == "not-run":
@@ -220,7 +220,7 @@
 	}
 }
 
-// judgeRefusal judges an inquiry that was promised not to have run.
+// judgeRefusal judges a request that was promised not to have run.
 func (l *Ledger) judgeRefusal(v *Verdict, id string) {
 	again := l.again(id)
 	if again > 0 {
@@ -234,7 +234,7 @@
 	}
 }
 
-// again is how many sendings of an inquiry the answer to it says nothing of.
+// again is how many sendings of a request the answer to it says nothing of.
 func (l *Ledger) again(id string) int {
 	if l.sent[id].Keyed {
 		return 0
--- a/proof/loss_test.go
+++ b/proof/loss_test.go
@@ -62,7 +62,7 @@
 }
 
 // A locality loses power, with the core on duty, sidecars and backends in it: from
-// all other machines every kind of inquiry and the operator's word are served within
+// all other machines every kind of request and the operator's word are served within
 // 15 s, and so from all once it has come back.
 func TestLocalityLost(t *testing.T) {
 	t.Parallel()
@@ -157,10 +157,10 @@
 	}
 }
 
-// A backend's machine is frozen with inquiries in it, and woken: those come to an
+// A backend's machine is frozen with requests in it, and woken: those come to an
 // end, the others are served elsewhere meanwhile, and nothing runs twice or after it
 // was promised not to.
-func TestFrozenWithInquiries(t *testing.T) {
+func TestFrozenWithRequests(t *testing.T) {
 	t.Parallel()
 	f, ctx := start(t, small())
 	stop := load(ctx, f)
--- a/proof/messages/messages_test.go
+++ b/proof/messages/messages_test.go
@@ -74,14 +74,14 @@
 	of(register.KindSeat, register.Asker{ID: 5, Addr: "127.0.0.1:5", Locality: "north"}, asker),
 	of(collect.KindPublish, collect.Batch{Events: []trace.Event{{Trace: trace.Root().Trace, Way: "w"}}}, batch),
 	of(collect.KindTrace, collect.Query{Trace: trace.Root().Trace}, func(collect.Query) {}),
-	of(custody.KindHold, custody.Entry{Owner: "o", Boot: 1, N: 1, Key: claim.Key{Text: "k"}, For: time.Minute, Receipt: []byte("r")}, hold),
+	of(custody.KindHold, custody.Entry{Owner: "o", Boot: 1, N: 1, Key: claim.Key{Text: "k"}, For: time.Minute, Response: []byte("r")}, hold),
 	of("held", custody.Held{Taken: true, Known: &custody.Entry{Owner: "o"}}, func(custody.Held) {}),
 	of(custody.KindHandover, custody.Handover{Owner: "o", Boot: 2}, func(q custody.Handover) { custody.NewHoldings().Handover(q, 0) }),
 	of("handed", custody.Handed{Entries: []custody.Entry{{Owner: "o", N: 1}}}, handed),
 	of(relay.KindLeg, relay.Leg{ID: "x", Service: "s", Instance: "i", Boot: 7, Method: "GET", URI: "/", Left: time.Second}, func(relay.Leg) {}),
-	of("leg receipt", relay.LegReceipt{ID: "x", Fate: way.Answered, Status: 200, Body: []byte("ok")}, func(relay.LegReceipt) {}),
+	of("leg receipt", relay.LegResponse{ID: "x", Fate: way.Answered, Status: 200, Body: []byte("ok")}, func(relay.LegResponse) {}),
 	of(relay.KindRecall, relay.Recall{ID: "x", Boot: 7}, func(relay.Recall) {}),
-	of("receipt", relay.Receipt{Status: 200, Body: []byte("ok"), Fate: way.Answered}, func(relay.Receipt) {}),
+	of("receipt", relay.Response{Status: 200, Body: []byte("ok"), Fate: way.Answered}, func(relay.Response) {}),
 }
 
 func see(nodes ...cohort.Node) {
--- a/proof/path_test.go
+++ b/proof/path_test.go
@@ -8,7 +8,7 @@
 	"curlewwalk/proof/fleet"
 )
 
-// The whole path at the size of either deployment: each kind of inquiry goes
+// The whole path at the size of either deployment: each kind of request goes
 // from every machine to a right backend and its answer comes back untouched.
 func TestPath(t *testing.T) {
 	for _, size := range []fleet.Size{fleet.Association(), fleet.Heating()} {
--- a/proof/restart_test.go
+++ b/proof/restart_test.go
@@ -56,7 +56,7 @@
 	later = []fleet.Change{
 		{File: "wire/greeting.go", Old: "const Version = 1", New: "const Version = 2"},
 		{File: "relay/leg.go", Old: "type Leg struct {", New: "type Leg struct {\n\tMood []string `msgpack:\"zz\"`"},
-		{File: "relay/leg.go", Old: "type LegReceipt struct {", New: "type LegReceipt struct {\n\tMood map[string]int `msgpack:\"zz\"`"},
+		{File: "relay/leg.go", Old: "type LegResponse struct {", New: "type LegResponse struct {\n\tMood map[string]int `msgpack:\"zz\"`"},
 		{File: "cohort/node.go", Old: "type Node struct {", New: "type Node struct {\n\tMood string `msgpack:\"zz\"`"},
 		{File: "cohort/heartbeat.go", Old: "type Heartbeat struct {", New: "type Heartbeat struct {\n\tMood float64 `msgpack:\"zz\"`"},
 		{File: "feed/news.go", Old: "type News struct {", New: "type News struct {\n\tMood [3]int `msgpack:\"zz\"`"},
--- a/proof/rig_test.go
+++ b/proof/rig_test.go
@@ -27,9 +27,9 @@
 
 // The two ways of a rig: an order must run once, a look may be repeated.
 var (
-	once = standin.Plan{Name: "once", Method: "POST", Prefix: "/once/", Service: "desk", Aim: time.Second, Expiry: 3 * time.Second, Rank: 1, Work: time.Millisecond, Body: 50}
-	head = standin.Plan{Name: "head", Method: "HEAD", Prefix: "/look/", Service: "desk", Aim: time.Second, Expiry: 3 * time.Second, Rank: 1, Repeatable: true}
-	look = standin.Plan{Name: "look", Method: "GET", Prefix: "/look/", Service: "desk", Aim: time.Second, Expiry: 3 * time.Second, Rank: 1, Work: time.Millisecond, Repeatable: true}
+	once = standin.Plan{Name: "once", Method: "POST", Prefix: "/once/", Service: "desk", Aim: time.Second, Deadline: 3 * time.Second, Rank: 1, Work: time.Millisecond, Body: 50}
+	head = standin.Plan{Name: "head", Method: "HEAD", Prefix: "/look/", Service: "desk", Aim: time.Second, Deadline: 3 * time.Second, Rank: 1, Repeatable: true}
+	look = standin.Plan{Name: "look", Method: "GET", Prefix: "/look/", Service: "desk", Aim: time.Second, Deadline: 3 * time.Second, Rank: 1, Work: time.Millisecond, Repeatable: true}
 )
 
 func newRig(t *testing.T) *rig {
@@ -63,7 +63,7 @@
 // send sends a request to the sidecar of machine 0.
 func (r *rig) send(method, uri, body string, header ...string) answer {
 	r.t.Helper()
-	req, err := http.NewRequestWithContext(r.ctx, method, "http://"+r.Inquiries(0)+uri, bytes.NewReader([]byte(body)))
+	req, err := http.NewRequestWithContext(r.ctx, method, "http://"+r.Requests(0)+uri, bytes.NewReader([]byte(body)))
 	must(r.t, err)
 	for i := 0; i+1 < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
@@ -158,7 +158,7 @@
 	must(r.t, r.AwaitServing(r.ctx, 1, r.known))
 }
 
-// joined waits until repeats wait for a running inquiry on machine 0.
+// joined waits until repeats wait for a running request on machine 0.
 func (r *rig) joined(n int64) error {
 	return fleet.Await(r.ctx, "repeats to join", func(ctx context.Context) bool {
 		var st struct {
--- a/proof/scale/compare.go
+++ b/proof/scale/compare.go
@@ -25,7 +25,7 @@
 			}
 			if kind == scaled && watchedHollow > 0 { // real ones may happen to watch nobody
 				by := watchedReal / watchedHollow
-				a = Rate{a.Calls * by, a.CallBytes * by, a.Receipts * by, a.ReceiptBytes * by}
+				a = Rate{a.Calls * by, a.CallBytes * by, a.Responses * by, a.ResponseBytes * by}
 			}
 			for _, c := range []struct {
 				what string
@@ -34,8 +34,8 @@
 			}{
 				{"calls", a.Calls, b.Calls, 1},
 				{"bytes of calls", a.CallBytes, b.CallBytes, each(b.CallBytes, b.Calls, a.CallBytes, a.Calls)},
-				{"receipts", a.Receipts, b.Receipts, 1},
-				{"bytes of receipts", a.ReceiptBytes, b.ReceiptBytes, each(b.ReceiptBytes, b.Receipts, a.ReceiptBytes, a.Receipts)},
+				{"receipts", a.Responses, b.Responses, 1},
+				{"bytes of receipts", a.ResponseBytes, b.ResponseBytes, each(b.ResponseBytes, b.Responses, a.ResponseBytes, a.Responses)},
 			} {
 				if math.Abs(c.a-c.b) > tolerance*math.Max(c.a, c.b)+slack*c.each {
 					out = append(out, fmt.Sprintf("%s %s: %s a second: hollow %.2f, real %.2f", name, kind, c.what, c.a, c.b))
--- a/proof/scale/hollow.go
+++ b/proof/scale/hollow.go
@@ -69,7 +69,7 @@
 	h.net = wire.NewNet(s.launcher, own, net.IP(ip.AsSlice()))
 	h.host = &wire.Host{Own: own, Launcher: s.launcher, Listener: ln, Handlers: map[string]wire.Handler{
 		cohort.KindHeartbeat: h.heartbeat,
-		cohort.KindProbe: func(context.Context, wire.Inquiry) (any, string) {
+		cohort.KindProbe: func(context.Context, wire.Request) (any, string) {
 			return cohort.Probe{Boot: h.boot, Inc: h.inc.Load()}, ""
 		},
 	}}
@@ -165,7 +165,7 @@
 	h.view = nil
 }
 
-// told takes a core's receipt to a heartbeat. An accusation is refuted at once.
+// told takes a core's response to a heartbeat. An accusation is refuted at once.
 func (h *hollow) told(_ context.Context, in cohort.Heartbeat) {
 	if in.Budgets != nil {
 		h.budgets.Hear(in.Budgets)
@@ -234,7 +234,7 @@
 }
 
 // heartbeat answers another process.
-func (h *hollow) heartbeat(_ context.Context, in wire.Inquiry) (any, string) {
+func (h *hollow) heartbeat(_ context.Context, in wire.Request) (any, string) {
 	var q cohort.Heartbeat
 	if !in.Into(&q) {
 		return nil, "not a heartbeat"
--- a/proof/scale/report.go
+++ b/proof/scale/report.go
@@ -82,7 +82,7 @@
 		}{{"calls", l.Net}, {"answers", l.Host}} {
 			for _, kind := range slices.Sorted(maps.Keys(side.of)) {
 				k := side.of[kind]
-				say("| %d | %d | %s | %s | %s | %.2f | %.0f | %.2f | %.0f |", l.Sidecars, l.Cores, l.Role, side.name, kind, k.Calls, k.CallBytes, k.Receipts, k.ReceiptBytes)
+				say("| %d | %d | %s | %s | %s | %.2f | %.0f | %.2f | %.0f |", l.Sidecars, l.Cores, l.Role, side.name, kind, k.Calls, k.CallBytes, k.Responses, k.ResponseBytes)
 			}
 		}
 	}
--- a/proof/scale/sample.go
+++ b/proof/scale/sample.go
@@ -29,10 +29,10 @@
 
 // Rate is what one node carries of one kind in a second.
 type Rate struct {
-	Calls        float64 `json:"calls"`
-	CallBytes    float64 `json:"call_bytes"`
-	Receipts     float64 `json:"receipts"`
-	ReceiptBytes float64 `json:"receipt_bytes"`
+	Calls         float64 `json:"calls"`
+	CallBytes     float64 `json:"call_bytes"`
+	Responses     float64 `json:"receipts"`
+	ResponseBytes float64 `json:"receipt_bytes"`
 }
 
 // Use is what one process of a role uses.
@@ -58,7 +58,7 @@
 // in and out are a node's bytes a second, both sides together.
 func (l Line) in() (bytes float64) {
 	for _, r := range l.Net {
-		bytes += r.ReceiptBytes
+		bytes += r.ResponseBytes
 	}
 	for _, r := range l.Host {
 		bytes += r.CallBytes
@@ -71,7 +71,7 @@
 		bytes += r.CallBytes
 	}
 	for _, r := range l.Host {
-		bytes += r.ReceiptBytes
+		bytes += r.ResponseBytes
 	}
 	return bytes
 }
@@ -80,7 +80,7 @@
 func (l Line) messages() (n float64) {
 	for _, side := range []map[string]Rate{l.Net, l.Host} {
 		for _, r := range side {
-			n += r.Calls + r.Receipts
+			n += r.Calls + r.Responses
 		}
 	}
 	return n
@@ -108,8 +108,8 @@
 			r, w := out[kind], was[kind]
 			r.Calls += float64(c.Calls - w.Calls)
 			r.CallBytes += float64(c.CallBytes - w.CallBytes)
-			r.Receipts += float64(c.Receipts - w.Receipts)
-			r.ReceiptBytes += float64(c.ReceiptBytes - w.ReceiptBytes)
+			r.Responses += float64(c.Responses - w.Responses)
+			r.ResponseBytes += float64(c.ResponseBytes - w.ResponseBytes)
 			out[kind] = r
 		}
 	}
@@ -119,7 +119,7 @@
 			delete(out, kind)
 			continue
 		}
-		out[kind] = Rate{r.Calls / by, r.CallBytes / by, r.Receipts / by, r.ReceiptBytes / by}
+		out[kind] = Rate{r.Calls / by, r.CallBytes / by, r.Responses / by, r.ResponseBytes / by}
 	}
 	return out, nodes
 }
--- a/proof/scale/scale_test.go
+++ b/proof/scale/scale_test.go
@@ -86,7 +86,7 @@
 		if want := float64(size.Cores) / cohort.Watchers; heartbeats == 0 || math.Abs(heartbeats/probes-want) > 0.5*want {
 			t.Errorf("%+v: %.2f heartbeats and %.2f probes a second", size, heartbeats, probes)
 		}
-		if h.Net[feed.KindFollow].Receipts == 0 {
+		if h.Net[feed.KindFollow].Responses == 0 {
 			t.Errorf("%+v: nothing was followed", size)
 		}
 		if asked := find(size, "start", "hollow").Net[custody.KindHandover].Calls > 0; asked && !size.Handover {
@@ -95,10 +95,10 @@
 		for _, role := range []string{"sidecar", "hollow"} {
 			l := find(size, "rest", role)
 			k := l.Net[cohort.KindHeartbeat]
-			call, receipt := k.CallBytes/k.Calls, k.ReceiptBytes/k.Receipts
-			t.Logf("%d cores, %s: heartbeats of %.0f bytes, receipts of %.0f, %.0f bytes a second", size.Cores, role, call, receipt, k.CallBytes+k.ReceiptBytes)
-			if !(call < 150) || !(receipt < 150) { // in a calm, what differs is next to nothing
-				t.Errorf("%d cores, %s: heartbeats of %.0f bytes, receipts of %.0f", size.Cores, role, call, receipt)
+			call, response := k.CallBytes/k.Calls, k.ResponseBytes/k.Responses
+			t.Logf("%d cores, %s: heartbeats of %.0f bytes, receipts of %.0f, %.0f bytes a second", size.Cores, role, call, response, k.CallBytes+k.ResponseBytes)
+			if !(call < 150) || !(response < 150) { // in a calm, what differs is next to nothing
+				t.Errorf("%d cores, %s: heartbeats of %.0f bytes, receipts of %.0f", size.Cores, role, call, response)
 			}
 		}
 		// All heartbeats that nodes send, cores get.
--- a/proof/scale/school.go
+++ b/proof/scale/school.go
@@ -53,7 +53,7 @@
 	out := make([]standin.Plan, services)
 	for i := range out {
 		name := serviceName(i)
-		out[i] = standin.Plan{Name: name, Method: "GET", Prefix: "/" + name + "/", Service: name, Aim: 200 * time.Millisecond, Expiry: 2 * time.Second, Rank: 1, Work: time.Millisecond}
+		out[i] = standin.Plan{Name: name, Method: "GET", Prefix: "/" + name + "/", Service: name, Aim: 200 * time.Millisecond, Deadline: 2 * time.Second, Rank: 1, Work: time.Millisecond}
 	}
 	return out
 }
--- a/proof/simulator/leg.go
+++ b/proof/simulator/leg.go
@@ -268,10 +268,10 @@
 }
 
 func restored(e custody.Entry) legAnswer {
-	if e.Receipt == nil {
+	if e.Response == nil {
 		return legAnswer{Fate: way.Unknown}
 	}
-	return legAnswer{Fate: way.Answered, Text: string(e.Receipt)}
+	return legAnswer{Fate: way.Answered, Text: string(e.Response)}
 }
 
 // send has a client send an order, and repeat it as clients do: one without a key
@@ -320,7 +320,7 @@
 			}
 			return
 		}
-		l.on(n, func() { l.inquiry(n, id, name, keyed, got) })
+		l.on(n, func() { l.request(n, id, name, keyed, got) })
 		// A broken connection is noticed when the sidecar has died.
 		l.watch(n, life, func() bool { return answered }, func() {
 			answered = true
@@ -348,8 +348,8 @@
 	l.Broken = append(l.Broken, fmt.Sprintf("%v: ", l.now)+fmt.Sprintf(format, args...))
 }
 
-// inquiry is what relay.Near does with one.
-func (l *Legs) inquiry(n *legNode, id, name string, keyed bool, got func(legAnswer)) {
+// request is what relay.Near does with one.
+func (l *Legs) request(n *legNode, id, name string, keyed bool, got func(legAnswer)) {
 	if !keyed {
 		l.legs(n, id, name, got)
 		return
@@ -366,7 +366,7 @@
 			case a.Again:
 				l.on(n, lay)
 			case a.Verdict == claim.Repeat:
-				got(a.Receipt)
+				got(a.Response)
 			case a.Verdict == claim.First:
 				l.entrust(n, key, id, name, func(a legAnswer, keep bool) {
 					n.claims.Finish(key, a, keep, l.now)
@@ -380,7 +380,7 @@
 	lay()
 }
 
-// entrust has two others hold a claim, then runs its inquiry.
+// entrust has two others hold a claim, then runs its request.
 func (l *Legs) entrust(n *legNode, key claim.Key, id, name string, done func(a legAnswer, keep bool)) {
 	n.next++
 	e := custody.Entry{Owner: n.Addr, Boot: n.Boot, N: n.next, Key: key, For: 10*time.Second + claim.HeldFor}
@@ -389,16 +389,16 @@
 	var by []*legNode
 	asked, over := 0, false
 	var ask func()
-	settle := func(receipt []byte, release bool) {
+	settle := func(response []byte, release bool) {
 		if told := e; release {
 			n.trusts.Drop(told)
 		} else {
-			told.Receipt, told.For = receipt, claim.HeldFor
+			told.Response, told.For = response, claim.HeldFor
 			n.trusts.Settle(told, l.now)
 		}
 		for _, o := range by {
 			e := e
-			e.Receipt = receipt
+			e.Response = response
 			l.call(n, o, time.Second, func(reply func(any)) {
 				if release {
 					o.held.Release(e)
@@ -453,9 +453,9 @@
 
 // legs asks the decision and obeys, as relay.Near.run does.
 func (l *Legs) legs(n *legNode, id, name string, got func(legAnswer)) {
-	expiry := l.now + 2*time.Second
+	deadline := l.now + 2*time.Second
 	d := &way.Decision{
-		Way: desired.Way{Name: "w", Service: "s"}, Expiry: l.base.Add(expiry), Locality: n.Locality, Rand: l.rng,
+		Way: desired.Way{Name: "w", Service: "s"}, Deadline: l.base.Add(deadline), Locality: n.Locality, Rand: l.rng,
 		Means: way.Means{Cost: func(cohort.Target) way.Cost { return way.Cost{} }, Spend: func() bool { return true }},
 	}
 	last := ""
@@ -471,14 +471,14 @@
 			return
 		}
 		n.legs++
-		leg := relay.Leg{ID: fmt.Sprintf("%s/%d/%s", n.Addr, n.legs, name), Boot: o.Target.Boot, Left: expiry - l.now}
+		leg := relay.Leg{ID: fmt.Sprintf("%s/%d/%s", n.Addr, n.legs, name), Boot: o.Target.Boot, Left: deadline - l.now}
 		far := l.node(o.Target.Node)
 		told := func(fate way.Fate) {
 			d.Tell(way.Leg{Target: o.Target, Fate: fate, Reason: "simulated"})
 			next()
 		}
-		l.call(n, far, expiry-l.now, func(reply func(any)) { l.far(far, leg, id, name, reply) }, func(answer any, unsent bool) {
-			rc, ok := answer.(relay.LegReceipt)
+		l.call(n, far, deadline-l.now, func(reply func(any)) { l.far(far, leg, id, name, reply) }, func(answer any, unsent bool) {
+			rc, ok := answer.(relay.LegResponse)
 			switch {
 			case unsent:
 				told(way.NotRun)
@@ -510,31 +510,31 @@
 		if !n.ledger.Refuse(leg.ID, l.now) {
 			fate = way.Unknown
 		}
-		reply(relay.LegReceipt{ID: leg.ID, Fate: fate})
+		reply(relay.LegResponse{ID: leg.ID, Fate: fate})
 	}
 	if leg.Boot != n.Boot || l.rng.IntN(12) == 0 { // another boot, or full
 		refuse()
 		return
 	}
 	if !n.ledger.Begin(leg.ID, l.now) {
-		reply(relay.LegReceipt{ID: leg.ID, Fate: way.Unknown})
+		reply(relay.LegResponse{ID: leg.ID, Fate: way.Unknown})
 		return
 	}
 	began := l.now
 	l.after(l.some(20*time.Millisecond), func() { // the backend is dialled
 		l.on(n, func() {
 			if l.now-began > leg.Left || l.rng.IntN(20) == 0 {
-				reply(relay.LegReceipt{ID: leg.ID, Fate: way.NotRun}) // shut before the write
+				reply(relay.LegResponse{ID: leg.ID, Fate: way.NotRun}) // shut before the write
 				return
 			}
 			l.ran(id, name)
 			l.after(l.some(60*time.Millisecond), func() {
 				l.on(n, func() {
 					if l.rng.IntN(20) == 0 {
-						reply(relay.LegReceipt{ID: leg.ID, Fate: way.Unknown}) // its answer is lost
+						reply(relay.LegResponse{ID: leg.ID, Fate: way.Unknown}) // its answer is lost
 						return
 					}
-					reply(relay.LegReceipt{ID: leg.ID, Fate: way.Answered, Body: []byte(id)})
+					reply(relay.LegResponse{ID: leg.ID, Fate: way.Answered, Body: []byte(id)})
 				})
 			})
 		})
--- a/proof/standin/again_test.go
+++ b/proof/standin/again_test.go
@@ -21,7 +21,7 @@
 	order = Plan{Name: "order", Method: "POST", Prefix: "/order/", Service: "desk", Body: 50}
 )
 
-// sidecar answers whatever comes by what the inquiry's name says. "mute" is
+// sidecar answers whatever comes by what the request's name says. "mute" is
 // taken and the connection closed without an answer, once it has run; what is
 // sent of it again is refused as not run, and so is "refused" at once. "lie" is
 // refused though it ran.
@@ -148,7 +148,7 @@
 	}
 }
 
-// Nothing was handed over where nobody listens; an inquiry that was cut and then
+// Nothing was handed over where nobody listens; a request that was cut and then
 // met nobody is cut.
 func TestNobodyListens(t *testing.T) {
 	l, c := ledger.New(), NewClient()
--- a/proof/standin/backend.go
+++ b/proof/standin/backend.go
@@ -70,7 +70,7 @@
 // Addr is where the backend listens.
 func (b *Backend) Addr() string { return b.ln.Addr().String() }
 
-// Open is how many inquiries it is working on.
+// Open is how many requests it is working on.
 func (b *Backend) Open() int64 { return b.open.Load() }
 
 // Kill ends the backend at once, cutting what is open.
@@ -138,7 +138,7 @@
 	return nil
 }
 
-// serve runs an inquiry: records it, works, makes its inner calls, answers.
+// serve runs a request: records it, works, makes its inner calls, answers.
 func (b *Backend) serve(w http.ResponseWriter, r *http.Request) {
 	n := b.open.Add(1)
 	defer b.open.Add(-1)
--- a/proof/standin/caller.go
+++ b/proof/standin/caller.go
@@ -17,7 +17,7 @@
 	Name string
 	// Locality is where its machine stands.
 	Locality string
-	Addr     string // the sidecar's inquiries address
+	Addr     string // the sidecar's requests address
 	Rate     float64
 	Plans    []Plan
 	Ledger   *ledger.Ledger
@@ -26,7 +26,7 @@
 	// Retry is how often it asks again at once after a refusal.
 	Retry int
 
-	// Keyed gives each inquiry an Idempotency-Key and repeats it, under the same
+	// Keyed gives each request an Idempotency-Key and repeats it, under the same
 	// key, until something is known of it.
 	Keyed bool
 	// Repeats counts those.
@@ -37,7 +37,7 @@
 	rng    *rand.Rand
 }
 
-// Once sends one inquiry of a plan.
+// Once sends one request of a plan.
 func (c *Caller) Once(ctx context.Context, p Plan) ledger.Answered {
 	start := time.Now()
 	var a ledger.Answered
@@ -56,7 +56,7 @@
 	return a
 }
 
-// repeat sends one inquiry under a key until something is known of it.
+// repeat sends one request under a key until something is known of it.
 func (c *Caller) repeat(ctx context.Context, p Plan, id string) (a ledger.Answered) {
 	for i := range 200 {
 		a = send(ctx, c.Client, c.Ledger, c.Addr, p, "", c.Locality, "", id, "key of "+id)
@@ -89,7 +89,7 @@
 	}
 }
 
-// gap draws the time to the next inquiry: clients do not keep step with each other.
+// gap draws the time to the next request: clients do not keep step with each other.
 func (c *Caller) gap() time.Duration {
 	return time.Duration(c.draw().ExpFloat64() * float64(time.Second) / c.Rate)
 }
--- a/proof/standin/count.go
+++ b/proof/standin/count.go
@@ -10,7 +10,7 @@
 )
 
 // NewClient makes a client for stand-ins. Its connections count what is written
-// to them: net/http by itself sends some inquiries again on another connection,
+// to them: net/http by itself sends some requests again on another connection,
 // and only the count tells whether anything of the first try went out.
 func NewClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 64}, Timeout: 30 * time.Second}
@@ -36,14 +36,14 @@
 	return n, err
 }
 
-// sendings counts on how many connections an inquiry went out, wholly or in part.
+// sendings counts on how many connections a request went out, wholly or in part.
 type sendings struct {
 	n    int
 	conn *counted // the newest, until it is counted
 	from int64    // what had been written to it before
 }
 
-// on is told of each connection that net/http takes for the inquiry.
+// on is told of each connection that net/http takes for the request.
 func (s *sendings) on(i httptrace.GotConnInfo) {
 	s.count()
 	s.conn = i.Conn.(*counted)
--- a/proof/standin/message.go
+++ b/proof/standin/message.go
@@ -15,7 +15,7 @@
 	headerDigest = "X-Proof-Digest"
 )
 
-// digest fingerprints an inquiry as its sender made it, or as it arrived.
+// digest fingerprints a request as its sender made it, or as it arrived.
 func digest(method, uri string, h http.Header, body []byte) string {
 	d := sha256.New()
 	for _, s := range []string{method, uri, h.Get(headerID), h.Get("X-Proof-Extra"), strconv.Itoa(len(body))} {
--- a/proof/standin/plan.go
+++ b/proof/standin/plan.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Plan is how one kind of inquiry behaves in a fleet.
+// Plan is how one kind of request behaves in a fleet.
 type Plan struct {
 	Name       string
 	Method     string
@@ -10,7 +10,7 @@
 	Service    string
 	Repeatable bool
 	Aim        time.Duration
-	Expiry     time.Duration
+	Deadline   time.Duration
 	Rank       int
 	// Share is its part of what clients send; zero is for inner calls only.
 	Share float64
@@ -18,6 +18,6 @@
 	Work time.Duration
 	// Calls names the plans of the inner calls that a run makes.
 	Calls []string
-	// Body is how large the inquiry's body is, about.
+	// Body is how large the request's body is, about.
 	Body int
 }
--- a/proof/standin/send.go
+++ b/proof/standin/send.go
@@ -14,11 +14,11 @@
 	"curlewwalk/proof/ledger"
 )
 
-// send puts one inquiry to a sidecar, checks the answer and records both.
+// send puts one request to a sidecar, checks the answer and records both.
 func send(ctx context.Context, c *http.Client, l *ledger.Ledger, addr string, p Plan, caller, locality, cause, id, key string) ledger.Answered {
 	body := filler("inquiry "+id, p.Body)
 	uri := p.Prefix + "item/a%2Fb?id=" + url.QueryEscape(id)
-	// net/http sends some inquiries again by itself: a refusal then says nothing of
+	// net/http sends some requests again by itself: a refusal then says nothing of
 	// the earlier sendings.
 	var out sendings
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(context.WithoutCancel(ctx), &httptrace.ClientTrace{GotConn: out.on}), p.Method, "http://"+addr+uri, bytes.NewReader(body))
--- a/proof/trace_test.go
+++ b/proof/trace_test.go
@@ -14,14 +14,14 @@
 	"curlewwalk/proof/standin"
 )
 
-// The whole tree of an inquiry and of the calls that it causes, from any core:
+// The whole tree of a request and of the calls that it causes, from any core:
 // identifiers on every hop, the four events of each span in logical order, and
 // the answer traced only to the client that sent identifiers.
 func TestTree(t *testing.T) {
 	f, ctx := start(t, small())
 	ids := make(chan http.Header, 1)
 	for i, traced := range []bool{true, false} {
-		req, err := http.NewRequestWithContext(ctx, "GET", "http://"+f.Inquiries(0)+"/orders/1", nil)
+		req, err := http.NewRequestWithContext(ctx, "GET", "http://"+f.Requests(0)+"/orders/1", nil)
 		must(t, err)
 		trace := fmt.Sprintf("00000000000abc%02d", i+1)
 		if traced {
@@ -75,7 +75,7 @@
 	}
 }
 
-// With every collector frozen, and then dead, inquiries neither fail nor wait
+// With every collector frozen, and then dead, requests neither fail nor wait
 // for tracing; what was dropped is counted.
 func TestCollectorsStopped(t *testing.T) {
 	size := small()
@@ -84,7 +84,7 @@
 		p.Args("--trace-queue=16")
 	}
 	must(t, f.Start(ctx))
-	plan := standin.Plan{Name: "stock-read", Method: "GET", Prefix: "/stock/", Service: "stock", Expiry: time.Second, Work: time.Millisecond}
+	plan := standin.Plan{Name: "stock-read", Method: "GET", Prefix: "/stock/", Service: "stock", Deadline: time.Second, Work: time.Millisecond}
 	for _, stop := range []struct {
 		how  string
 		what func(p *fleet.Program)
@@ -116,7 +116,7 @@
 }
 
 // How well a backend's outgoing calls are tied to their causes, at one and at
-// nine inquiries at a time. At one, all are right and proven.
+// nine requests at a time. At one, all are right and proven.
 func TestLinks(t *testing.T) {
 	for _, busy := range []int{1, 9} {
 		t.Run(fmt.Sprint(busy), func(t *testing.T) {
--- a/register/keeper.go
+++ b/register/keeper.go
@@ -221,7 +221,7 @@
 func (k *Keeper) note(h Health) { k.health.Store(&h) }
 
 // Ballot handles a ballot from the wire.
-func (k *Keeper) Ballot(ctx context.Context, in wire.Inquiry) (any, string) {
+func (k *Keeper) Ballot(ctx context.Context, in wire.Request) (any, string) {
 	var b Ballot
 	if !in.Into(&b) {
 		return nil, "not a ballot"
@@ -240,7 +240,7 @@
 }
 
 // Order handles an order that another core passed on.
-func (k *Keeper) Order(ctx context.Context, in wire.Inquiry) (any, string) {
+func (k *Keeper) Order(ctx context.Context, in wire.Request) (any, string) {
 	var o Order
 	if !in.Into(&o) {
 		return nil, "not an order"
--- a/register/keeper_test.go
+++ b/register/keeper_test.go
@@ -21,7 +21,7 @@
 	late     time.Duration
 }
 
-func (s *slow) ballot(ctx context.Context, in wire.Inquiry) (any, string) {
+func (s *slow) ballot(ctx context.Context, in wire.Request) (any, string) {
 	var b Ballot
 	if !in.Into(&b) {
 		return nil, "not a ballot"
--- a/register/patched.go
+++ b/register/patched.go
@@ -142,7 +142,7 @@
 }
 
 // patchedBallot handles a ballot whose word is told as a difference.
-func (k *Keeper) patchedBallot(ctx context.Context, in wire.Inquiry) (any, string) {
+func (k *Keeper) patchedBallot(ctx context.Context, in wire.Request) (any, string) {
 	var p patchedBallot
 	if !in.Into(&p) {
 		return nil, faultVote
@@ -162,7 +162,7 @@
 }
 
 // Forward has another core carry an order out.
-func (k *Keeper) Forward(ctx context.Context, addr string, o Order) wire.Receipt {
+func (k *Keeper) Forward(ctx context.Context, addr string, o Order) wire.Response {
 	o.Brief = o.Kind != Refresh
 	own := k.Acceptor()
 	if p, can := k.exchange.order(o, own.Mark, own.Word); can {
@@ -175,7 +175,7 @@
 }
 
 // patchedOrder handles an order that is told as a difference.
-func (k *Keeper) patchedOrder(ctx context.Context, in wire.Inquiry) (any, string) {
+func (k *Keeper) patchedOrder(ctx context.Context, in wire.Request) (any, string) {
 	var p desired.Patch
 	if !in.Into(&p) {
 		return nil, faultOrder
--- a/register/patched_test.go
+++ b/register/patched_test.go
@@ -178,7 +178,7 @@
 	for _, m := range r.members {
 		counts := m.Net.Counts.Read()
 		for _, kind := range []string{KindPatchedBallot, KindPatchedOrder, KindOrder} {
-			total += counts[kind].CallBytes + counts[kind].ReceiptBytes
+			total += counts[kind].CallBytes + counts[kind].ResponseBytes
 		}
 		whole := counts[KindBallot]
 		total += whole.CallBytes - min(whole.CallBytes, lookSize*whole.Calls)
--- a/register/proposer.go
+++ b/register/proposer.go
@@ -226,7 +226,7 @@
 
 // overtake has the highest of the editions that wait go before the first, if that
 // is one: once it is settled, the others need no write. Whoever gave them has no
-// receipt yet, so any order among them is as good.
+// response yet, so any order among them is as good.
 func (c *Proposer) overtake() {
 	waits := func(o Order) bool { return o.Kind == Put && o.Edition != 0 && o.IfMatch == nil }
 	if !waits(c.orders[0]) {
--- a/register/vote.go
+++ b/register/vote.go
@@ -2,7 +2,7 @@
 
 import "curlewwalk/desired"
 
-// Vote is an acceptor's receipt.
+// Vote is an acceptor's response.
 type Vote struct {
 	From     From          `msgpack:"f"`
 	Act      Act           `msgpack:"a"`
--- a/relay/answers_test.go
+++ b/relay/answers_test.go
@@ -76,8 +76,8 @@
 
 // A far side that tells what this version does not understand has told nothing: whether
 // the leg ran is unknown, and an order is neither promised not to have run nor sent again.
-func TestReceiptNotUnderstood(t *testing.T) {
-	for name, rc := range map[string]LegReceipt{
+func TestResponseNotUnderstood(t *testing.T) {
+	for name, rc := range map[string]LegResponse{
 		"no fate":          {Reason: "x"},
 		"another fate":     {Fate: "half-run", Status: 200},
 		"no status":        {Fate: way.Answered},
@@ -89,7 +89,7 @@
 		t.Run(name, func(t *testing.T) {
 			legs := 0
 			p := newPairWith(t, plainly, func(h map[string]wire.Handler) {
-				h[KindLeg] = func(_ context.Context, in wire.Inquiry) (any, string) {
+				h[KindLeg] = func(_ context.Context, in wire.Request) (any, string) {
 					var leg Leg
 					in.Into(&leg)
 					legs++
@@ -99,7 +99,7 @@
 					}
 					return out, ""
 				}
-				h[KindRecall] = func(context.Context, wire.Inquiry) (any, string) { return nil, "not known" }
+				h[KindRecall] = func(context.Context, wire.Request) (any, string) { return nil, "not known" }
 			})
 			c := p.client(t)
 			c.say("POST /once/x HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx")
@@ -132,7 +132,7 @@
 			if r.Fate != wire.Answered || r.Fault == "" {
 				t.Errorf("%+v", r)
 			}
-			var rc LegReceipt
+			var rc LegResponse
 			if r := p.near.Net.Call(ctx, node, wire.Control, KindRecall, Recall{ID: "odd", Boot: 7}); !r.Into(&rc) || rc.Fate != way.NotRun {
 				t.Errorf("recalled: %+v", rc)
 			}
@@ -166,17 +166,17 @@
 func TestLegReadAfterItsRecall(t *testing.T) {
 	for _, heard := range []bool{true, false} {
 		t.Run(fmt.Sprintf("recall heard %v", heard), func(t *testing.T) {
-			came, woken, ended := make(chan struct{}, 9), make(chan struct{}), make(chan LegReceipt, 9)
+			came, woken, ended := make(chan struct{}, 9), make(chan struct{}), make(chan LegResponse, 9)
 			p := newPairWith(t, plainly, func(h map[string]wire.Handler) {
 				leg, recall := h[KindLeg], h[KindRecall]
-				h[KindLeg] = func(ctx context.Context, in wire.Inquiry) (any, string) {
+				h[KindLeg] = func(ctx context.Context, in wire.Request) (any, string) {
 					came <- struct{}{}
 					<-woken
 					rc, fault := leg(ctx, in)
-					ended <- rc.(LegReceipt)
+					ended <- rc.(LegResponse)
 					return rc, fault
 				}
-				h[KindRecall] = func(ctx context.Context, in wire.Inquiry) (any, string) {
+				h[KindRecall] = func(ctx context.Context, in wire.Request) (any, string) {
 					if !heard {
 						<-woken
 					}
--- a/relay/bodies.go
+++ b/relay/bodies.go
@@ -2,12 +2,12 @@
 
 import "sync/atomic"
 
-// Bodies bounds the bodies that a sidecar holds: each, and all of inquiries
+// Bodies bounds the bodies that a sidecar holds: each, and all of requests
 // together. (DESIGN 10.5)
 type Bodies struct {
-	// Most bounds each body, of inquiries and answers.
+	// Most bounds each body, of requests and answers.
 	Most int64
-	// All bounds those of the inquiries that are held at a time.
+	// All bounds those of the requests that are held at a time.
 	All  int64
 	held atomic.Int64
 }
--- a/relay/cold_test.go
+++ b/relay/cold_test.go
@@ -39,7 +39,7 @@
 		f.Roster = func() roster.Roster { return r }
 	}
 	n := 0
-	put := func() LegReceipt {
+	put := func() LegResponse {
 		n++
 		ctx, cancel := context.WithTimeout(ctx, time.Second)
 		defer cancel()
--- a/relay/counts.go
+++ b/relay/counts.go
@@ -9,8 +9,8 @@
 // Counts are a side's running totals, for /v1/stats.
 type Counts struct {
 	// Open is how many are under way now.
-	Open                                                    atomic.Int64
-	Inquiries, Answered, NotRun, Unknown, ExtraLegs, Joined atomic.Int64
+	Open                                                   atomic.Int64
+	Requests, Answered, NotRun, Unknown, ExtraLegs, Joined atomic.Int64
 }
 
 // ended takes how one ended.
@@ -28,7 +28,7 @@
 // Totals is a reading of Counts.
 type Totals struct {
 	Open      int64 `json:"open"`
-	Inquiries int64 `json:"inquiries"`
+	Requests  int64 `json:"inquiries"`
 	Answered  int64 `json:"answered"`
 	NotRun    int64 `json:"not_run"`
 	Unknown   int64 `json:"unknown"`
@@ -39,7 +39,7 @@
 // Read takes a reading.
 func (c *Counts) Read() Totals {
 	return Totals{
-		Open: c.Open.Load(), Inquiries: c.Inquiries.Load(), Answered: c.Answered.Load(), NotRun: c.NotRun.Load(),
+		Open: c.Open.Load(), Requests: c.Requests.Load(), Answered: c.Answered.Load(), NotRun: c.NotRun.Load(),
 		Unknown: c.Unknown.Load(), ExtraLegs: c.ExtraLegs.Load(), Joined: c.Joined.Load(),
 	}
 }
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -20,7 +20,7 @@
 	// Judge reads what the header of a backend's answer says of a leg.
 	Judge(leg *Leg, status int, h http.Header) Judgement
 	// Word words an answer of our own.
-	Word(o Own) Receipt
+	Word(o Own) Response
 }
 
 // Said is what a request says of itself.
@@ -42,7 +42,7 @@
 	Declined
 	// Elsewhere says so too: another instance has the address.
 	Elsewhere
-	// Stray is the answer to another inquiry.
+	// Stray is the answer to another request.
 	Stray
 	// False claims a success that can't be this backend's.
 	False
@@ -79,4 +79,4 @@
 func (Plain) Judge(*Leg, int, http.Header) Judgement { return Fair }
 
 // Word implements Dialect.
-func (Plain) Word(o Own) Receipt { return ownReceipt(o.Status, o.Fate, o.Reason, o.Trace, o.Back) }
+func (Plain) Word(o Own) Response { return ownResponse(o.Status, o.Fate, o.Reason, o.Trace, o.Back) }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -21,9 +21,9 @@
 // elsewhere is the reason of a leg that another instance answered.
 const elsewhere = "another instance has the address"
 
-// exchange puts the inquiry to the backend and reads its whole answer. Where not a
+// exchange puts the request to the backend and reads its whole answer. Where not a
 // byte went on a link that was kept, it goes on a fresh one, past the guard again.
-func (f *Far) exchange(ctx context.Context, e roster.Entry, leg *Leg, span trace.Span, g *guard) LegReceipt {
+func (f *Far) exchange(ctx context.Context, e roster.Entry, leg *Leg, span trace.Span, g *guard) LegResponse {
 	most, idle := f.most(e), freshOnly
 	if leg.Repeatable {
 		idle = keepFor
@@ -65,7 +65,7 @@
 
 // run writes the request and reads the answer. The link stays fit to be kept only if
 // it is known to stand between two answers.
-func (x *exchange) run(ctx context.Context) LegReceipt {
+func (x *exchange) run(ctx context.Context) LegResponse {
 	l, fit := x.link, x.link.keep
 	l.keep = 0
 	done := make(chan error, 1)
@@ -114,12 +114,12 @@
 }
 
 // answer reads the answer, and tells how long the link may then be idle.
-func (x *exchange) answer(ctx context.Context) (rc LegReceipt, idle time.Duration) {
-	unknown := func(reason string) (LegReceipt, time.Duration) {
+func (x *exchange) answer(ctx context.Context) (rc LegResponse, idle time.Duration) {
+	unknown := func(reason string) (LegResponse, time.Duration) {
 		if ctx.Err() != nil {
 			reason = string(roster.Expired)
 		}
-		return LegReceipt{Fate: way.Unknown, Reason: reason}, 0
+		return LegResponse{Fate: way.Unknown, Reason: reason}, 0
 	}
 	for early, strays := 0, 0; ; {
 		x.link.left = mostHead
@@ -142,9 +142,9 @@
 			// The head proves it. What follows only decides whether the link is kept.
 			x.link.SetReadDeadline(earlier(deadline(ctx), time.Now().Add(restFor)))
 			_, _, fault := x.whole(resp)
-			return LegReceipt{Fate: way.NotRun, Reason: "declined by the backend", Reached: true}, keepAfter(resp, fault)
+			return LegResponse{Fate: way.NotRun, Reason: "declined by the backend", Reached: true}, keepAfter(resp, fault)
 		case Elsewhere:
-			return LegReceipt{Fate: way.NotRun, Reason: elsewhere, Reached: true}, 0
+			return LegResponse{Fate: way.NotRun, Reason: elsewhere, Reached: true}, 0
 		case Stray:
 			// It came late, in the place of the one that is due.
 			strays++
@@ -167,7 +167,7 @@
 		if strays == 0 {
 			idle = keepAfter(resp, "")
 		}
-		return LegReceipt{Fate: way.Answered, Status: resp.StatusCode, Header: h, Trailer: endToEnd(trailer), Body: body}, idle
+		return LegResponse{Fate: way.Answered, Status: resp.StatusCode, Header: h, Trailer: endToEnd(trailer), Body: body}, idle
 	}
 }
 
@@ -224,12 +224,12 @@
 }
 
 // lost is what is known of a leg whose link failed.
-func lost(ctx context.Context, err error) LegReceipt {
+func lost(ctx context.Context, err error) LegResponse {
 	reason := "backend: " + cause(err)
 	if end := deadline(ctx); ctx.Err() != nil || !end.IsZero() && errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(end) {
 		reason = string(roster.Expired)
 	}
-	return LegReceipt{Fate: way.Unknown, Reason: reason}
+	return LegResponse{Fate: way.Unknown, Reason: reason}
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/relay/exchange_test.go
+++ b/relay/exchange_test.go
@@ -23,7 +23,7 @@
 	"curlewwalk/way"
 )
 
-// told is a dialect of backends that name the inquiry they answer.
+// told is a dialect of backends that name the request they answer.
 type told struct{ Plain }
 
 func (told) Address(h http.Header, leg *Leg, _ time.Duration) { h.Set("Ask", leg.ID) }
@@ -49,7 +49,7 @@
 	w       net.Conn
 }
 
-// say answers a visit, in the name of an inquiry.
+// say answers a visit, in the name of a request.
 func (v visit) say(id, body string, header ...string) {
 	io.WriteString(v.w, answerTo(id, body, header...))
 }
@@ -128,7 +128,7 @@
 var legs atomic.Int64
 
 // put puts a leg to the backend, as carry does.
-func (b *bench) put(leg Leg, check func() roster.Refusal) LegReceipt {
+func (b *bench) put(leg Leg, check func() roster.Refusal) LegResponse {
 	if leg.ID == "" {
 		leg.ID = fmt.Sprint("leg-", legs.Add(1))
 	}
@@ -289,7 +289,7 @@
 	b.link(t) // only one: the older made room
 }
 
-// An answer to another inquiry, in the place of the one that is due, is passed over;
+// An answer to another request, in the place of the one that is due, is passed over;
 // after it, the link is not used again.
 func TestStrayAnswers(t *testing.T) {
 	for strays, want := range []way.Fate{way.Answered, way.Answered, way.Answered, way.Unknown} {
@@ -315,7 +315,7 @@
 	}
 }
 
-// Where a link has carried a HEAD, nobody knows whether an answer to another inquiry has
+// Where a link has carried a HEAD, nobody knows whether an answer to another request has
 // a body: so what looks like the own one behind it may be bytes of a body.
 func TestStrayAnswerAfterHead(t *testing.T) {
 	b := newBench(t, func(v visit) bool {
--- a/relay/far.go
+++ b/relay/far.go
@@ -63,7 +63,7 @@
 // Reused is told with Opened.
 func (f *Far) Reused() int64 { return f.links.reused.Load() }
 
-// Limit is how many inquiries an own backend may run at a time now.
+// Limit is how many requests an own backend may run at a time now.
 func (f *Far) Limit(e roster.Entry, at time.Time) int64 {
 	t := f.Table()
 	up := at.Sub(f.started)
@@ -75,12 +75,12 @@
 }
 
 // Leg handles a leg.
-func (f *Far) Leg(ctx context.Context, in wire.Inquiry) (any, string) {
+func (f *Far) Leg(ctx context.Context, in wire.Request) (any, string) {
 	var leg Leg
 	if !in.Into(&leg) || !leg.valid() {
 		return nil, "not a leg" // and never begun, as a recall will tell
 	}
-	f.Counts.Inquiries.Add(1)
+	f.Counts.Requests.Add(1)
 	f.Counts.Open.Add(1)
 	defer f.Counts.Open.Add(-1)
 	span, traced := trace.From(ctx)
@@ -99,12 +99,12 @@
 }
 
 // Recall handles a recall.
-func (f *Far) Recall(ctx context.Context, in wire.Inquiry) (any, string) {
+func (f *Far) Recall(ctx context.Context, in wire.Request) (any, string) {
 	var q Recall
 	if !in.Into(&q) {
 		return nil, "not a recall"
 	}
-	rc := LegReceipt{ID: q.ID, Fate: way.Unknown, Reason: "it was begun, or begun before a restart"}
+	rc := LegResponse{ID: q.ID, Fate: way.Unknown, Reason: "it was begun, or begun before a restart"}
 	if ask(ctx, f.ledger.refuse, q.ID) && q.Boot == f.Boot {
 		rc.Fate, rc.Reason = way.NotRun, "recalled before it was begun"
 	}
@@ -124,9 +124,9 @@
 	return f.Roster().Check(roster.Ask{Service: leg.Service, Instance: leg.Instance}, f.Table().Emptied, time.Now())
 }
 
-func (f *Far) carry(ctx context.Context, leg Leg, span trace.Span) LegReceipt {
-	refuse := func(why roster.Refusal, open int64) LegReceipt {
-		rc := LegReceipt{ID: leg.ID, Fate: way.NotRun, Reason: string(why), Open: int(open)}
+func (f *Far) carry(ctx context.Context, leg Leg, span trace.Span) LegResponse {
+	refuse := func(why roster.Refusal, open int64) LegResponse {
+		rc := LegResponse{ID: leg.ID, Fate: way.NotRun, Reason: string(why), Open: int(open)}
 		if !ask(context.WithoutCancel(ctx), f.ledger.refuse, leg.ID) {
 			rc.Fate = way.Unknown // it came before, and was begun
 		}
@@ -165,7 +165,7 @@
 		if ctx.Err() != nil {
 			return refuse(roster.Expired, 0)
 		}
-		return LegReceipt{ID: leg.ID, Fate: way.Unknown, Reason: "this leg came before"}
+		return LegResponse{ID: leg.ID, Fate: way.Unknown, Reason: "this leg came before"}
 	}
 	var free time.Duration // when a cold backend may bear the next
 	g := &guard{check: func() roster.Refusal {
@@ -180,7 +180,7 @@
 		}
 		return why
 	}}
-	f.Lineage.Enter(ctx, lineage.Open{Span: span, Service: leg.Service, Way: leg.Way, Rank: leg.Rank, Since: time.Now(), Expiry: deadline(ctx)})
+	f.Lineage.Enter(ctx, lineage.Open{Span: span, Service: leg.Service, Way: leg.Way, Rank: leg.Rank, Since: time.Now(), Deadline: deadline(ctx)})
 	defer f.Lineage.Leave(context.WithoutCancel(ctx), span.ID)
 	rc := f.exchange(ctx, e, &leg, span, g)
 	if rc.Fate == way.Unknown && g.shut() {
--- a/relay/fuzz_test.go
+++ b/relay/fuzz_test.go
@@ -71,11 +71,11 @@
 // that are in it, each as it was sent, and the client whole answers, no more than one for
 // each request and one for what is none.
 func FuzzClientRequest(f *testing.F) {
-	got := make(chan request, 1<<10)
+	got := make(chan plainRequest, 1<<10)
 	p := newPair(f, func(v visit) bool {
 		body, err := io.ReadAll(v.Body)
 		if err == nil {
-			got <- request{v.Method, v.RequestURI, string(body)}
+			got <- plainRequest{v.Method, v.RequestURI, string(body)}
 			v.say(v.id, string(body))
 		}
 		return err == nil
@@ -136,11 +136,11 @@
 	})
 }
 
-// request is what must not be changed on the way.
-type request struct{ method, uri, body string }
+// plainRequest is what must not be changed on the way.
+type plainRequest struct{ method, uri, body string }
 
 // requests are those in a client's text, up to the first that is none.
-func requests(text []byte) (out []request) {
+func requests(text []byte) (out []plainRequest) {
 	in := bufio.NewReader(bytes.NewReader(text))
 	for {
 		if n := len(out); n > 0 && out[n-1].method == http.MethodPost {
@@ -152,9 +152,9 @@
 		}
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
-			return append(out, request{method: r.Method, uri: "cut short"})
+			return append(out, plainRequest{method: r.Method, uri: "cut short"})
 		}
-		out = append(out, request{r.Method, r.RequestURI, string(body)})
+		out = append(out, plainRequest{r.Method, r.RequestURI, string(body)})
 	}
 }
 
--- a/relay/ledger.go
+++ b/relay/ledger.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// remember is how long a leg's id is kept: longer than any expiry. (ours)
+// remember is how long a leg's id is kept: longer than any deadline. (ours)
 const remember = 11 * time.Minute
 
 // Ledger is a decision value: it remembers which legs were begun and which were
--- a/relay/leg.go
+++ b/relay/leg.go
@@ -1,4 +1,4 @@
-// Package relay carries inquiries: the near side asks the decision object and
+// Package relay carries requests: the near side asks the decision object and
 // obeys, the far side passes legs through the gate to the backend. (DESIGN 4, 10)
 package relay
 
@@ -17,7 +17,7 @@
 	KindRecall = "recall"
 )
 
-// Leg is one attempt of an inquiry, as the near sidecar sends it.
+// Leg is one attempt of a request, as the near sidecar sends it.
 type Leg struct {
 	// ID is unique to the leg; the far sidecar never runs one twice.
 	ID       string        `msgpack:"id"`
@@ -28,7 +28,7 @@
 	Way      string        `msgpack:"w"`
 	Rank     int           `msgpack:"rk"`
 	Left     time.Duration `msgpack:"l"`
-	// Aim is the time left until the inquiry is late; it waits no longer.
+	// Aim is the time left until the request is late; it waits no longer.
 	Aim time.Duration `msgpack:"am"`
 	// Patient says that it rather waits to be late than be refused.
 	Patient bool `msgpack:"pt,omitempty"`
@@ -75,8 +75,8 @@
 	return !slices.ContainsFunc([]byte(s), func(b byte) bool { return b <= ' ' || b == 0x7f })
 }
 
-// LegReceipt is what the far sidecar tells of a leg.
-type LegReceipt struct {
+// LegResponse is what the far sidecar tells of a leg.
+type LegResponse struct {
 	ID     string      `msgpack:"id"`
 	Fate   way.Fate    `msgpack:"f"`
 	Reason string      `msgpack:"r,omitempty"`
@@ -87,14 +87,14 @@
 	Body    []byte      `msgpack:"b"`
 	// Reached says that the leg came to a backend, though it may not have run.
 	Reached bool `msgpack:"rd,omitempty"`
-	// Open is how many inquiries the backend has open.
+	// Open is how many requests the backend has open.
 	Open int `msgpack:"o"`
-	// Back is when a refused inquiry should come again.
+	// Back is when a refused request should come again.
 	Back time.Duration `msgpack:"bk,omitempty"`
 }
 
-// of tells whether the receipt is understood, and is that of a leg.
-func (r *LegReceipt) of(leg *Leg) bool {
+// of tells whether the response is understood, and is that of a leg.
+func (r *LegResponse) of(leg *Leg) bool {
 	switch r.Fate {
 	case way.Answered:
 		return r.ID == leg.ID && r.Status >= 200 && r.Status <= 999
--- a/relay/limits.go
+++ b/relay/limits.go
@@ -12,7 +12,7 @@
 	// grace is what the far side gets back from to answer before the near side
 	// stops listening.
 	grace = 20 * time.Millisecond // (ours)
-	// usual is about how much an inquiry carries with its answer.
+	// usual is about how much a request carries with its answer.
 	usual = 8 << 10 // (ours)
 	// keepFor is how long a connection to a backend may be idle.
 	keepFor = 4 * time.Second // (ours)
@@ -30,7 +30,7 @@
 	straight    = 16 << 10 // (ours)
 	roomForHead = 2 << 10  // (ours)
 	// mostEarly bounds the 1xx answers before one that counts, mostStrays the answers to
-	// other inquiries.
+	// other requests.
 	mostEarly  = 5 // (ours)
 	mostStrays = 2 // (ours)
 )
--- a/relay/near.go
+++ b/relay/near.go
@@ -38,7 +38,7 @@
 	Queue    *trace.Queue
 	Log      *slog.Logger
 	Lineage  *lineage.Keeper
-	Claims   *claim.Claims[Receipt]
+	Claims   *claim.Claims[Response]
 	Custody  *custody.Owner
 	Bodies   *Bodies
 	Purses   *contract.Purses
@@ -46,7 +46,7 @@
 	Costs    *way.Costs
 	// Life ends when the node must stop at once.
 	Life context.Context
-	// Draining tells whether new inquiries are still taken.
+	// Draining tells whether new requests are still taken.
 	Draining func() bool
 	Counts   Counts
 	// Routes counts the requests that have ended, by route and outcome.
@@ -56,25 +56,25 @@
 	Shun time.Duration
 	// Home is the service that all callers on this machine belong to, if one does.
 	Home string
-	// Hold is the part of its aim for which an inquiry may be held for a place, and
+	// Hold is the part of its aim for which a request may be held for a place, and
 	// ComeBack when a refused one may come again at the soonest.
 	Hold     float64
 	ComeBack time.Duration
 	// Late says that an answer past the aim is better than none.
 	Late bool
-	// Crossing is the price of leaving the own locality with a usual inquiry, as a part
+	// Crossing is the price of leaving the own locality with a usual request, as a part
 	// of what being in time is worth.
 	Crossing float64
 	// Unsure, if set, tells that this sidecar is not sure of the newest word.
 	Unsure func() bool
 }
 
-// inquiry is one client's request on its way.
-type inquiry struct {
+// request is one client's request on its way.
+type request struct {
 	caller   string
 	way      desired.Way
 	contract desired.Contract
-	expiry   time.Time
+	deadline time.Time
 	begun    time.Time
 	aim      time.Time
 	span     trace.Span
@@ -85,10 +85,10 @@
 	leg  Leg
 }
 
-// room is how late the inquiry may be at all.
-func (q *inquiry) room() time.Duration { return q.contract.Expiry.Duration - q.contract.Aim.Duration }
+// room is how late the request may be at all.
+func (q *request) room() time.Duration { return q.contract.Deadline.Duration - q.contract.Aim.Duration }
 
-// Handler serves inquiries of one caller: a backend service, or "" for clients.
+// Handler serves requests of one caller: a backend service, or "" for clients.
 func (n *Near) Handler(caller string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if n.Draining() {
@@ -99,12 +99,12 @@
 	})
 }
 
-func (n *Near) serve(caller string, r *http.Request) Receipt {
+func (n *Near) serve(caller string, r *http.Request) Response {
 	begun := time.Now()
-	n.Counts.Inquiries.Add(1)
+	n.Counts.Requests.Add(1)
 	n.Counts.Open.Add(1)
 	defer n.Counts.Open.Add(-1)
-	// Calls of the own backends belong to inquiries that were handed over.
+	// Calls of the own backends belong to requests that were handed over.
 	if caller == "" && n.Draining() {
 		return n.count(n.word(http.StatusServiceUnavailable, way.NotRun, "this node is stopping", "", time.Second))
 	}
@@ -132,7 +132,7 @@
 	if target("", r.RequestURI).RequestURI() != r.RequestURI {
 		return n.count(n.word(http.StatusBadRequest, way.NotRun, "this path can't be passed on as it is", "", 0))
 	}
-	q := inquiry{caller: caller, begun: begun}
+	q := request{caller: caller, begun: begun}
 	var ok bool
 	table := n.Table()
 	if q.way, q.contract, ok = table.Match(r.Host, r.URL.Path, r.Method); !ok && table.Stamp == 0 {
@@ -150,10 +150,10 @@
 	n.Dialect.Hear(r, trailer)
 	q.left = said.Left
 	q.leg = Leg{Service: q.way.Service, Way: q.way.Name, Rank: q.contract.Rank, Repeatable: q.way.Repeatable, Caller: cmp.Or(caller, n.Home), Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h, Trailer: trailer, Body: body}
-	// The client's going away stops nothing: the inquiry was handed over.
+	// The client's going away stops nothing: the request was handed over.
 	ctx := context.WithoutCancel(r.Context())
 	n.begin(ctx, &q, r.Header)
-	ctx, cancel := context.WithDeadline(trace.With(ctx, q.span), q.expiry)
+	ctx, cancel := context.WithDeadline(trace.With(ctx, q.span), q.deadline)
 	defer cancel()
 	rc := n.claimed(ctx, &q, said.Key)
 	if q.traced {
@@ -164,33 +164,33 @@
 	return n.count(rc)
 }
 
-func (n *Near) tooLarge() Receipt {
+func (n *Near) tooLarge() Response {
 	return n.count(n.word(http.StatusRequestEntityTooLarge, way.NotRun, fmt.Sprintf("body is over %d bytes", n.Bodies.Most), "", 0))
 }
 
 // word words an answer of our own.
-func (n *Near) word(status int, f way.Fate, reason, trace string, back time.Duration) Receipt {
+func (n *Near) word(status int, f way.Fate, reason, trace string, back time.Duration) Response {
 	return n.Dialect.Word(Own{Status: status, Fate: f, Reason: reason, Trace: trace, Back: back})
 }
 
-func (n *Near) count(r Receipt) Receipt {
+func (n *Near) count(r Response) Response {
 	n.Counts.ended(r.Fate)
 	return r
 }
 
-// begin ties the inquiry to its cause and opens its span. (DESIGN 2.5)
-func (n *Near) begin(ctx context.Context, q *inquiry, h http.Header) {
+// begin ties the request to its cause and opens its span. (DESIGN 2.5)
+func (n *Near) begin(ctx context.Context, q *request, h http.Header) {
 	told, traced := trace.ReadB3(h)
 	q.traced = traced
 	q.aim = q.begun.Add(q.contract.Aim.Duration)
-	q.expiry = q.begun.Add(q.contract.Expiry.Duration)
-	if q.left > 0 && q.left < q.contract.Expiry.Duration {
-		q.expiry = q.begun.Add(q.left)
+	q.deadline = q.begun.Add(q.contract.Deadline.Duration)
+	if q.left > 0 && q.left < q.contract.Deadline.Duration {
+		q.deadline = q.begun.Add(q.left)
 	}
 	if q.caller != "" {
 		q.cause = n.Lineage.Link(ctx, q.caller, q.way.Name, told)
-		if e := q.cause.Expiry; !e.IsZero() && e.Before(q.expiry) {
-			q.expiry = e
+		if e := q.cause.Deadline; !e.IsZero() && e.Before(q.deadline) {
+			q.deadline = e
 		}
 		if q.cause.Rank > 0 {
 			q.leg.Rank = q.cause.Rank
@@ -198,7 +198,7 @@
 	}
 	if q.caller == "" && n.Home != "" {
 		// It says itself how long its client waits: what is inferred decides nothing.
-		q.cause = n.Lineage.Mingled(ctx, n.Home, q.way.Name, told, time.Until(q.expiry))
+		q.cause = n.Lineage.Mingled(ctx, n.Home, q.way.Name, told, time.Until(q.deadline))
 	}
 	switch {
 	case !q.cause.Parent.IsZero():
@@ -210,8 +210,8 @@
 	}
 }
 
-// claimed runs the inquiry under its Idempotency-Key, if it has one.
-func (n *Near) claimed(ctx context.Context, q *inquiry, text string) Receipt {
+// claimed runs the request under its Idempotency-Key, if it has one.
+func (n *Near) claimed(ctx context.Context, q *request, text string) Response {
 	if text == "" {
 		return n.run(ctx, q)
 	}
@@ -238,7 +238,7 @@
 		n.Counts.Joined.Add(1)
 		return rc
 	}
-	trust, known, ok := n.Custody.Entrust(ctx, key, print, time.Until(q.expiry))
+	trust, known, ok := n.Custody.Entrust(ctx, key, print, time.Until(q.deadline))
 	keep := true
 	switch {
 	case known != nil && known.Print != print:
@@ -262,24 +262,24 @@
 	n.Claims.Restore(ctx, e.Key, e.Print, n.restored(e))
 }
 
-// restored is the receipt of such a claim. Whether one without a receipt ran,
+// restored is the response of such a claim. Whether one without a response ran,
 // nobody knows.
-func (n *Near) restored(e custody.Entry) Receipt {
-	rc, ok := unpack(e.Receipt)
+func (n *Near) restored(e custody.Entry) Response {
+	rc, ok := unpack(e.Response)
 	if !ok {
 		rc = n.word(http.StatusBadGateway, way.Unknown, "this node was restarted before the first inquiry of this key was answered", "", time.Second)
 	}
 	return rc
 }
 
-func (n *Near) own(q *inquiry, status int, f way.Fate, reason string, retry time.Duration) Receipt {
+func (n *Near) own(q *request, status int, f way.Fate, reason string, retry time.Duration) Response {
 	return n.word(status, f, reason, q.span.Trace.String(), retry)
 }
 
 // run asks the decision and obeys, leg by leg.
-func (n *Near) run(ctx context.Context, q *inquiry) Receipt {
+func (n *Near) run(ctx context.Context, q *request) Response {
 	d := way.Decision{
-		Way: q.way, Expiry: q.expiry, Locality: n.Locality, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Way: q.way, Deadline: q.deadline, Locality: n.Locality, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Means: way.Means{
 			Aim: q.aim, Room: q.room(), Patience: n.Budgets.Patience(q.contract.Name, q.room()),
 			Cost: func(t cohort.Target) way.Cost { return n.Costs.Of(q.way.Name, t) },
@@ -289,7 +289,7 @@
 	}
 	note := trace.Event{Way: q.way.Name, Service: q.way.Service, Caller: q.caller, Link: q.cause.Link, Candidates: q.cause.Candidates}
 	n.Queue.Put(q.span, trace.ClientStart, note)
-	var last LegReceipt
+	var last LegResponse
 	for {
 		o := d.Ask(n.Table(), n.View(), time.Now())
 		if o.Wait > 0 {
@@ -297,13 +297,13 @@
 			continue
 		}
 		if !o.Send {
-			rc := Receipt{Status: last.Status, Header: last.Header, Trailer: last.Trailer, Body: last.Body, Fate: way.Answered}
+			rc := Response{Status: last.Status, Header: last.Header, Trailer: last.Trailer, Body: last.Body, Fate: way.Answered}
 			if o.End.Status != 0 {
 				n.Log.Info("an inquiry was not answered", "trace", q.span.Trace.String(), "way", q.way.Name, "caller", q.caller,
 					"status", o.End.Status, "outcome", o.End.Fate, "reason", o.End.Reason, "legs", len(d.Legs()))
 				rc = n.own(q, o.End.Status, o.End.Fate, o.End.Reason, o.End.RetryAfter)
 			}
-			n.Budgets.Ended(q.contract.Name, time.Since(q.begun), q.contract.Aim.Duration, q.contract.Expiry.Duration, rc.Fate == way.Answered)
+			n.Budgets.Ended(q.contract.Name, time.Since(q.begun), q.contract.Aim.Duration, q.contract.Deadline.Duration, rc.Fate == way.Answered)
 			note.Status, note.Outcome, note.Reason, note.Leg = rc.Status, string(rc.Fate), o.End.Reason, len(d.Legs())
 			n.Queue.Put(q.span, trace.ClientReceive, note)
 			return rc
@@ -324,17 +324,17 @@
 	}
 }
 
-// hold is until when an inquiry may be held for a place. (DESIGN 15.4)
-func (n *Near) hold(q *inquiry) time.Time {
+// hold is until when a request may be held for a place. (DESIGN 15.4)
+func (n *Near) hold(q *request) time.Time {
 	return q.begun.Add(time.Duration(n.Hold * float64(q.contract.Aim.Duration)))
 }
 
 // crossing is the price of leaving the own locality, by how much would be carried.
-func (n *Near) crossing(q *inquiry) float64 {
+func (n *Near) crossing(q *request) float64 {
 	return n.Crossing * (1 + float64(len(q.leg.Body))/usual)
 }
 
-// back is when a refused inquiry may come again at the soonest: spread, so that those
+// back is when a refused request may come again at the soonest: spread, so that those
 // refused together do not come together.
 func (n *Near) back() time.Duration {
 	return n.ComeBack + time.Duration(rand.Int64N(int64(n.ComeBack)/2+1))
@@ -342,7 +342,7 @@
 
 // send carries one leg. The first leg is the span's own; each further one is a
 // child span of its own. (DESIGN 2.1)
-func (n *Near) send(ctx context.Context, q *inquiry, o way.Order, num int) (way.Leg, LegReceipt) {
+func (n *Near) send(ctx context.Context, q *request, o way.Order, num int) (way.Leg, LegResponse) {
 	span, t := q.span, o.Target
 	if num == 1 {
 		n.Purses.Earn(q.way.Service)
@@ -355,7 +355,7 @@
 	leg := q.leg
 	leg.ID = span.ID.String() + "/" + trace.NewID().String()
 	leg.N, leg.Instance, leg.Boot, leg.Patient = num, t.Instance, t.Boot, o.Patient
-	leg.Left = time.Until(q.expiry) - grace
+	leg.Left = time.Until(q.deadline) - grace
 	leg.Aim = time.Until(q.aim) + n.Budgets.Patience(q.contract.Name, q.room()) - grace
 	t.Load.Legs.Add(1)
 	sent := time.Now()
@@ -365,7 +365,7 @@
 		span.Hear(r.Span.Counter())
 	}
 	l := way.Leg{Target: t, Fate: way.Unknown, Reason: "lost on the way", Reached: true}
-	var rc LegReceipt
+	var rc LegResponse
 	switch {
 	case r.Fate == wire.Unsent:
 		l.Fate, l.Reason, l.Reached = way.NotRun, "node could not be reached", false
@@ -391,10 +391,10 @@
 }
 
 // recall asks the far sidecar to let a lost leg never run; only its word that
-// the leg did not run proves it. Past the expiry nobody waits for that word.
+// the leg did not run proves it. Past the deadline nobody waits for that word.
 // (DESIGN 10.2)
 func (n *Near) recall(ctx context.Context, l way.Leg, leg Leg) way.Leg {
-	ask := func(ctx context.Context) (rc LegReceipt, ok bool) {
+	ask := func(ctx context.Context) (rc LegResponse, ok bool) {
 		ok = n.Net.Call(ctx, l.Target.Node, wire.Control, KindRecall, Recall{ID: leg.ID, Boot: leg.Boot}).Into(&rc)
 		return rc, ok && rc.of(&leg)
 	}
--- a/relay/receipt.go
+++ b/relay/response.go
@@ -14,8 +14,8 @@
 	"curlewwalk/wire"
 )
 
-// Receipt is the answer to an inquiry as its client gets it.
-type Receipt struct {
+// Response is the answer to a request as its client gets it.
+type Response struct {
 	Status int
 	Header http.Header
 	// Trailer follows the body.
@@ -38,9 +38,9 @@
 	return b.Bytes()
 }
 
-// pack writes a receipt for those who hold its claim; nothing if it need not be
+// pack writes a response for those who hold its claim; nothing if it need not be
 // kept.
-func (r Receipt) pack(keep bool) []byte {
+func (r Response) pack(keep bool) []byte {
 	if !keep {
 		return nil
 	}
@@ -51,8 +51,8 @@
 	return b
 }
 
-// unpack reads such a receipt.
-func unpack(b []byte) (r Receipt, ok bool) {
+// unpack reads such a response.
+func unpack(b []byte) (r Response, ok bool) {
 	ok = wire.Unpack(b, &r) == nil && r.Status >= 200 && r.Status <= 999
 	return r, ok
 }
@@ -64,19 +64,19 @@
 	Trace   string   `json:"trace,omitempty"`
 }
 
-// ownReceipt builds an answer of our own: at once, with what is known and when
+// ownResponse builds an answer of our own: at once, with what is known and when
 // to come back. (DESIGN 10.2)
-func ownReceipt(status int, f way.Fate, reason, trace string, retry time.Duration) Receipt {
+func ownResponse(status int, f way.Fate, reason, trace string, retry time.Duration) Response {
 	body, _ := json.Marshal(refusal{Outcome: f, Reason: reason, Trace: trace})
 	h := http.Header{"Content-Type": {"application/json"}, HeaderOutcome: {string(f)}}
 	if retry > 0 {
 		h.Set("Retry-After", strconv.Itoa(int((retry+time.Second-1)/time.Second)))
 	}
-	return Receipt{Status: status, Header: h, Body: body, Fate: f}
+	return Response{Status: status, Header: h, Body: body, Fate: f}
 }
 
-// write hands the receipt to the client, adding nothing.
-func (r Receipt) write(w http.ResponseWriter, q *http.Request) {
+// write hands the response to the client, adding nothing.
+func (r Response) write(w http.ResponseWriter, q *http.Request) {
 	h := w.Header()
 	for k, v := range r.Header {
 		h[k] = v
--- a/relay/unsure_test.go
+++ b/relay/unsure_test.go
@@ -9,7 +9,7 @@
 	"curlewwalk/way"
 )
 
-// That there is no way for an inquiry is said only by who is sure of the newest
+// That there is no way for a request is said only by who is sure of the newest
 // configuration; else it is refused as not run, with when to come back.
 func TestNoWayWhileUnsure(t *testing.T) {
 	table, ok := way.NewTable(desired.Word{Stamp: 3, DesiredStamp: 3, Desired: []byte(`{"ways":[],"contracts":[]}`)})
--- a/roster/desk.go
+++ b/roster/desk.go
@@ -18,7 +18,7 @@
 // NewDesk makes an empty desk.
 func NewDesk() *Desk { return &Desk{wake: map[uint64]chan bool{}, start: time.Now()} }
 
-// Open is how many inquiries run or wait.
+// Open is how many requests run or wait.
 func (d *Desk) Open() int64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/roster/entry.go
+++ b/roster/entry.go
@@ -21,7 +21,7 @@
 	count uint64
 	// coldUntil is when it is warm by its own word.
 	coldUntil time.Time
-	// Desk counts its open inquiries; all snapshots share it.
+	// Desk counts its open requests; all snapshots share it.
 	Desk *Desk
 }
 
@@ -38,7 +38,7 @@
 // Cold tells whether the backend bears no more than its service's rate yet.
 func (e Entry) Cold(now time.Time) bool { return now.Before(e.coldUntil) }
 
-// Limit is how many inquiries it may run at a time; ramp is the share of it
+// Limit is how many requests it may run at a time; ramp is the share of it
 // that its locality is given. fresh tells that runs which a killed sidecar had let
 // in may still be going on. (DESIGN 15.2)
 func (e Entry) Limit(ramp float64, fresh bool, now time.Time) int64 {
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -18,7 +18,7 @@
 
 func listen(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
 
-// announced is the receipt of an announcement.
+// announced is the response of an announcement.
 type announced struct {
 	// Outgoing is where the backend sends its own calls.
 	Outgoing string `json:"outgoing"`
@@ -53,12 +53,12 @@
 	Trace    trace.QueueStats `json:"trace_queue"`
 	Draining bool             `json:"draining"`
 	// Held counts the claims on keys that this node holds for others, Settled those
-	// of them with a receipt; HandedOver tells whether it has got its own of earlier
+	// of them with a response; HandedOver tells whether it has got its own of earlier
 	// boots.
 	Held       int64 `json:"claims_held"`
 	Settled    int64 `json:"claims_settled"`
 	HandedOver bool  `json:"claims_handed_over"`
-	// Bodies are the bytes of inquiries' bodies held now, by the near and the far side.
+	// Bodies are the bytes of requests' bodies held now, by the near and the far side.
 	Bodies [2]int64 `json:"bodies_held"`
 	// ExtraLegs is how many extra legs to each service this node may make now.
 	ExtraLegs map[string]float64 `json:"extra_legs"`
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -34,7 +34,7 @@
 const linger = 2 * time.Second
 
 // sureFor is how old a claim may be for a sidecar to say of itself that there is no way
-// for an inquiry: words are to be in force within it.
+// for a request: words are to be in force within it.
 const sureFor = 2 * time.Second // (ours)
 
 const (
@@ -63,7 +63,7 @@
 	holder   *custody.Holder
 	queue    *trace.Queue
 	outgoing *outgoing
-	// draining: not ready, and no new legs. closed: no new inquiries either.
+	// draining: not ready, and no new legs. closed: no new requests either.
 	draining, closed atomic.Bool
 	reload           *process.Reloader
 	webs             []*process.Web
@@ -81,7 +81,7 @@
 		debug.SetMemoryLimit(set.Memory << 20 * 85 / 100)
 	}
 	lin := lineage.NewKeeper()
-	claims := claim.New(func(r relay.Receipt) int { return len(r.Body) })
+	claims := claim.New(func(r relay.Response) int { return len(r.Body) })
 	n.seeker.Own = func() cohort.Heartbeat { nd := n.steward.node(); return cohort.Heartbeat{Node: &nd} }
 	n.seeker.Addr, n.seeker.Net, n.seeker.Launcher = set.Advertise, p.Net, p.Launcher
 	n.reload = &process.Reloader{Seeker: n.seeker}
@@ -127,7 +127,7 @@
 	n.outgoing = &outgoing{p: p, near: n.near, host: netip.MustParseAddrPort(set.Advertise).Addr(), fixed: set.Outgoing, known: n.steward.services, webs: map[string]*process.Web{}}
 
 	p.Host.Handlers[cohort.KindHeartbeat] = n.heartbeat
-	p.Host.Handlers[cohort.KindProbe] = func(context.Context, wire.Inquiry) (any, string) {
+	p.Host.Handlers[cohort.KindProbe] = func(context.Context, wire.Request) (any, string) {
 		return cohort.Probe{Boot: p.Boot, Inc: n.steward.inc.Load()}, ""
 	}
 	p.Host.Handlers[cohort.KindGossip] = rollcall.Answer
@@ -135,7 +135,7 @@
 	p.Host.Handlers[relay.KindRecall] = n.far.Recall
 	p.Host.Listener = p.Listen("wire", set.Wire)
 	n.webs = append(n.webs, p.Serve(p.Listen("control", set.Control), n.control()))
-	n.webs = append(n.webs, p.Serve(p.Listen("inquiries", set.Inquiries), n.near.Handler("")))
+	n.webs = append(n.webs, p.Serve(p.Listen("inquiries", set.Requests), n.near.Handler("")))
 	for svc := range set.Outgoing {
 		if _, err := n.outgoing.addr(svc); err != nil {
 			p.Fail("outgoing "+svc, err)
@@ -194,15 +194,15 @@
 	return n.steward.claim.Age(now) > sureFor && (n.steward.agreed.Age(now) > roster.ClaimFor || !n.seeker.Seats().NoMajority(now))
 }
 
-// shut tells whether clients' inquiries are refused. The calls of an own backend belong
-// to inquiries that were handed over: where they can't be told from clients', all are
+// shut tells whether clients' requests are refused. The calls of an own backend belong
+// to requests that were handed over: where they can't be told from clients', all are
 // taken while it runs one. (DESIGN 11.3)
 func (n *Node) shut() bool {
 	return n.closed.Load() && (n.set.Caller == "" || n.far.Counts.Open.Load() == 0)
 }
 
 // heartbeat answers another process.
-func (n *Node) heartbeat(_ context.Context, in wire.Inquiry) (any, string) {
+func (n *Node) heartbeat(_ context.Context, in wire.Request) (any, string) {
 	var h cohort.Heartbeat
 	if !in.Into(&h) {
 		return nil, "not a heartbeat"
@@ -248,7 +248,7 @@
 	n.closed.Store(true)
 	tick := time.NewTicker(10 * time.Millisecond)
 	defer tick.Stop()
-	// A backend's outgoing calls belong to inquiries that were handed over.
+	// A backend's outgoing calls belong to requests that were handed over.
 	for n.far.Counts.Open.Load() > 0 || n.near.Counts.Open.Load() > 0 {
 		select {
 		case <-tick.C:
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -90,7 +90,7 @@
 	return s
 }
 
-// told takes a core's receipt to a heartbeat. An accusation is refuted at once.
+// told takes a core's response to a heartbeat. An accusation is refuted at once.
 func (s *steward) told(_ context.Context, h cohort.Heartbeat) {
 	if h.Budgets != nil {
 		s.budgets.Hear(h.Budgets)
--- a/way/decision.go
+++ b/way/decision.go
@@ -11,15 +11,15 @@
 )
 
 const (
-	// mostLegs is how many legs an inquiry has whose way does not say.
+	// mostLegs is how many legs a request has whose way does not say.
 	mostLegs = 3 // (ours)
 	// mostAsked is how many it has, those that came to no backend counted in.
 	mostAsked = 8 // (ours)
-	// turnedAway is after how many refusals an inquiry rather stands in line to be
+	// turnedAway is after how many refusals a request rather stands in line to be
 	// late.
 	turnedAway = 2 // (ours)
 	// mostLapsed is after how many sidecars that are not sure of the newest word an
-	// inquiry ends whose own sidecar isn't either: the others would refuse it too, and
+	// request ends whose own sidecar isn't either: the others would refuse it too, and
 	// asking them is a load that keeps them from becoming sure.
 	mostLapsed = 2 // (ours)
 	// askAgain is how long one that is held waits before it is asked about again.
@@ -28,12 +28,12 @@
 	spillAt = 0.8 // (ours)
 )
 
-// Decision is the object that is asked about one inquiry. The executor obeys
+// Decision is the object that is asked about one request. The executor obeys
 // it and tells it what came of each leg. (DESIGN 4.2)
 type Decision struct {
-	// Way has as its Service the one that was picked for the inquiry.
+	// Way has as its Service the one that was picked for the request.
 	Way      desired.Way
-	Expiry   time.Time
+	Deadline time.Time
 	Locality string
 	Rand     *rand.Rand
 	Means    Means
@@ -76,7 +76,7 @@
 		fate:    NotRun,
 		reason:  "no backend of " + d.Way.Service,
 		back:    cmp.Or(d.Means.Back, time.Second),
-		expired: !now.Before(d.Expiry),
+		expired: !now.Before(d.Deadline),
 	}
 	for _, leg := range d.legs {
 		past.reason = leg.Reason
@@ -117,7 +117,7 @@
 	if !ok {
 		return past.end(status(past.fate), past.reason)
 	}
-	if !d.Means.Late && d.Means.vain(target, d.Expiry.Sub(now)) && d.Rand.IntN(trickle) > 0 {
+	if !d.Means.Late && d.Means.vain(target, d.Deadline.Sub(now)) && d.Rand.IntN(trickle) > 0 {
 		return past.end(status(past.fate), "the time left does not cover what it takes")
 	}
 	if past.reached > 0 && !d.Means.Spend() {
@@ -151,7 +151,7 @@
 	return target, true, ok
 }
 
-// lapsed tells whether nobody may be expected to admit the inquiry now.
+// lapsed tells whether nobody may be expected to admit the request now.
 func (d *Decision) lapsed() bool {
 	n := 0
 	for _, l := range d.legs {
--- a/way/lapsed_test.go
+++ b/way/lapsed_test.go
@@ -10,7 +10,7 @@
 	"curlewwalk/desired"
 )
 
-// Where no sidecar is sure of the newest word, an inquiry is refused at once, after two
+// Where no sidecar is sure of the newest word, a request is refused at once, after two
 // have said so, and told when to come back; where the own one is sure, or not all
 // others are unsure, it goes on to those that may admit it.
 func TestRefusedAtOnceWhileUnsure(t *testing.T) {
@@ -34,7 +34,7 @@
 	} {
 		s, now := newSite(at), time.Now()
 		d := Decision{
-			Way: desired.Way{Name: "w", Service: "s"}, Expiry: now.Add(time.Minute), Locality: "north", Rand: rand.New(rand.NewPCG(1, 1)),
+			Way: desired.Way{Name: "w", Service: "s"}, Deadline: now.Add(time.Minute), Locality: "north", Rand: rand.New(rand.NewPCG(1, 1)),
 			Means: Means{
 				Aim: now.Add(time.Second), Room: time.Minute, Patience: time.Minute, Late: true, Hold: now.Add(time.Minute),
 				Cost:   func(target cohort.Target) Cost { return s.costs.Of("w", target) },
--- a/way/leg.go
+++ b/way/leg.go
@@ -21,11 +21,11 @@
 	Target cohort.Target
 	Fate   Fate
 	Reason string
-	// Back is when a refused inquiry should come again.
+	// Back is when a refused request should come again.
 	Back time.Duration
 	// Reached says that it came to a backend, though it may not have run.
 	Reached bool
-	// Expired says that the leg ended because the inquiry's time was over.
+	// Expired says that the leg ended because the request's time was over.
 	Expired bool
 	// Lapsed says that the far sidecar was not sure of the newest word and so admitted
 	// nothing. (DESIGN 7.2)
--- a/way/order.go
+++ b/way/order.go
@@ -7,7 +7,7 @@
 )
 
 // Order is what the executor must do next: send a leg, wait and ask again, or end the
-// inquiry.
+// request.
 type Order struct {
 	Send   bool
 	Target cohort.Target
@@ -18,7 +18,7 @@
 	End End
 }
 
-// End is how an inquiry ends without a whole answer of its backend. A zero
+// End is how a request ends without a whole answer of its backend. A zero
 // Status means that the last leg's answer is passed on.
 type End struct {
 	Status     int
--- a/way/pick_test.go
+++ b/way/pick_test.go
@@ -25,7 +25,7 @@
 	}
 }
 
-// An inquiry has as many legs as its way says, three if it says nothing.
+// A request has as many legs as its way says, three if it says nothing.
 func TestLegs(t *testing.T) {
 	nodes := map[string]cohort.Node{}
 	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
@@ -36,7 +36,7 @@
 	for legs, want := range map[int]int{0: 3, 1: 1, 2: 2, 5: 5, 10: 6} {
 		now := time.Now()
 		d := Decision{
-			Way: desired.Way{Name: "w", Service: "s", Legs: legs}, Expiry: now.Add(time.Second), Rand: rand.New(rand.NewPCG(1, 1)),
+			Way: desired.Way{Name: "w", Service: "s", Legs: legs}, Deadline: now.Add(time.Second), Rand: rand.New(rand.NewPCG(1, 1)),
 			Means: Means{Cost: func(cohort.Target) Cost { return Cost{} }, Spend: func() bool { return true }},
 		}
 		for {
--- a/way/spend.go
+++ b/way/spend.go
@@ -6,10 +6,10 @@
 	"curlewwalk/cohort"
 )
 
-// Means is what an inquiry may spend of its contract's budget, and what is known
+// Means is what a request may spend of its contract's budget, and what is known
 // of the places that it may go to. (DESIGN 15.4)
 type Means struct {
-	// Aim is when the inquiry is late; Room is how late it may be at all.
+	// Aim is when the request is late; Room is how late it may be at all.
 	Aim  time.Time
 	Room time.Duration
 	// Patience is how late it may be planned to be.
@@ -42,12 +42,12 @@
 	crossing = 100 // (ours)
 	// hopeless is the share of legs that must come back in the time left.
 	hopeless = 0.1 // (ours)
-	// trickle is one of how many hopeless inquiries is sent all the same, so that
+	// trickle is one of how many hopeless requests is sent all the same, so that
 	// a wrong lesson heals.
 	trickle = 16 // (ours)
 )
 
-// late is how late the inquiry would be at a place.
+// late is how late the request would be at a place.
 func (m *Means) late(t cohort.Target, now time.Time) time.Duration {
 	c := m.Cost(t)
 	return c.Lateness(m.Aim.Sub(now), m.Room)
--- a/way/spend_test.go
+++ b/way/spend_test.go
@@ -38,7 +38,7 @@
 	return s
 }
 
-// picks counts where inquiries go that have so much patience, and how many are
+// picks counts where requests go that have so much patience, and how many are
 // refused.
 func (s *site) picks(left, patience time.Duration) map[string]int {
 	out := map[string]int{}
@@ -46,7 +46,7 @@
 	for seed := range uint64(400) {
 		now := time.Now()
 		d := Decision{
-			Way: desired.Way{Name: "w", Service: "s"}, Expiry: now.Add(left), Locality: "north", Rand: rand.New(rand.NewPCG(seed, 1)),
+			Way: desired.Way{Name: "w", Service: "s"}, Deadline: now.Add(left), Locality: "north", Rand: rand.New(rand.NewPCG(seed, 1)),
 			Means: Means{
 				Aim: now.Add(100 * time.Millisecond), Room: 900 * time.Millisecond, Patience: patience, Crossing: s.crossing,
 				Cost: func(t cohort.Target) Cost { return s.costs.Of("w", t) }, Spend: func() bool { return true },
--- a/way/table.go
+++ b/way/table.go
@@ -1,4 +1,4 @@
-// Package way decides where an inquiry goes: a decision object that is asked.
+// Package way decides where a request goes: a decision object that is asked.
 // (DESIGN 4)
 package way
 
@@ -80,7 +80,7 @@
 	return t, true
 }
 
-// Match finds the way of an inquiry and its contract.
+// Match finds the way of a request and its contract.
 func (t *Table) Match(host, path, method string) (desired.Way, desired.Contract, bool) {
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
@@ -98,7 +98,7 @@
 	return s, ok
 }
 
-// ColdRate is how many inquiries a second a cold backend of a service bears; 0 if the
+// ColdRate is how many requests a second a cold backend of a service bears; 0 if the
 // operator said nothing of it.
 func (t *Table) ColdRate(service string) float64 {
 	if s := t.services[service]; s.Cold != nil {
@@ -123,7 +123,7 @@
 
 const (
 	// A run that an earlier sidecar let in is taken to be over after the longest
-	// expiry, but neither sooner nor later than this.
+	// deadline, but neither sooner nor later than this.
 	freshLeast = 2 * time.Second  // (ours)
 	freshMost  = 10 * time.Second // (ours)
 )
@@ -133,7 +133,7 @@
 func (t *Table) Fresh(up time.Duration) bool {
 	longest := freshLeast
 	for _, c := range t.contracts {
-		longest = max(longest, min(freshMost, c.Expiry.Duration))
+		longest = max(longest, min(freshMost, c.Deadline.Duration))
 	}
 	return up < longest
 }
@@ -143,7 +143,7 @@
 	out := []contract.Page{}
 	for _, name := range slices.Sorted(maps.Keys(t.contracts)) {
 		c := t.contracts[name]
-		out = append(out, contract.NewPage(name, c.Rank, c.Aim.Duration, c.Expiry.Duration, sums[name]))
+		out = append(out, contract.NewPage(name, c.Rank, c.Aim.Duration, c.Deadline.Duration, sums[name]))
 	}
 	return out
 }
--- a/wire/calls.go
+++ b/wire/calls.go
@@ -7,15 +7,15 @@
 )
 
 // longFrame is the length from which a frame is written beside the circuit's thread, so
-// that receipts of other calls do not wait for it.
+// that responses of other calls do not wait for it.
 const longFrame = 16 << 10 // (ours)
 
-// openCalls are the calls of a circuit that wait for their receipts. The circuit's thread
+// openCalls are the calls of a circuit that wait for their responses. The circuit's thread
 // owns them.
 type openCalls struct {
 	circuit *Circuit
 	open    map[uint64]*call
-	// dropped are those whose callers gave up; their receipts may still come.
+	// dropped are those whose callers gave up; their responses may still come.
 	dropped map[uint64]bool
 	next    uint64
 	peer    silence
@@ -65,7 +65,7 @@
 		o.tick.Reset(pingAfter)
 	}
 	if k.elsewhere && o.peer.suspect() {
-		k.reply <- Receipt{Fate: Unsent}
+		k.reply <- Response{Fate: Unsent}
 		return true
 	}
 	o.next++
@@ -73,7 +73,7 @@
 	frame, err := encode(k.span, message{ID: k.id, Kind: k.kind, Body: k.body})
 	k.body = nil
 	if err != nil {
-		k.reply <- Receipt{Fate: Unsent, Fault: err.Error()}
+		k.reply <- Response{Fate: Unsent, Fault: err.Error()}
 		return true
 	}
 	o.open[k.id], o.writing = k, k
@@ -95,18 +95,18 @@
 }
 
 // begun takes what became of the frame that was being written. Part of a frame can't be
-// read as a message; of a whole one the receipt may have come before. (DESIGN 3.3)
+// read as a message; of a whole one the response may have come before. (DESIGN 3.3)
 func (o *openCalls) begun(w written) bool {
 	k := o.writing
 	o.writing = nil
 	if o.open[k.id] == k && !w.whole {
 		delete(o.open, k.id)
-		k.reply <- Receipt{Fate: Unsent}
+		k.reply <- Response{Fate: Unsent}
 	}
 	return w.err == nil
 }
 
-// receive takes what the peer sent. A receipt that nobody waits for, or of another kind,
+// receive takes what the peer sent. A response that nobody waits for, or of another kind,
 // ends the circuit: it can't be trusted.
 func (o *openCalls) receive(in inbound) bool {
 	count := o.circuit.count
@@ -114,25 +114,25 @@
 	case in.err != nil:
 		return false
 	case in.msg.Kind == KindPing:
-		count.receipt(KindPing, in.bytes)
+		count.response(KindPing, in.bytes)
 		return true
 	}
 	k, ok := o.open[in.msg.ID]
 	switch {
 	case !ok && o.dropped[in.msg.ID]:
 		delete(o.dropped, in.msg.ID)
-		count.receipt(kindDropped, in.bytes)
+		count.response(kindDropped, in.bytes)
 		return true
 	case !ok, k.kind != in.msg.Kind:
 		return false
 	}
 	delete(o.open, in.msg.ID)
 	if k.givenUp.Load() {
-		count.receipt(kindDropped, in.bytes)
+		count.response(kindDropped, in.bytes)
 		return true
 	}
-	count.receipt(k.kind, in.bytes)
-	k.reply <- Receipt{Fate: Answered, Fault: in.msg.Fault, Span: in.span, Traced: in.traced, body: in.msg.Body}
+	count.response(k.kind, in.bytes)
+	k.reply <- Response{Fate: Answered, Fault: in.msg.Fault, Span: in.span, Traced: in.traced, body: in.msg.Body}
 	return true
 }
 
@@ -173,6 +173,6 @@
 		o.begun(<-o.wrote)
 	}
 	for _, k := range o.open {
-		k.reply <- Receipt{Fate: Lost}
+		k.reply <- Response{Fate: Lost}
 	}
 }
--- a/wire/circuit.go
+++ b/wire/circuit.go
@@ -22,7 +22,7 @@
 )
 
 // Circuit is the calling side of one TCP connection: many calls at a time,
-// each matched to its receipt by number. (DESIGN 3.2)
+// each matched to its response by number. (DESIGN 3.2)
 type Circuit struct {
 	conn  *heardConn
 	far   Greeting
@@ -39,7 +39,7 @@
 	span  trace.Span
 	kind  string
 	body  msgpack.RawMessage
-	reply chan Receipt
+	reply chan Response
 	// elsewhere says that its caller would rather turn elsewhere than wait for a peer
 	// that is suspected.
 	elsewhere bool
@@ -72,7 +72,7 @@
 	conn := &heardConn{Conn: raw}
 	c := &Circuit{conn: conn, count: count, calls: make(chan *call), in: make(chan inbound, 16), done: make(chan struct{})}
 	r := bufio.NewReader(conn)
-	if c.far, err = exchange(conn, r, own, count.call, count.receipt); err != nil {
+	if c.far, err = exchange(conn, r, own, count.call, count.response); err != nil {
 		conn.Close()
 		return nil, err
 	}
@@ -113,27 +113,27 @@
 // Close ends the circuit; calls still open are lost.
 func (c *Circuit) Close() { c.conn.Close() }
 
-// Call sends body and waits for the receipt or for ctx. The span in ctx's slot
+// Call sends body and waits for the response or for ctx. The span in ctx's slot
 // goes at the start of the message.
-func (c *Circuit) Call(ctx context.Context, kind string, body any) Receipt {
+func (c *Circuit) Call(ctx context.Context, kind string, body any) Response {
 	return c.call(ctx, ctx, kind, body, false)
 }
 
 // call is Call, with a bound of its own on how long the circuit may take to begin with
 // it: until then it is surely unsent.
-func (c *Circuit) call(ctx, begin context.Context, kind string, body any, elsewhere bool) Receipt {
+func (c *Circuit) call(ctx, begin context.Context, kind string, body any, elsewhere bool) Response {
 	raw, err := msgpack.Marshal(body)
 	if err != nil {
-		return Receipt{Fate: Unsent, Fault: err.Error()}
+		return Response{Fate: Unsent, Fault: err.Error()}
 	}
 	s, _ := trace.From(ctx)
-	k := &call{span: s, kind: kind, body: raw, elsewhere: elsewhere, reply: make(chan Receipt, 1)}
+	k := &call{span: s, kind: kind, body: raw, elsewhere: elsewhere, reply: make(chan Response, 1)}
 	select {
 	case c.calls <- k:
 	case <-c.done:
-		return Receipt{Fate: Unsent}
+		return Response{Fate: Unsent}
 	case <-begin.Done():
-		return Receipt{Fate: Unsent}
+		return Response{Fate: Unsent}
 	}
 	select {
 	case r := <-k.reply:
@@ -141,7 +141,7 @@
 	case <-ctx.Done():
 		// The circuit is not waited for: it may be held up by its peer.
 		k.givenUp.Store(true)
-		return Receipt{Fate: Lost}
+		return Response{Fate: Lost}
 	}
 }
 
--- a/wire/counts.go
+++ b/wire/counts.go
@@ -6,17 +6,17 @@
 )
 
 // Count is what one side of circuits carried of one kind: a calling side (Net) sent the
-// calls and got the receipts, an answering side (Host) got the calls and sent the
-// receipts. Bytes are whole frames.
+// calls and got the responses, an answering side (Host) got the calls and sent the
+// responses. Bytes are whole frames.
 type Count struct {
-	Calls        uint64 `json:"calls"`
-	CallBytes    uint64 `json:"call_bytes"`
-	Receipts     uint64 `json:"receipts"`
-	ReceiptBytes uint64 `json:"receipt_bytes"`
+	Calls         uint64 `json:"calls"`
+	CallBytes     uint64 `json:"call_bytes"`
+	Responses     uint64 `json:"receipts"`
+	ResponseBytes uint64 `json:"receipt_bytes"`
 }
 
 // These are counted beside the kinds of calls. What another process names is not kept
-// as a kind unless somebody here answers it; a dropped receipt came after its caller
+// as a kind unless somebody here answers it; a dropped response came after its caller
 // had given up.
 const (
 	KindPing     = "ping"
@@ -28,7 +28,7 @@
 // Counts counts frames by kind. All circuits of one side share it.
 type Counts struct{ kinds sync.Map }
 
-type cell struct{ calls, callBytes, receipts, receiptBytes atomic.Uint64 }
+type cell struct{ calls, callBytes, responses, responseBytes atomic.Uint64 }
 
 func (c *Counts) cell(kind string) *cell {
 	if got, ok := c.kinds.Load(kind); ok {
@@ -44,10 +44,10 @@
 	k.callBytes.Add(uint64(bytes))
 }
 
-func (c *Counts) receipt(kind string, bytes int) {
+func (c *Counts) response(kind string, bytes int) {
 	k := c.cell(kind)
-	k.receipts.Add(1)
-	k.receiptBytes.Add(uint64(bytes))
+	k.responses.Add(1)
+	k.responseBytes.Add(uint64(bytes))
 }
 
 // Read is what was counted so far, by kind.
@@ -55,7 +55,7 @@
 	out := map[string]Count{}
 	c.kinds.Range(func(kind, v any) bool {
 		k := v.(*cell)
-		out[kind.(string)] = Count{k.calls.Load(), k.callBytes.Load(), k.receipts.Load(), k.receiptBytes.Load()}
+		out[kind.(string)] = Count{k.calls.Load(), k.callBytes.Load(), k.responses.Load(), k.responseBytes.Load()}
 		return true
 	})
 	return out
--- a/wire/host.go
+++ b/wire/host.go
@@ -11,18 +11,18 @@
 	"curlewwalk/trace"
 )
 
-// Inquiry is a call that arrived, for a handler.
-type Inquiry struct {
+// Request is a call that arrived, for a handler.
+type Request struct {
 	Far  Greeting
 	body msgpack.RawMessage
 }
 
 // Into reads the call's body.
-func (q Inquiry) Into(v any) bool { return msgpack.Unmarshal(q.body, v) == nil }
+func (q Request) Into(v any) bool { return msgpack.Unmarshal(q.body, v) == nil }
 
 // Handler answers one kind of call. The caller's span is in ctx's slot. A
 // non-empty fault means that the call was not taken.
-type Handler func(ctx context.Context, q Inquiry) (body any, fault string)
+type Handler func(ctx context.Context, q Request) (body any, fault string)
 
 // Host is the answering side of circuits. (DESIGN 3.2)
 type Host struct {
@@ -31,7 +31,7 @@
 	Launcher *launch.Launcher
 	// Listener is where circuits come in.
 	Listener net.Listener
-	// Counts are the calls that came and the receipts sent, by kind.
+	// Counts are the calls that came and the responses sent, by kind.
 	Counts Counts
 }
 
@@ -54,7 +54,7 @@
 func (h *Host) serve(ctx context.Context, conn net.Conn) {
 	defer conn.Close()
 	r := bufio.NewReader(conn)
-	far, err := exchange(conn, r, h.Own, h.Counts.receipt, h.Counts.call)
+	far, err := exchange(conn, r, h.Own, h.Counts.response, h.Counts.call)
 	if err != nil {
 		return
 	}
@@ -109,7 +109,7 @@
 		a.Fault = faultKind + m.Kind
 		return a
 	}
-	body, fault := fn(ctx, Inquiry{Far: far, body: m.Body})
+	body, fault := fn(ctx, Request{Far: far, body: m.Body})
 	a.Fault = fault
 	if fault == "" {
 		raw, err := msgpack.Marshal(body)
@@ -127,14 +127,14 @@
 	if err != nil {
 		b, _ = encode(s, message{ID: m.ID, Kind: m.Kind, Fault: err.Error()})
 	}
-	h.Counts.receipt(h.counted(m.Kind), len(b))
+	h.Counts.response(h.counted(m.Kind), len(b))
 	select {
 	case out <- b:
 	case <-ctx.Done():
 	}
 }
 
-// pong answers a ping, unless receipts wait to be written, which tell as much. The host
+// pong answers a ping, unless responses wait to be written, which tell as much. The host
 // must not wait for its own writing here: the caller may be writing, and read nothing
 // before the host has read that. (DESIGN 3.4)
 func (h *Host) pong(out chan<- []byte) {
@@ -144,7 +144,7 @@
 	}
 	select {
 	case out <- b:
-		h.Counts.receipt(KindPing, len(b))
+		h.Counts.response(KindPing, len(b))
 	default:
 	}
 }
--- a/wire/hostile_test.go
+++ b/wire/hostile_test.go
@@ -67,7 +67,7 @@
 // served as before.
 func TestHostOutlivesMalformedFrames(t *testing.T) {
 	ctx, l := begin(t)
-	h := &Host{Launcher: l, Handlers: map[string]Handler{"list": func(_ context.Context, q Inquiry) (any, string) {
+	h := &Host{Launcher: l, Handlers: map[string]Handler{"list": func(_ context.Context, q Request) (any, string) {
 		var list listing
 		if !q.Into(&list) {
 			return nil, "not a list"
@@ -283,9 +283,9 @@
 	}
 }
 
-// A receipt that comes after its caller has given up is nobody's: the callers after it
-// get their own, on the same circuit, in whatever order the receipts come.
-func TestLateReceipts(t *testing.T) {
+// A response that comes after its caller has given up is nobody's: the callers after it
+// get their own, on the same circuit, in whatever order the responses come.
+func TestLateResponses(t *testing.T) {
 	ctx, l := begin(t)
 	const calls = 40
 	came := make(chan bool, calls+1)
@@ -347,18 +347,18 @@
 		t.Errorf("%+v %+v", r, e)
 	}
 	patient.Wait()
-	// Behind this one, all receipts of before have come.
+	// Behind this one, all responses of before have come.
 	if r := c.Call(ctx, "echo", echo{Text: "answer all"}); r.Fate != Answered {
 		t.Errorf("%+v", r)
 	}
-	if c.count.Read()[kindDropped].Receipts != calls/2 {
+	if c.count.Read()[kindDropped].Responses != calls/2 {
 		t.Errorf("%+v", c.count.Read())
 	}
 }
 
-// A receipt that comes twice breaks the circuit: what is still open is lost, and nobody
+// A response that comes twice breaks the circuit: what is still open is lost, and nobody
 // gets it.
-func TestDoubledReceipt(t *testing.T) {
+func TestDoubledResponse(t *testing.T) {
 	ctx, l := begin(t)
 	addr := silentPeer(t, func(conn net.Conn, r *bufio.Reader) {
 		var all []byte
@@ -396,7 +396,7 @@
 	<-c.Broken()
 }
 
-// An inquiry is not begun with on a circuit whose peer has left a ping unanswered: it is
+// A request is not begun with on a circuit whose peer has left a ping unanswered: it is
 // surely unsent, at once, and its caller can turn elsewhere. Other calls wait on.
 func TestSuspectedPeer(t *testing.T) {
 	ctx, l := begin(t)
@@ -463,13 +463,13 @@
 	conn.(*net.TCPConn).SetWriteBuffer(64 << 10)
 }
 
-// A caller that is busy writing reads nothing meanwhile, so that receipts pile up. The
+// A caller that is busy writing reads nothing meanwhile, so that responses pile up. The
 // host reads on all the same, pings too: else both would wait for each other until the
 // circuit broke.
-func TestHostReadsOnWhileReceiptsPileUp(t *testing.T) {
+func TestHostReadsOnWhileResponsesPileUp(t *testing.T) {
 	ctx, l := begin(t)
 	answered := make(chan bool, 200)
-	h := &Host{Launcher: l, Handlers: map[string]Handler{"large": func(context.Context, Inquiry) (any, string) {
+	h := &Host{Launcher: l, Handlers: map[string]Handler{"large": func(context.Context, Request) (any, string) {
 		answered <- true
 		return make([]byte, 256<<10), ""
 	}}}
@@ -517,10 +517,10 @@
 	}
 }
 
-// A receipt reaches its caller also while another call's long frame is being written and
+// A response reaches its caller also while another call's long frame is being written and
 // its peer is slow to take it; and a call that comes meanwhile is surely unsent if it
 // can't be begun in time.
-func TestReceiptWhileAFrameIsWritten(t *testing.T) {
+func TestResponseWhileAFrameIsWritten(t *testing.T) {
 	// A chunk that is not taken is given up after writeLimit; the rest is for making a
 	// frame of 32 MiB, which takes seconds under the race detector on a busy machine.
 	ctx, l := beginFor(t, 8*writeLimit)
--- a/wire/message.go
+++ b/wire/message.go
@@ -8,11 +8,11 @@
 
 // message is what a frame holds, after the trace prefix if there is one.
 type message struct {
-	// ID numbers the call on its circuit; a receipt repeats it.
+	// ID numbers the call on its circuit; a response repeats it.
 	ID   uint64             `msgpack:"i"`
 	Kind string             `msgpack:"k"`
 	Body msgpack.RawMessage `msgpack:"b,omitempty"`
-	// Fault is set on a receipt when the far node could not take the call.
+	// Fault is set on a response when the far node could not take the call.
 	Fault string `msgpack:"f,omitempty"`
 }
 
--- a/wire/net.go
+++ b/wire/net.go
@@ -22,11 +22,11 @@
 	want chan want
 	made chan dialled
 	gone chan *Circuit
-	// Counts are the calls sent and the receipts that came, by kind.
+	// Counts are the calls sent and the responses that came, by kind.
 	Counts Counts
 }
 
-// Lane keeps control traffic and inquiries out of each other's way.
+// Lane keeps control traffic and requests out of each other's way.
 type Lane int
 
 // The lanes.
@@ -60,13 +60,13 @@
 	return n
 }
 
-// handFor is how long an inquiry waits to be begun with on the way to another node, for a
+// handFor is how long a request waits to be begun with on the way to another node, for a
 // circuit to be opened or to come free: past it, it is surely unsent, and its caller can
 // turn elsewhere. A circuit that is being opened may still serve the next.
 const handFor = 300 * time.Millisecond // (ours)
 
 // Call sends one call to addr, opening a circuit if there is none.
-func (n *Net) Call(ctx context.Context, addr string, lane Lane, kind string, body any) Receipt {
+func (n *Net) Call(ctx context.Context, addr string, lane Lane, kind string, body any) Response {
 	begin := ctx
 	if lane == Traffic {
 		var cancel context.CancelFunc
@@ -80,7 +80,7 @@
 		select {
 		case n.want <- w:
 		case <-begin.Done():
-			return Receipt{Fate: Unsent}
+			return Response{Fate: Unsent}
 		}
 		var d dialled
 		select {
@@ -88,7 +88,7 @@
 		case <-begin.Done():
 		}
 		if c = d.c; c == nil {
-			return Receipt{Fate: Unsent, Fault: "no circuit", Refused: d.refused}
+			return Response{Fate: Unsent, Fault: "no circuit", Refused: d.refused}
 		}
 	}
 	return c.call(ctx, begin, kind, body, lane == Traffic)
--- a/wire/receipt.go
+++ b/wire/receipt.go
@@ -8,8 +8,8 @@
 	"curlewwalk/trace"
 )
 
-// Receipt is the outcome of a call, as a value.
-type Receipt struct {
+// Response is the outcome of a call, as a value.
+type Response struct {
 	Fate  Fate
 	Fault string
 	// Refused is set when the far machine actively refused the connection: no
@@ -25,9 +25,9 @@
 const faultKind = "unknown kind "
 
 // UnknownKind tells whether the far node is of a version without that kind of call.
-func (r Receipt) UnknownKind() bool { return strings.HasPrefix(r.Fault, faultKind) }
+func (r Response) UnknownKind() bool { return strings.HasPrefix(r.Fault, faultKind) }
 
-// Into reads the body of an answered receipt; false if there is none that fits.
-func (r Receipt) Into(v any) bool {
+// Into reads the body of an answered response; false if there is none that fits.
+func (r Response) Into(v any) bool {
 	return r.Fate == Answered && r.Fault == "" && msgpack.Unmarshal(r.body, v) == nil
 }
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -38,7 +38,7 @@
 
 func host(t *testing.T, ctx context.Context, l *launch.Launcher) *Host {
 	h := &Host{Launcher: l, Own: Greeting{Version: Version, Node: "host"}, Handlers: map[string]Handler{
-		"echo": func(ctx context.Context, q Inquiry) (any, string) {
+		"echo": func(ctx context.Context, q Request) (any, string) {
 			var e echo
 			if !q.Into(&e) {
 				return nil, "not an echo"
@@ -204,7 +204,7 @@
 func TestDoubledCall(t *testing.T) {
 	ctx, l := begin(t)
 	runs := make(chan int, 9)
-	h := &Host{Launcher: l, Handlers: map[string]Handler{"run": func(context.Context, Inquiry) (any, string) { runs <- 1; return 1, "" }}}
+	h := &Host{Launcher: l, Handlers: map[string]Handler{"run": func(context.Context, Request) (any, string) { runs <- 1; return 1, "" }}}
 	h.Listener = listen(t)
 	l.Go(ctx, "host", h.Run)
 	conn, err := net.Dial("tcp", h.Addr().String())
@@ -251,7 +251,7 @@
 	if d := cmp.Diff(called, answered); d != "" {
 		t.Error(d)
 	}
-	if c := called["echo"]; c.Calls != 2 || c.Receipts != 2 || c.CallBytes <= 2*headLen || called[kindGreeting].Calls != 1 || called["nobody"].Receipts != 1 {
+	if c := called["echo"]; c.Calls != 2 || c.Responses != 2 || c.CallBytes <= 2*headLen || called[kindGreeting].Calls != 1 || called["nobody"].Responses != 1 {
 		t.Errorf("%+v", called)
 	}
 }
