--- a/boot/boot_test.go
+++ b/boot/boot_test.go
@@ -35,7 +35,7 @@
 	if exit.Now {
 		t.Fatal(exit.Text)
 	}
-	if s.Locality != "north" || s.Drain != 5*time.Second || s.Advertise != "10.0.0.7:7400" || s.Wire != "127.0.0.1:7400" || s.Outgoing["orders"] != "127.0.0.1:7500" {
+	if s.Zone != "north" || s.Drain != 5*time.Second || s.Advertise != "10.0.0.7:7400" || s.Wire != "127.0.0.1:7400" || s.Outgoing["orders"] != "127.0.0.1:7500" {
 		t.Errorf("%+v", s)
 	}
 	if d := cmp.Diff([]string{"10.0.0.9:1"}, s.Seeds); d != "" {
--- a/boot/checker.go
+++ b/boot/checker.go
@@ -54,8 +54,8 @@
 }
 
 func (c *checker) common(s *Common) {
-	if !desired.IsName(s.Locality) {
-		c.bad("locality", s.Locality, desired.NameForm)
+	if !desired.IsName(s.Zone) {
+		c.bad("locality", s.Zone, desired.NameForm)
 	}
 	c.address("wire", s.Wire, true)
 	c.address("advertise", s.Advertise, false)
--- a/boot/common.go
+++ b/boot/common.go
@@ -10,7 +10,7 @@
 	Check   bool   `long:"check" description:"check the settings, print what they come to, and exit" no-ini:"true"`
 	Version bool   `long:"version" description:"print the version and exit" no-ini:"true"`
 
-	Locality  string        `long:"locality" ini-name:"locality" description:"where this machine stands (required)"`
+	Zone      string        `long:"locality" ini-name:"locality" description:"where this machine stands (required)"`
 	Wire      string        `long:"wire" ini-name:"wire" description:"address for the system's own processes (IP:port, required)"`
 	Advertise string        `long:"advertise" ini-name:"advertise" description:"address that others reach wire at, if it is another one (IP:port)"`
 	Control   string        `long:"control" ini-name:"control" description:"address for /v1, /live and /ready (IP:port, required)"`
--- a/cohort/backend.go
+++ b/cohort/backend.go
@@ -7,7 +7,7 @@
 	Instance string  `msgpack:"i" json:"instance"`
 	Service  string  `msgpack:"s" json:"service"`
 	Address  string  `msgpack:"a" json:"address"`
-	Locality string  `msgpack:"l" json:"locality"`
+	Zone     string  `msgpack:"l" json:"locality"`
 	Capacity int     `msgpack:"c" json:"capacity"`
 	Share    float64 `msgpack:"w" json:"share"`
 	Leaving  bool    `msgpack:"x" json:"leaving"`
--- a/cohort/digest.go
+++ b/cohort/digest.go
@@ -36,7 +36,7 @@
 
 // Marked is the seat with its mark, a digest of all but the wall clock.
 func (c Seat) Marked() Seat {
-	c.Mark = digest{}.num(uint64(c.Slot)).num(uint64(c.Slots)).text(c.Addr).num(c.Inc).num(c.Boot).text(c.Locality).
+	c.Mark = digest{}.num(uint64(c.Slot)).num(uint64(c.Slots)).text(c.Addr).num(c.Inc).num(c.Boot).text(c.Zone).
 		flag(c.Established).num(c.Settled).slots(c.Set).slots(c.Before).num(c.Held).flag(c.Unable).sum()
 	return c
 }
--- a/cohort/node.go
+++ b/cohort/node.go
@@ -7,14 +7,14 @@
 	Addr     string    `msgpack:"a" json:"address"`
 	Boot     uint64    `msgpack:"b" json:"boot"`
 	Rev      uint64    `msgpack:"r" json:"rev"`
-	Locality string    `msgpack:"l" json:"locality"`
+	Zone     string    `msgpack:"l" json:"locality"`
 	Stamp    uint64    `msgpack:"s,omitempty" json:"stamp"`
 	Backends []Backend `msgpack:"be,omitempty" json:"backends"`
 	// Inc rises when the node refutes an accusation; Accuses lists whom it
 	// accuses itself. Both change without Rev.
 	Inc     uint64       `msgpack:"in,omitempty" json:"incarnation"`
 	Accuses []Accusation `msgpack:"ac,omitempty" json:"accuses,omitempty"`
-	// Open counts what runs and waits at own backends, by locality.
+	// Open counts what runs and waits at own backends, by zone.
 	Open map[string]int64 `msgpack:"op,omitempty" json:"open,omitempty"`
 	// Budgets is the node's own tally by contract; it changes without Rev.
 	Budgets map[string]contract.Tally `msgpack:"bu,omitempty" json:"budgets,omitempty"`
--- a/cohort/pulse.go
+++ b/cohort/pulse.go
@@ -14,7 +14,7 @@
 	Stamp   uint64       `msgpack:"s,omitempty"`
 	Inc     uint64       `msgpack:"in,omitempty"`
 	Accuses []Accusation `msgpack:"ac,omitempty"`
-	// Open has the localities where anything is open.
+	// Open has the zones where anything is open.
 	Open map[string]int64 `msgpack:"op,omitempty"`
 	// Tallies are told more rarely; none is no news.
 	Tallies *Tallies `msgpack:"ta,omitempty"`
@@ -28,12 +28,12 @@
 // Pulse is the node's; with its tallies if they are due.
 func (n Node) Pulse(due bool) Pulse {
 	p := Pulse{Addr: n.Addr, Boot: n.Boot, Rev: n.Rev, Turn: n.Turn, Stamp: n.Stamp, Inc: n.Inc, Accuses: n.Accuses}
-	for locality, open := range n.Open {
+	for zone, open := range n.Open {
 		if open != 0 {
 			if p.Open == nil {
 				p.Open = map[string]int64{}
 			}
-			p.Open[locality] = open
+			p.Open[zone] = open
 		}
 	}
 	if due {
--- a/cohort/rollcall_test.go
+++ b/cohort/rollcall_test.go
@@ -59,7 +59,7 @@
 		c.Own, c.now, c.within, c.clock = ln.Addr().String(), watch.now, time.Minute, watch
 		own := wire.Greeting{Version: wire.Version, Node: c.Own}
 		c.Net, c.Launcher = wire.NewNet(l, own, nil), l
-		self := Node{Addr: c.Own, Boot: uint64(i) + 1<<60, Rev: 3, Locality: "north", Backends: []Backend{{Service: "orders", Instance: "orders-" + ip, Address: ip + ":8000", Locality: "north", Capacity: 9}}}
+		self := Node{Addr: c.Own, Boot: uint64(i) + 1<<60, Rev: 3, Zone: "north", Backends: []Backend{{Service: "orders", Instance: "orders-" + ip, Address: ip + ":8000", Zone: "north", Capacity: 9}}}
 		c.nodes[c.Own] = self
 		c.Node = func() Node {
 			c.mu.Lock()
--- a/cohort/seat.go
+++ b/cohort/seat.go
@@ -7,7 +7,7 @@
 	Addr        string `msgpack:"a" json:"address"`
 	Inc         uint64 `msgpack:"i" json:"incarnation"`
 	Boot        uint64 `msgpack:"b" json:"boot"`
-	Locality    string `msgpack:"l" json:"locality"`
+	Zone        string `msgpack:"l" json:"locality"`
 	Established bool   `msgpack:"e" json:"established"`
 	Settled     uint64 `msgpack:"st" json:"settled"`
 	// Set is the set of slots of the newest word that it holds, whose stamp is Held;
--- a/core/applicant.go
+++ b/core/applicant.go
@@ -37,7 +37,7 @@
 
 // ask asks the core on duty, or any that passes it on.
 func (n *Node) ask(ctx context.Context) {
-	a := register.Asker{ID: n.keeper.Acceptor().Self.ID, Addr: n.set.Advertise, Locality: n.set.Locality}
+	a := register.Asker{ID: n.keeper.Acceptor().Self.ID, Addr: n.set.Advertise, Zone: n.set.Zone}
 	ctx, cancel := context.WithTimeout(ctx, seatLimit)
 	defer cancel()
 	to := n.duty().Addr
--- a/core/control.go
+++ b/core/control.go
@@ -23,8 +23,8 @@
 const (
 	// headerStamp carries a word's stamp.
 	headerStamp = "Curlewwalk-Stamp"
-	// headerEdition carries the operator's own number of a configuration.
-	headerEdition = "Curlewwalk-Edition"
+	// headerGeneration carries the operator's own number of a configuration.
+	headerGeneration = "Curlewwalk-Edition"
 )
 
 // written is the response of an operator's write.
@@ -64,10 +64,10 @@
 	n.p.Common(mux, n.live, n.Ready)
 	mux.HandleFunc("PUT /v1/desired", n.putDesired)
 	mux.HandleFunc("GET /v1/desired", n.getDesired)
-	mux.HandleFunc("GET /v1/localities", n.getLocalities)
+	mux.HandleFunc("GET /v1/localities", n.getZones)
 	mux.HandleFunc("GET /v1/localities/{name}", n.getDrain)
-	mux.HandleFunc("PUT /v1/localities/{name}/emptied", n.locality(register.Empty))
-	mux.HandleFunc("DELETE /v1/localities/{name}/emptied", n.locality(register.TakeBack))
+	mux.HandleFunc("PUT /v1/localities/{name}/emptied", n.zone(register.Empty))
+	mux.HandleFunc("DELETE /v1/localities/{name}/emptied", n.zone(register.TakeBack))
 	mux.HandleFunc("PUT /v1/windows", n.putWindows)
 	mux.HandleFunc("GET /v1/windows", n.getWindows)
 	mux.HandleFunc("DELETE /v1/windows", func(w http.ResponseWriter, r *http.Request) {
@@ -117,14 +117,14 @@
 	if !ok {
 		return
 	}
-	e := Edition{Desired: bytes}
+	e := Generation{Desired: bytes}
 	if e.IfMatch, ok = ifMatch(w, r); !ok {
 		return
 	}
-	if text := r.Header.Get(headerEdition); text != "" {
+	if text := r.Header.Get(headerGeneration); text != "" {
 		var err error
 		if e.Number, err = strconv.ParseUint(text, 10, 64); err != nil || e.Number == 0 {
-			process.Error(w, http.StatusBadRequest, headerEdition+" is no number from 1")
+			process.Error(w, http.StatusBadRequest, headerGeneration+" is no number from 1")
 			return
 		}
 	}
@@ -140,7 +140,7 @@
 	n.response(w, r, a)
 }
 
-func (n *Node) locality(kind register.OrderKind) http.HandlerFunc {
+func (n *Node) zone(kind register.OrderKind) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		name := r.PathValue("name")
 		if !desired.IsName(name) {
@@ -148,7 +148,7 @@
 			return
 		}
 		if m, ok := ifMatch(w, r); ok {
-			n.response(w, r, n.evacuate(r.Context(), register.Order{Kind: kind, Locality: name, IfMatch: m}))
+			n.response(w, r, n.evacuate(r.Context(), register.Order{Kind: kind, Zone: name, IfMatch: m}))
 		}
 	}
 }
@@ -216,14 +216,14 @@
 		return
 	}
 	stamped(w, word.DesiredStamp)
-	if word.Edition != 0 {
-		w.Header().Set(headerEdition, strconv.FormatUint(word.Edition, 10))
+	if word.Generation != 0 {
+		w.Header().Set(headerGeneration, strconv.FormatUint(word.Generation, 10))
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Write(word.Desired)
 }
 
-func (n *Node) getLocalities(w http.ResponseWriter, r *http.Request) {
+func (n *Node) getZones(w http.ResponseWriter, r *http.Request) {
 	if word, ok := n.read(w, r); ok {
 		emptied := word.Shut()
 		if emptied == nil {
@@ -244,7 +244,7 @@
 	process.JSON(w, http.StatusOK, contract.Answer{Whole: st.Open, Budgets: table.Pages(n.directory.Budgets())})
 }
 
-// getDrain reports what still runs in a locality, and since when nothing does. A core
+// getDrain reports what still runs in a zone, and since when nothing does. A core
 // that knows of no newer word, since it is cut off, reports nothing.
 func (n *Node) getDrain(w http.ResponseWriter, r *http.Request) {
 	newest, contact := n.keeper.Contact(r.Context())
--- a/core/door.go
+++ b/core/door.go
@@ -13,7 +13,7 @@
 // on though whoever gave it goes away. (DESIGN 18)
 
 // Put has a configuration put, unless it has faults: then nothing is done.
-func (n *Node) Put(ctx context.Context, e Edition) (register.Answer, []desired.Fault) {
+func (n *Node) Put(ctx context.Context, e Generation) (register.Answer, []desired.Fault) {
 	if len(e.Desired) > desired.MaxBytes || len(e.Sent) > desired.MaxBytes {
 		return register.Answer{Result: register.NotTaken}, []desired.Fault{{Path: "$", Message: fmt.Sprintf("over %d bytes", desired.MaxBytes)}}
 	}
@@ -24,28 +24,28 @@
 	if len(faults) > 0 {
 		return register.Answer{Result: register.NotTaken}, faults
 	}
-	o := register.Order{Kind: register.Put, Bytes: e.Desired, Edition: e.Number, Sent: e.Sent, IfMatch: e.IfMatch}
+	o := register.Order{Kind: register.Put, Bytes: e.Desired, Generation: e.Number, Sent: e.Sent, IfMatch: e.IfMatch}
 	if e.Number != 0 {
 		o.Digest = desired.Digest(e.Sent, e.Desired)
 	}
 	a := n.obey(ctx, o)
 	if a.Result == register.Conflict {
-		n.p.Log.Warn("another configuration was taken under its number", "generation", e.Number, "held", a.Word.Edition)
+		n.p.Log.Warn("another configuration was taken under its number", "generation", e.Number, "held", a.Word.Generation)
 	}
 	return a, nil
 }
 
-// Empty has a locality emptied.
-func (n *Node) Empty(ctx context.Context, locality string) register.Answer {
-	return n.evacuate(ctx, register.Order{Kind: register.Empty, Locality: locality})
+// Empty has a zone emptied.
+func (n *Node) Empty(ctx context.Context, zone string) register.Answer {
+	return n.evacuate(ctx, register.Order{Kind: register.Empty, Zone: zone})
 }
 
-// TakeBack has a locality taken back.
-func (n *Node) TakeBack(ctx context.Context, locality string) register.Answer {
-	return n.evacuate(ctx, register.Order{Kind: register.TakeBack, Locality: locality})
+// TakeBack has a zone taken back.
+func (n *Node) TakeBack(ctx context.Context, zone string) register.Answer {
+	return n.evacuate(ctx, register.Order{Kind: register.TakeBack, Zone: zone})
 }
 
-// evacuate carries an order on a locality out. It is bound to what was settled when it
+// evacuate carries an order on a zone out. It is bound to what was settled when it
 // came, so that it does not undo what is ordered there after it, however late it is
 // carried out; and it is not begun if whoever gave it has gone away meanwhile, since the
 // same was then given elsewhere, and perhaps something newer. A core that has just woken
--- a/core/edition.go
+++ b/core/generation.go
@@ -1,8 +1,8 @@
 package core
 
-// Edition is a configuration with the operator's own number.
-type Edition struct {
-	// Number is from 1 up; an edition that is no higher than one that was taken is
+// Generation is a configuration with the operator's own number.
+type Generation struct {
+	// Number is from 1 up; a generation that is no higher than one that was taken is
 	// acknowledged and changes nothing, unless another was taken under its number: then
 	// it is refused for good. Zero: the operator does not number them.
 	Number  uint64
--- a/core/node.go
+++ b/core/node.go
@@ -108,7 +108,7 @@
 	v := n.keeper.Acceptor()
 	s := cohort.Seat{
 		Slot: v.Self.Slot, Addr: n.set.Advertise, Inc: v.Self.Inc, Boot: n.p.Boot,
-		Locality: n.set.Locality, Established: v.Phase == register.Established, Settled: v.Settled, Wall: clock.Wall().UnixNano(),
+		Zone: n.set.Zone, Established: v.Phase == register.Established, Settled: v.Settled, Wall: clock.Wall().UnixNano(),
 	}
 	sets := v.Sets()
 	s.Set, s.Slots, s.Held = register.Slots(sets.Now), len(sets.Now), v.Mark.Stamp
--- a/core/warden.go
+++ b/core/warden.go
@@ -12,7 +12,7 @@
 // wardEvery is how often the core on duty looks at the maintenance windows.
 const wardEvery = time.Second // (ours)
 
-// warden has localities emptied and taken back as the maintenance windows say,
+// warden has zones emptied and taken back as the maintenance windows say,
 // while this core is on duty: through orders like an operator's. (DESIGN 17)
 type warden struct {
 	n        *Node
@@ -47,12 +47,12 @@
 		w.stamp = st.Word.CalendarStamp
 	}
 	for _, s := range window.Decide(w.calendar, st.Word.Closures, w.n.wall()) {
-		o := register.Order{Kind: register.End, Locality: s.Locality, Window: s.Window}
+		o := register.Order{Kind: register.End, Zone: s.Zone, Window: s.Window}
 		if s.Begin {
 			o.Kind = register.Begin
 		}
 		a := w.n.lead(ctx, o)
-		w.n.p.Log.Info("a maintenance window", "step", string(o.Kind), "locality", s.Locality, "window", s.Window, "taken", string(a.Result))
+		w.n.p.Log.Info("a maintenance window", "step", string(o.Kind), "locality", s.Zone, "window", s.Window, "taken", string(a.Result))
 	}
 }
 
--- a/custody/choose.go
+++ b/custody/choose.go
@@ -17,18 +17,18 @@
 }
 
 // Choose ranks the nodes that may hold a claim: by rendezvous hashing, one of
-// each other locality before a second of any.
-func Choose(own, locality string, key claim.Key, nodes []cohort.Node) (out []cohort.Node) {
+// each other zone before a second of any.
+func Choose(own, zone string, key claim.Key, nodes []cohort.Node) (out []cohort.Node) {
 	ranked := rendezvous.Rank(own+" "+key.Caller+" "+key.Text, nodes, func(n cohort.Node) string { return n.Addr })
-	seen := map[string]bool{locality: true}
+	seen := map[string]bool{zone: true}
 	var rest []cohort.Node
 	for _, n := range ranked {
 		switch {
 		case n.Addr == own:
-		case seen[n.Locality]:
+		case seen[n.Zone]:
 			rest = append(rest, n)
 		default:
-			seen[n.Locality] = true
+			seen[n.Zone] = true
 			out = append(out, n)
 		}
 	}
--- a/custody/custody_test.go
+++ b/custody/custody_test.go
@@ -10,18 +10,18 @@
 	"curlewwalk/cohort"
 )
 
-// Holders are of other localities than the owner's and of different ones, as long
+// Holders are of other zones than the owner's and of different ones, as long
 // as there are any; a node that goes moves only what it held.
 func TestChoose(t *testing.T) {
 	var nodes []cohort.Node
 	for i := range 12 {
-		nodes = append(nodes, cohort.Node{Addr: fmt.Sprint("node-", i), Locality: fmt.Sprint("locality-", i%4)})
+		nodes = append(nodes, cohort.Node{Addr: fmt.Sprint("node-", i), Zone: fmt.Sprint("locality-", i%4)})
 	}
 	moved := 0
 	for i := range 200 {
 		key := fmt.Sprint("key-", i)
 		got := Choose("node-0", "locality-0", claim.Key{Text: key}, nodes)
-		if len(got) != 11 || got[0].Locality == "locality-0" || got[1].Locality == "locality-0" || got[0].Locality == got[1].Locality {
+		if len(got) != 11 || got[0].Zone == "locality-0" || got[1].Zone == "locality-0" || got[0].Zone == got[1].Zone {
 			t.Fatalf("%s: %v", key, got[:2])
 		}
 		gone := append(append([]cohort.Node{}, nodes[:5]...), nodes[6:]...)
--- a/custody/owner.go
+++ b/custody/owner.go
@@ -33,10 +33,10 @@
 // Owner has a sidecar's claims held by others, and gets those of its earlier
 // boots back from them.
 type Owner struct {
-	Own      string
-	Boot     uint64
-	Locality string
-	View     func() *cohort.View
+	Own  string
+	Boot uint64
+	Zone string
+	View func() *cohort.View
 	// Known tells whether the view means anything yet.
 	Known    func() bool
 	Net      *wire.Net
@@ -65,7 +65,7 @@
 
 // Begin must come before anything else.
 func (o *Owner) Begin() {
-	o.start, o.trusts = time.Now(), NewTrusts(o.Own, o.Locality)
+	o.start, o.trusts = time.Now(), NewTrusts(o.Own, o.Zone)
 }
 
 // with looks at the trusts.
@@ -199,7 +199,7 @@
 	if want == 0 {
 		return t, nil, true
 	}
-	ranked := Choose(o.Own, o.Locality, key, others)
+	ranked := Choose(o.Own, o.Zone, key, others)
 	slices.SortStableFunc(ranked, func(a, b cohort.Node) int { return o.silence(a) - o.silence(b) })
 	held := make(chan Held, len(ranked))
 	for range rounds {
--- a/custody/trusts.go
+++ b/custody/trusts.go
@@ -10,9 +10,9 @@
 // Trusts is a decision value: which of an owner's claims are held by whom, and
 // what must be entrusted anew because a holder has gone. (DESIGN 10.4)
 type Trusts struct {
-	own, locality string
-	held          map[claim.Key]*trust
-	bytes         int // of responses
+	own, zone string
+	held      map[claim.Key]*trust
+	bytes     int // of responses
 }
 
 type trust struct {
@@ -28,8 +28,8 @@
 }
 
 // NewTrusts makes the trusts of an owner.
-func NewTrusts(own, locality string) *Trusts {
-	return &Trusts{own: own, locality: locality, held: map[claim.Key]*trust{}}
+func NewTrusts(own, zone string) *Trusts {
+	return &Trusts{own: own, zone: zone, held: map[claim.Key]*trust{}}
 }
 
 // Held takes that a node holds a claim, in the state that e tells.
@@ -103,7 +103,7 @@
 		if have >= want || len(out) >= most {
 			continue
 		}
-		for _, n := range Choose(t.own, t.locality, key, nodes) {
+		for _, n := range Choose(t.own, t.zone, key, nodes) {
 			if holds(n.Addr) {
 				continue
 			}
--- a/desired/check.go
+++ b/desired/check.go
@@ -28,7 +28,7 @@
 	mostBodyBytes = 1 << 40
 )
 
-// NameForm tells what a name, of a locality too, may be.
+// NameForm tells what a name, of a zone too, may be.
 const NameForm = "a name of lower-case letters, digits, '.', '_', '-', at most 63"
 
 // IsName tells whether a text may be a name.
--- a/desired/taken.go
+++ b/desired/taken.go
@@ -38,7 +38,7 @@
 		}
 	}
 	// A word of an older version has no record, but what was sent last.
-	if number == w.Edition && w.Sent != nil {
+	if number == w.Generation && w.Sent != nil {
 		return bytes.Equal(Digest(w.Sent, nil), digest), true
 	}
 	return false, false
--- a/desired/word.go
+++ b/desired/word.go
@@ -3,7 +3,7 @@
 import "slices"
 
 // Word is the operator's word as the cores keep it: the bytes as they were
-// sent, the localities asked to be emptied, and the calendar of maintenance
+// sent, the zones asked to be emptied, and the calendar of maintenance
 // windows with those that go on.
 type Word struct {
 	Stamp uint64 `msgpack:"s"`
@@ -11,14 +11,14 @@
 	DesiredStamp uint64   `msgpack:"ds"`
 	Desired      []byte   `msgpack:"d"`
 	Emptied      []string `msgpack:"e"`
-	// Edition is the highest of the operator's own numbers; zero: none was given.
-	Edition uint64 `msgpack:"n,omitempty"`
+	// Generation is the highest of the operator's own numbers; zero: none was given.
+	Generation uint64 `msgpack:"n,omitempty"`
 	// Sent is what the operator sent, byte for byte, if Desired is another form of
 	// it. Only cores keep it.
 	Sent []byte `msgpack:"st,omitempty"`
 	// Taken is the record of the newest taken numbers, sorted. Only cores keep it.
 	Taken []Taken `msgpack:"tk,omitempty"`
-	// Evacuations are the newest orders on localities, the newest last; Forgotten is the
+	// Evacuations are the newest orders on zones, the newest last; Forgotten is the
 	// highest stamp of those that are not on record any more. Only cores keep them.
 	Evacuations []Evacuation `msgpack:"ev,omitempty"`
 	Forgotten   uint64       `msgpack:"ef,omitempty"`
@@ -40,12 +40,12 @@
 	return w
 }
 
-// Shut lists the localities that are to be empty now, whoever asked for it.
+// Shut lists the zones that are to be empty now, whoever asked for it.
 func (w Word) Shut() []string {
 	out := slices.Clone(w.Emptied)
 	for _, c := range w.Closures {
 		if !c.Waived {
-			out = append(out, c.Locality)
+			out = append(out, c.Zone)
 		}
 	}
 	slices.Sort(out)
--- a/feed/choice.go
+++ b/feed/choice.go
@@ -22,7 +22,7 @@
 	firstPause = 100 * time.Millisecond
 	mostPause  = 400 * time.Millisecond
 	// avoidFor is how long a core that failed comes after the others; then it may be
-	// followed again, as one of the follower's own locality must be. (ours)
+	// followed again, as one of the follower's own zone must be. (ours)
 	avoidFor = 10 * time.Second
 	// unsure is how old a core's certainty may be before another is followed: one that
 	// is cut off from the others answers as ever, but hears of no newer configuration.
@@ -33,20 +33,20 @@
 // choice decides which core a follower asks, and how long it waits for the answer. It is
 // a decision value that one thread owns. (DESIGN 8.2)
 type choice struct {
-	own, locality string
-	failed        map[string]time.Time // cores that failed lately
-	core          cohort.Seat          // asked last
-	answered      bool                 // it answered, if only that it is not sure
-	patience      time.Duration
-	pause         time.Duration // grows while nothing is answered
+	own, zone string
+	failed    map[string]time.Time // cores that failed lately
+	core      cohort.Seat          // asked last
+	answered  bool                 // it answered, if only that it is not sure
+	patience  time.Duration
+	pause     time.Duration // grows while nothing is answered
 }
 
-func newChoice(own, locality string) *choice {
-	return &choice{own: own, locality: locality, failed: map[string]time.Time{}, patience: firstPatience}
+func newChoice(own, zone string) *choice {
+	return &choice{own: own, zone: zone, failed: map[string]time.Time{}, patience: firstPatience}
 }
 
 // next chooses among the live cores: those that failed lately come last, those of the own
-// locality first, and of equals the one that ranks first by rendezvous hashing. False if
+// zone first, and of equals the one that ranks first by rendezvous hashing. False if
 // there is none.
 func (c *choice) next(live []cohort.Seat, now time.Time) (cohort.Seat, bool) {
 	if len(live) == 0 {
@@ -73,9 +73,9 @@
 // same tells whether a core is the one that was asked last, in the same life.
 func (c *choice) same(s cohort.Seat) bool { return s.Addr == c.core.Addr && s.Boot == c.core.Boot }
 
-// crossing is 1 for a core of another locality.
+// crossing is 1 for a core of another zone.
 func (c *choice) crossing(s cohort.Seat) int {
-	if s.Locality == c.locality {
+	if s.Zone == c.zone {
 		return 0
 	}
 	return 1
--- a/feed/choice_test.go
+++ b/feed/choice_test.go
@@ -10,20 +10,20 @@
 
 var beginning = time.Unix(1000, 0)
 
-func seatsOf(localities ...string) (out []cohort.Seat) {
-	for i, l := range localities {
-		out = append(out, cohort.Seat{Slot: i + 1, Addr: fmt.Sprint("core-", i+1), Boot: 1, Locality: l})
+func seatsOf(zones ...string) (out []cohort.Seat) {
+	for i, l := range zones {
+		out = append(out, cohort.Seat{Slot: i + 1, Addr: fmt.Sprint("core-", i+1), Boot: 1, Zone: l})
 	}
 	return out
 }
 
-// A follower asks a core of its own locality while there is one that lives, answers and
+// A follower asks a core of its own zone while there is one that lives, answers and
 // is sure, whatever hashing says; else any other, and its own again later.
-func TestOwnLocalityFirst(t *testing.T) {
+func TestOwnZoneFirst(t *testing.T) {
 	live := seatsOf("north", "east", "south", "west", "north")
 	for i := range 40 {
 		c, now := newChoice(fmt.Sprint("side-", i), "east"), beginning
-		if s, ok := c.next(live, now); !ok || s.Locality != "east" {
+		if s, ok := c.next(live, now); !ok || s.Zone != "east" {
 			t.Fatalf("side-%d follows %+v first", i, s)
 		}
 		if s, ok := newChoice(fmt.Sprint("side-", i), "nowhere").next(live, now); !ok || s.Addr == "" {
@@ -31,7 +31,7 @@
 		}
 		c.took(2*unsure, now)
 		s, _ := c.next(live, now)
-		if s.Locality == "east" {
+		if s.Zone == "east" {
 			t.Fatalf("side-%d stays with a core that is not sure", i)
 		}
 		c.took(0, now)
@@ -40,14 +40,14 @@
 			t.Fatalf("side-%d leaves %v, which is sure, for %v", i, s, again)
 		}
 		now = now.Add(avoidFor / 2)
-		if again, _ := c.next(live, now); again.Locality != "east" {
+		if again, _ := c.next(live, now); again.Zone != "east" {
 			t.Fatalf("side-%d never goes back to its own locality", i)
 		}
 	}
 }
 
-// Those of one locality are spread over its cores.
-func TestLocalityIsSpread(t *testing.T) {
+// Those of one zone are spread over its cores.
+func TestZoneIsSpread(t *testing.T) {
 	live, followers := seatsOf("north", "north", "south"), map[string]int{}
 	for i := range 60 {
 		s, _ := newChoice(fmt.Sprint("side-", i), "north").next(live, beginning)
--- a/feed/directory.go
+++ b/feed/directory.go
@@ -70,8 +70,8 @@
 	}
 	msgState struct{ reply chan<- State }
 	msgDrain struct {
-		locality string
-		reply    chan<- Drain
+		zone  string
+		reply chan<- Drain
 	}
 )
 
@@ -137,9 +137,9 @@
 	return launch.Ask(ctx, d.box, func(r chan<- State) any { return msgState{r} })
 }
 
-// Drain reports on a locality.
-func (d *Directory) Drain(ctx context.Context, locality string) (Drain, bool) {
-	return launch.Ask(ctx, d.box, func(r chan<- Drain) any { return msgDrain{locality, r} })
+// Drain reports on a zone.
+func (d *Directory) Drain(ctx context.Context, zone string) (Drain, bool) {
+	return launch.Ask(ctx, d.box, func(r chan<- Drain) any { return msgDrain{zone, r} })
 }
 
 // InForce waits until all nodes have a stamp in force, for a second at most, or
@@ -195,7 +195,7 @@
 	case msgForce:
 		d.force = append(d.force, force{stamp: m.stamp, until: now + forceFor, reply: m.reply})
 	case msgDrain:
-		m.reply <- d.feed.Drain(m.locality, now)
+		m.reply <- d.feed.Drain(m.zone, now)
 	case msgState:
 		st := State{Feed: d.feed.ID, Place: d.feed.place, Open: d.feed.Open(now), Nodes: d.feed.Nodes()}
 		if w := d.feed.Word(); w != nil {
--- a/feed/drain.go
+++ b/feed/drain.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// Drain is the report on a locality that is being emptied, or is.
+// Drain is the report on a zone that is being emptied, or is.
 type Drain struct {
-	Locality string `json:"locality"`
-	Emptied  bool   `json:"emptied"`
-	Stamp    uint64 `json:"stamp"`
+	Zone    string `json:"locality"`
+	Emptied bool   `json:"emptied"`
+	Stamp   uint64 `json:"stamp"`
 	// Open is what still runs or waits there.
 	Open int64 `json:"open"`
 	// Behind lists the nodes that do not have the stamp in force yet.
@@ -19,18 +19,18 @@
 	For  string `json:"done_for,omitempty"`
 }
 
-// Drain reports on a locality.
-func (f *Feed) Drain(locality string, now time.Duration) Drain {
-	d := Drain{Locality: locality}
+// Drain reports on a zone.
+func (f *Feed) Drain(zone string, now time.Duration) Drain {
+	d := Drain{Zone: zone}
 	if f.word != nil {
-		d.Stamp, d.Emptied = f.word.Stamp, slices.Contains(f.word.Shut(), locality)
+		d.Stamp, d.Emptied = f.word.Stamp, slices.Contains(f.word.Shut(), zone)
 	}
 	for _, n := range f.nodes {
-		d.Open += n.Open[locality]
+		d.Open += n.Open[zone]
 	}
 	d.Behind = f.Behind(d.Stamp)
 	if d.Done = d.Emptied && d.Open == 0 && len(d.Behind) == 0; d.Done {
-		since, ok := f.emptySince[locality]
+		since, ok := f.emptySince[zone]
 		if !ok {
 			since = now // it has come about since the last tick
 		}
@@ -50,7 +50,7 @@
 	return out
 }
 
-// drained keeps since when each emptied locality is done.
+// drained keeps since when each emptied zone is done.
 func (f *Feed) drained(now time.Duration) {
 	if f.word == nil {
 		return
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -36,7 +36,7 @@
 	versions desired.Versions
 	nodes    map[string]cohort.Node
 	heard    map[string]time.Duration
-	// emptySince is since when an emptied locality has nothing open.
+	// emptySince is since when an emptied zone has nothing open.
 	emptySince map[string]time.Duration
 	open       time.Duration // not before this is the feed served
 	last       time.Duration
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -156,7 +156,7 @@
 	}
 }
 
-// A locality that is empty as soon as it is asked to be is so since then.
+// A zone that is empty as soon as it is asked to be is so since then.
 func TestDrainSince(t *testing.T) {
 	f := New(1, 0)
 	f.Tick(5 * time.Second)
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -14,11 +14,11 @@
 
 // Follower follows one core's feed and changes core on loss. (DESIGN 8.2)
 type Follower struct {
-	Own      string
-	Locality string
-	Seats    func() cohort.Seats
-	Net      *wire.Net
-	Hasten   func()
+	Own    string
+	Zone   string
+	Seats  func() cohort.Seats
+	Net    *wire.Net
+	Hasten func()
 	// Take is handed each piece of news in order, with the core it came from.
 	// What the core was sure of counts from when it was asked.
 	Take func(ctx context.Context, core cohort.Seat, n News, asked time.Time)
@@ -29,7 +29,7 @@
 	var place Follow
 	var core cohort.Seat
 	var holding Holding
-	choose := newChoice(f.Own, f.Locality)
+	choose := newChoice(f.Own, f.Zone)
 	pause := time.NewTimer(0)
 	defer pause.Stop()
 	<-pause.C
--- a/plan/moves.go
+++ b/plan/moves.go
@@ -17,7 +17,7 @@
 	// clients are bound otherwise.
 	Services []string `json:"services,omitempty"`
 	Limits   bool     `json:"limits,omitempty"`
-	// Capacity lists services and localities whose places change.
+	// Capacity lists services and zones whose places change.
 	Capacity []Capacity `json:"capacity"`
 	// Followers lists nodes that would follow another core.
 	Followers []Move `json:"followers"`
@@ -38,12 +38,12 @@
 	AtRisk   []Risk     `json:"at_risk"`
 }
 
-// Capacity is how many places a service has in a locality.
+// Capacity is how many places a service has in a zone.
 type Capacity struct {
-	Service  string `json:"service"`
-	Locality string `json:"locality"`
-	Before   int    `json:"before"`
-	After    int    `json:"after"`
+	Service string `json:"service"`
+	Zone    string `json:"locality"`
+	Before  int    `json:"before"`
+	After   int    `json:"after"`
 }
 
 // Move is something that goes from one core to another.
@@ -80,7 +80,7 @@
 		fmt.Fprintf(&b, "limits: changed\n")
 	}
 	for _, c := range m.Capacity {
-		fmt.Fprintf(&b, "places of %s in %s: %d -> %d\n", c.Service, c.Locality, c.Before, c.After)
+		fmt.Fprintf(&b, "places of %s in %s: %d -> %d\n", c.Service, c.Zone, c.Before, c.After)
 	}
 	if m.Duty != nil {
 		fmt.Fprintf(&b, "%s: %s -> %s\n", m.Duty.What, m.Duty.From, m.Duty.To)
@@ -98,9 +98,9 @@
 		b.WriteString("nothing moves\n")
 	}
 	for _, w := range m.Windows {
-		fmt.Fprintf(&b, "window %s of %s from %s to %s\n", w.Locality, w.ID, w.Begin.Format(time.RFC3339), w.End.Format(time.RFC3339))
+		fmt.Fprintf(&b, "window %s of %s from %s to %s\n", w.Zone, w.ID, w.Begin.Format(time.RFC3339), w.End.Format(time.RFC3339))
 		for _, c := range w.Capacity {
-			fmt.Fprintf(&b, "  places of %s in %s: %d -> %d\n", c.Service, c.Locality, c.Before, c.After)
+			fmt.Fprintf(&b, "  places of %s in %s: %d -> %d\n", c.Service, c.Zone, c.Before, c.After)
 		}
 		for _, r := range w.AtRisk {
 			fmt.Fprintf(&b, "  AT RISK: contract %s: %s\n", r.Contract, r.Why)
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -63,7 +63,7 @@
 	m.follow(before, after)
 	for _, w := range s.Windows {
 		shut := after
-		shut.emptied = append(slices.Clone(after.emptied), w.Locality)
+		shut.emptied = append(slices.Clone(after.emptied), w.Zone)
 		m.Windows = append(m.Windows, Coming{Occurrence: w, Capacity: capacities(after, shut), AtRisk: risks(after, shut)})
 	}
 	return m, nil
@@ -105,13 +105,13 @@
 	return sorted(out, strings.Compare)
 }
 
-// places counts what may be run, by service and locality.
+// places counts what may be run, by service and zone.
 func (s side) places() map[[2]string]int {
 	out := map[[2]string]int{}
 	for _, n := range s.nodes {
 		for _, b := range n.Backends {
-			if !b.Leaving && !slices.Contains(s.emptied, b.Locality) {
-				out[[2]string{b.Service, b.Locality}] += b.Capacity
+			if !b.Leaving && !slices.Contains(s.emptied, b.Zone) {
+				out[[2]string{b.Service, b.Zone}] += b.Capacity
 			}
 		}
 	}
@@ -137,11 +137,11 @@
 	}
 	for k, n := range is {
 		if was[k] != n {
-			out = append(out, Capacity{Service: k[0], Locality: k[1], Before: was[k], After: n})
+			out = append(out, Capacity{Service: k[0], Zone: k[1], Before: was[k], After: n})
 		}
 	}
 	return sorted(out, func(a, b Capacity) int {
-		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.Locality, b.Locality))
+		return cmp.Or(strings.Compare(a.Service, b.Service), strings.Compare(a.Zone, b.Zone))
 	})
 }
 
--- a/process/process.go
+++ b/process/process.go
@@ -49,7 +49,7 @@
 	os.Exit(e.Code)
 }
 
-// New makes the frame: ring log, launcher, circuits, host.
+// New makes the frame: ring log, launcher, connections, host.
 func New(name string, s boot.Common) *Process {
 	var echo io.Writer
 	if s.Echo {
--- a/proof/custody_test.go
+++ b/proof/custody_test.go
@@ -34,7 +34,7 @@
 	must(t, f.Start(ctx))
 	k := &keyed{Fleet: f, t: t, ctx: ctx, running: make(chan struct{}, 9), release: make(chan struct{})}
 	b := &standin.Backend{
-		Instance: "one", Service: "orders", Locality: f.Locality(machines - 1), Capacity: 9, Control: f.Sidecars[machines-1].Control,
+		Instance: "one", Service: "orders", Zone: f.Zone(machines - 1), Capacity: 9, Control: f.Sidecars[machines-1].Control,
 		Ledger: f.Ledger, Client: f.Client, Handle: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
 			io.Copy(io.Discard, q.Body)
 			n := k.runs.Add(1)
--- a/proof/cut_test.go
+++ b/proof/cut_test.go
@@ -91,7 +91,7 @@
 	judge(t, f)
 }
 
-// A machine that nobody reaches, whose locality is emptied: its sidecar, which
+// A machine that nobody reaches, whose zone is emptied: its sidecar, which
 // can't have heard, admits nothing once 5 s have passed; nor does one that is
 // frozen over that time and woken with requests piled up. Taken back and
 // reached again, it serves.
@@ -156,7 +156,7 @@
 }
 
 // An emptying is acknowledged and all cores lose power at once, while a machine
-// of that locality is cut off from them: reached again, by sidecars that know of
+// of that zone is cut off from them: reached again, by sidecars that know of
 // the word and by cores' machines that refuse, it hears of it before it admits.
 func TestEmptiedThenCoresDie(t *testing.T) {
 	t.Parallel()
@@ -179,7 +179,7 @@
 		s, err := f.Stamp(ctx, f.Sidecars[3])
 		return err == nil && s >= r.Stamp
 	}))
-	// It serves its own clients by the other localities.
+	// It serves its own clients by the other zones.
 	must(t, serves(ctx, f, 3))
 	stop()
 	judge(t, f)
--- a/proof/day/events.go
+++ b/proof/day/events.go
@@ -86,16 +86,16 @@
 	}
 }
 
-// blackout has one locality lose power for a while.
+// blackout has one zone lose power for a while.
 func (d *Day) blackout() error {
 	return d.blackoutWhile(func() error { d.pause(5 * time.Second); return nil })
 }
 
-// blackoutWhile kills all that stands in one locality, backends included, and
+// blackoutWhile kills all that stands in one zone, backends included, and
 // starts it again once something else is done.
 func (d *Day) blackoutWhile(do func() error) error {
-	locality := d.F.Size.Localities[d.rng.IntN(len(d.F.Size.Localities))]
-	dead, gone := d.F.Blackout(locality)
+	zone := d.F.Size.Zones[d.rng.IntN(len(d.F.Size.Zones))]
+	dead, gone := d.F.Blackout(zone)
 	var again []int
 	for _, b := range gone {
 		if machine, ok := d.standing[b]; ok {
@@ -252,16 +252,16 @@
 	return d.emptyWhile(func() error { d.pause(7 * time.Second); return nil })
 }
 
-// emptyWhile has a locality emptied, and taken back once something else is done.
+// emptyWhile has a zone emptied, and taken back once something else is done.
 func (d *Day) emptyWhile(do func() error) error {
-	locality := d.F.Size.Localities[d.rng.IntN(len(d.F.Size.Localities))]
-	if _, err := d.F.Empty(d.ctx, d.F.Cores[0], locality); err != nil {
+	zone := d.F.Size.Zones[d.rng.IntN(len(d.F.Size.Zones))]
+	if _, err := d.F.Empty(d.ctx, d.F.Cores[0], zone); err != nil {
 		return err
 	}
 	if err := do(); err != nil {
 		return err
 	}
-	_, err := d.F.TakeBack(d.ctx, d.F.Cores[0], locality)
+	_, err := d.F.TakeBack(d.ctx, d.F.Cores[0], zone)
 	return err
 }
 
@@ -305,7 +305,7 @@
 	return err
 }
 
-// lostInTurn has a locality lose power half way through a restart of all others in
+// lostInTurn has a zone lose power half way through a restart of all others in
 // turn.
 func (d *Day) lostInTurn() error {
 	return d.leaveUnder(func() error {
@@ -347,7 +347,7 @@
 	})
 }
 
-// swapInEmptying puts an empty machine in a core's place while a locality is being
+// swapInEmptying puts an empty machine in a core's place while a zone is being
 // emptied.
 func (d *Day) swapInEmptying() error {
 	return d.emptyWhile(func() error {
--- a/proof/evacuation_test.go
+++ b/proof/evacuation_test.go
@@ -12,7 +12,7 @@
 	"curlewwalk/proof/fleet"
 )
 
-// An order on a locality that waits at a frozen core while its caller goes elsewhere, has
+// An order on a zone that waits at a frozen core while its caller goes elsewhere, has
 // it taken there and then takes it back, does not come into force as the core wakes:
 // neither at the one on duty nor at another, neither for an order to empty nor for its end.
 func TestOldEvacuationAtFrozenCore(t *testing.T) {
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -79,8 +79,8 @@
 	return out
 }
 
-func (f *Fleet) program(name, program, ip, locality string, more ...string) *Program {
-	args := []string{"--wire=" + at(ip, portWire), "--control=" + at(ip, portControl), "--locality=" + locality}
+func (f *Fleet) program(name, program, ip, zone string, more ...string) *Program {
+	args := []string{"--wire=" + at(ip, portWire), "--control=" + at(ip, portControl), "--locality=" + zone}
 	for _, s := range f.Seeds() {
 		args = append(args, "--seed="+s)
 	}
@@ -89,13 +89,13 @@
 
 // NewCore lays a core out for a slot, at any address and data folder.
 func (f *Fleet) NewCore(slot int, ip, data string) *Program {
-	return f.program(fmt.Sprintf("core-%d", slot), "core", ip, f.Locality(slot-1), fmt.Sprintf("--slot=%d", slot), fmt.Sprintf("--slots=%d", f.Size.Cores), "--data="+data)
+	return f.program(fmt.Sprintf("core-%d", slot), "core", ip, f.Zone(slot-1), fmt.Sprintf("--slot=%d", slot), fmt.Sprintf("--slots=%d", f.Size.Cores), "--data="+data)
 }
 
 // NewComer lays a core out that has no static seat: the nth machine of cores, which
 // asks the others for one. With founders it is of a system's first start.
 func (f *Fleet) NewComer(n int, data string, founders ...string) *Program {
-	p := f.program(fmt.Sprintf("core-%d", n), "core", f.CoreIP(n), f.Locality(n-1), "--data="+data)
+	p := f.program(fmt.Sprintf("core-%d", n), "core", f.CoreIP(n), f.Zone(n-1), "--data="+data)
 	f.Cores = append(f.Cores, p)
 	if len(founders) > 0 {
 		p.Args("--first")
@@ -109,12 +109,12 @@
 // CoreWire is the address of the nth machine of cores for the system's own processes.
 func (f *Fleet) CoreWire(n int) string { return at(f.CoreIP(n), portWire) }
 
-// Locality is where the nth machine stands.
-func (f *Fleet) Locality(n int) string { return f.Size.Localities[n%len(f.Size.Localities)] }
+// Zone is where the nth machine stands.
+func (f *Fleet) Zone(n int) string { return f.Size.Zones[n%len(f.Size.Zones)] }
 
 func (f *Fleet) newSidecar(i int) *Program {
 	ip := f.Site.IP(i)
-	return f.program(fmt.Sprintf("sidecar-%d", i), "sidecar", ip, f.Locality(i), "--inquiries="+at(ip, portRequests))
+	return f.program(fmt.Sprintf("sidecar-%d", i), "sidecar", ip, f.Zone(i), "--inquiries="+at(ip, portRequests))
 }
 
 // Requests is where clients of the nth machine send.
@@ -222,20 +222,20 @@
 	f.Kill(ps...)
 }
 
-// Blackout kills all that stands in one locality, backends included.
-func (f *Fleet) Blackout(locality string) (dead []*Program, gone []*standin.Backend) {
+// Blackout kills all that stands in one zone, backends included.
+func (f *Fleet) Blackout(zone string) (dead []*Program, gone []*standin.Backend) {
 	for i, p := range f.Sidecars {
-		if f.Locality(i) == locality {
+		if f.Zone(i) == zone {
 			dead = append(dead, p)
 		}
 	}
 	for i, p := range f.Cores {
-		if f.Locality(i) == locality {
+		if f.Zone(i) == zone {
 			dead = append(dead, p)
 		}
 	}
 	for _, b := range f.Backends {
-		if b.Locality == locality {
+		if b.Zone == zone {
 			b.Kill()
 			gone = append(gone, b)
 		}
@@ -269,7 +269,7 @@
 // how warm it says that it is, zero for warm.
 func (f *Fleet) StartBackendOn(addr string, n int, service, instance string, share float64) (*standin.Backend, error) {
 	b := &standin.Backend{
-		Instance: instance, Service: service, Locality: f.Locality(n), Capacity: f.Size.Capacity, Share: share, Slow: f.Size.Slow[f.Locality(n)],
+		Instance: instance, Service: service, Zone: f.Zone(n), Capacity: f.Size.Capacity, Share: share, Slow: f.Size.Slow[f.Zone(n)],
 		Control: f.Sidecars[n].Control, Plans: f.Size.Plans, Ledger: f.Ledger, Client: f.Client,
 	}
 	f.Backends = append(f.Backends, b)
@@ -354,7 +354,7 @@
 
 // NewCaller makes a client on the nth machine.
 func (f *Fleet) NewCaller(n int, rate float64) *standin.Caller {
-	return &standin.Caller{Name: fmt.Sprintf("caller-%d", n), Addr: f.Requests(n), Locality: f.Locality(n), Rate: rate, Plans: f.Size.Plans, Ledger: f.Ledger, Client: f.Client, Seed: uint64(n)}
+	return &standin.Caller{Name: fmt.Sprintf("caller-%d", n), Addr: f.Requests(n), Zone: f.Zone(n), Rate: rate, Plans: f.Size.Plans, Ledger: f.Ledger, Client: f.Client, Seed: uint64(n)}
 }
 
 // Load has clients on all machines send at the fleet's rate until ctx ends.
--- a/proof/fleet/operate.go
+++ b/proof/fleet/operate.go
@@ -15,10 +15,10 @@
 type Reply struct {
 	Status int
 	Stamp  uint64
-	// Edition is the operator's own number of what was read.
-	Edition uint64
-	Taken   string
-	Body    []byte
+	// Generation is the operator's own number of what was read.
+	Generation uint64
+	Taken      string
+	Body       []byte
 }
 
 // Operate sends an operator's request to a core.
@@ -40,24 +40,24 @@
 		return r, err
 	}
 	r.Stamp, _ = strconv.ParseUint(resp.Header.Get("Curlewwalk-Stamp"), 10, 64)
-	r.Edition, _ = strconv.ParseUint(resp.Header.Get("Curlewwalk-Edition"), 10, 64)
+	r.Generation, _ = strconv.ParseUint(resp.Header.Get("Curlewwalk-Edition"), 10, 64)
 	var out struct{ Taken string }
 	json.Unmarshal(r.Body, &out)
 	r.Taken = out.Taken
 	return r, nil
 }
 
-// Empty asks a core to empty a locality, and TakeBack to take it back; the ledger
+// Empty asks a core to empty a zone, and TakeBack to take it back; the ledger
 // goes by when they were asked.
-func (f *Fleet) Empty(ctx context.Context, core *Program, locality string) (Reply, error) {
-	f.Ledger.Emptied(locality, time.Now())
-	return f.mustOperate(ctx, core, http.MethodPut, "/v1/localities/"+locality+"/emptied", nil)
+func (f *Fleet) Empty(ctx context.Context, core *Program, zone string) (Reply, error) {
+	f.Ledger.Emptied(zone, time.Now())
+	return f.mustOperate(ctx, core, http.MethodPut, "/v1/localities/"+zone+"/emptied", nil)
 }
 
-// TakeBack asks a core to take a locality back.
-func (f *Fleet) TakeBack(ctx context.Context, core *Program, locality string) (Reply, error) {
-	f.Ledger.TakenBack(locality, time.Now())
-	return f.mustOperate(ctx, core, http.MethodDelete, "/v1/localities/"+locality+"/emptied", nil)
+// TakeBack asks a core to take a zone back.
+func (f *Fleet) TakeBack(ctx context.Context, core *Program, zone string) (Reply, error) {
+	f.Ledger.TakenBack(zone, time.Now())
+	return f.mustOperate(ctx, core, http.MethodDelete, "/v1/localities/"+zone+"/emptied", nil)
 }
 
 // mustOperate is Operate for what must be taken.
--- a/proof/fleet/size.go
+++ b/proof/fleet/size.go
@@ -8,17 +8,17 @@
 
 // Size is what a fleet is made of.
 type Size struct {
-	Name       string
-	Cores      int
-	Machines   int
-	Localities []string
+	Name     string
+	Cores    int
+	Machines int
+	Zones    []string
 	// Backends lists services; backend i stands on machine i and is of service
 	// Backends[i].
 	Backends []string
 	Capacity int
 	Rate     float64
 	Plans    []standin.Plan
-	// Slow is by how much the backends of a locality are slower than planned.
+	// Slow is by how much the backends of a zone are slower than planned.
 	Slow map[string]float64
 }
 
@@ -44,7 +44,7 @@
 // Association is the window and door association.
 func Association() Size {
 	return Size{
-		Name: "association", Cores: 3, Machines: 13, Localities: four, Backends: Repeat(13, "orders", "stock", "surveys"), Capacity: 9, Rate: 210,
+		Name: "association", Cores: 3, Machines: 13, Zones: four, Backends: Repeat(13, "orders", "stock", "surveys"), Capacity: 9, Rate: 210,
 		Plans: []standin.Plan{
 			{Name: "order-place", Method: "POST", Prefix: "/orders/", Service: "orders", Aim: 200 * time.Millisecond, Deadline: 2 * time.Second, Rank: 1, Share: 0.4, Work: 30 * time.Millisecond, Calls: []string{"stock-take"}, Body: 800},
 			{Name: "order-read", Method: "GET", Prefix: "/orders/", Service: "orders", Repeatable: true, Aim: 100 * time.Millisecond, Deadline: time.Second, Rank: 2, Share: 0.3, Work: 10 * time.Millisecond, Calls: []string{"stock-read"}},
@@ -58,7 +58,7 @@
 // Heating is the heating firm.
 func Heating() Size {
 	return Size{
-		Name: "heating", Cores: 5, Machines: 12, Localities: four, Backends: Repeat(12, "setpoints", "meters", "firmware"), Capacity: 9, Rate: 140,
+		Name: "heating", Cores: 5, Machines: 12, Zones: four, Backends: Repeat(12, "setpoints", "meters", "firmware"), Capacity: 9, Rate: 140,
 		Plans: []standin.Plan{
 			{Name: "setpoint-change", Method: "PUT", Prefix: "/setpoints/", Service: "setpoints", Aim: 200 * time.Millisecond, Deadline: 2 * time.Second, Rank: 1, Share: 0.5, Work: 30 * time.Millisecond, Calls: []string{"meter-read"}, Body: 200},
 			{Name: "meter-read", Method: "GET", Prefix: "/meters/", Service: "meters", Repeatable: true, Aim: 100 * time.Millisecond, Deadline: time.Second, Rank: 2, Share: 0.3, Work: 10 * time.Millisecond},
--- a/proof/frozen_test.go
+++ b/proof/frozen_test.go
@@ -36,9 +36,9 @@
 	return o.ran[id]
 }
 
-// A far sidecar is frozen for shorter and longer than a circuit bears, with legs in its
+// A far sidecar is frozen for shorter and longer than a connection bears, with legs in its
 // buffers, and woken. What was promised not to run never runs, and nothing runs twice,
-// whatever it finds there: the leg, its recall behind it, or the end of the circuit.
+// whatever it finds there: the leg, its recall behind it, or the end of the connection.
 func TestFarFrozen(t *testing.T) {
 	t.Parallel()
 	for _, frozen := range []time.Duration{700 * time.Millisecond, 2500 * time.Millisecond, 5 * time.Second} {
@@ -95,7 +95,7 @@
 	}
 }
 
-// A near sidecar that is frozen for longer than a circuit may be silent has not heard
+// A near sidecar that is frozen for longer than a connection may be silent has not heard
 // what it was answered meanwhile: woken, it passes the answers on.
 func TestNearFrozen(t *testing.T) {
 	t.Parallel()
--- a/proof/gate_test.go
+++ b/proof/gate_test.go
@@ -19,7 +19,7 @@
 	"curlewwalk/proof/fleet"
 )
 
-// While an emptied locality still runs something, the report says so.
+// While an emptied zone still runs something, the report says so.
 func TestDrainReport(t *testing.T) {
 	t.Parallel()
 	r := newRig(t)
@@ -210,8 +210,8 @@
 	}
 }
 
-// Emptying a locality and taking it back, under load.
-func TestEmptiedLocality(t *testing.T) {
+// Emptying a zone and taking it back, under load.
+func TestEmptiedZone(t *testing.T) {
 	f, ctx := start(t, small())
 	stop := load(ctx, f)
 	// sidecar-3 and its backend of "orders" stand in the west; so does no other
--- a/proof/edition_test.go
+++ b/proof/generation_test.go
@@ -25,9 +25,9 @@
 	return st.Bytes()
 }
 
-// Editions come through any core; an old one changes nothing, whoever repeats it,
+// Generations come through any core; an old one changes nothing, whoever repeats it,
 // also after the herd of cores has died.
-func TestEditions(t *testing.T) {
+func TestGenerations(t *testing.T) {
 	f, ctx := start(t, coresOnly(3))
 	put := func(core int, body []byte, header ...string) fleet.Reply {
 		t.Helper()
@@ -43,12 +43,12 @@
 		}
 		return r
 	}
-	reads := func(core int, edition, stamp uint64, body []byte) {
+	reads := func(core int, generation, stamp uint64, body []byte) {
 		t.Helper()
 		r, err := f.Operate(ctx, f.Cores[core], "GET", "/v1/desired", nil)
 		must(t, err)
-		if r.Edition != edition || r.Stamp != stamp || !bytes.Equal(r.Body, body) {
-			t.Errorf("%d: stamp %d, edition %d, %.80s", r.Status, r.Stamp, r.Edition, r.Body)
+		if r.Generation != generation || r.Stamp != stamp || !bytes.Equal(r.Body, body) {
+			t.Errorf("%d: stamp %d, edition %d, %.80s", r.Status, r.Stamp, r.Generation, r.Body)
 		}
 	}
 	reads(1, 0, put(0, configuration(1)).Stamp, configuration(1))
@@ -103,9 +103,9 @@
 	}
 }
 
-// A storm of editions, all at once and in no order, is taken without piling up:
+// A storm of generations, all at once and in no order, is taken without piling up:
 // each is acknowledged, and the highest is held, in force and read back.
-func TestEditionStorm(t *testing.T) {
+func TestGenerationStorm(t *testing.T) {
 	f, ctx := start(t, small())
 	const storm = 90 // what 3 s bring at 30 a second
 	bodies := make([][]byte, storm+1)
@@ -126,8 +126,8 @@
 	took := time.Since(begin)
 	r, err := f.Operate(ctx, f.Cores[1], "GET", "/v1/desired", nil)
 	must(t, err)
-	if r.Edition != storm || !bytes.Equal(r.Body, bodies[storm]) {
-		t.Errorf("edition %d under stamp %d is read back", r.Edition, r.Stamp)
+	if r.Generation != storm || !bytes.Equal(r.Body, bodies[storm]) {
+		t.Errorf("edition %d under stamp %d is read back", r.Generation, r.Stamp)
 	}
 	for _, p := range f.Sidecars {
 		if s, err := f.Stamp(ctx, p); err != nil || s < r.Stamp {
--- a/proof/ledger/ledger.go
+++ b/proof/ledger/ledger.go
@@ -15,7 +15,7 @@
 	Cause      string // the request that a backend was working on, if one sent it
 	Caller     string // the calling service, or ""
 	Service    string
-	Locality   string // where its sender stands
+	Zone       string // where its sender stands
 	Digest     string
 	Repeatable bool
 	// Keyed is whether it bore a key: then what is said of it holds for every sending.
@@ -28,7 +28,7 @@
 	ID       string
 	Service  string
 	Instance string
-	Locality string
+	Zone     string
 	Caller   string // as the backend was told
 	Digest   string
 	// Trace and Span are the identifiers that the backend was given.
@@ -92,14 +92,14 @@
 // Left records that a backend's word of leaving was taken.
 func (l *Ledger) Left(x Left) { l.with(func() { l.left[x.Instance] = x.At }) }
 
-// Emptied records that a locality was asked to be emptied; taken back ends it.
-func (l *Ledger) Emptied(locality string, at time.Time) {
-	l.with(func() { l.emptied[locality] = append(l.emptied[locality], span{from: at}) })
+// Emptied records that a zone was asked to be emptied; taken back ends it.
+func (l *Ledger) Emptied(zone string, at time.Time) {
+	l.with(func() { l.emptied[zone] = append(l.emptied[zone], span{from: at}) })
 }
 
-// TakenBack records that an emptied locality was asked back.
-func (l *Ledger) TakenBack(locality string, at time.Time) {
-	l.with(func() { s := l.emptied[locality]; s[len(s)-1].to = at })
+// TakenBack records that an emptied zone was asked back.
+func (l *Ledger) TakenBack(zone string, at time.Time) {
+	l.with(func() { s := l.emptied[zone]; s[len(s)-1].to = at })
 }
 
 // Link is an inner call as the stand-ins know it.
@@ -136,7 +136,7 @@
 	Lost int
 	// Cut counts requests that were handed over and got no answer at all.
 	Cut int
-	// Crossed counts runs in another locality than their sender's.
+	// Crossed counts runs in another zone than their sender's.
 	Crossed int
 	// Spread is the most and the mean that one backend ran, by service.
 	Spread map[string]string
@@ -190,7 +190,7 @@
 		v.broken("%s must run once and ran %d times", id, len(runs))
 	}
 	for _, run := range runs {
-		if run.Locality != sent.Locality {
+		if run.Zone != sent.Zone {
 			v.Crossed++
 		}
 		l.judgeRun(sent, run, v.broken)
@@ -255,9 +255,9 @@
 	if at, ok := l.left[r.Instance]; ok && r.At.Sub(at) > leaveWithin {
 		broken("%s ran at %s %v after it had left", s.ID, r.Instance, r.At.Sub(at))
 	}
-	for _, e := range l.emptied[r.Locality] {
+	for _, e := range l.emptied[r.Zone] {
 		if r.At.Sub(e.from) > emptyWithin && (e.to.IsZero() || r.At.Before(e.to)) {
-			broken("%s ran in %s %v after it was to be emptied", s.ID, r.Locality, r.At.Sub(e.from))
+			broken("%s ran in %s %v after it was to be emptied", s.ID, r.Zone, r.At.Sub(e.from))
 		}
 	}
 }
--- a/proof/ledger/ledger_test.go
+++ b/proof/ledger/ledger_test.go
@@ -12,7 +12,7 @@
 	base := time.Now()
 	at := func(s float64) time.Time { return base.Add(time.Duration(s * float64(time.Second))) }
 	sent := Sent{ID: "a", Service: "orders", Digest: "d", Caller: "stock", At: at(0)}
-	ran := Ran{ID: "a", Service: "orders", Instance: "o-1", Locality: "west", Digest: "d", Caller: "stock", At: at(0.1)}
+	ran := Ran{ID: "a", Service: "orders", Instance: "o-1", Zone: "west", Digest: "d", Caller: "stock", At: at(0.1)}
 	answered := Answered{ID: "a", Status: 200}
 	for name, c := range map[string]struct {
 		defect func(l *Ledger)
--- a/proof/loss_test.go
+++ b/proof/loss_test.go
@@ -61,10 +61,10 @@
 	}
 }
 
-// A locality loses power, with the core on duty, sidecars and backends in it: from
+// A zone loses power, with the core on duty, sidecars and backends in it: from
 // all other machines every kind of request and the operator's word are served within
 // 15 s, and so from all once it has come back.
-func TestLocalityLost(t *testing.T) {
+func TestZoneLost(t *testing.T) {
 	t.Parallel()
 	size := small()
 	size.Machines, size.Backends = 8, fleet.Repeat(8, "orders", "stock", "surveys", "orders")
@@ -178,9 +178,9 @@
 	judge(t, f)
 }
 
-// In a locality whose backends have become thirty times slower, contracts that would
+// In a zone whose backends have become thirty times slower, contracts that would
 // be late go elsewhere, and what was learned can be read.
-func TestSlowLocality(t *testing.T) {
+func TestSlowZone(t *testing.T) {
 	t.Parallel()
 	size := small()
 	size.Slow = map[string]float64{"west": 30}
--- a/proof/messages/messages_test.go
+++ b/proof/messages/messages_test.go
@@ -45,12 +45,12 @@
 }
 
 var (
-	backend = cohort.Backend{Instance: "i", Service: "s", Address: "127.0.0.1:1", Locality: "north", Capacity: 4, Share: 1}
+	backend = cohort.Backend{Instance: "i", Service: "s", Address: "127.0.0.1:1", Zone: "north", Capacity: 4, Share: 1}
 	node    = cohort.Node{
-		Addr: "127.0.0.1:2", Boot: 7, Rev: 3, Locality: "north", Stamp: 5, Backends: []cohort.Backend{backend}, Inc: 1,
+		Addr: "127.0.0.1:2", Boot: 7, Rev: 3, Zone: "north", Stamp: 5, Backends: []cohort.Backend{backend}, Inc: 1,
 		Accuses: []cohort.Accusation{{Addr: "127.0.0.1:3"}}, Open: map[string]int64{"north": 1}, Budgets: map[string]contract.Tally{"c": {}}, Turn: 2,
 	}
-	seat = cohort.Seat{Slot: 2, Slots: 3, Addr: "127.0.0.1:4", Boot: 9, Locality: "north", Established: true, Set: []int{1, 2, 3}, Held: 4, Mark: 8}
+	seat = cohort.Seat{Slot: 2, Slots: 3, Addr: "127.0.0.1:4", Boot: 9, Zone: "north", Established: true, Set: []int{1, 2, 3}, Held: 4, Mark: 8}
 	peer = cohort.Peer{Addr: node.Addr, Boot: 7, Rev: 3, Said: &cohort.Statement{Age: 20, Stamp: 5, Alone: true}}
 	word = desired.Word{Stamp: 5, DesiredStamp: 4, Desired: []byte(`{}`), Emptied: []string{"north"}, Slots: []desired.Member{{Slot: 1, ID: 11}, {Slot: 2, ID: 12}}, Top: 2}
 	mark = register.Mark{Epoch: 65537, Stamp: 5}
@@ -68,10 +68,10 @@
 	of("news", feed.News{Feed: 1, Place: 2, Snapshot: true, Items: []feed.Item{{Word: &word}, {Node: &node}, {Gone: "x"}}, Age: time.Second}, news),
 	of(register.KindBallot, register.Ballot{From: from, Act: register.Propose, Epoch: 65537, Mark: mark, Word: word}, ballot),
 	of("vote", register.Vote{From: from, Act: register.Prepare, OK: true, Mark: mark, Word: word, Seats: map[int]register.Chair{1: {Inc: 1}}}, vote),
-	of(register.KindOrder, register.Order{ID: 1, Kind: register.Empty, Locality: "north"}, func(register.Order) {}),
+	of(register.KindOrder, register.Order{ID: 1, Kind: register.Empty, Zone: "north"}, func(register.Order) {}),
 	of(register.KindPatchedOrder, desired.Patch{Difference: []byte{8, 1, 2, 3, 4}}, patched),
 	of("answer", register.Answer{ID: 1, Result: register.Taken}, func(register.Answer) {}),
-	of(register.KindSeat, register.Asker{ID: 5, Addr: "127.0.0.1:5", Locality: "north"}, asker),
+	of(register.KindSeat, register.Asker{ID: 5, Addr: "127.0.0.1:5", Zone: "north"}, asker),
 	of(collect.KindPublish, collect.Batch{Events: []trace.Event{{Trace: trace.Root().Trace, Way: "w"}}}, batch),
 	of(collect.KindTrace, collect.Query{Trace: trace.Root().Trace}, func(collect.Query) {}),
 	of(custody.KindHold, custody.Entry{Owner: "o", Boot: 1, N: 1, Key: claim.Key{Text: "k"}, For: time.Minute, Response: []byte("r")}, hold),
--- a/proof/model/scenario.go
+++ b/proof/model/scenario.go
@@ -17,9 +17,9 @@
 type Given struct {
 	Name string
 	Node int
-	// Edition and Text are a configuration's number and bytes.
-	Edition uint64
-	Text    string
+	// Generation and Text are a configuration's number and bytes.
+	Generation uint64
+	Text       string
 	// Comes is the address of whoever is to have a seat, Goes the slot that is to go.
 	Comes string
 	Goes  int
@@ -31,7 +31,7 @@
 // node knows of.
 func (g Given) order(s *state) register.Order {
 	if g.Comes == "" && g.Goes == 0 {
-		return register.Order{Kind: register.Put, Edition: g.Edition, Bytes: []byte(g.Text)}
+		return register.Order{Kind: register.Put, Generation: g.Generation, Bytes: []byte(g.Text)}
 	}
 	v := s.nodes[g.Node].memory
 	set := v.Sets().Now
@@ -48,23 +48,23 @@
 // member swapped for a newcomer though it lives, and one whose disk is lost.
 var (
 	Race = Scenario{Name: "race", Founders: three, Orders: []Given{
-		{Name: "one", Node: 0, Edition: 1, Text: "x"},
-		{Name: "other", Node: 1, Edition: 1, Text: "y"},
+		{Name: "one", Node: 0, Generation: 1, Text: "x"},
+		{Name: "other", Node: 1, Generation: 1, Text: "y"},
 	}}
 	Repeat = Scenario{Name: "repeat", Founders: three, Orders: []Given{
-		{Name: "order", Node: 0, Edition: 1, Text: "x"},
-		{Name: "repeat", Node: 1, Edition: 1, Text: "x"},
+		{Name: "order", Node: 0, Generation: 1, Text: "x"},
+		{Name: "repeat", Node: 1, Generation: 1, Text: "x"},
 	}}
 	Grow = Scenario{Name: "grow", Founders: three, Newcomers: []string{"d"}, Orders: []Given{
-		{Name: "order", Node: 0, Edition: 1, Text: "x"},
+		{Name: "order", Node: 0, Generation: 1, Text: "x"},
 		{Name: "grow", Node: 1, Comes: "d"},
 	}}
 	Swap = Scenario{Name: "swap", Founders: three, Newcomers: []string{"d"}, Orders: []Given{
-		{Name: "order", Node: 0, Edition: 1, Text: "x"},
+		{Name: "order", Node: 0, Generation: 1, Text: "x"},
 		{Name: "swap", Node: 1, Comes: "d", Goes: 3},
 	}}
 	Wiped = Scenario{Name: "wiped", Founders: three, Wiped: []string{"c"}, Orders: []Given{
-		{Name: "order", Node: 0, Edition: 1, Text: "x"},
+		{Name: "order", Node: 0, Generation: 1, Text: "x"},
 		{Name: "reseat", Node: 1, Comes: "c", Goes: 3, AfterWipe: true},
 	}}
 )
--- a/proof/model/state.go
+++ b/proof/model/state.go
@@ -71,8 +71,8 @@
 
 // acked is what an operator was told.
 type acked struct {
-	edition, stamp uint64
-	digest         string
+	generation, stamp uint64
+	digest            string
 }
 
 // state is one moment of a run, with the history that the invariants need.
@@ -147,7 +147,7 @@
 		}
 	}
 	for _, a := range s.acked {
-		b = binary.AppendUvarint(b, a.edition)
+		b = binary.AppendUvarint(b, a.generation)
 		b = binary.AppendUvarint(b, a.stamp)
 		b = append(b, a.digest...)
 	}
--- a/proof/model/step.go
+++ b/proof/model/step.go
@@ -289,25 +289,25 @@
 	given := s.scenario.Orders[a.ID-1]
 	s.answered = append(s.answered, given.Name+" "+string(a.Result))
 	if a.Result != register.Taken {
-		if given.Edition != 0 && a.Result == register.Conflict {
+		if given.Generation != 0 && a.Result == register.Conflict {
 			return
 		}
 		for _, o := range s.acked {
-			if given.Edition != 0 && o.edition == given.Edition && o.digest == given.Text {
-				s.breaks("number %d with %q was acknowledged, and its repeat is answered %s", o.edition, o.digest, a.Result)
+			if given.Generation != 0 && o.generation == given.Generation && o.digest == given.Text {
+				s.breaks("number %d with %q was acknowledged, and its repeat is answered %s", o.generation, o.digest, a.Result)
 			}
 		}
 		return
 	}
 	s.settle(a.Word.Stamp, a.Word)
-	is := acked{edition: given.Edition, stamp: a.Word.Stamp, digest: given.Text}
+	is := acked{generation: given.Generation, stamp: a.Word.Stamp, digest: given.Text}
 	for _, o := range s.acked {
-		if is.edition != 0 && o.edition == is.edition && o.digest != is.digest {
-			s.breaks("number %d is acknowledged with %q and with %q", is.edition, o.digest, is.digest)
+		if is.generation != 0 && o.generation == is.generation && o.digest != is.digest {
+			s.breaks("number %d is acknowledged with %q and with %q", is.generation, o.digest, is.digest)
 		}
 	}
-	if given.Edition != 0 && a.Word.Edition == given.Edition && !bytes.Equal(a.Word.Desired, []byte(given.Text)) {
-		s.breaks("number %d with %q is acknowledged, and %q is held", given.Edition, given.Text, a.Word.Desired)
+	if given.Generation != 0 && a.Word.Generation == given.Generation && !bytes.Equal(a.Word.Desired, []byte(given.Text)) {
+		s.breaks("number %d with %q is acknowledged, and %q is held", given.Generation, given.Text, a.Word.Desired)
 	}
 	s.acked = append(slices.Clone(s.acked), is)
 	slices.SortFunc(s.acked, func(a, b acked) int { return bytes.Compare([]byte(fmt.Sprint(a)), []byte(fmt.Sprint(b))) })
--- a/proof/overload_test.go
+++ b/proof/overload_test.go
@@ -54,7 +54,7 @@
 	started := time.Now()
 	var open, peak atomic.Int64
 	b := &standin.Backend{
-		Instance: "cold", Service: "desk", Locality: r.Locality(1), Capacity: 10, Share: 0.4, Control: r.Sidecars[1].Control,
+		Instance: "cold", Service: "desk", Zone: r.Zone(1), Capacity: 10, Share: 0.4, Control: r.Sidecars[1].Control,
 		Ledger: r.Ledger, Client: r.Client, Handle: http.HandlerFunc(func(_ http.ResponseWriter, _ *http.Request) {
 			n := open.Add(1)
 			defer open.Add(-1)
--- a/proof/rig_test.go
+++ b/proof/rig_test.go
@@ -33,7 +33,7 @@
 )
 
 func newRig(t *testing.T) *rig {
-	f, ctx := start(t, fleet.Size{Name: "rig", Cores: 1, Machines: 2, Localities: []string{"north", "south"}, Capacity: 9, Plans: []standin.Plan{once, look, head}})
+	f, ctx := start(t, fleet.Size{Name: "rig", Cores: 1, Machines: 2, Zones: []string{"north", "south"}, Capacity: 9, Plans: []standin.Plan{once, look, head}})
 	return &rig{Fleet: f, t: t, ctx: ctx}
 }
 
@@ -44,7 +44,7 @@
 	n := r.known
 	r.known++
 	b := &standin.Backend{
-		Instance: fmt.Sprintf("desk-%d", n), Service: "desk", Locality: r.Locality(machine), Capacity: 9,
+		Instance: fmt.Sprintf("desk-%d", n), Service: "desk", Zone: r.Zone(machine), Capacity: 9,
 		Control: r.Sidecars[machine].Control, Plans: r.Size.Plans, Ledger: r.Ledger, Client: r.Client, Handle: h,
 	}
 	must(r.t, b.Start(net.JoinHostPort(r.Site.IP(machine), fmt.Sprint(8000+n))))
--- a/proof/scale/hollow.go
+++ b/proof/scale/hollow.go
@@ -29,10 +29,10 @@
 // backends, nodes of a shoal share equal values, and who watches whom is ranked once
 // for all of a shoal.
 type hollow struct {
-	addr, locality string
-	boot           uint64
-	shoal          *shoal
-	announce       roster.Announcement
+	addr, zone string
+	boot       uint64
+	shoal      *shoal
+	announce   roster.Announcement
 
 	net      *wire.Net
 	host     *wire.Host
@@ -55,14 +55,14 @@
 }
 
 // newHollow opens a hollow node's address.
-func newHollow(s *shoal, addr, locality, service string) (*hollow, error) {
+func newHollow(s *shoal, addr, zone, service string) (*hollow, error) {
 	ln, err := fault.Bind(addr)
 	if err != nil {
 		return nil, err
 	}
 	ip := netip.MustParseAddrPort(addr).Addr()
-	h := &hollow{addr: addr, locality: locality, boot: rand.Uint64(), shoal: s, copy: feed.NewCopy(), budgets: contract.NewBudgets(), watcher: cohort.NewWatcher(), seeker: cohort.NewSeeker()}
-	h.announce = roster.Announcement{Instance: service + "-" + ip.String(), Service: service, Address: netip.AddrPortFrom(ip, 8000).String(), Locality: locality, Capacity: 9}
+	h := &hollow{addr: addr, zone: zone, boot: rand.Uint64(), shoal: s, copy: feed.NewCopy(), budgets: contract.NewBudgets(), watcher: cohort.NewWatcher(), seeker: cohort.NewSeeker()}
+	h.announce = roster.Announcement{Instance: service + "-" + ip.String(), Service: service, Address: netip.AddrPortFrom(ip, 8000).String(), Zone: zone, Capacity: 9}
 	h.roster.Store(&roster.Roster{})
 	h.followed.Store(&time.Time{})
 	own := wire.Greeting{Version: wire.Version, Node: addr, Boot: h.boot}
@@ -87,7 +87,7 @@
 func (h *hollow) run(ctx context.Context) {
 	ctx, h.end = context.WithCancel(ctx)
 	h.beat(time.Now())
-	follower := &feed.Follower{Own: h.addr, Locality: h.locality, Seats: h.seeker.Seats, Net: h.net, Hasten: h.seeker.Hasten, Take: h.take}
+	follower := &feed.Follower{Own: h.addr, Zone: h.zone, Seats: h.seeker.Seats, Net: h.net, Hasten: h.seeker.Hasten, Take: h.take}
 	roll := cohort.NewRollcall()
 	roll.Own, roll.Net, roll.Launcher, roll.Node, roll.View = h.addr, h.net, h.shoal.launcher, h.node, h.whole
 	roll.Seats, roll.Word, roll.Seeds = h.seeker.Seats, h.word.Load, h.seeker.Seeds
@@ -101,7 +101,7 @@
 	}
 	if h.shoal.opt.Handover {
 		owner := &custody.Owner{
-			Own: h.addr, Boot: h.boot, Locality: h.locality, View: h.whole, Net: h.net, Launcher: h.shoal.launcher,
+			Own: h.addr, Boot: h.boot, Zone: h.zone, View: h.whole, Net: h.net, Launcher: h.shoal.launcher,
 			Known: func() bool { return h.stamp.Load() > 0 }, Restore: func(context.Context, custody.Entry) {},
 		}
 		owner.Begin()
@@ -112,7 +112,7 @@
 	}
 }
 
-// kill ends the node at once: its address refuses, its circuits break.
+// kill ends the node at once: its address refuses, its connections break.
 func (h *hollow) kill() {
 	h.host.Listener.Close()
 	h.end()
@@ -122,7 +122,7 @@
 func (h *hollow) node() cohort.Node {
 	r := h.roster.Load()
 	return cohort.Node{
-		Addr: h.addr, Boot: h.boot, Rev: r.Rev, Locality: h.locality, Stamp: h.stamp.Load(), Backends: r.Backends(), Inc: h.inc.Load(), Open: r.Open(),
+		Addr: h.addr, Boot: h.boot, Rev: r.Rev, Zone: h.zone, Stamp: h.stamp.Load(), Backends: r.Backends(), Inc: h.inc.Load(), Open: r.Open(),
 		Accuses: h.watcher.Accused(), Budgets: h.budgets.Own(),
 	}
 }
@@ -143,7 +143,7 @@
 
 func (h *hollow) beat(now time.Time) {
 	old := h.roster.Load()
-	next, faults := old.Announce(h.announce, h.locality, now)
+	next, faults := old.Announce(h.announce, h.zone, now)
 	if len(faults) > 0 {
 		panic(fmt.Sprint("announcement: ", faults)) // the shoal made it
 	}
--- a/proof/scale/parts.go
+++ b/proof/scale/parts.go
@@ -72,8 +72,8 @@
 		ip := site.IP(firstHollow + i%mostNodes)
 		service := serviceName(i % services)
 		nodes[i] = cohort.Node{
-			Addr: ip + ":7400", Boot: uint64(1)<<63 + uint64(i), Rev: 1, Locality: zones[i%len(zones)], Stamp: 1, Open: map[string]int64{zones[i%len(zones)]: 0}, Budgets: map[string]contract.Tally{},
-			Backends: []cohort.Backend{{Instance: service + "-" + ip, Service: service, Address: ip + ":8000", Locality: zones[i%len(zones)], Capacity: 9, Share: 1}},
+			Addr: ip + ":7400", Boot: uint64(1)<<63 + uint64(i), Rev: 1, Zone: zones[i%len(zones)], Stamp: 1, Open: map[string]int64{zones[i%len(zones)]: 0}, Budgets: map[string]contract.Tally{},
+			Backends: []cohort.Backend{{Instance: service + "-" + ip, Service: service, Address: ip + ":8000", Zone: zones[i%len(zones)], Capacity: 9, Share: 1}},
 		}
 		f.Told(nodes[i], 0)
 		addrs = append(addrs, nodes[i].Addr)
@@ -163,7 +163,7 @@
 }
 
 // Collected measures what a collector's events cost: batches published to a store over
-// a circuit.
+// a connection.
 func Collected(ctx context.Context, batches int) (map[string]float64, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/proof/scale/run.go
+++ b/proof/scale/run.go
@@ -293,7 +293,7 @@
 	}
 	l := m.blank("rest")
 	l.What, l.Values = "hollow against real", map[string]float64{"watched_by_real": byReal, "watched_by_hollow": byHollow}
-	// How many pings fall into a held call is a matter of when its circuit was opened.
+	// How many pings fall into a held call is a matter of when its connection was opened.
 	skip := []string{wire.KindPing}
 	if !m.size.Handover {
 		skip = append(skip, custody.KindHandover)
--- a/proof/scale/school.go
+++ b/proof/scale/school.go
@@ -70,7 +70,7 @@
 	if !size.static() {
 		static = 0
 	}
-	f, err := fleet.New(fleet.Size{Name: "scale", Cores: static, Machines: size.Real, Localities: exp.Zones, Backends: backends, Capacity: 9, Plans: plans(size.Services)}, bin)
+	f, err := fleet.New(fleet.Size{Name: "scale", Cores: static, Machines: size.Real, Zones: exp.Zones, Backends: backends, Capacity: 9, Plans: plans(size.Services)}, bin)
 	if err != nil {
 		return nil, err
 	}
@@ -137,7 +137,7 @@
 		ip := s.fleet.Site.IP(firstHollow + i)
 		addr := net.JoinHostPort(ip, "7400")
 		p.addrs = append(p.addrs, addr)
-		args = append(args, fmt.Sprintf("--node=%s,%s,%s", addr, s.fleet.Locality(s.size.Real+i), serviceName((s.size.Real+i)%s.size.Services)))
+		args = append(args, fmt.Sprintf("--node=%s,%s,%s", addr, s.fleet.Zone(s.size.Real+i), serviceName((s.size.Real+i)%s.size.Services)))
 		if p.ip == "" {
 			p.ip = ip
 		}
@@ -190,10 +190,10 @@
 		if i >= s.size.Real {
 			n += firstHollow - s.size.Real
 		}
-		s.zones[s.fleet.Site.IP(n)] = s.fleet.Locality(i)
+		s.zones[s.fleet.Site.IP(n)] = s.fleet.Zone(i)
 	}
 	for i, p := range s.fleet.Cores {
-		s.zones[p.IP] = s.fleet.Locality(i)
+		s.zones[p.IP] = s.fleet.Zone(i)
 	}
 	for _, p := range s.fleet.Cores {
 		at, behind := net.JoinHostPort(p.IP, "7400"), net.JoinHostPort(p.IP, "7399")
--- a/proof/simulator/history.go
+++ b/proof/simulator/history.go
@@ -9,11 +9,11 @@
 
 // Call is an operator's call with what it was answered.
 type Call struct {
-	// Write puts Text under Edition (zero: without a number); else Text and Edition are
+	// Write puts Text under Generation (zero: without a number); else Text and Generation are
 	// what was read.
-	Write   bool
-	Edition uint64
-	Text    string
+	Write      bool
+	Generation uint64
+	Text       string
 	// From and To are when it was sent and answered. An open one was never answered, or
 	// without telling what became of it: it may be carried out at any time after From.
 	From, To time.Duration
@@ -33,7 +33,7 @@
 
 // put records that a configuration is put.
 func (h *History) put(o register.Order, now time.Duration) *Call {
-	c := &Call{Write: true, Edition: o.Edition, Text: string(o.Bytes), From: now, Open: true}
+	c := &Call{Write: true, Generation: o.Generation, Text: string(o.Bytes), From: now, Open: true}
 	h.calls = append(h.calls, c)
 	return c
 }
@@ -56,7 +56,7 @@
 
 // read records what a read that began at a moment shows.
 func (h *History) read(from time.Duration, w desired.Word, now time.Duration) {
-	h.calls = append(h.calls, &Call{Edition: w.Edition, Text: string(w.Desired), From: from, To: now})
+	h.calls = append(h.calls, &Call{Generation: w.Generation, Text: string(w.Desired), From: from, To: now})
 }
 
 // recorded is back, with what a configuration is answered kept in the history.
--- a/proof/simulator/history_test.go
+++ b/proof/simulator/history_test.go
@@ -14,7 +14,7 @@
 // configuration is the state of the model that histories are held against: one value,
 // whose number never falls, and what was put under that number.
 type configuration struct {
-	edition        uint64
+	generation     uint64
 	text, numbered string
 }
 
@@ -27,12 +27,12 @@
 		now, c := state.(configuration), input.(Call)
 		switch {
 		case !c.Write:
-			return now.edition == c.Edition && now.text == c.Text, now
-		case c.Edition == 0:
-			return true, configuration{now.edition, c.Text, now.numbered}
-		case c.Edition > now.edition:
-			return true, configuration{c.Edition, c.Text, c.Text}
-		case c.Edition == now.edition && !c.Open:
+			return now.generation == c.Generation && now.text == c.Text, now
+		case c.Generation == 0:
+			return true, configuration{now.generation, c.Text, now.numbered}
+		case c.Generation > now.generation:
+			return true, configuration{c.Generation, c.Text, c.Text}
+		case c.Generation == now.generation && !c.Open:
 			return now.numbered == c.Text, now
 		}
 		return true, now
@@ -61,12 +61,12 @@
 func withoutOvertaken(calls []Call) []Call {
 	overtaken := func(c Call) bool {
 		return slices.ContainsFunc(calls, func(before Call) bool {
-			repeats := before.Write && before.Edition == c.Edition && before.Text == c.Text
-			return !before.Open && before.To < c.From && (before.Edition > c.Edition || repeats)
+			repeats := before.Write && before.Generation == c.Generation && before.Text == c.Text
+			return !before.Open && before.To < c.From && (before.Generation > c.Generation || repeats)
 		})
 	}
 	return slices.DeleteFunc(slices.Clone(calls), func(c Call) bool {
-		return c.Write && c.Edition != 0 && overtaken(c)
+		return c.Write && c.Generation != 0 && overtaken(c)
 	})
 }
 
@@ -74,13 +74,13 @@
 // well: whenever such a copy takes effect, the earlier one may have done so.
 func withoutCopies(calls []Call) (kept []Call) {
 	type numbered struct {
-		edition uint64
-		text    string
+		generation uint64
+		text       string
 	}
 	earlier := map[numbered]bool{}
 	for _, c := range calls { // as they were sent
-		key := numbered{c.Edition, c.Text}
-		if c.Write && c.Open && c.Edition != 0 && earlier[key] {
+		key := numbered{c.Generation, c.Text}
+		if c.Write && c.Open && c.Generation != 0 && earlier[key] {
 			continue
 		}
 		earlier[key] = earlier[key] || c.Write
@@ -91,14 +91,14 @@
 
 // withoutUnseen leaves out open writes whose text, and whose number, no read shows.
 func withoutUnseen(calls []Call) []Call {
-	texts, editions := map[string]bool{}, map[uint64]bool{}
+	texts, generations := map[string]bool{}, map[uint64]bool{}
 	for _, c := range calls {
 		if !c.Write {
-			texts[c.Text], editions[c.Edition] = true, true
+			texts[c.Text], generations[c.Generation] = true, true
 		}
 	}
 	return slices.DeleteFunc(slices.Clone(calls), func(c Call) bool {
-		seen := texts[c.Text] || c.Edition != 0 && editions[c.Edition]
+		seen := texts[c.Text] || c.Generation != 0 && generations[c.Generation]
 		return c.Open && !seen
 	})
 }
@@ -137,11 +137,11 @@
 
 // The check finds what must not be, and lets through what may be.
 func TestLinearizable(t *testing.T) {
-	put := func(edition uint64, text string, from, to time.Duration) Call {
-		return Call{Write: true, Edition: edition, Text: text, From: from, To: to}
+	put := func(generation uint64, text string, from, to time.Duration) Call {
+		return Call{Write: true, Generation: generation, Text: text, From: from, To: to}
 	}
-	read := func(edition uint64, text string, from, to time.Duration) Call {
-		return Call{Edition: edition, Text: text, From: from, To: to}
+	read := func(generation uint64, text string, from, to time.Duration) Call {
+		return Call{Generation: generation, Text: text, From: from, To: to}
 	}
 	open := put(0, "open", 4, 0)
 	open.Open = true
--- a/proof/simulator/leg.go
+++ b/proof/simulator/leg.go
@@ -61,9 +61,9 @@
 	l := &Legs{rng: rand.New(rand.NewPCG(seed, 19)), base: time.Now(), runs: map[string]int{}, denied: map[string]bool{}}
 	l.table, _ = way.NewTable(desired.Word{})
 	for i := range nodes {
-		n := &legNode{Node: cohort.Node{Addr: fmt.Sprintf("node-%d", i), Locality: fmt.Sprintf("locality-%d", i%3)}}
+		n := &legNode{Node: cohort.Node{Addr: fmt.Sprintf("node-%d", i), Zone: fmt.Sprintf("locality-%d", i%3)}}
 		if i >= nodes-2 {
-			n.Backends = []cohort.Backend{{Instance: fmt.Sprintf("s-%d", i), Service: "s", Locality: n.Locality, Capacity: 4, Share: 1}}
+			n.Backends = []cohort.Backend{{Instance: fmt.Sprintf("s-%d", i), Service: "s", Zone: n.Zone, Capacity: 4, Share: 1}}
 		}
 		l.nodes = append(l.nodes, n)
 		l.boot(n)
@@ -83,7 +83,7 @@
 	n.Boot = l.rng.Uint64()
 	n.claims = claim.NewTable(func(legAnswer) int { return 1 })
 	n.ledger, n.held = relay.NewLedger(), custody.NewHoldings()
-	n.trusts = custody.NewTrusts(n.Addr, n.Locality)
+	n.trusts = custody.NewTrusts(n.Addr, n.Zone)
 }
 
 // see renews everybody's view: all that live.
@@ -151,7 +151,7 @@
 		}
 		l.after(delay(), func() {
 			if to.life != life {
-				return // its circuit died with it
+				return // its connection died with it
 			}
 			l.on(to, func() {
 				do(func(answer any) {
@@ -384,7 +384,7 @@
 func (l *Legs) entrust(n *legNode, key claim.Key, id, name string, done func(a legAnswer, keep bool)) {
 	n.next++
 	e := custody.Entry{Owner: n.Addr, Boot: n.Boot, N: n.next, Key: key, For: 10*time.Second + claim.HeldFor}
-	ranked := custody.Choose(n.Addr, n.Locality, key, custody.Others(l.view, n.Addr))
+	ranked := custody.Choose(n.Addr, n.Zone, key, custody.Others(l.view, n.Addr))
 	want := min(custody.Holders, len(ranked))
 	var by []*legNode
 	asked, over := 0, false
@@ -455,7 +455,7 @@
 func (l *Legs) legs(n *legNode, id, name string, got func(legAnswer)) {
 	deadline := l.now + 2*time.Second
 	d := &way.Decision{
-		Way: desired.Way{Name: "w", Service: "s"}, Deadline: l.base.Add(deadline), Locality: n.Locality, Rand: l.rng,
+		Way: desired.Way{Name: "w", Service: "s"}, Deadline: l.base.Add(deadline), Zone: n.Zone, Rand: l.rng,
 		Means: way.Means{Cost: func(cohort.Target) way.Cost { return way.Cost{} }, Spend: func() bool { return true }},
 	}
 	last := ""
--- a/proof/simulator/operators.go
+++ b/proof/simulator/operators.go
@@ -20,11 +20,11 @@
 	lateForward = 8 * time.Second
 )
 
-// zones are the localities that are emptied and taken back, each in turn.
+// zones are the zones that are emptied and taken back, each in turn.
 var zones = []string{"east", "north", "south", "west"}
 
 // Operators are two that number their configurations from one sequence, at times alike,
-// lose answers and repeat their orders at other cores, while localities are emptied and
+// lose answers and repeat their orders at other cores, while zones are emptied and
 // taken back in turn. (DESIGN 6.3)
 type Operators struct {
 	r       *Register
@@ -112,7 +112,7 @@
 		o.r.after(o.r.some(100*time.Millisecond), again)
 		return
 	}
-	order := register.Order{Kind: register.Put, Edition: number, Bytes: text, Sent: text}
+	order := register.Order{Kind: register.Put, Generation: number, Bytes: text, Sent: text}
 	o.r.order(c, order, func(a register.Answer) {
 		o.hear(number, text, a)
 		switch {
@@ -133,9 +133,9 @@
 		o.acked[number] = append(o.acked[number], text)
 		o.r.check(a.Word, "an operator")
 		o.r.acked = max(o.r.acked, a.Word.Stamp)
-		o.r.edition = max(o.r.edition, number)
-		if a.Word.Edition < number {
-			o.r.broken("number %d was acknowledged while %d was held", number, a.Word.Edition)
+		o.r.generation = max(o.r.generation, number)
+		if a.Word.Generation < number {
+			o.r.broken("number %d was acknowledged while %d was held", number, a.Word.Generation)
 		}
 	case register.Conflict:
 		o.Conflicts++
@@ -167,8 +167,8 @@
 		}
 	}
 	if w.Sent != nil {
-		if d, ok := o.taken[w.Edition]; !ok || !bytes.Equal(d, desired.Digest(w.Sent, nil)) {
-			o.r.broken("%q is in force under %d, and another is on record", w.Sent, w.Edition)
+		if d, ok := o.taken[w.Generation]; !ok || !bytes.Equal(d, desired.Digest(w.Sent, nil)) {
+			o.r.broken("%q is in force under %d, and another is on record", w.Sent, w.Generation)
 		}
 	}
 	o.emptied[w.Stamp] = w.Emptied
@@ -240,7 +240,7 @@
 		o.r.after(o.r.some(100*time.Millisecond), again)
 		return
 	}
-	order := register.Order{Kind: register.Empty, Locality: e.zone}
+	order := register.Order{Kind: register.Empty, Zone: e.zone}
 	if !e.empty {
 		order.Kind = register.TakeBack
 	}
--- a/proof/simulator/register.go
+++ b/proof/simulator/register.go
@@ -72,14 +72,14 @@
 	asks    map[uint64]func(register.Answer)
 	settled map[uint64][]byte
 	acked   uint64
-	// editions are those of the settled words, by stamp; edition is the highest
+	// generations are those of the settled words, by stamp; generation is the highest
 	// that was acknowledged.
-	editions map[uint64]uint64
-	edition  uint64
-	asking   bool // no seat is static: cores ask for them
-	founders []string
-	begun    map[uint64][]register.Sets // of proposals, by stamp
-	word     desired.Word               // the highest that was settled
+	generations map[uint64]uint64
+	generation  uint64
+	asking      bool // no seat is static: cores ask for them
+	founders    []string
+	begun       map[uint64][]register.Sets // of proposals, by stamp
+	word        desired.Word               // the highest that was settled
 	// number is the highest that any operator used; Operators are those that race.
 	number    uint64
 	Operators *Operators
@@ -102,7 +102,7 @@
 func NewRegister(seed uint64, slots int, f Faults) *Register {
 	r := &Register{
 		rng: rand.New(rand.NewPCG(seed, 7)), slots: slots, faults: f, orders: map[uint64]register.Order{},
-		asks: map[uint64]func(register.Answer){}, settled: map[uint64][]byte{}, editions: map[uint64]uint64{}, begun: map[uint64][]register.Sets{},
+		asks: map[uint64]func(register.Answer){}, settled: map[uint64][]byte{}, generations: map[uint64]uint64{}, begun: map[uint64][]register.Sets{},
 	}
 	r.Operators = newOperators(r)
 	for s := 1; s <= slots; s++ {
@@ -429,12 +429,12 @@
 		r.grew(w)
 		r.word = w
 	}
-	for stamp, e := range r.editions {
-		if stamp <= w.Stamp && e > w.Edition || stamp >= w.Stamp && e < w.Edition {
-			r.broken("%s has edition %d under stamp %d and there was %d under %d", who, w.Edition, w.Stamp, e, stamp)
+	for stamp, e := range r.generations {
+		if stamp <= w.Stamp && e > w.Generation || stamp >= w.Stamp && e < w.Generation {
+			r.broken("%s has edition %d under stamp %d and there was %d under %d", who, w.Generation, w.Stamp, e, stamp)
 		}
 	}
-	r.editions[w.Stamp] = w.Edition
+	r.generations[w.Stamp] = w.Generation
 	r.Operators.settled(w)
 }
 
@@ -463,7 +463,7 @@
 }
 
 // write has an operator put a configuration at any core that is up; every other
-// one is an edition, some of them late.
+// one is a generation, some of them late.
 func (r *Register) write() {
 	c := r.any()
 	if !c.up || c.frozen > r.now || c.acceptor.Phase != register.Established {
@@ -472,8 +472,8 @@
 	text := fmt.Appendf(nil, "configuration %d", r.seq+1)
 	o := register.Order{Kind: register.Put, Bytes: text}
 	if r.rng.IntN(2) == 0 {
-		o.Edition = r.number + 1 + r.rng.Uint64N(4)
-		r.number = o.Edition
+		o.Generation = r.number + 1 + r.rng.Uint64N(4)
+		r.number = o.Generation
 	}
 	r.order(c, o, func(a register.Answer) {
 		if a.Result != register.Taken {
@@ -481,13 +481,13 @@
 			return
 		}
 		r.Acked++
-		if overtaken := o.Edition != 0 && a.Word.Edition >= o.Edition; !bytes.Equal(a.Word.Desired, text) && a.Word.DesiredStamp == a.Word.Stamp && !overtaken {
+		if overtaken := o.Generation != 0 && a.Word.Generation >= o.Generation; !bytes.Equal(a.Word.Desired, text) && a.Word.DesiredStamp == a.Word.Stamp && !overtaken {
 			r.broken("%q was acknowledged as %q", text, a.Word.Desired)
 		}
-		if a.Word.Edition < o.Edition {
-			r.broken("edition %d was acknowledged as %d", o.Edition, a.Word.Edition)
+		if a.Word.Generation < o.Generation {
+			r.broken("edition %d was acknowledged as %d", o.Generation, a.Word.Generation)
 		}
-		r.edition = max(r.edition, o.Edition)
+		r.generation = max(r.generation, o.Generation)
 		r.check(a.Word, "an operator")
 		r.acked = max(r.acked, a.Word.Stamp)
 	})
@@ -499,7 +499,7 @@
 	if !c.up || c.frozen > r.now {
 		return
 	}
-	least, edition, begun := r.acked, r.edition, r.now
+	least, generation, begun := r.acked, r.generation, r.now
 	got := func(w desired.Word) {
 		r.Reads++
 		r.History.read(begun, w, r.now)
@@ -507,8 +507,8 @@
 		if w.Stamp < least {
 			r.broken("stamp %d was read after %d was acknowledged", w.Stamp, least)
 		}
-		if w.Edition < edition {
-			r.broken("edition %d was read after %d was acknowledged", w.Edition, edition)
+		if w.Generation < generation {
+			r.broken("edition %d was read after %d was acknowledged", w.Generation, generation)
 		}
 	}
 	votes, done := map[int]register.Vote{}, false
--- a/proof/simulator/simulator_test.go
+++ b/proof/simulator/simulator_test.go
@@ -15,7 +15,7 @@
 // disk, herds, lost disks, splits and freezes, with operators racing: nothing
 // acknowledged is lost, no stamp stands for two words, no read is old, and it
 // serves again within 15 s. What operators were told fits one order of their calls. Two number their configurations alike: one number stands for
-// one configuration, which is never refused; no old copy of an order on a locality undoes
+// one configuration, which is never refused; no old copy of an order on a zone undoes
 // a newer one.
 func TestRegister(t *testing.T) {
 	var acked, reads, refused, swaps, kills int
--- a/proof/standin/again_test.go
+++ b/proof/standin/again_test.go
@@ -29,7 +29,7 @@
 	var muted atomic.Int64
 	run := func(r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
-		l.Ran(ledger.Ran{ID: r.Header.Get(headerID), Service: "desk", Instance: "desk-0", Locality: "north", Digest: digest(r.Method, r.RequestURI, r.Header, body)})
+		l.Ran(ledger.Ran{ID: r.Header.Get(headerID), Service: "desk", Instance: "desk-0", Zone: "north", Digest: digest(r.Method, r.RequestURI, r.Header, body)})
 	}
 	refuse := func(w http.ResponseWriter) {
 		w.Header().Set("Retry-After", "1")
--- a/proof/standin/backend.go
+++ b/proof/standin/backend.go
@@ -21,7 +21,7 @@
 type Backend struct {
 	Instance string
 	Service  string
-	Locality string
+	Zone     string
 	Capacity int
 	// Share is what it says of its warm-up; zero means warm.
 	Share float64
@@ -109,7 +109,7 @@
 // announce tells the sidecar once.
 func (b *Backend) announce(ctx context.Context) error {
 	a := map[string]any{
-		"instance": b.Instance, "service": b.Service, "address": b.Addr(), "locality": b.Locality,
+		"instance": b.Instance, "service": b.Service, "address": b.Addr(), "locality": b.Zone,
 		"capacity": b.Capacity, "leaving": b.leaving.Load(),
 	}
 	if b.Share > 0 {
@@ -151,7 +151,7 @@
 	}
 	id := r.Header.Get(headerID)
 	b.Ledger.Ran(ledger.Ran{
-		ID: id, Service: b.Service, Instance: b.Instance, Locality: b.Locality, Caller: r.Header.Get("Curlewwalk-Caller"),
+		ID: id, Service: b.Service, Instance: b.Instance, Zone: b.Zone, Caller: r.Header.Get("Curlewwalk-Caller"),
 		Digest: digest(r.Method, r.RequestURI, r.Header, body), Trace: r.Header.Get("X-B3-TraceId"), Span: r.Header.Get("X-B3-SpanId"), At: time.Now(),
 	})
 	p, ok := match(b.Plans, r.Method, r.URL.Path)
@@ -202,7 +202,7 @@
 	}
 	for _, p := range b.Plans {
 		if p.Name == name {
-			send(ctx, b.Client, b.Ledger, addr, p, b.Service, b.Locality, cause, fmt.Sprintf("%s/%s-%d", cause, b.Instance, b.serial.Add(1)), "")
+			send(ctx, b.Client, b.Ledger, addr, p, b.Service, b.Zone, cause, fmt.Sprintf("%s/%s-%d", cause, b.Instance, b.serial.Add(1)), "")
 		}
 	}
 }
--- a/proof/standin/caller.go
+++ b/proof/standin/caller.go
@@ -15,14 +15,14 @@
 // Caller is a client on one machine. It sends at a rate, whatever comes back.
 type Caller struct {
 	Name string
-	// Locality is where its machine stands.
-	Locality string
-	Addr     string // the sidecar's requests address
-	Rate     float64
-	Plans    []Plan
-	Ledger   *ledger.Ledger
-	Client   *http.Client
-	Seed     uint64
+	// Zone is where its machine stands.
+	Zone   string
+	Addr   string // the sidecar's requests address
+	Rate   float64
+	Plans  []Plan
+	Ledger *ledger.Ledger
+	Client *http.Client
+	Seed   uint64
 	// Retry is how often it asks again at once after a refusal.
 	Retry int
 
@@ -46,7 +46,7 @@
 		a = c.repeat(ctx, p, id())
 	}
 	for i := 0; i <= c.Retry && !c.Keyed; i++ {
-		if a = send(ctx, c.Client, c.Ledger, c.Addr, p, "", c.Locality, "", id(), ""); a.Outcome != "not-run" {
+		if a = send(ctx, c.Client, c.Ledger, c.Addr, p, "", c.Zone, "", id(), ""); a.Outcome != "not-run" {
 			break
 		}
 	}
@@ -59,7 +59,7 @@
 // repeat sends one request under a key until something is known of it.
 func (c *Caller) repeat(ctx context.Context, p Plan, id string) (a ledger.Answered) {
 	for i := range 200 {
-		a = send(ctx, c.Client, c.Ledger, c.Addr, p, "", c.Locality, "", id, "key of "+id)
+		a = send(ctx, c.Client, c.Ledger, c.Addr, p, "", c.Zone, "", id, "key of "+id)
 		if a.Outcome == "" || a.Outcome == "unknown" && a.Status != http.StatusServiceUnavailable {
 			break
 		}
--- a/proof/standin/send.go
+++ b/proof/standin/send.go
@@ -15,7 +15,7 @@
 )
 
 // send puts one request to a sidecar, checks the answer and records both.
-func send(ctx context.Context, c *http.Client, l *ledger.Ledger, addr string, p Plan, caller, locality, cause, id, key string) ledger.Answered {
+func send(ctx context.Context, c *http.Client, l *ledger.Ledger, addr string, p Plan, caller, zone, cause, id, key string) ledger.Answered {
 	body := filler("inquiry "+id, p.Body)
 	uri := p.Prefix + "item/a%2Fb?id=" + url.QueryEscape(id)
 	// net/http sends some requests again by itself: a refusal then says nothing of
@@ -31,7 +31,7 @@
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
-	l.Sent(ledger.Sent{ID: id, Cause: cause, Caller: caller, Service: p.Service, Locality: locality, Digest: digest(p.Method, uri, req.Header, body), Repeatable: p.Repeatable, Keyed: key != "", At: time.Now()})
+	l.Sent(ledger.Sent{ID: id, Cause: cause, Caller: caller, Service: p.Service, Zone: zone, Digest: digest(p.Method, uri, req.Header, body), Repeatable: p.Repeatable, Keyed: key != "", At: time.Now()})
 	a := ledger.Answered{ID: id}
 	resp, err := c.Do(req)
 	if err == nil {
--- a/proof/window_test.go
+++ b/proof/window_test.go
@@ -13,7 +13,7 @@
 	"curlewwalk/proof/fleet"
 )
 
-// calendar is a file with one window a locality, by how many seconds from now on
+// calendar is a file with one window a zone, by how many seconds from now on
 // it begins and ends.
 func calendar(windows map[string][2]int) []byte {
 	at := func(s int) string {
@@ -26,7 +26,7 @@
 	return []byte(strings.ReplaceAll(text+"END:VCALENDAR\n", "\n", "\r\n"))
 }
 
-// emptied reads which localities are emptied.
+// emptied reads which zones are emptied.
 func emptied(ctx context.Context, f *fleet.Fleet, core *fleet.Program) []string {
 	var got struct{ Emptied []string }
 	r, err := f.Operate(ctx, core, "GET", "/v1/localities", nil)
@@ -36,9 +36,9 @@
 	return got.Emptied
 }
 
-// A window empties its locality and takes it back, through a change of the duty
+// A window empties its zone and takes it back, through a change of the duty
 // and with the wall clock of the core on duty hours off. An operator's own
-// emptying stays after a window's end; a locality that an operator takes back
+// emptying stays after a window's end; a zone that an operator takes back
 // during a window is not emptied again by it. A bad file changes nothing.
 func TestWindows(t *testing.T) {
 	t.Parallel()
@@ -94,7 +94,7 @@
 }
 
 // Wall clocks of cores and sidecars jump by hours, both ways, under load, again
-// and again, while configurations change, a locality is emptied and taken back,
+// and again, while configurations change, a zone is emptied and taken back,
 // and a sidecar dies: nothing that must never happen does.
 func TestClocksJump(t *testing.T) {
 	t.Parallel()
--- a/proof/woken_test.go
+++ b/proof/woken_test.go
@@ -23,7 +23,7 @@
 	t.Parallel()
 	r := newRig(t)
 	b := &standin.Backend{
-		Instance: "old", Service: "desk", Locality: r.Locality(1), Capacity: 9, Control: r.Sidecars[1].Control,
+		Instance: "old", Service: "desk", Zone: r.Zone(1), Capacity: 9, Control: r.Sidecars[1].Control,
 		Ledger: r.Ledger, Client: r.Client, Handle: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
 	}
 	must(t, b.Start(r.Site.IP(1)+":8600"))
--- a/proof/word_test.go
+++ b/proof/word_test.go
@@ -20,7 +20,7 @@
 
 // coresOnly is a fleet without machines.
 func coresOnly(n int) fleet.Size {
-	return fleet.Size{Name: "cores", Cores: n, Machines: 1, Localities: []string{"north", "east", "south"}, Plans: fleet.Association().Plans}
+	return fleet.Size{Name: "cores", Cores: n, Machines: 1, Zones: []string{"north", "east", "south"}, Plans: fleet.Association().Plans}
 }
 
 // configuration is a valid one, told from others by its service's name.
--- a/register/conflict_test.go
+++ b/register/conflict_test.go
@@ -31,23 +31,23 @@
 		b.rest()
 		b.expect(id, want)
 	}
-	put(1, edition(5, "five"), Taken)
+	put(1, generation(5, "five"), Taken)
 	for slot := 1; slot <= 3; slot++ {
-		put(slot, edition(5, "five"), Taken)
-		put(slot, edition(5, "other"), Conflict)
+		put(slot, generation(5, "five"), Taken)
+		put(slot, generation(5, "other"), Conflict)
 	}
-	put(2, edition(8, "eight"), Taken)
-	put(3, Order{Kind: Empty, Locality: "west"}, Taken)
+	put(2, generation(8, "eight"), Taken)
+	put(3, Order{Kind: Empty, Zone: "west"}, Taken)
 	put(3, Order{Kind: Put, Bytes: []byte("plain")}, Taken)
 	for slot := 1; slot <= 3; slot++ {
-		put(slot, edition(5, "five"), Taken)
-		put(slot, edition(5, "other"), Conflict)
-		put(slot, edition(8, "eight"), Taken)
-		put(slot, edition(8, "other"), Conflict)
-		put(slot, edition(6, "never taken"), Taken)
-		put(slot, edition(6, "nor this"), Taken)
+		put(slot, generation(5, "five"), Taken)
+		put(slot, generation(5, "other"), Conflict)
+		put(slot, generation(8, "eight"), Taken)
+		put(slot, generation(8, "other"), Conflict)
+		put(slot, generation(6, "never taken"), Taken)
+		put(slot, generation(6, "nor this"), Taken)
 	}
-	if w := b.newest(); string(w.Desired) != "plain" || w.Edition != 8 {
+	if w := b.newest(); string(w.Desired) != "plain" || w.Generation != 8 {
 		t.Errorf("%+v", w)
 	}
 }
@@ -57,7 +57,7 @@
 	b := newBench(t, 3)
 	put := func(desired, sent string, want Result) {
 		t.Helper()
-		id := b.give(1, Order{Kind: Put, Edition: 3, Bytes: []byte(desired), Sent: []byte(sent)})
+		id := b.give(1, Order{Kind: Put, Generation: 3, Bytes: []byte(desired), Sent: []byte(sent)})
 		b.rest()
 		b.expect(id, want)
 	}
@@ -73,7 +73,7 @@
 	for steps := range 128 {
 		b := newBench(t, 3)
 		second := 1 + steps>>6&1
-		one, two := b.give(1, edition(4, "one")), b.give(second, edition(4, "two"))
+		one, two := b.give(1, generation(4, "one")), b.give(second, generation(4, "two"))
 		for bit := range 6 {
 			b.step(1 + steps>>bit&1)
 		}
@@ -87,7 +87,7 @@
 		b.expect(two, wants["two"])
 		for slot := 1; slot <= 3; slot++ {
 			for text, want := range wants {
-				id := b.give(slot, edition(4, text))
+				id := b.give(slot, generation(4, text))
 				b.rest()
 				b.expect(id, want)
 			}
@@ -102,11 +102,11 @@
 // refused; those of lower numbers, which nobody ever took, are acknowledged.
 func TestEqualNumbersPileUp(t *testing.T) {
 	b := newBench(t, 3)
-	first := b.give(1, edition(1, "1"))
+	first := b.give(1, generation(1, "1"))
 	for b.step(1) && b.proposed == 0 {
 	}
-	low, one, two, same := b.give(1, edition(2, "low")), b.give(1, edition(3, "one")), b.give(1, edition(3, "two")), b.give(1, edition(3, "one"))
-	late := b.give(1, edition(1, "other"))
+	low, one, two, same := b.give(1, generation(2, "low")), b.give(1, generation(3, "one")), b.give(1, generation(3, "two")), b.give(1, generation(3, "one"))
+	late := b.give(1, generation(1, "other"))
 	b.rest()
 	b.expect(first, Taken)
 	b.expect(low, Taken)
@@ -125,10 +125,10 @@
 	for _, found := range []bool{true, false} {
 		t.Run(fmt.Sprint(found), func(t *testing.T) {
 			b := newBench(t, 3)
-			first := b.give(1, Order{Kind: Empty, Locality: "west"})
+			first := b.give(1, Order{Kind: Empty, Zone: "west"})
 			b.rest()
 			b.expect(first, Taken)
-			one := b.give(1, edition(4, "one"))
+			one := b.give(1, generation(4, "one"))
 			b.unsettled(1, 1)
 			asks := 2
 			if found {
@@ -136,7 +136,7 @@
 			}
 			// The duty changes. The next epoch asks slot 3 and the one that has the
 			// proposal, or slot 3 and the one that has not.
-			two := b.give(3, edition(4, "two"))
+			two := b.give(3, generation(4, "two"))
 			for range 8 {
 				sent := b.sent[3]
 				b.sent[3] = nil
@@ -178,12 +178,12 @@
 	text := func(n uint64) string { return fmt.Sprint("configuration ", n) }
 	const most = 300
 	for n := uint64(1); n <= most; n++ {
-		put(edition(n, text(n)), Taken)
+		put(generation(n, text(n)), Taken)
 	}
 	known := 0
 	for n := uint64(1); n <= most; n++ {
-		put(edition(n, text(n)), Taken)
-		id := b.give(1, edition(n, "other"))
+		put(generation(n, text(n)), Taken)
+		id := b.give(1, generation(n, "other"))
 		if b.answers[id].Result == Conflict {
 			known++
 		} else if known > 0 {
@@ -219,18 +219,18 @@
 		b.acceptors[0], b.proposers[1] = acceptor, &Proposer{}
 		b.proposers[1].Follow(acceptor, b.now)
 	}
-	put(edition(3, "three"), Taken)
-	put(edition(4, "four"), Taken)
+	put(generation(3, "three"), Taken)
+	put(generation(4, "four"), Taken)
 	acceptor := b.acceptors[0]
 	acceptor.OathDirty, acceptor.WordDirty = true, true
 	if err := (&Disk{Vault: v}).Save(acceptor); err != nil {
 		t.Fatal(err)
 	}
 	again()
-	put(edition(4, "four"), Taken)
-	put(edition(4, "other"), Conflict)
-	put(edition(3, "three"), Taken)
-	put(edition(3, "other"), Conflict)
+	put(generation(4, "four"), Taken)
+	put(generation(4, "other"), Conflict)
+	put(generation(3, "three"), Taken)
+	put(generation(3, "other"), Conflict)
 
 	old := "{\"epoch\":4000000,\"stamp\":9,\"desired_stamp\":9,\"emptied\":null,\"edition\":7,\"sent\":\"c2VudCBzZXZlbg==\"}\nseven"
 	if err := v.Save(kindWord, "00000000000004000000.00000000000000000009", []byte(old)); err != nil {
@@ -238,15 +238,15 @@
 	}
 	b.now += time.Minute
 	again()
-	put(edition(7, "seven"), Taken)
-	put(edition(7, "other"), Conflict)
-	put(edition(6, "six"), Taken)
+	put(generation(7, "seven"), Taken)
+	put(generation(7, "other"), Conflict)
+	put(generation(6, "six"), Taken)
 	old = "{\"epoch\":5000000,\"stamp\":10,\"desired_stamp\":10,\"emptied\":null,\"edition\":7}\nput without a number"
 	if err := v.Save(kindWord, "00000000000005000000.00000000000000000010", []byte(old)); err != nil {
 		t.Fatal(err)
 	}
 	again()
-	put(edition(7, "seven"), Taken) // it can't be told any more
+	put(generation(7, "seven"), Taken) // it can't be told any more
 }
 
 // loaded is a word as it comes back from disk.
--- a/register/denied_test.go
+++ b/register/denied_test.go
@@ -44,7 +44,7 @@
 	c.Follow(acceptors[2], 0)
 	now := time.Duration(0)
 	order := func(id uint64) []Outcome {
-		return c.Take(Order{ID: id, Kind: Empty, Locality: "north", Until: now + orderLimit}, now)
+		return c.Take(Order{ID: id, Kind: Empty, Zone: "north", Until: now + orderLimit}, now)
 	}
 	if a := rehearse(c, acceptors, order(1), now); len(a) != 1 || a[0].Result != Taken {
 		t.Fatalf("%+v", a)
--- a/register/disk.go
+++ b/register/disk.go
@@ -53,9 +53,9 @@
 	Calendar      []byte            `json:"calendar,omitempty"`
 	Closures      []desired.Closure `json:"closures,omitempty"`
 
-	Edition uint64          `json:"edition,omitempty"`
-	Sent    []byte          `json:"sent,omitempty"`
-	Taken   []desired.Taken `json:"taken,omitempty"`
+	Generation uint64          `json:"edition,omitempty"`
+	Sent       []byte          `json:"sent,omitempty"`
+	Taken      []desired.Taken `json:"taken,omitempty"`
 
 	Evacuations []desired.Evacuation `json:"evacuations,omitempty"`
 	Forgotten   uint64               `json:"forgotten,omitempty"`
@@ -106,7 +106,7 @@
 		v.Word = desired.Word{
 			Stamp: h.Stamp, DesiredStamp: h.DesiredStamp, Emptied: h.Emptied, Desired: body,
 			CalendarStamp: h.CalendarStamp, Calendar: h.Calendar, Closures: h.Closures,
-			Edition: h.Edition, Sent: h.Sent, Taken: h.Taken,
+			Generation: h.Generation, Sent: h.Sent, Taken: h.Taken,
 			Evacuations: h.Evacuations, Forgotten: h.Forgotten,
 			Slots: h.Slots, Formerly: h.Formerly, Top: h.Top,
 		}
@@ -141,7 +141,7 @@
 		head, err := json.Marshal(wordHead{
 			Mark: v.Mark, DesiredStamp: v.Word.DesiredStamp, Emptied: v.Word.Emptied,
 			CalendarStamp: v.Word.CalendarStamp, Calendar: v.Word.Calendar, Closures: v.Word.Closures,
-			Edition: v.Word.Edition, Sent: v.Word.Sent, Taken: v.Word.Taken,
+			Generation: v.Word.Generation, Sent: v.Word.Sent, Taken: v.Word.Taken,
 			Evacuations: v.Word.Evacuations, Forgotten: v.Word.Forgotten,
 			Slots: v.Word.Slots, Formerly: v.Word.Formerly, Top: v.Word.Top,
 		})
--- a/register/evacuation_test.go
+++ b/register/evacuation_test.go
@@ -8,12 +8,12 @@
 	"curlewwalk/desired"
 )
 
-// asOf is an order on a locality that came while a stamp was the newest.
-func asOf(kind OrderKind, locality string, since uint64) Order {
-	return Order{Kind: kind, Locality: locality, Since: &since}
+// asOf is an order on a zone that came while a stamp was the newest.
+func asOf(kind OrderKind, zone string, since uint64) Order {
+	return Order{Kind: kind, Zone: zone, Since: &since}
 }
 
-// An old copy of an order on a locality does not undo a newer one that was taken since
+// An old copy of an order on a zone does not undo a newer one that was taken since
 // the copy came, at whatever core and however late; a newer order is carried out.
 func TestOldCopyOfAnEvacuation(t *testing.T) {
 	b := newBench(t, 3)
@@ -41,7 +41,7 @@
 	do(2, asOf(Empty, "west", 0), Overtaken)
 	do(3, asOf(Empty, "west", 0), Overtaken)
 	emptied()
-	do(1, asOf(Empty, "east", 0), Taken) // another locality's order is no newer one
+	do(1, asOf(Empty, "east", 0), Taken) // another zone's order is no newer one
 	emptied("east")
 	do(3, asOf(Empty, "west", back), Taken) // wanted anew
 	emptied("east", "west")
@@ -79,7 +79,7 @@
 }
 
 // An order that is bound to a configuration that is not the newest is told so, whatever
-// else was ordered on its locality.
+// else was ordered on its zone.
 func TestEvacuationBoundToAConfiguration(t *testing.T) {
 	b := newBench(t, 3)
 	newest, other := uint64(2), uint64(7)
@@ -102,12 +102,12 @@
 	}
 }
 
-// The record of orders on localities is bounded; a copy older than what was dropped from
+// The record of orders on zones is bounded; a copy older than what was dropped from
 // it is left without effect, and one that came since is carried out.
 func TestEvacuationsAreBounded(t *testing.T) {
 	w := desired.Word{}
 	for n := 1; n <= 3*desired.EvacuationsMost; n++ {
-		w = next(w, Order{Kind: Empty, Locality: fmt.Sprint("zone-", n)})
+		w = next(w, Order{Kind: Empty, Zone: fmt.Sprint("zone-", n)})
 	}
 	if len(w.Evacuations) != desired.EvacuationsMost || w.Forgotten != 2*desired.EvacuationsMost {
 		t.Fatalf("%d on record, forgotten up to %d", len(w.Evacuations), w.Forgotten)
@@ -119,9 +119,9 @@
 	}
 }
 
-// What is on record of localities outlives a restart.
+// What is on record of zones outlives a restart.
 func TestEvacuationsOnDisk(t *testing.T) {
-	w := next(desired.Word{Stamp: 4, Forgotten: 2}, Order{Kind: Empty, Locality: "west"})
+	w := next(desired.Word{Stamp: 4, Forgotten: 2}, Order{Kind: Empty, Zone: "west"})
 	got := loaded(t, w)
 	if at, known := got.EvacuatedAt("west"); !known || at != 5 {
 		t.Errorf("west at %d, %v", at, known)
--- a/register/edition_test.go
+++ b/register/generation_test.go
@@ -120,13 +120,13 @@
 	return a.Word
 }
 
-func edition(n uint64, text string) Order {
-	return Order{Kind: Put, Edition: n, Bytes: []byte(text), Sent: []byte("sent " + text)}
+func generation(n uint64, text string) Order {
+	return Order{Kind: Put, Generation: n, Bytes: []byte(text), Sent: []byte("sent " + text)}
 }
 
-// An edition is taken once; one that is no higher changes nothing; one without a
+// A generation is taken once; one that is no higher changes nothing; one without a
 // number keeps the number and clears what was sent.
-func TestEditions(t *testing.T) {
+func TestGenerations(t *testing.T) {
 	b := newBench(t, 3)
 	put := func(slot int, o Order) desired.Word {
 		t.Helper()
@@ -134,51 +134,51 @@
 		b.rest()
 		return b.expect(id, Taken)
 	}
-	w := put(1, edition(5, "five"))
-	if w.Edition != 5 || string(w.Desired) != "five" || string(w.Sent) != "sent five" || w.DesiredStamp != w.Stamp {
+	w := put(1, generation(5, "five"))
+	if w.Generation != 5 || string(w.Desired) != "five" || string(w.Sent) != "sent five" || w.DesiredStamp != w.Stamp {
 		t.Errorf("%+v", w)
 	}
 	for n, text := range map[uint64]string{5: "five", 4: "other", 1: "other"} {
-		if again := put(1, edition(n, text)); again.Stamp != w.Stamp || string(again.Desired) != "five" {
+		if again := put(1, generation(n, text)); again.Stamp != w.Stamp || string(again.Desired) != "five" {
 			t.Errorf("edition %d after 5: %+v", n, again)
 		}
 	}
-	other := b.give(1, edition(5, "other"))
+	other := b.give(1, generation(5, "other"))
 	b.rest()
 	b.expect(other, Conflict)
 	stamp := w.DesiredStamp + 7
-	o := edition(5, "five")
+	o := generation(5, "five")
 	o.IfMatch = &stamp
 	put(2, o) // repeated at another core, whatever it is bound to
-	o = edition(6, "six")
+	o = generation(6, "six")
 	o.IfMatch = &stamp
 	id := b.give(2, o)
 	b.rest()
 	b.expect(id, Mismatch)
-	put(2, Order{Kind: Empty, Locality: "west"})
-	if w = b.newest(); w.Edition != 5 || string(w.Sent) != "sent five" {
+	put(2, Order{Kind: Empty, Zone: "west"})
+	if w = b.newest(); w.Generation != 5 || string(w.Sent) != "sent five" {
 		t.Errorf("after another order: %+v", w)
 	}
 	put(3, Order{Kind: Put, Bytes: []byte("plain"), Sent: []byte("no")})
-	if w = b.newest(); w.Edition != 5 || w.Sent != nil || string(w.Desired) != "plain" {
+	if w = b.newest(); w.Generation != 5 || w.Sent != nil || string(w.Desired) != "plain" {
 		t.Errorf("after one without a number: %+v", w)
 	}
-	put(1, edition(5, "five"))
+	put(1, generation(5, "five"))
 	if w = b.newest(); string(w.Desired) != "plain" {
 		t.Errorf("an old edition came back: %+v", w)
 	}
-	put(1, edition(6, "six"))
-	if w = b.newest(); w.Edition != 6 || string(w.Desired) != "six" {
+	put(1, generation(6, "six"))
+	if w = b.newest(); w.Generation != 6 || string(w.Desired) != "six" {
 		t.Errorf("%+v", w)
 	}
 }
 
 // Two proposers race: whichever way their ballots fall among each other, both
-// editions are acknowledged, and the higher one is held.
-func TestEditionsRace(t *testing.T) {
+// generations are acknowledged, and the higher one is held.
+func TestGenerationsRace(t *testing.T) {
 	for steps := range 64 {
 		b := newBench(t, 3)
-		low, high := b.give(1, edition(1, "low")), b.give(2, edition(2, "high"))
+		low, high := b.give(1, generation(1, "low")), b.give(2, generation(2, "high"))
 		for bit := range 6 {
 			b.step(1 + steps>>bit&1)
 		}
@@ -187,56 +187,56 @@
 		}
 		b.expect(low, Taken)
 		b.expect(high, Taken)
-		if w := b.newest(); w.Edition != 2 || string(w.Desired) != "high" {
+		if w := b.newest(); w.Generation != 2 || string(w.Desired) != "high" {
 			t.Errorf("steps %b: %+v", steps, w)
 		}
 	}
 }
 
-// An edition whose ballots were lost, and that another proposer's word came in the
+// A generation whose ballots were lost, and that another proposer's word came in the
 // way of, is proposed again and not left in doubt.
-func TestEditionOvertaken(t *testing.T) {
+func TestGenerationOvertaken(t *testing.T) {
 	b := newBench(t, 3)
-	first := b.give(1, Order{Kind: Empty, Locality: "west"})
+	first := b.give(1, Order{Kind: Empty, Zone: "west"})
 	b.rest()
 	b.expect(first, Taken)
-	overtaken := b.give(1, edition(1, "one"))
+	overtaken := b.give(1, generation(1, "one"))
 	b.sent[1] = nil
 	b.proposers[2].Follow(b.acceptors[1], b.now)
-	other := b.give(2, Order{Kind: Empty, Locality: "east"})
+	other := b.give(2, Order{Kind: Empty, Zone: "east"})
 	for b.step(2) {
 	}
 	b.expect(other, Taken)
-	if w := b.newest(); w.Edition != 0 || w.Stamp != 2 {
+	if w := b.newest(); w.Generation != 0 || w.Stamp != 2 {
 		t.Errorf("%+v", w)
 	}
 	b.rest()
 	b.expect(overtaken, Taken)
-	if w := b.newest(); w.Edition != 1 || len(w.Emptied) != 2 {
+	if w := b.newest(); w.Generation != 1 || len(w.Emptied) != 2 {
 		t.Errorf("%+v", w)
 	}
 }
 
-// Of editions that pile up while one is being written, the highest only is
+// Of generations that pile up while one is being written, the highest only is
 // written; all are acknowledged, the others once that is settled.
-func TestEditionsPileUp(t *testing.T) {
+func TestGenerationsPileUp(t *testing.T) {
 	b := newBench(t, 3)
-	first := b.give(1, edition(1, "1"))
+	first := b.give(1, generation(1, "1"))
 	for b.step(1) && b.proposed == 0 {
 	}
 	var ids []uint64
 	for _, n := range []uint64{3, 2, 30, 4, 29} { // while the first is proposed
-		ids = append(ids, b.give(1, edition(n, "later")))
+		ids = append(ids, b.give(1, generation(n, "later")))
 	}
-	empty := b.give(1, Order{Kind: Empty, Locality: "west"})
+	empty := b.give(1, Order{Kind: Empty, Zone: "west"})
 	stamp := uint64(1)
-	bound := edition(31, "bound")
+	bound := generation(31, "bound")
 	bound.IfMatch = &stamp
 	mismatch := b.give(1, bound)
 	for !b.has(ids[2]) && b.step(1) {
 	}
 	b.expect(first, Taken)
-	if w := b.expect(ids[2], Taken); w.Edition != 30 || w.Stamp != 2 {
+	if w := b.expect(ids[2], Taken); w.Generation != 30 || w.Stamp != 2 {
 		t.Errorf("%+v", w)
 	}
 	b.rest()
@@ -244,21 +244,21 @@
 		b.expect(id, Taken)
 	}
 	b.expect(mismatch, Mismatch)
-	if w := b.newest(); w.Edition != 30 || w.Stamp != 3 || b.proposed != 3 {
+	if w := b.newest(); w.Generation != 30 || w.Stamp != 3 || b.proposed != 3 {
 		t.Errorf("%d words were proposed, %+v", b.proposed, w)
 	}
 }
 
-// An edition that waits for a higher one is not acknowledged if that is not
+// A generation that waits for a higher one is not acknowledged if that is not
 // settled in time: it was never proposed, so it surely was not taken.
-func TestEditionsUnsettled(t *testing.T) {
+func TestGenerationsUnsettled(t *testing.T) {
 	b := newBench(t, 3)
-	first := b.give(1, edition(1, "1"))
+	first := b.give(1, generation(1, "1"))
 	for b.step(1) && b.proposed == 0 {
 	}
-	low := b.give(1, edition(2, "2"))
+	low := b.give(1, generation(2, "2"))
 	b.now += time.Second
-	high := b.give(1, edition(3, "3"))
+	high := b.give(1, generation(3, "3"))
 	for !b.has(first) {
 		b.step(1)
 	}
@@ -279,9 +279,9 @@
 	}
 }
 
-// A word's edition, and what was sent, are read back from disk; a file from
-// before there were editions is read.
-func TestEditionOnDisk(t *testing.T) {
+// A word's generation, and what was sent, are read back from disk; a file from
+// before there were generations is read.
+func TestGenerationOnDisk(t *testing.T) {
 	v, err := vault.Open(t.TempDir())
 	if err != nil {
 		t.Fatal(err)
@@ -293,7 +293,7 @@
 	}
 	acceptor.Phase, acceptor.Self.Inc = Established, 1
 	acceptor.Mark = Mark{Epoch: 2, Stamp: 3}
-	acceptor.Word = desired.Word{Stamp: 3, DesiredStamp: 3, Edition: 9, Desired: []byte("{\n}\n"), Sent: []byte("a\n\x00b")}
+	acceptor.Word = desired.Word{Stamp: 3, DesiredStamp: 3, Generation: 9, Desired: []byte("{\n}\n"), Sent: []byte("a\n\x00b")}
 	acceptor.OathDirty, acceptor.WordDirty = true, true
 	if err := d.Save(acceptor); err != nil {
 		t.Fatal(err)
@@ -306,7 +306,7 @@
 	if err := v.Save(kindWord, "00000000000000000004.00000000000000000004", []byte(old)); err != nil {
 		t.Fatal(err)
 	}
-	if got, err = (&Disk{Vault: v}).Load(Start{Slot: 1, Slots: 1}); err != nil || got.Word.Edition != 0 || string(got.Word.Desired) != "{}" || got.Word.DesiredStamp != 4 {
+	if got, err = (&Disk{Vault: v}).Load(Start{Slot: 1, Slots: 1}); err != nil || got.Word.Generation != 0 || string(got.Word.Desired) != "{}" || got.Word.DesiredStamp != 4 {
 		t.Errorf("%+v %v", got.Word, err)
 	}
 }
--- a/register/order.go
+++ b/register/order.go
@@ -30,14 +30,14 @@
 	ID    uint64    `msgpack:"i"`
 	Kind  OrderKind `msgpack:"k"`
 	Bytes []byte    `msgpack:"b"`
-	// Edition is the operator's own number of what is put, from 1; zero: none.
-	Edition uint64 `msgpack:"ed,omitempty"`
-	// Sent is what the operator sent of an edition, if in another form.
+	// Generation is the operator's own number of what is put, from 1; zero: none.
+	Generation uint64 `msgpack:"ed,omitempty"`
+	// Sent is what the operator sent of a generation, if in another form.
 	Sent []byte `msgpack:"st,omitempty"`
 	// Digest identifies a numbered configuration as it was sent.
-	Digest   []byte `msgpack:"dg,omitempty"`
-	Locality string `msgpack:"l"`
-	// Since, of an order on a locality, is the newest settled stamp when it came: it is
+	Digest []byte `msgpack:"dg,omitempty"`
+	Zone   string `msgpack:"l"`
+	// Since, of an order on a zone, is the newest settled stamp when it came: it is
 	// not to undo what was ordered there after that. Nil: it can't be told.
 	Since   *uint64 `msgpack:"si,omitempty"`
 	Window  string  `msgpack:"w,omitempty"`
--- a/register/patched.go
+++ b/register/patched.go
@@ -195,7 +195,7 @@
 // asked so.
 func (a Answer) told(o Order) Answer {
 	if w := a.Word; o.Brief {
-		a.Word = desired.Word{Stamp: w.Stamp, DesiredStamp: w.DesiredStamp, CalendarStamp: w.CalendarStamp, Edition: w.Edition}
+		a.Word = desired.Word{Stamp: w.Stamp, DesiredStamp: w.DesiredStamp, CalendarStamp: w.CalendarStamp, Generation: w.Generation}
 	}
 	return a
 }
--- a/register/patched_test.go
+++ b/register/patched_test.go
@@ -143,16 +143,16 @@
 // put has a member bring an order to the one on duty, and all hold what came of it.
 func (r *trio) put(from, number int) {
 	r.t.Helper()
-	o := Order{Kind: Put, Edition: uint64(number), Bytes: configuration(number, 60), Sent: configuration(number, 30)}
+	o := Order{Kind: Put, Generation: uint64(number), Bytes: configuration(number, 60), Sent: configuration(number, 30)}
 	a := r.order(from, o)
 	// As an operator does, it is sent again under its number while no clear answer came:
-	// a circuit to a member that was just restarted may have been broken.
+	// a connection to a member that was just restarted may have been broken.
 	for ; a.Result != Taken; a = r.order(from, o) {
 		if r.ctx.Err() != nil {
 			r.t.Fatalf("order %d was never taken: %v", number, a.Result)
 		}
 	}
-	if a.Word.Stamp == 0 || a.Word.Edition != uint64(number) {
+	if a.Word.Stamp == 0 || a.Word.Generation != uint64(number) {
 		r.t.Fatalf("order %d: %+v", number, a.Word)
 	}
 	for slot, m := range r.members {
--- a/register/proposer.go
+++ b/register/proposer.go
@@ -57,7 +57,7 @@
 // Take queues an order.
 func (c *Proposer) Take(o Order, now time.Duration) []Outcome {
 	o.at = now
-	if o.Kind == Put && o.Edition != 0 && o.Digest == nil {
+	if o.Kind == Put && o.Generation != 0 && o.Digest == nil {
 		o.Digest = desired.Digest(o.Sent, o.Bytes)
 	}
 	c.orders = append(c.orders, o)
@@ -224,17 +224,17 @@
 	return out
 }
 
-// overtake has the highest of the editions that wait go before the first, if that
+// overtake has the highest of the generations that wait go before the first, if that
 // is one: once it is settled, the others need no write. Whoever gave them has no
 // response yet, so any order among them is as good.
 func (c *Proposer) overtake() {
-	waits := func(o Order) bool { return o.Kind == Put && o.Edition != 0 && o.IfMatch == nil }
+	waits := func(o Order) bool { return o.Kind == Put && o.Generation != 0 && o.IfMatch == nil }
 	if !waits(c.orders[0]) {
 		return
 	}
 	top := 0
 	for i, o := range c.orders {
-		if waits(o) && o.Edition > c.orders[top].Edition {
+		if waits(o) && o.Generation > c.orders[top].Generation {
 			top = i
 		}
 	}
@@ -256,11 +256,11 @@
 		return ans, true
 	case o.Kind == Begin && c.held.Noted(o.Window), o.Kind == End && !c.held.Noted(o.Window):
 		return ans, true // whoever had the duty before has seen to it
-	case o.Kind == Put && o.Edition != 0 && o.Edition <= c.held.Edition:
+	case o.Kind == Put && o.Generation != 0 && o.Generation <= c.held.Generation:
 		ans.Result = repeated(c.held, o)
 		return ans, true
-	case o.Kind == Put && o.Edition != 0 && o.proposed.Stamp != 0 && o.IfMatch == nil:
-		// Editions never fall, so it was not taken, and a word under a later epoch
+	case o.Kind == Put && o.Generation != 0 && o.proposed.Stamp != 0 && o.IfMatch == nil:
+		// Generations never fall, so it was not taken, and a word under a later epoch
 		// stands in its way for good: it is proposed once more.
 		return ans, false
 	case o.Since != nil && o.proposed.Stamp != 0 && o.IfMatch == nil:
@@ -284,13 +284,13 @@
 // and changes nothing. What is held is settled, so no later word can tell otherwise.
 // (DESIGN 6.3)
 func repeated(held desired.Word, o Order) Result {
-	if same, known := held.TakenAs(o.Edition, o.Digest); known && !same {
+	if same, known := held.TakenAs(o.Generation, o.Digest); known && !same {
 		return Conflict
 	}
 	return Taken
 }
 
-// superseded ends an order on a locality if another, or this one, was taken there since
+// superseded ends an order on a zone if another, or this one, was taken there since
 // it came. One that asked for the same makes it good as well; one that asked for the
 // opposite is newer, and stays. (DESIGN 6.3)
 func superseded(held desired.Word, o Order) (Result, bool) {
@@ -298,11 +298,11 @@
 	if o.Since == nil || o.Kind != Empty && o.Kind != TakeBack || !bound {
 		return "", false
 	}
-	at, known := held.EvacuatedAt(o.Locality)
+	at, known := held.EvacuatedAt(o.Zone)
 	switch {
 	case at <= *o.Since:
 		return "", false
-	case known && slices.Contains(held.Emptied, o.Locality) == (o.Kind == Empty):
+	case known && slices.Contains(held.Emptied, o.Zone) == (o.Kind == Empty):
 		return Taken, true
 	}
 	return Overtaken, true
@@ -312,11 +312,11 @@
 func does(w desired.Word, o Order) bool {
 	switch o.Kind {
 	case Put:
-		return w.DesiredStamp == w.Stamp && bytes.Equal(w.Desired, o.Bytes) && (o.Edition == 0 || w.Edition == o.Edition)
+		return w.DesiredStamp == w.Stamp && bytes.Equal(w.Desired, o.Bytes) && (o.Generation == 0 || w.Generation == o.Generation)
 	case Calendar:
 		return w.CalendarStamp == w.Stamp && bytes.Equal(w.Calendar, o.Bytes)
 	case Empty:
-		return slices.Contains(w.Emptied, o.Locality)
+		return slices.Contains(w.Emptied, o.Zone)
 	case Begin:
 		return w.Noted(o.Window)
 	case End:
@@ -324,36 +324,36 @@
 	case Reseat:
 		return false // judgeReseat looks at that
 	}
-	return !slices.Contains(w.Shut(), o.Locality)
+	return !slices.Contains(w.Shut(), o.Zone)
 }
 
 // next is the word that an order makes of the one before.
 func next(w desired.Word, o Order) desired.Word {
 	w.Stamp++
 	w.Emptied, w.Closures = slices.Clone(w.Emptied), slices.Clone(w.Closures)
-	open := func() { w.Emptied = slices.DeleteFunc(w.Emptied, func(l string) bool { return l == o.Locality }) }
+	open := func() { w.Emptied = slices.DeleteFunc(w.Emptied, func(l string) bool { return l == o.Zone }) }
 	switch o.Kind {
 	case Put:
 		w.Desired, w.DesiredStamp, w.Sent = o.Bytes, w.Stamp, nil
-		if o.Edition != 0 {
-			w.Edition, w.Sent, w.Taken = o.Edition, o.Sent, w.Take(o.Edition, o.Digest)
+		if o.Generation != 0 {
+			w.Generation, w.Sent, w.Taken = o.Generation, o.Sent, w.Take(o.Generation, o.Digest)
 		}
 	case Calendar:
 		w.Calendar, w.CalendarStamp = o.Bytes, w.Stamp
 	case Empty:
 		open()
-		w.Emptied = append(w.Emptied, o.Locality)
+		w.Emptied = append(w.Emptied, o.Zone)
 		slices.Sort(w.Emptied)
-		w = w.Evacuate(o.Locality)
+		w = w.Evacuate(o.Zone)
 	case TakeBack:
 		open()
 		for i := range w.Closures {
 			// It stays noted, so that it is not begun again.
-			w.Closures[i].Waived = w.Closures[i].Waived || w.Closures[i].Locality == o.Locality
+			w.Closures[i].Waived = w.Closures[i].Waived || w.Closures[i].Zone == o.Zone
 		}
-		w = w.Evacuate(o.Locality)
+		w = w.Evacuate(o.Zone)
 	case Begin:
-		w.Closures = append(w.Closures, desired.Closure{Locality: o.Locality, Window: o.Window})
+		w.Closures = append(w.Closures, desired.Closure{Zone: o.Zone, Window: o.Window})
 	case End:
 		w.Closures = slices.DeleteFunc(w.Closures, func(c desired.Closure) bool { return c.Window == o.Window })
 	}
--- a/register/state.go
+++ b/register/state.go
@@ -90,7 +90,7 @@
 // AppendWord appends an encoding of what orders about configurations and the set of
 // slots make of a word.
 func AppendWord(b []byte, w desired.Word) []byte {
-	b = appendNumbers(b, w.Stamp, w.DesiredStamp, w.Edition, uint64(w.Top), uint64(len(w.Desired)), uint64(len(w.Taken)))
+	b = appendNumbers(b, w.Stamp, w.DesiredStamp, w.Generation, uint64(w.Top), uint64(len(w.Desired)), uint64(len(w.Taken)))
 	b = append(b, w.Desired...)
 	for _, t := range w.Taken {
 		b = appendNumbers(b, t.Generation, uint64(len(t.Digest)))
--- a/register/transition_test.go
+++ b/register/transition_test.go
@@ -261,7 +261,7 @@
 	b.eventually(t, "the contact to be missed", func() bool { return !b.Connected() })
 	promised := b.Acceptor().Promised
 	for range 20 {
-		if a := b.Write(b.ctx, Order{Kind: Empty, Locality: "north"}); a.Result != NotTaken {
+		if a := b.Write(b.ctx, Order{Kind: Empty, Zone: "north"}); a.Result != NotTaken {
 			t.Fatalf("%+v", a)
 		}
 	}
@@ -277,7 +277,7 @@
 	b.onDuty.Store(true)
 	b.eventually(t, "the contact to be old", func() bool { return !b.Connected() }) // it looks at nobody yet
 	b.run()
-	if a := b.Write(b.ctx, Order{Kind: Empty, Locality: "north"}); a.Result != Taken {
+	if a := b.Write(b.ctx, Order{Kind: Empty, Zone: "north"}); a.Result != Taken {
 		t.Errorf("%+v", a)
 	}
 }
--- a/register/usher.go
+++ b/register/usher.go
@@ -16,9 +16,9 @@
 
 // Asker is a core that asks for a seat.
 type Asker struct {
-	ID       uint64 `msgpack:"d"`
-	Addr     string `msgpack:"a"`
-	Locality string `msgpack:"l"`
+	ID   uint64 `msgpack:"d"`
+	Addr string `msgpack:"a"`
+	Zone string `msgpack:"l"`
 	// Passed is set once a core has passed it on to the one on duty.
 	Passed bool `msgpack:"p,omitempty"`
 }
--- a/relay/answers_test.go
+++ b/relay/answers_test.go
@@ -160,7 +160,7 @@
 	}
 }
 
-// A leg lies unread at a far side whose circuit has broken. Recalled before it is read,
+// A leg lies unread at a far side whose connection has broken. Recalled before it is read,
 // it is told not to run, and never runs; if the recall can't be heard either, nothing is
 // promised, and it runs once at most.
 func TestLegReadAfterItsRecall(t *testing.T) {
--- a/relay/far.go
+++ b/relay/far.go
@@ -67,7 +67,7 @@
 func (f *Far) Limit(e roster.Entry, at time.Time) int64 {
 	t := f.Table()
 	up := at.Sub(f.started)
-	limit := min(e.Limit(t.Ramp(e.Locality, at), up < f.Halving && t.Fresh(up), at), int64(f.most(e)))
+	limit := min(e.Limit(t.Ramp(e.Zone, at), up < f.Halving && t.Fresh(up), at), int64(f.most(e)))
 	if rate, ok := f.cold(e, at); ok {
 		limit = max(1, min(limit, int64(rate)))
 	}
--- a/relay/near.go
+++ b/relay/near.go
@@ -30,7 +30,7 @@
 
 // Near is the executor beside the caller.
 type Near struct {
-	Locality string
+	Zone     string
 	Table    func() *way.Table
 	View     func() *cohort.View
 	Net      *wire.Net
@@ -62,7 +62,7 @@
 	ComeBack time.Duration
 	// Late says that an answer past the aim is better than none.
 	Late bool
-	// Crossing is the price of leaving the own locality with a usual request, as a part
+	// Crossing is the price of leaving the own zone with a usual request, as a part
 	// of what being in time is worth.
 	Crossing float64
 	// Unsure, if set, tells that this sidecar is not sure of the newest word.
@@ -279,7 +279,7 @@
 // run asks the decision and obeys, leg by leg.
 func (n *Near) run(ctx context.Context, q *request) Response {
 	d := way.Decision{
-		Way: q.way, Deadline: q.deadline, Locality: n.Locality, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Way: q.way, Deadline: q.deadline, Zone: n.Zone, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Means: way.Means{
 			Aim: q.aim, Room: q.room(), Patience: n.Budgets.Patience(q.contract.Name, q.room()),
 			Cost: func(t cohort.Target) way.Cost { return n.Costs.Of(q.way.Name, t) },
@@ -329,7 +329,7 @@
 	return q.begun.Add(time.Duration(n.Hold * float64(q.contract.Aim.Duration)))
 }
 
-// crossing is the price of leaving the own locality, by how much would be carried.
+// crossing is the price of leaving the own zone, by how much would be carried.
 func (n *Near) crossing(q *request) float64 {
 	return n.Crossing * (1 + float64(len(q.leg.Body))/usual)
 }
--- a/relay/pair_test.go
+++ b/relay/pair_test.go
@@ -25,14 +25,14 @@
 	"curlewwalk/wire"
 )
 
-// pair is a near side, a far side and a stand-in backend, with a circuit between them:
+// pair is a near side, a far side and a stand-in backend, with a connection between them:
 // "/once/" must not be repeated, "/look/" may be.
 type pair struct {
 	*bench
 	near *Near
 	// addr is where clients send.
 	addr string
-	// cut ends the circuits that are open.
+	// cut ends the connections that are open.
 	cut func()
 }
 
@@ -46,14 +46,14 @@
 	return newPairWith(t, speak, func(map[string]wire.Handler) {})
 }
 
-// circuits is a listener that keeps what it accepted.
-type circuits struct {
+// connections is a listener that keeps what it accepted.
+type connections struct {
 	net.Listener
 	mu   sync.Mutex
 	open []net.Conn
 }
 
-func (c *circuits) Accept() (net.Conn, error) {
+func (c *connections) Accept() (net.Conn, error) {
 	conn, err := c.Listener.Accept()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -61,7 +61,7 @@
 	return conn, err
 }
 
-func (c *circuits) cut() {
+func (c *connections) cut() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, conn := range c.open {
@@ -97,17 +97,17 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	kept := &circuits{Listener: listener}
+	kept := &connections{Listener: listener}
 	p.cut = kept.cut
 	handlers := map[string]wire.Handler{KindLeg: f.Leg, KindRecall: f.Recall}
 	between(handlers)
 	host := &wire.Host{Launcher: l, Listener: kept, Handlers: handlers}
-	node := cohort.Node{Addr: listener.Addr().String(), Boot: 7, Locality: "north", Backends: []cohort.Backend{
-		{Instance: "a", Service: "desk", Address: p.entry.Address, Locality: "north", Capacity: 8, Share: 1},
+	node := cohort.Node{Addr: listener.Addr().String(), Boot: 7, Zone: "north", Backends: []cohort.Backend{
+		{Instance: "a", Service: "desk", Address: p.entry.Address, Zone: "north", Capacity: 8, Share: 1},
 	}}
 	view := cohort.NewView(map[string]cohort.Node{node.Addr: node}, nil)
 	p.near = &Near{
-		Locality: "north", Table: f.Table, View: func() *cohort.View { return view }, Net: wire.NewNet(l, wire.Greeting{}, nil),
+		Zone: "north", Table: f.Table, View: func() *cohort.View { return view }, Net: wire.NewNet(l, wire.Greeting{}, nil),
 		Launcher: l, Queue: queue, Log: slog.New(slog.DiscardHandler), Lineage: lin, Bodies: &Bodies{Most: 1 << 20, All: 8 << 20},
 		Purses: contract.NewPurses("near", 20), Budgets: contract.NewBudgets(), Costs: way.NewCosts(), Life: ctx,
 		Draining: no, Dialect: told{}, Shun: time.Millisecond, ComeBack: 100 * time.Millisecond,
--- a/roster/announcement.go
+++ b/roster/announcement.go
@@ -16,7 +16,7 @@
 	Instance string  `json:"instance"`
 	Service  string  `json:"service"`
 	Address  string  `json:"address"`
-	Locality string  `json:"locality"`
+	Zone     string  `json:"locality"`
 	Capacity int     `json:"capacity"`
 	Warmup   *Warmup `json:"warmup"`
 	Leaving  bool    `json:"leaving"`
@@ -59,8 +59,8 @@
 	if a.Capacity < 1 || a.Capacity > mostCapacity {
 		f.add("capacity: %d is not from 1 to %d", a.Capacity, mostCapacity)
 	}
-	if a.Locality != "" && !desired.IsName(a.Locality) {
-		f.add("locality: %q must be %s", a.Locality, desired.NameForm)
+	if a.Zone != "" && !desired.IsName(a.Zone) {
+		f.add("locality: %q must be %s", a.Zone, desired.NameForm)
 	}
 	if a.Warmup == nil {
 		return 1, 0, 0, f
--- a/roster/entry.go
+++ b/roster/entry.go
@@ -39,7 +39,7 @@
 func (e Entry) Cold(now time.Time) bool { return now.Before(e.coldUntil) }
 
 // Limit is how many requests it may run at a time; ramp is the share of it
-// that its locality is given. fresh tells that runs which a killed sidecar had let
+// that its zone is given. fresh tells that runs which a killed sidecar had let
 // in may still be going on. (DESIGN 15.2)
 func (e Entry) Limit(ramp float64, fresh bool, now time.Time) int64 {
 	bear := float64(e.Capacity) * e.ShareAt(now) * ramp
--- a/roster/gate.go
+++ b/roster/gate.go
@@ -25,7 +25,7 @@
 )
 
 // Check asks whether a leg may go to its backend at this moment. (DESIGN 9.2)
-func (r Roster) Check(a Ask, emptied func(locality string) bool, now time.Time) (Entry, Refusal) {
+func (r Roster) Check(a Ask, emptied func(zone string) bool, now time.Time) (Entry, Refusal) {
 	e, ok := r.entries[a.Instance]
 	switch {
 	case !ok || e.Service != a.Service:
@@ -34,7 +34,7 @@
 		return e, Stale
 	case e.Leaving:
 		return e, LeavingNow
-	case emptied(e.Locality):
+	case emptied(e.Zone):
 		return e, Emptied
 	}
 	return e, Open
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -33,7 +33,7 @@
 	}
 	e := Entry{Heard: now, ramp: ramp, share: share, coldUntil: now.Add(left), Desk: old.Desk, LeftAt: old.LeftAt, count: a.Count, Backend: cohort.Backend{
 		Instance: a.Instance, Service: a.Service, Address: a.Address, Capacity: a.Capacity, Share: share,
-		Locality: cmp.Or(a.Locality, home), Leaving: a.Leaving,
+		Zone: cmp.Or(a.Zone, home), Leaving: a.Leaving,
 	}}
 	if e.Desk == nil || old.Address != a.Address || old.Service != a.Service {
 		e.Desk = NewDesk()
@@ -119,11 +119,11 @@
 	return out
 }
 
-// Open counts what runs and waits, by locality.
+// Open counts what runs and waits, by zone.
 func (r Roster) Open() map[string]int64 {
 	out := map[string]int64{}
 	for _, e := range r.entries {
-		out[e.Locality] += e.Desk.Open()
+		out[e.Zone] += e.Desk.Open()
 	}
 	return out
 }
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -41,7 +41,7 @@
 type stats struct {
 	Node     string           `json:"node"`
 	Boot     uint64           `json:"boot"`
-	Locality string           `json:"locality"`
+	Zone     string           `json:"locality"`
 	Stamp    uint64           `json:"stamp"`
 	Follows  follows          `json:"follows"`
 	NewsAge  string           `json:"news_age"`
@@ -167,7 +167,7 @@
 	f := *n.steward.shown.Load()
 	held, settled := n.holder.Count()
 	return stats{
-		Node: n.set.Advertise, Boot: n.p.Boot, Locality: n.set.Locality, Stamp: n.steward.table.Load().Stamp, Follows: f,
+		Node: n.set.Advertise, Boot: n.p.Boot, Zone: n.set.Zone, Stamp: n.steward.table.Load().Stamp, Follows: f,
 		NewsAge: time.Since(f.Since).String(), ClaimAge: n.steward.claim.Age(time.Now()).String(), Claimed: n.claimed(), Cores: n.seeker.Seats().Known(), Near: n.near.Counts.Read(), Far: n.far.Counts.Read(),
 		Trace: n.queue.Stats(), Draining: n.draining.Load(), ExtraLegs: n.steward.purses.Held(),
 		Held: held, Settled: settled, HandedOver: n.near.Custody.Ready(), Bodies: [2]int64{n.near.Bodies.Held(), n.far.Bodies.Held()},
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -74,7 +74,7 @@
 	p := process.New("sidecar", set.Common)
 	n := &Node{p: p, set: set, queue: trace.NewQueue(set.Advertise, p.Boot, set.TraceQueue)}
 	n.seeker = cohort.NewSeeker()
-	n.steward = newSteward(p.Launcher, set.Advertise, p.Boot, set.Locality, set.ExtraLegs, n.seeker.Hasten)
+	n.steward = newSteward(p.Launcher, set.Advertise, p.Boot, set.Zone, set.ExtraLegs, n.seeker.Hasten)
 	n.steward.roster.Store(&roster.Roster{Pace: roster.Pace{Beat: set.Beat}})
 	n.steward.climb = way.Climb{For: set.Ramp, From: set.RampFrom}
 	if set.Memory > 0 {
@@ -93,7 +93,7 @@
 	n.seeker.Heard = func(context.Context, cohort.Seat) {}
 	table := func() *way.Table { return n.steward.table.Load() }
 	n.near = &relay.Near{
-		Locality: set.Locality, Table: table, View: func() *cohort.View { return n.steward.view.Load() },
+		Zone: set.Zone, Table: table, View: func() *cohort.View { return n.steward.view.Load() },
 		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log, Lineage: lin, Claims: claims, Purses: n.steward.purses, Budgets: n.steward.budgets, Costs: way.NewCosts(), Life: p.Life, Draining: n.shut,
 	}
 	n.near.Shun = set.Shun
@@ -107,7 +107,7 @@
 	maps.Copy(p.Host.Handlers, holder.Handlers())
 	n.near.Bodies = &relay.Bodies{Most: set.MaxBody, All: set.BodyMemory}
 	n.near.Custody = &custody.Owner{
-		Own: set.Advertise, Boot: p.Boot, Locality: set.Locality, View: watcher.View, Net: p.Net, Launcher: p.Launcher,
+		Own: set.Advertise, Boot: p.Boot, Zone: set.Zone, View: watcher.View, Net: p.Net, Launcher: p.Launcher,
 		Known: n.known, Restore: n.near.Restore,
 	}
 	n.near.Custody.Begin()
@@ -142,7 +142,7 @@
 		}
 	}
 	follower := &feed.Follower{
-		Own: set.Advertise, Locality: set.Locality, Seats: n.seeker.Seats, Net: p.Net, Hasten: n.seeker.Hasten,
+		Own: set.Advertise, Zone: set.Zone, Seats: n.seeker.Seats, Net: p.Net, Hasten: n.seeker.Hasten,
 		Take: func(ctx context.Context, c cohort.Seat, news feed.News, asked time.Time) {
 			// No more is asked for before it is in force: of words that come faster
 			// than that, the core then tells the newest only. (DESIGN 8.2)
@@ -211,10 +211,10 @@
 }
 
 // collector is the first live core by rendezvous of the trace id, of those of the own
-// locality if there are any. (DESIGN 2.6)
+// zone if there are any. (DESIGN 2.6)
 func (n *Node) collector(id trace.TraceID) (string, bool) {
 	live := n.seeker.Seats().Live(time.Now())
-	own := slices.DeleteFunc(slices.Clone(live), func(c cohort.Seat) bool { return c.Locality != n.set.Locality })
+	own := slices.DeleteFunc(slices.Clone(live), func(c cohort.Seat) bool { return c.Zone != n.set.Zone })
 	if len(own) > 0 {
 		live = own
 	}
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -19,16 +19,16 @@
 // steward is the one thread of control state. It swaps whole the snapshots
 // that traffic reads. (DESIGN 1.3)
 type steward struct {
-	box      *launch.Mailbox
-	addr     string
-	boot     uint64
-	locality string
-	hasten   func()
-	purses   *contract.Purses
-	budgets  *contract.Budgets
-	watcher  *cohort.Watcher
-	inc      atomic.Uint64
-	sleep    roster.Sleep
+	box     *launch.Mailbox
+	addr    string
+	boot    uint64
+	zone    string
+	hasten  func()
+	purses  *contract.Purses
+	budgets *contract.Budgets
+	watcher *cohort.Watcher
+	inc     atomic.Uint64
+	sleep   roster.Sleep
 
 	copy *feed.Copy
 
@@ -43,7 +43,7 @@
 	spoken atomic.Pointer[desired.Word]
 	// report limits how often new configurations hasten heartbeats.
 	report reportLimit
-	// climb is how localities are taken back.
+	// climb is how zones are taken back.
 	climb way.Climb
 }
 
@@ -77,8 +77,8 @@
 	msgLive  struct{ reply chan<- bool }
 )
 
-func newSteward(l *launch.Launcher, addr string, boot uint64, locality string, extraLegs int, hasten func()) *steward {
-	s := &steward{addr: addr, boot: boot, locality: locality, hasten: hasten, copy: feed.NewCopy()}
+func newSteward(l *launch.Launcher, addr string, boot uint64, zone string, extraLegs int, hasten func()) *steward {
+	s := &steward{addr: addr, boot: boot, zone: zone, hasten: hasten, copy: feed.NewCopy()}
 	s.watcher = cohort.NewWatcher()
 	s.purses, s.budgets = contract.NewPurses(addr, extraLegs), contract.NewBudgets()
 	s.roster.Store(&roster.Roster{})
@@ -123,7 +123,7 @@
 func (s *steward) node() cohort.Node {
 	r := s.roster.Load()
 	return cohort.Node{
-		Addr: s.addr, Boot: s.boot, Rev: r.Rev, Locality: s.locality, Stamp: s.table.Load().Stamp, Backends: r.Backends(), Inc: s.inc.Load(), Open: r.Open(),
+		Addr: s.addr, Boot: s.boot, Rev: r.Rev, Zone: s.zone, Stamp: s.table.Load().Stamp, Backends: r.Backends(), Inc: s.inc.Load(), Open: r.Open(),
 		Accuses: s.watcher.Accused(), Budgets: s.budgets.Own(),
 	}
 }
@@ -144,7 +144,7 @@
 			m.reply <- nil
 			return
 		}
-		next, faults := s.roster.Load().Announce(m.a, s.locality, now)
+		next, faults := s.roster.Load().Announce(m.a, s.zone, now)
 		s.swapRoster(next)
 		m.reply <- faults
 	case msgLeave:
--- a/way/climb.go
+++ b/way/climb.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Climb is how a locality that was taken back is given what its backends bear: from a
+// Climb is how a zone that was taken back is given what its backends bear: from a
 // part of it, little by little, to all of it.
 type Climb struct {
 	For  time.Duration
--- a/way/decision.go
+++ b/way/decision.go
@@ -24,7 +24,7 @@
 	mostLapsed = 2 // (ours)
 	// askAgain is how long one that is held waits before it is asked about again.
 	askAgain = 25 * time.Millisecond // (ours)
-	// spillAt is how busy the own locality must be before others are used.
+	// spillAt is how busy the own zone must be before others are used.
 	spillAt = 0.8 // (ours)
 )
 
@@ -34,7 +34,7 @@
 	// Way has as its Service the one that was picked for the request.
 	Way      desired.Way
 	Deadline time.Time
-	Locality string
+	Zone     string
 	Rand     *rand.Rand
 	Means    Means
 	legs     []Leg
@@ -173,15 +173,15 @@
 	return Order{End: End{Status: status, Fate: f, Reason: reason, RetryAfter: back}}
 }
 
-// choose takes one of two random backends, of the own locality first.
+// choose takes one of two random backends, of the own zone first.
 func (d *Decision) choose(t *Table, v *cohort.View, now time.Time) (cohort.Target, bool) {
 	var near, far, shunned []cohort.Target
 	for _, c := range v.Service(d.Way.Service) {
 		switch {
-		case c.Leaving || t.Emptied(c.Locality) || d.tried(c):
+		case c.Leaving || t.Emptied(c.Zone) || d.tried(c):
 		case c.Load.Shunned():
 			shunned = append(shunned, c)
-		case c.Locality == d.Locality:
+		case c.Zone == d.Zone:
 			near = append(near, c)
 		default:
 			far = append(far, c)
--- a/way/lapsed_test.go
+++ b/way/lapsed_test.go
@@ -17,8 +17,8 @@
 	at := places{}
 	for _, name := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"} {
 		at[name] = struct {
-			locality string
-			takes    time.Duration
+			zone  string
+			takes time.Duration
 		}{"north", 10 * time.Millisecond}
 	}
 	table, _ := NewTable(desired.Word{})
@@ -34,7 +34,7 @@
 	} {
 		s, now := newSite(at), time.Now()
 		d := Decision{
-			Way: desired.Way{Name: "w", Service: "s"}, Deadline: now.Add(time.Minute), Locality: "north", Rand: rand.New(rand.NewPCG(1, 1)),
+			Way: desired.Way{Name: "w", Service: "s"}, Deadline: now.Add(time.Minute), Zone: "north", Rand: rand.New(rand.NewPCG(1, 1)),
 			Means: Means{
 				Aim: now.Add(time.Second), Room: time.Minute, Patience: time.Minute, Late: true, Hold: now.Add(time.Minute),
 				Cost:   func(target cohort.Target) Cost { return s.costs.Of("w", target) },
--- a/way/spend.go
+++ b/way/spend.go
@@ -16,7 +16,7 @@
 	Patience time.Duration
 	// Cost is what was learned of its way at a backend.
 	Cost func(t cohort.Target) Cost
-	// Crossing is the price of leaving the own locality, as a part of what being in time
+	// Crossing is the price of leaving the own zone, as a part of what being in time
 	// is worth; zero: nearly none. It is weighed against the chance of being late.
 	Crossing float64
 	// Hold is until when it may be held for a place where there is none now; zero: not
@@ -38,7 +38,7 @@
 	slower = 1.5 // (ours)
 	// forPlaces is the part of the patience that is spent on slower places.
 	forPlaces = 4 // (ours)
-	// crossing is the price of leaving the own locality, as a part of the room.
+	// crossing is the price of leaving the own zone, as a part of the room.
 	crossing = 100 // (ours)
 	// hopeless is the share of legs that must come back in the time left.
 	hopeless = 0.1 // (ours)
@@ -86,13 +86,13 @@
 	return a
 }
 
-// crosses tells whether to leave the own locality for a place in another.
+// crosses tells whether to leave the own zone for a place in another.
 func (m *Means) crosses(near, far cohort.Target, now time.Time) bool {
 	if m.Crossing > 0 {
 		// A place that is full refuses, and then one crosses all the same.
 		there := m.inTime(far, now)
 		if c := m.Cost(far); c.lent && fill(near) >= 1 && fill(far) < 1 {
-			// What was learned in the line of the own locality says nothing of a place
+			// What was learned in the line of the own zone says nothing of a place
 			// without one. It is tried, and then judged by what it does.
 			there = 1
 		}
--- a/way/spend_test.go
+++ b/way/spend_test.go
@@ -21,13 +21,13 @@
 
 // newSite makes places by instance: where they stand and how long legs take.
 func newSite(places map[string]struct {
-	locality string
-	takes    time.Duration
+	zone  string
+	takes time.Duration
 },
 ) *site {
 	s := &site{nodes: map[string]cohort.Node{}, costs: NewCosts()}
 	for name, p := range places {
-		s.nodes[name] = cohort.Node{Addr: name, Backends: []cohort.Backend{{Instance: name, Service: "s", Locality: p.locality, Capacity: 4, Share: 1}}}
+		s.nodes[name] = cohort.Node{Addr: name, Backends: []cohort.Backend{{Instance: name, Service: "s", Zone: p.zone, Capacity: 4, Share: 1}}}
 	}
 	s.view = cohort.NewView(s.nodes, nil)
 	for _, t := range s.view.Service("s") {
@@ -46,7 +46,7 @@
 	for seed := range uint64(400) {
 		now := time.Now()
 		d := Decision{
-			Way: desired.Way{Name: "w", Service: "s"}, Deadline: now.Add(left), Locality: "north", Rand: rand.New(rand.NewPCG(seed, 1)),
+			Way: desired.Way{Name: "w", Service: "s"}, Deadline: now.Add(left), Zone: "north", Rand: rand.New(rand.NewPCG(seed, 1)),
 			Means: Means{
 				Aim: now.Add(100 * time.Millisecond), Room: 900 * time.Millisecond, Patience: patience, Crossing: s.crossing,
 				Cost: func(t cohort.Target) Cost { return s.costs.Of("w", t) }, Spend: func() bool { return true },
@@ -62,8 +62,8 @@
 }
 
 type places = map[string]struct {
-	locality string
-	takes    time.Duration
+	zone  string
+	takes time.Duration
 }
 
 // A contract with room uses slower places too and leaves quick ones to others;
@@ -86,7 +86,7 @@
 	}
 }
 
-// Leaving the locality has its price: a contract with room stays, one that would
+// Leaving the zone has its price: a contract with room stays, one that would
 // be late goes to where it would not be.
 func TestCrossing(t *testing.T) {
 	s := newSite(places{"near": {"north", 200 * time.Millisecond}, "far": {"south", 20 * time.Millisecond}})
@@ -103,7 +103,7 @@
 }
 
 // Where crossing has its price, a place that nothing was learned of is tried once the
-// own locality's is full and late: what was learned there says nothing of it. One that
+// own zone's is full and late: what was learned there says nothing of it. One that
 // was learned of is judged by that. (incident inc-ea11)
 func TestCrossingUnlearned(t *testing.T) {
 	late, places := 200*time.Millisecond, places{"near": {"north", 200 * time.Millisecond}}
@@ -119,7 +119,7 @@
 	} {
 		s := newSite(places)
 		s.crossing = 0.06
-		s.nodes["far"] = cohort.Node{Addr: "far", Backends: []cohort.Backend{{Instance: "far", Service: "s", Locality: "south", Capacity: 4, Share: 1}}}
+		s.nodes["far"] = cohort.Node{Addr: "far", Backends: []cohort.Backend{{Instance: "far", Service: "s", Zone: "south", Capacity: 4, Share: 1}}}
 		s.view = cohort.NewView(s.nodes, nil)
 		for _, x := range s.view.Service("s") {
 			if x.Instance == "near" {
--- a/way/table.go
+++ b/way/table.go
@@ -22,13 +22,13 @@
 	services  map[string]desired.Service
 	limits    desired.Limits
 	emptied   map[string]bool
-	// Climb is how localities are taken back. It is set before After is called.
+	// Climb is how zones are taken back. It is set before After is called.
 	Climb Climb
-	// back is since when localities that were emptied are taken back.
+	// back is since when zones that were emptied are taken back.
 	back map[string]time.Time
 }
 
-// After notes which localities the table takes back, given the one before it.
+// After notes which zones the table takes back, given the one before it.
 func (t *Table) After(old *Table, now time.Time) {
 	t.back = map[string]time.Time{}
 	for l, since := range old.back {
@@ -43,9 +43,9 @@
 	}
 }
 
-// Ramp is the share of what a locality's backends bear that they are given now.
-func (t *Table) Ramp(locality string, now time.Time) float64 {
-	since, ok := t.back[locality]
+// Ramp is the share of what a zone's backends bear that they are given now.
+func (t *Table) Ramp(zone string, now time.Time) float64 {
+	since, ok := t.back[zone]
 	if !ok {
 		return 1
 	}
@@ -148,5 +148,5 @@
 	return out
 }
 
-// Emptied tells whether the operator asked for a locality to be emptied.
-func (t *Table) Emptied(locality string) bool { return t.emptied[locality] }
+// Emptied tells whether the operator asked for a zone to be emptied.
+func (t *Table) Emptied(zone string) bool { return t.emptied[zone] }
--- a/way/table_test.go
+++ b/way/table_test.go
@@ -7,7 +7,7 @@
 	"curlewwalk/desired"
 )
 
-// A locality that is taken back is given its backends' places little by little,
+// A zone that is taken back is given its backends' places little by little,
 // whatever words come meanwhile; emptied again, it begins anew.
 func TestRamp(t *testing.T) {
 	base := time.Now()
--- a/window/calendar.go
+++ b/window/calendar.go
@@ -20,15 +20,15 @@
 	longest    = 31 * 24 * time.Hour // (ours)
 )
 
-// Calendar is a checked file of windows. Each event empties the locality that its
+// Calendar is a checked file of windows. Each event empties the zone that its
 // LOCATION names; recurrence and time zones are as the library reads them.
 type Calendar struct{ events []event }
 
 type event struct {
-	uid, locality, summary string
-	begin                  time.Time
-	length                 time.Duration
-	set                    *rrule.Set // nil if it does not recur
+	uid, zone, summary string
+	begin              time.Time
+	length             time.Duration
+	set                *rrule.Set // nil if it does not recur
 }
 
 // Between lists the occurrences that go on at some moment of a stretch, by their
@@ -40,7 +40,7 @@
 			begins = e.set.Between(from.Add(-e.length), to, true)
 		}
 		for _, b := range begins {
-			o := Occurrence{ID: e.uid + " " + b.UTC().Format(time.RFC3339), Locality: e.locality, Begin: b, End: b.Add(e.length), Summary: e.summary}
+			o := Occurrence{ID: e.uid + " " + b.UTC().Format(time.RFC3339), Zone: e.zone, Begin: b, End: b.Add(e.length), Summary: e.summary}
 			if o.End.After(from) && !o.Begin.After(to) {
 				out = append(out, o)
 			}
--- a/window/decide.go
+++ b/window/decide.go
@@ -6,11 +6,11 @@
 	"curlewwalk/desired"
 )
 
-// Step is what the windows ask of the operator's word now: that a locality be
+// Step is what the windows ask of the operator's word now: that a zone be
 // emptied for a window, or that a window be over.
 type Step struct {
-	Locality, Window string
-	Begin            bool
+	Zone, Window string
+	Begin        bool
 }
 
 // Decide compares the windows that go on with those that the word has noted.
@@ -23,12 +23,12 @@
 	}
 	for _, o := range c.Between(now, now) {
 		if going[o.ID] = o.At(now); going[o.ID] && !known[o.ID] {
-			out = append(out, Step{Locality: o.Locality, Window: o.ID, Begin: true})
+			out = append(out, Step{Zone: o.Zone, Window: o.ID, Begin: true})
 		}
 	}
 	for _, n := range noted {
 		if !going[n.Window] {
-			out = append(out, Step{Locality: n.Locality, Window: n.Window})
+			out = append(out, Step{Zone: n.Zone, Window: n.Window})
 		}
 	}
 	return out
--- a/window/parse.go
+++ b/window/parse.go
@@ -115,9 +115,9 @@
 		}
 		return s
 	}
-	ev.uid, ev.locality, ev.summary = text(ical.PropUID, true), text(ical.PropLocation, true), text(ical.PropSummary, false)
-	if ev.locality != "" && !desired.IsName(ev.locality) {
-		p.fault(p.line(ical.PropLocation), "LOCATION %q: must be %s", ev.locality, desired.NameForm)
+	ev.uid, ev.zone, ev.summary = text(ical.PropUID, true), text(ical.PropLocation, true), text(ical.PropSummary, false)
+	if ev.zone != "" && !desired.IsName(ev.zone) {
+		p.fault(p.line(ical.PropLocation), "LOCATION %q: must be %s", ev.zone, desired.NameForm)
 	}
 	if e.Props.Get(ical.PropDateTimeStart) == nil {
 		p.fault(p.at, "the event has no DTSTART")
--- a/window/window_test.go
+++ b/window/window_test.go
@@ -30,7 +30,7 @@
 	}
 	var got []string
 	for _, o := range c.Between(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), time.Date(2027, 1, 1, 0, 0, 0, 0, time.UTC)) {
-		got = append(got, o.Begin.UTC().Format("0102T1504")+"-"+o.End.UTC().Format("1504")+" "+o.Locality)
+		got = append(got, o.Begin.UTC().Format("0102T1504")+"-"+o.End.UTC().Format("1504")+" "+o.Zone)
 	}
 	if want := "1011T0200-0330 west,1025T0300-0430 west,1101T0300-0430 west"; strings.Join(got, ",") != want {
 		t.Errorf("got %v, want %v", got, want)
@@ -98,7 +98,7 @@
 				switch {
 				case s.Begin && !w.Noted(s.Window):
 					begun[s.Window]++
-					w.Closures = append(append([]desired.Closure{}, w.Closures...), desired.Closure{Locality: s.Locality, Window: s.Window})
+					w.Closures = append(append([]desired.Closure{}, w.Closures...), desired.Closure{Zone: s.Zone, Window: s.Window})
 				case !s.Begin && w.Noted(s.Window):
 					ended[s.Window]++
 					var left []desired.Closure
--- a/wire/calls.go
+++ b/wire/calls.go
@@ -6,20 +6,20 @@
 	"curlewwalk/trace"
 )
 
-// longFrame is the length from which a frame is written beside the circuit's thread, so
+// longFrame is the length from which a frame is written beside the connection's thread, so
 // that responses of other calls do not wait for it.
 const longFrame = 16 << 10 // (ours)
 
-// openCalls are the calls of a circuit that wait for their responses. The circuit's thread
+// openCalls are the calls of a connection that wait for their responses. The connection's thread
 // owns them.
 type openCalls struct {
-	circuit *Circuit
-	open    map[uint64]*call
+	connection *Connection
+	open       map[uint64]*call
 	// dropped are those whose callers gave up; their responses may still come.
 	dropped map[uint64]bool
 	next    uint64
 	peer    silence
-	// tick runs only while calls are open: a node has a circuit to each other one, and an
+	// tick runs only while calls are open: a node has a connection to each other one, and an
 	// idle one should cost nothing.
 	tick *time.Timer
 	// writing is the call whose frame is being written beside the thread, if there is one.
@@ -33,13 +33,13 @@
 	err   error
 }
 
-func newOpenCalls(c *Circuit) *openCalls {
-	return &openCalls{circuit: c, open: map[uint64]*call{}, dropped: map[uint64]bool{}, tick: time.NewTimer(pingAfter), wrote: make(chan written, 1)}
+func newOpenCalls(c *Connection) *openCalls {
+	return &openCalls{connection: c, open: map[uint64]*call{}, dropped: map[uint64]bool{}, tick: time.NewTimer(pingAfter), wrote: make(chan written, 1)}
 }
 
-// step does what comes next; false ends the circuit.
+// step does what comes next; false ends the connection.
 func (o *openCalls) step() bool {
-	calls := o.circuit.calls
+	calls := o.connection.calls
 	if o.writing != nil {
 		calls = nil // one frame at a time
 	}
@@ -48,7 +48,7 @@
 		return o.begin(k)
 	case w := <-o.wrote:
 		return o.begun(w)
-	case in := <-o.circuit.in:
+	case in := <-o.connection.in:
 		return o.receive(in)
 	case <-o.tick.C:
 		return o.look()
@@ -61,7 +61,7 @@
 		return true // not begun, and not to be
 	}
 	if len(o.open) == 0 {
-		o.peer.begin(time.Now(), o.circuit.conn.bytes.Load())
+		o.peer.begin(time.Now(), o.connection.conn.bytes.Load())
 		o.tick.Reset(pingAfter)
 	}
 	if k.elsewhere && o.peer.suspect() {
@@ -80,16 +80,16 @@
 	if len(frame) < longFrame {
 		return o.begun(o.write(k.kind, frame))
 	}
-	o.circuit.launch("circuit-write", func() { o.wrote <- o.write(k.kind, frame) })
+	o.connection.launch("circuit-write", func() { o.wrote <- o.write(k.kind, frame) })
 	return true
 }
 
 // write writes a frame.
 func (o *openCalls) write(kind string, frame []byte) written {
-	n, err := writeFrame(o.circuit.conn, frame)
+	n, err := writeFrame(o.connection.conn, frame)
 	whole := n == len(frame)
 	if whole {
-		o.circuit.count.call(kind, n)
+		o.connection.count.call(kind, n)
 	}
 	return written{whole, err}
 }
@@ -107,9 +107,9 @@
 }
 
 // receive takes what the peer sent. A response that nobody waits for, or of another kind,
-// ends the circuit: it can't be trusted.
+// ends the connection: it can't be trusted.
 func (o *openCalls) receive(in inbound) bool {
-	count := o.circuit.count
+	count := o.connection.count
 	switch {
 	case in.err != nil:
 		return false
@@ -150,10 +150,10 @@
 	}
 	o.tick.Reset(pingAfter)
 	if o.writing != nil {
-		o.peer.begin(time.Now(), o.circuit.conn.bytes.Load())
+		o.peer.begin(time.Now(), o.connection.conn.bytes.Load())
 		return true
 	}
-	if o.peer.look(time.Now(), o.circuit.conn.bytes.Load()) {
+	if o.peer.look(time.Now(), o.connection.conn.bytes.Load()) {
 		return false
 	}
 	ping, err := encode(trace.Span{}, message{Kind: KindPing})
@@ -163,12 +163,12 @@
 	return o.write(KindPing, ping).err == nil
 }
 
-// end closes the circuit. What is still open is lost, but for a call whose frame was not
+// end closes the connection. What is still open is lost, but for a call whose frame was not
 // wholly written.
 func (o *openCalls) end() {
 	o.tick.Stop()
-	o.circuit.conn.Close()
-	close(o.circuit.done)
+	o.connection.conn.Close()
+	close(o.connection.done)
 	if o.writing != nil {
 		o.begun(<-o.wrote)
 	}
--- a/wire/circuit.go
+++ b/wire/connection.go
@@ -21,9 +21,9 @@
 	writeLimit = 5 * time.Second // (ours)
 )
 
-// Circuit is the calling side of one TCP connection: many calls at a time,
+// Connection is the calling side of one TCP connection: many calls at a time,
 // each matched to its response by number. (DESIGN 3.2)
-type Circuit struct {
+type Connection struct {
 	conn  *heardConn
 	far   Greeting
 	count *Counts
@@ -55,12 +55,12 @@
 	err    error
 }
 
-// Dial opens a circuit and exchanges greetings.
-func Dial(ctx context.Context, l *launch.Launcher, from net.IP, addr string, own Greeting) (*Circuit, error) {
+// Dial opens a connection and exchanges greetings.
+func Dial(ctx context.Context, l *launch.Launcher, from net.IP, addr string, own Greeting) (*Connection, error) {
 	return dial(ctx, l, from, addr, own, &Counts{})
 }
 
-func dial(ctx context.Context, l *launch.Launcher, from net.IP, addr string, own Greeting, count *Counts) (*Circuit, error) {
+func dial(ctx context.Context, l *launch.Launcher, from net.IP, addr string, own Greeting, count *Counts) (*Connection, error) {
 	d := net.Dialer{Timeout: time.Second}
 	if from != nil {
 		d.LocalAddr = &net.TCPAddr{IP: from}
@@ -70,7 +70,7 @@
 		return nil, eris.Wrap(err, "dial")
 	}
 	conn := &heardConn{Conn: raw}
-	c := &Circuit{conn: conn, count: count, calls: make(chan *call), in: make(chan inbound, 16), done: make(chan struct{})}
+	c := &Connection{conn: conn, count: count, calls: make(chan *call), in: make(chan inbound, 16), done: make(chan struct{})}
 	r := bufio.NewReader(conn)
 	if c.far, err = exchange(conn, r, own, count.call, count.response); err != nil {
 		conn.Close()
@@ -104,24 +104,24 @@
 	return far, eris.Wrap(Unpack(b, &far), "greeting")
 }
 
-// Far is whom the circuit reached.
-func (c *Circuit) Far() Greeting { return c.far }
+// Far is whom the connection reached.
+func (c *Connection) Far() Greeting { return c.far }
 
-// Broken is closed when the circuit has ended.
-func (c *Circuit) Broken() <-chan struct{} { return c.done }
+// Broken is closed when the connection has ended.
+func (c *Connection) Broken() <-chan struct{} { return c.done }
 
-// Close ends the circuit; calls still open are lost.
-func (c *Circuit) Close() { c.conn.Close() }
+// Close ends the connection; calls still open are lost.
+func (c *Connection) Close() { c.conn.Close() }
 
 // Call sends body and waits for the response or for ctx. The span in ctx's slot
 // goes at the start of the message.
-func (c *Circuit) Call(ctx context.Context, kind string, body any) Response {
+func (c *Connection) Call(ctx context.Context, kind string, body any) Response {
 	return c.call(ctx, ctx, kind, body, false)
 }
 
-// call is Call, with a bound of its own on how long the circuit may take to begin with
+// call is Call, with a bound of its own on how long the connection may take to begin with
 // it: until then it is surely unsent.
-func (c *Circuit) call(ctx, begin context.Context, kind string, body any, elsewhere bool) Response {
+func (c *Connection) call(ctx, begin context.Context, kind string, body any, elsewhere bool) Response {
 	raw, err := msgpack.Marshal(body)
 	if err != nil {
 		return Response{Fate: Unsent, Fault: err.Error()}
@@ -139,13 +139,13 @@
 	case r := <-k.reply:
 		return r
 	case <-ctx.Done():
-		// The circuit is not waited for: it may be held up by its peer.
+		// The connection is not waited for: it may be held up by its peer.
 		k.givenUp.Store(true)
 		return Response{Fate: Lost}
 	}
 }
 
-func (c *Circuit) read(r *bufio.Reader) {
+func (c *Connection) read(r *bufio.Reader) {
 	for {
 		var in inbound
 		b, err := readFrame(r, MaxFrame)
@@ -166,7 +166,7 @@
 }
 
 // run owns the open calls. Nothing is written but on its word, one frame at a time.
-func (c *Circuit) run() {
+func (c *Connection) run() {
 	calls := newOpenCalls(c)
 	defer calls.end()
 	for calls.step() {
--- a/wire/counts.go
+++ b/wire/counts.go
@@ -5,7 +5,7 @@
 	"sync/atomic"
 )
 
-// Count is what one side of circuits carried of one kind: a calling side (Net) sent the
+// Count is what one side of connections carried of one kind: a calling side (Net) sent the
 // calls and got the responses, an answering side (Host) got the calls and sent the
 // responses. Bytes are whole frames.
 type Count struct {
@@ -25,7 +25,7 @@
 	kindDropped  = "dropped"
 )
 
-// Counts counts frames by kind. All circuits of one side share it.
+// Counts counts frames by kind. All connections of one side share it.
 type Counts struct{ kinds sync.Map }
 
 type cell struct{ calls, callBytes, responses, responseBytes atomic.Uint64 }
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -1,5 +1,5 @@
 // Package wire carries messages between the system's own processes: msgpack
-// in checked frames over TCP circuits. (DESIGN 3)
+// in checked frames over TCP connections. (DESIGN 3)
 package wire
 
 import (
@@ -14,7 +14,7 @@
 )
 
 const (
-	// MaxFrame bounds a frame; a longer one breaks the circuit.
+	// MaxFrame bounds a frame; a longer one breaks the connection.
 	MaxFrame = 68 << 20 // (ours)
 	// maxGreeting bounds the first frame, which anybody who connects may send.
 	maxGreeting = 4 << 10 // (ours)
--- a/wire/fuzz_test.go
+++ b/wire/fuzz_test.go
@@ -67,7 +67,7 @@
 	})
 }
 
-// FuzzGreeting: whatever comes first, the circuit begins or is refused.
+// FuzzGreeting: whatever comes first, the connection begins or is refused.
 func FuzzGreeting(f *testing.F) {
 	b, _ := msgpack.Marshal(Greeting{Version: 1, Node: "n", Boot: 7})
 	f.Add(b)
--- a/wire/host.go
+++ b/wire/host.go
@@ -24,12 +24,12 @@
 // non-empty fault means that the call was not taken.
 type Handler func(ctx context.Context, q Request) (body any, fault string)
 
-// Host is the answering side of circuits. (DESIGN 3.2)
+// Host is the answering side of connections. (DESIGN 3.2)
 type Host struct {
 	Own      Greeting
 	Handlers map[string]Handler
 	Launcher *launch.Launcher
-	// Listener is where circuits come in.
+	// Listener is where connections come in.
 	Listener net.Listener
 	// Counts are the calls that came and the responses sent, by kind.
 	Counts Counts
@@ -38,7 +38,7 @@
 // Addr is where the host listens.
 func (h *Host) Addr() net.Addr { return h.Listener.Addr() }
 
-// Run accepts circuits until ctx ends. Circuits end with their own contexts
+// Run accepts connections until ctx ends. Connections end with their own contexts
 // after their open calls are answered.
 func (h *Host) Run(ctx context.Context) {
 	h.Launcher.Go(ctx, "host-close", func(ctx context.Context) { <-ctx.Done(); h.Listener.Close() })
--- a/wire/hostile_test.go
+++ b/wire/hostile_test.go
@@ -63,7 +63,7 @@
 	}
 }
 
-// The host lives on when such frames come, and so does its process; other circuits are
+// The host lives on when such frames come, and so does its process; other connections are
 // served as before.
 func TestHostOutlivesMalformedFrames(t *testing.T) {
 	ctx, l := begin(t)
@@ -97,7 +97,7 @@
 	}
 	var n int
 	if r := c.Call(ctx, "list", listing{Entries: make([]struct{ A, B, C, D uint64 }, 3)}); !r.Into(&n) || n != 3 {
-		t.Errorf("another circuit got %+v", r)
+		t.Errorf("another connection got %+v", r)
 	}
 }
 
@@ -165,8 +165,8 @@
 	return n, nil
 }
 
-// A caller whose time is over is answered at once, also while the circuit is held up by
-// a peer that takes nothing; and a call that waits for such a circuit is told in time
+// A caller whose time is over is answered at once, also while the connection is held up by
+// a peer that takes nothing; and a call that waits for such a connection is told in time
 // that it was not sent.
 func TestPeerThatTakesNothing(t *testing.T) {
 	ctx, l := begin(t)
@@ -220,7 +220,7 @@
 }
 
 // An answer that takes longer than a silence may, but comes all the while, is waited
-// for: its circuit is not broken under it.
+// for: its connection is not broken under it.
 func TestSlowAnswer(t *testing.T) {
 	ctx, l := begin(t)
 	addr := silentPeer(t, func(conn net.Conn, r *bufio.Reader) {
@@ -252,7 +252,7 @@
 }
 
 // Only a silence that this process could have heard counts: one that was held up itself,
-// so that its looks come late, breaks no circuit by that. A peer that stays silent is
+// so that its looks come late, breaks no connection by that. A peer that stays silent is
 // given up in bounded time all the same.
 func TestSilence(t *testing.T) {
 	now := time.Now()
@@ -284,7 +284,7 @@
 }
 
 // A response that comes after its caller has given up is nobody's: the callers after it
-// get their own, on the same circuit, in whatever order the responses come.
+// get their own, on the same connection, in whatever order the responses come.
 func TestLateResponses(t *testing.T) {
 	ctx, l := begin(t)
 	const calls = 40
@@ -356,7 +356,7 @@
 	}
 }
 
-// A response that comes twice breaks the circuit: what is still open is lost, and nobody
+// A response that comes twice breaks the connection: what is still open is lost, and nobody
 // gets it.
 func TestDoubledResponse(t *testing.T) {
 	ctx, l := begin(t)
@@ -396,7 +396,7 @@
 	<-c.Broken()
 }
 
-// A request is not begun with on a circuit whose peer has left a ping unanswered: it is
+// A request is not begun with on a connection whose peer has left a ping unanswered: it is
 // surely unsent, at once, and its caller can turn elsewhere. Other calls wait on.
 func TestSuspectedPeer(t *testing.T) {
 	ctx, l := begin(t)
@@ -465,7 +465,7 @@
 
 // A caller that is busy writing reads nothing meanwhile, so that responses pile up. The
 // host reads on all the same, pings too: else both would wait for each other until the
-// circuit broke.
+// connection broke.
 func TestHostReadsOnWhileResponsesPileUp(t *testing.T) {
 	ctx, l := begin(t)
 	answered := make(chan bool, 200)
--- a/wire/message.go
+++ b/wire/message.go
@@ -8,7 +8,7 @@
 
 // message is what a frame holds, after the trace prefix if there is one.
 type message struct {
-	// ID numbers the call on its circuit; a response repeats it.
+	// ID numbers the call on its connection; a response repeats it.
 	ID   uint64             `msgpack:"i"`
 	Kind string             `msgpack:"k"`
 	Body msgpack.RawMessage `msgpack:"b,omitempty"`
--- a/wire/net.go
+++ b/wire/net.go
@@ -12,16 +12,16 @@
 	"curlewwalk/launch"
 )
 
-// Net keeps one circuit for each lane to each address and opens them on
-// demand. The table of circuits is an immutable snapshot. (DESIGN 3.4)
+// Net keeps one connection for each lane to each address and opens them on
+// demand. The table of connections is an immutable snapshot. (DESIGN 3.4)
 type Net struct {
 	own  Greeting
 	from net.IP
 	l    *launch.Launcher
-	open atomic.Pointer[map[line]*Circuit]
+	open atomic.Pointer[map[line]*Connection]
 	want chan want
 	made chan dialled
-	gone chan *Circuit
+	gone chan *Connection
 	// Counts are the calls sent and the responses that came, by kind.
 	Counts Counts
 }
@@ -48,24 +48,24 @@
 
 type dialled struct {
 	line line
-	c    *Circuit
+	c    *Connection
 	// refused is set when nobody listens there.
 	refused bool
 }
 
 // NewNet makes a Net; from is the local address that dials come from.
 func NewNet(l *launch.Launcher, own Greeting, from net.IP) *Net {
-	n := &Net{own: own, from: from, l: l, want: make(chan want), made: make(chan dialled), gone: make(chan *Circuit)}
-	n.open.Store(&map[line]*Circuit{})
+	n := &Net{own: own, from: from, l: l, want: make(chan want), made: make(chan dialled), gone: make(chan *Connection)}
+	n.open.Store(&map[line]*Connection{})
 	return n
 }
 
 // handFor is how long a request waits to be begun with on the way to another node, for a
-// circuit to be opened or to come free: past it, it is surely unsent, and its caller can
-// turn elsewhere. A circuit that is being opened may still serve the next.
+// connection to be opened or to come free: past it, it is surely unsent, and its caller can
+// turn elsewhere. A connection that is being opened may still serve the next.
 const handFor = 300 * time.Millisecond // (ours)
 
-// Call sends one call to addr, opening a circuit if there is none.
+// Call sends one call to addr, opening a connection if there is none.
 func (n *Net) Call(ctx context.Context, addr string, lane Lane, kind string, body any) Response {
 	begin := ctx
 	if lane == Traffic {
@@ -97,7 +97,7 @@
 // Run owns the table.
 func (n *Net) Run(ctx context.Context) {
 	waiting := map[line][]chan dialled{}
-	swap := func(change func(map[line]*Circuit)) {
+	swap := func(change func(map[line]*Connection)) {
 		next := maps.Clone(*n.open.Load())
 		change(next)
 		n.open.Store(&next)
@@ -137,7 +137,7 @@
 			if d.c == nil {
 				continue
 			}
-			swap(func(m map[line]*Circuit) { m[d.line] = d.c })
+			swap(func(m map[line]*Connection) { m[d.line] = d.c })
 			n.l.Go(ctx, "circuit-watch", func(ctx context.Context) {
 				<-d.c.Broken()
 				select {
@@ -146,8 +146,8 @@
 				}
 			})
 		case c := <-n.gone:
-			swap(func(m map[line]*Circuit) {
-				maps.DeleteFunc(m, func(_ line, have *Circuit) bool { return have == c })
+			swap(func(m map[line]*Connection) {
+				maps.DeleteFunc(m, func(_ line, have *Connection) bool { return have == c })
 			})
 		}
 	}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -138,8 +138,8 @@
 }
 
 // A frame that was altered, doubled or answered with another number breaks the
-// circuit; the call is lost, never answered wrongly.
-func TestBadFramesBreakTheCircuit(t *testing.T) {
+// connection; the call is lost, never answered wrongly.
+func TestBadFramesBreakTheConnection(t *testing.T) {
 	answers := map[string]func(m message) []byte{
 		"altered": func(m message) []byte {
 			out, _ := encode(trace.Span{}, m)
@@ -200,7 +200,7 @@
 	}
 }
 
-// The host runs no call twice: a doubled frame ends the circuit.
+// The host runs no call twice: a doubled frame ends the connection.
 func TestDoubledCall(t *testing.T) {
 	ctx, l := begin(t)
 	runs := make(chan int, 9)
