--- a/boot/sidecar.go
+++ b/boot/sidecar.go
@@ -7,7 +7,7 @@
 	"curlewwalk/wire"
 )
 
-// largestBody leaves room in a frame for a leg's headers and trailers.
+// largestBody leaves room in a frame for an attempt's headers and trailers.
 const largestBody = wire.MaxFrame - 4<<20
 
 // usualBodies are the bytes of bodies held at a time, unless the settings say less.
@@ -16,25 +16,25 @@
 // Sidecar are the data plane's settings.
 type Sidecar struct {
 	Common
-	Requests   string            `long:"inquiries" ini-name:"inquiries" description:"address where this machine's clients send requests (IP:port, required)"`
-	Outgoing   map[string]string `long:"outgoing" ini-name:"outgoing" description:"fixed address for the outgoing calls of a backend service (service:IP:port); else one is chosen and told to the backend"`
-	Caller     string            `long:"caller" ini-name:"caller" description:"service that all callers on this machine belong to, if they are one's; else each service has an address of its own"`
-	MaxBody    int64             `long:"max-body" ini-name:"max-body" default:"16777216" description:"largest body of an inquiry or an answer, in bytes"`
-	BodyMemory int64             `long:"body-memory" ini-name:"body-memory" description:"bodies of inquiries that are held at a time, in bytes; if it is not given, 268435456 or a quarter of memory"`
-	Memory     int64             `long:"memory" ini-name:"memory" default:"0" description:"memory that the process may have, in MiB; 0: no bound"`
-	ServeOn    time.Duration     `long:"serve-on" ini-name:"serve-on" default:"0s" description:"how long clients' inquiries are still taken after a warning to stop, at most half of drain"`
-	Hold       float64           `long:"hold" ini-name:"hold" default:"0" description:"part of its aim for which an inquiry may be held for a place when there is none, 0 to 0.5"`
-	Crossing   float64           `long:"crossing" ini-name:"crossing" default:"0" description:"price of carrying a usual inquiry to another locality, as a part of what being in time is worth, 0 to 1; 0 leaves the own one as soon as it is busy"`
-	Late       bool              `long:"late" ini-name:"late" description:"an answer past its aim is better than none: inquiries that can only be late wait for what the others leave"`
-	ComeBack   time.Duration     `long:"come-back" ini-name:"come-back" default:"1s" description:"when a refused client may come again at the soonest"`
-	NoKeys     bool              `long:"no-keys" ini-name:"no-keys" description:"no client sends an Idempotency-Key: readiness need not wait for claims of an earlier life"`
-	ExtraLegs  int               `long:"extra-legs" ini-name:"extra-legs" default:"20" description:"extra legs to a service that all sidecars together may make beyond a fifth of its traffic, over any 10 s"`
-	Beat       time.Duration     `long:"beat" ini-name:"beat" default:"500ms" description:"how often backends announce themselves: one is given nothing new after 3 such, and forgotten after 10"`
-	Halving    time.Duration     `long:"fresh-halving" ini-name:"fresh-halving" default:"10s" description:"how long after the start, at most, backends are given half of what they bear, as runs that a killed sidecar let in may go on; 0s: never"`
-	Shun       time.Duration     `long:"shun" ini-name:"shun" default:"1s" description:"how long a backend that failed is left out of the choice"`
-	Ramp       time.Duration     `long:"ramp" ini-name:"ramp" default:"10s" description:"how long a locality that is taken back takes to be given all that its backends bear"`
-	RampFrom   float64           `long:"ramp-from" ini-name:"ramp-from" default:"0.2" description:"the share that it begins with"`
-	TraceQueue int               `long:"trace-queue" ini-name:"trace-queue" default:"8192" description:"events that may wait to be published"`
+	Requests      string            `long:"inquiries" ini-name:"inquiries" description:"address where this machine's clients send requests (IP:port, required)"`
+	Outgoing      map[string]string `long:"outgoing" ini-name:"outgoing" description:"fixed address for the outgoing calls of a backend service (service:IP:port); else one is chosen and told to the backend"`
+	Caller        string            `long:"caller" ini-name:"caller" description:"service that all callers on this machine belong to, if they are one's; else each service has an address of its own"`
+	MaxBody       int64             `long:"max-body" ini-name:"max-body" default:"16777216" description:"largest body of an inquiry or an answer, in bytes"`
+	BodyMemory    int64             `long:"body-memory" ini-name:"body-memory" description:"bodies of inquiries that are held at a time, in bytes; if it is not given, 268435456 or a quarter of memory"`
+	Memory        int64             `long:"memory" ini-name:"memory" default:"0" description:"memory that the process may have, in MiB; 0: no bound"`
+	ServeOn       time.Duration     `long:"serve-on" ini-name:"serve-on" default:"0s" description:"how long clients' inquiries are still taken after a warning to stop, at most half of drain"`
+	Hold          float64           `long:"hold" ini-name:"hold" default:"0" description:"part of its aim for which an inquiry may be held for a place when there is none, 0 to 0.5"`
+	Crossing      float64           `long:"crossing" ini-name:"crossing" default:"0" description:"price of carrying a usual inquiry to another locality, as a part of what being in time is worth, 0 to 1; 0 leaves the own one as soon as it is busy"`
+	Late          bool              `long:"late" ini-name:"late" description:"an answer past its aim is better than none: inquiries that can only be late wait for what the others leave"`
+	ComeBack      time.Duration     `long:"come-back" ini-name:"come-back" default:"1s" description:"when a refused client may come again at the soonest"`
+	NoKeys        bool              `long:"no-keys" ini-name:"no-keys" description:"no client sends an Idempotency-Key: readiness need not wait for claims of an earlier life"`
+	ExtraAttempts int               `long:"extra-legs" ini-name:"extra-legs" default:"20" description:"extra legs to a service that all sidecars together may make beyond a fifth of its traffic, over any 10 s"`
+	Beat          time.Duration     `long:"beat" ini-name:"beat" default:"500ms" description:"how often backends announce themselves: one is given nothing new after 3 such, and forgotten after 10"`
+	Halving       time.Duration     `long:"fresh-halving" ini-name:"fresh-halving" default:"10s" description:"how long after the start, at most, backends are given half of what they bear, as runs that a killed sidecar let in may go on; 0s: never"`
+	Shun          time.Duration     `long:"shun" ini-name:"shun" default:"1s" description:"how long a backend that failed is left out of the choice"`
+	Ramp          time.Duration     `long:"ramp" ini-name:"ramp" default:"10s" description:"how long a locality that is taken back takes to be given all that its backends bear"`
+	RampFrom      float64           `long:"ramp-from" ini-name:"ramp-from" default:"0.2" description:"the share that it begins with"`
+	TraceQueue    int               `long:"trace-queue" ini-name:"trace-queue" default:"8192" description:"events that may wait to be published"`
 }
 
 // ReadSidecar reads and checks the settings of a sidecar. Exit tells whether the
@@ -71,7 +71,7 @@
 	if s.ComeBack <= 0 {
 		c.bad("come-back", s.ComeBack, "a duration of more than 0s")
 	}
-	c.atLeast("extra-legs", s.ExtraLegs, 0)
+	c.atLeast("extra-legs", s.ExtraAttempts, 0)
 	c.atLeast("trace-queue", s.TraceQueue, 1)
 }
 
--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -24,9 +24,9 @@
 var (
 	allowed = []string{"curlewwalk/clock", "curlewwalk/window"}
 	passers = map[string][]string{
-		"curlewwalk/cohort": {"Wall"},
-		"curlewwalk/plan":   {"String"}, // of a window that is shown
-		"curlewwalk/core":   {"seat", "wall", "windows"},
+		"curlewwalk/membership": {"Wall"},
+		"curlewwalk/plan":       {"String"}, // of a window that is shown
+		"curlewwalk/core":       {"seat", "wall", "windows"},
 	}
 )
 
--- a/cmd/planner/read.go
+++ b/cmd/planner/read.go
@@ -8,7 +8,7 @@
 	"os"
 	"time"
 
-	"curlewwalk/cohort"
+	"curlewwalk/membership"
 	"curlewwalk/plan"
 	"curlewwalk/window"
 )
@@ -26,9 +26,9 @@
 		return s, json.Unmarshal(b, &s)
 	}
 	var state struct {
-		Cores     []cohort.Seat
-		Self      cohort.Seat
-		Directory struct{ Nodes []cohort.Node }
+		Cores     []membership.Seat
+		Self      membership.Seat
+		Directory struct{ Nodes []membership.Node }
 	}
 	var words struct{ Emptied []string }
 	var windows struct{ Coming []window.Occurrence }
@@ -59,7 +59,7 @@
 }
 
 // withSelf puts the core that was asked among those that it knows, by slot.
-func withSelf(cores []cohort.Seat, self cohort.Seat) (out []cohort.Seat) {
+func withSelf(cores []membership.Seat, self membership.Seat) (out []membership.Seat) {
 	placed := false
 	for _, c := range cores {
 		if !placed && self.Slot <= c.Slot {
--- a/collect/tree.go
+++ b/collect/tree.go
@@ -44,7 +44,7 @@
 	Status   int        `json:"status,omitempty"`
 	Outcome  string     `json:"outcome,omitempty"`
 	Reason   string     `json:"reason,omitempty"`
-	Leg      int        `json:"leg,omitempty"`
+	Attempt  int        `json:"leg,omitempty"`
 }
 
 // Build puts a tree together. The order comes from the tree and the logical
@@ -96,24 +96,24 @@
 	}
 	n.Events = append(n.Events, EventView{
 		Kind: e.Kind, Node: e.Node, Counter: e.Counter, Since: e.Since.String(),
-		Instance: e.Instance, Status: e.Status, Outcome: e.Outcome, Reason: e.Reason, Leg: e.Leg,
+		Instance: e.Instance, Status: e.Status, Outcome: e.Outcome, Reason: e.Reason, Attempt: e.Attempt,
 	})
 }
 
 // missing marks the events that should be there. A call that ended before any
-// leg has no server's events.
+// attempt has no server's events.
 func (n *Node) missing() {
 	has := map[trace.Kind]bool{}
-	legs := true
+	attempts := true
 	for _, e := range n.Events {
 		has[e.Kind] = true
 		if e.Kind == trace.ClientReceive {
-			legs = e.Leg > 0
+			attempts = e.Attempt > 0
 		}
 	}
 	for _, k := range []trace.Kind{trace.ClientStart, trace.ServerReceive, trace.ServerSend, trace.ClientReceive} {
 		server := k == trace.ServerReceive || k == trace.ServerSend
-		if !has[k] && (legs || !server) {
+		if !has[k] && (attempts || !server) {
 			n.Missing = append(n.Missing, string(k))
 		}
 	}
--- a/collect/tree_test.go
+++ b/collect/tree_test.go
@@ -13,7 +13,7 @@
 func events() []trace.Event {
 	t := trace.TraceID{Lo: 9}
 	at := func(span, parent trace.ID, kind trace.Kind, counter uint64, node string) trace.Event {
-		return trace.Event{Trace: t, Span: span, Parent: parent, Kind: kind, Counter: counter, Node: node, Leg: 1}
+		return trace.Event{Trace: t, Span: span, Parent: parent, Kind: kind, Counter: counter, Node: node, Attempt: 1}
 	}
 	return []trace.Event{
 		at(1, 0, trace.ClientStart, 1, "a"), at(1, 0, trace.ServerReceive, 2, "b"),
--- a/contract/purse_test.go
+++ b/contract/retry_budget_test.go
@@ -8,9 +8,9 @@
 )
 
 // Over any 10 s, and whatever the traffic does, all sidecars together make at
-// most a fifth of it plus the allowance in extra legs: through bursts, a sudden
+// most a fifth of it plus the allowance in extra attempts: through bursts, a sudden
 // drop, restarts of sidecars, and nodes that come and go in their views.
-func TestExtraLegsOverAnyWindow(t *testing.T) {
+func TestExtraAttemptsOverAnyWindow(t *testing.T) {
 	const window = 10 * time.Second
 	for _, size := range []int{1, 3, 13, 60} {
 		for seed := range uint64(6) {
@@ -20,19 +20,19 @@
 				names = append(names, fmt.Sprintf("node-%d", i))
 			}
 			base := time.Now()
-			purses := make([]*Purses, size)
+			retryBudgets := make([]*RetryBudgets, size)
 			fresh := func(i int) {
-				purses[i] = NewPurses(names[i], Allowance)
-				purses[i].Share(names, base)
+				retryBudgets[i] = NewRetryBudgets(names[i], Allowance)
+				retryBudgets[i].Share(names, base)
 			}
 			for i := range size {
 				fresh(i)
 			}
-			type leg struct {
+			type attempt struct {
 				at    time.Duration
 				extra bool
 			}
-			var legs []leg
+			var attempts []attempt
 			extras := 0
 			rate := 400
 			for now := time.Duration(0); now < 60*time.Second; now += 20 * time.Millisecond {
@@ -47,17 +47,17 @@
 					fresh(i) // a restart
 				}
 				if rng.IntN(50) == 0 && size > 1 { // a node misses another for a while
-					purses[i].Share(names[:size-1], base.Add(now))
+					retryBudgets[i].Share(names[:size-1], base.Add(now))
 				} else {
-					purses[i].Share(names, base.Add(now))
+					retryBudgets[i].Share(names, base.Add(now))
 				}
 				for range rng.IntN(rate/25 + 1) {
 					i := rng.IntN(size)
-					purses[i].Earn("s")
-					legs = append(legs, leg{at: now})
+					retryBudgets[i].Earn("s")
+					attempts = append(attempts, attempt{at: now})
 					for range 3 { // everything fails, and is tried again at once
-						if purses[i].Spend("s") {
-							legs = append(legs, leg{at: now, extra: true})
+						if retryBudgets[i].Spend("s") {
+							attempts = append(attempts, attempt{at: now, extra: true})
 							extras++
 						}
 					}
@@ -67,14 +67,14 @@
 				t.Errorf("%d nodes: no extra leg at all", size)
 			}
 			first, extra, from := 0, 0, 0
-			for _, l := range legs {
+			for _, l := range attempts {
 				if l.extra {
 					extra++
 				} else {
 					first++
 				}
-				for l.at-legs[from].at > window {
-					if legs[from].extra {
+				for l.at-attempts[from].at > window {
+					if attempts[from].extra {
 						extra--
 					} else {
 						first--
--- a/contract/purses.go
+++ b/contract/retry_budgets.go
@@ -15,31 +15,31 @@
 // was lost may have spent its share within the last 10 s.
 const fewest = 12 * time.Second // (ours)
 
-// Purses are a sidecar's purses by service. The steward tells who shares the
+// RetryBudgets are a sidecar's retry budgets by service. The steward tells who shares the
 // allowance; traffic earns and spends.
-type Purses struct {
+type RetryBudgets struct {
 	own string
-	// allowance is how many extra legs to a service all sidecars together may make
+	// allowance is how many extra attempts to a service all sidecars together may make
 	// beyond a fifth of its traffic.
 	allowance int
-	table     atomic.Pointer[map[string]*Purse]
+	table     atomic.Pointer[map[string]*RetryBudget]
 	sharer    atomic.Pointer[[]string]
 	// most is the largest number of sharers lately.
 	most  int
 	since time.Time
 }
 
-// NewPurses makes the purses of a node.
-func NewPurses(own string, allowance int) *Purses {
-	p := &Purses{own: own, allowance: allowance}
-	p.table.Store(&map[string]*Purse{})
+// NewRetryBudgets makes the retry budgets of a node.
+func NewRetryBudgets(own string, allowance int) *RetryBudgets {
+	p := &RetryBudgets{own: own, allowance: allowance}
+	p.table.Store(&map[string]*RetryBudget{})
 	p.sharer.Store(&[]string{own})
 	return p
 }
 
 // Share tells which nodes share the allowance now. One thread calls it, at
 // every beat.
-func (p *Purses) Share(nodes []string, now time.Time) {
+func (p *RetryBudgets) Share(nodes []string, now time.Time) {
 	if len(nodes) >= p.most || now.Sub(p.since) > fewest {
 		p.most, p.since = len(nodes), now
 		p.sharer.Store(&nodes)
@@ -49,10 +49,10 @@
 	}
 }
 
-// limit is how much the purse of a service may hold: an equal share, or, where
-// that would be less than one leg, a whole one for the first in the agreed
+// limit is how much the retry budget of a service may hold: an equal share, or, where
+// that would be less than one attempt, a whole one for the first in the agreed
 // order and none for the others.
-func (p *Purses) limit(service string) int64 {
+func (p *RetryBudgets) limit(service string) int64 {
 	nodes := *p.sharer.Load()
 	if len(nodes) <= p.allowance {
 		return int64(p.allowance) * price / int64(max(1, len(nodes)))
@@ -68,28 +68,28 @@
 	return 0
 }
 
-func (p *Purses) purse(service string) *Purse {
+func (p *RetryBudgets) retryBudget(service string) *RetryBudget {
 	for {
 		old := p.table.Load()
 		if x, ok := (*old)[service]; ok {
 			return x
 		}
 		next := maps.Clone(*old)
-		x := &Purse{}
+		x := &RetryBudget{}
 		x.limit.Store(p.limit(service))
 		next[service] = x
 		p.table.CompareAndSwap(old, &next)
 	}
 }
 
-// Earn takes a first leg to a service.
-func (p *Purses) Earn(service string) { p.purse(service).Earn() }
+// Earn takes a first attempt to a service.
+func (p *RetryBudgets) Earn(service string) { p.retryBudget(service).Earn() }
 
-// Spend pays for an extra leg to a service, if there is enough.
-func (p *Purses) Spend(service string) bool { return p.purse(service).Spend() }
+// Spend pays for an extra attempt to a service, if there is enough.
+func (p *RetryBudgets) Spend(service string) bool { return p.retryBudget(service).Spend() }
 
-// Held shows what each purse holds, in legs.
-func (p *Purses) Held() map[string]float64 {
+// Held shows what each retry budget holds, in attempts.
+func (p *RetryBudgets) Held() map[string]float64 {
 	out := map[string]float64{}
 	for k, v := range *p.table.Load() {
 		out[k] = float64(v.held.Load()) / price
--- a/core/applicant.go
+++ b/core/applicant.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"curlewwalk/cohort"
+	"curlewwalk/membership"
 	"curlewwalk/register"
 	"curlewwalk/wire"
 )
@@ -26,7 +26,7 @@
 			return
 		case <-wait.C:
 		}
-		next := cohort.Beat
+		next := membership.Beat
 		if n.keeper.Acceptor().Phase == register.Seeking && !n.draining.Load() {
 			n.ask(ctx)
 			next = applyEvery
--- a/core/control.go
+++ b/core/control.go
@@ -8,11 +8,11 @@
 	"strings"
 	"time"
 
-	"curlewwalk/cohort"
 	"curlewwalk/collect"
 	"curlewwalk/contract"
 	"curlewwalk/desired"
 	"curlewwalk/feed"
+	"curlewwalk/membership"
 	"curlewwalk/process"
 	"curlewwalk/register"
 	"curlewwalk/trace"
@@ -46,14 +46,14 @@
 
 // state is what GET /v1/state shows.
 type state struct {
-	Self      cohort.Seat            `json:"self"`
+	Self      membership.Seat        `json:"self"`
 	Phase     register.Phase         `json:"phase"`
 	Promised  uint64                 `json:"promised"`
 	Mark      register.Mark          `json:"mark"`
 	Slots     register.Sets          `json:"slots"`
 	Seats     map[int]register.Chair `json:"incarnations"`
 	Duty      int                    `json:"duty"`
-	Cores     []cohort.Seat          `json:"cores"`
+	Cores     []membership.Seat      `json:"cores"`
 	Live      []int                  `json:"live"`
 	Directory feed.State             `json:"directory"`
 }
--- a/core/node.go
+++ b/core/node.go
@@ -11,10 +11,10 @@
 
 	"curlewwalk/boot"
 	"curlewwalk/clock"
-	"curlewwalk/cohort"
 	"curlewwalk/collect"
 	"curlewwalk/desired"
 	"curlewwalk/feed"
+	"curlewwalk/membership"
 	"curlewwalk/process"
 	"curlewwalk/register"
 	"curlewwalk/vault"
@@ -37,7 +37,7 @@
 	set       boot.Core
 	keeper    *register.Keeper
 	directory *feed.Directory
-	seeker    *cohort.Seeker
+	seeker    *membership.Seeker
 	store     *collect.Store
 	warden    *warden
 	usher     *usher
@@ -51,7 +51,7 @@
 // New puts the parts together and opens the addresses.
 func New(set boot.Core, doors Doors) *Node {
 	p := process.New("core", set.Common)
-	n := &Node{p: p, set: set, store: collect.NewStore(), seeker: cohort.NewSeeker(), directory: feed.NewDirectory(p.Launcher, p.Boot)}
+	n := &Node{p: p, set: set, store: collect.NewStore(), seeker: membership.NewSeeker(), directory: feed.NewDirectory(p.Launcher, p.Boot)}
 	v, err := vault.Open(set.Data)
 	if err != nil {
 		p.Fail("data", err)
@@ -64,13 +64,13 @@
 	n.usher = newUsher(n)
 	n.keeper.Settled = func(ctx context.Context, w desired.Word) { n.directory.Settled(ctx, w) }
 	n.keeper.Confirmed, n.keeper.Turned = n.confirmed, n.seeker.Hasten
-	n.seeker.Own = func() cohort.Heartbeat { return cohort.Heartbeat{Seat: n.told()} }
+	n.seeker.Own = func() membership.Heartbeat { return membership.Heartbeat{Seat: n.told()} }
 	n.seeker.Addr, n.seeker.Net, n.seeker.Launcher, n.seeker.Heard = set.Advertise, p.Net, p.Launcher, n.heard
-	n.seeker.Hear(cohort.Heartbeat{Know: remembered(n.keeper.Acceptor())})
+	n.seeker.Hear(membership.Heartbeat{Know: remembered(n.keeper.Acceptor())})
 	n.reload = &process.Reloader{Seeker: n.seeker}
 	n.reload.Apply(set.Common)
 
-	p.Host.Handlers[cohort.KindHeartbeat] = n.heartbeat
+	p.Host.Handlers[membership.KindHeartbeat] = n.heartbeat
 	p.Host.Handlers[feed.KindFollow] = n.directory.Answer
 	maps.Copy(p.Host.Handlers, n.keeper.Handlers())
 	p.Host.Handlers[register.KindSeat] = n.usher.asked
@@ -104,9 +104,9 @@
 func (n *Node) Process() *process.Process { return n.p }
 
 // seat is what this core tells of itself.
-func (n *Node) seat() cohort.Seat {
+func (n *Node) seat() membership.Seat {
 	v := n.keeper.Acceptor()
-	s := cohort.Seat{
+	s := membership.Seat{
 		Slot: v.Self.Slot, Addr: n.set.Advertise, Inc: v.Self.Inc, Boot: n.p.Boot,
 		Zone: n.set.Zone, Established: v.Phase == register.Established, Settled: v.Settled, Wall: clock.Wall().UnixNano(),
 	}
@@ -120,7 +120,7 @@
 }
 
 // told is the seat that this core tells of: none while it has none.
-func (n *Node) told() *cohort.Seat {
+func (n *Node) told() *membership.Seat {
 	s := n.seat()
 	if s.Slot == 0 || !s.Established && !n.set.Static() {
 		return nil
@@ -130,10 +130,10 @@
 
 // remembered are the members that a disk tells of: they are heartbeated first, whatever
 // the seeds are now.
-func remembered(v register.Acceptor) (out []cohort.Seat) {
+func remembered(v register.Acceptor) (out []membership.Seat) {
 	for _, m := range v.Sets().Union() {
 		if m.Addr != "" && m.ID != v.Self.ID {
-			out = append(out, cohort.Seat{Slot: m.Slot, Addr: m.Addr})
+			out = append(out, membership.Seat{Slot: m.Slot, Addr: m.Addr})
 		}
 	}
 	return out
@@ -150,7 +150,7 @@
 
 // heartbeat answers another process.
 func (n *Node) heartbeat(ctx context.Context, in wire.Request) (any, string) {
-	var h cohort.Heartbeat
+	var h membership.Heartbeat
 	if !in.Into(&h) {
 		return nil, "not a heartbeat"
 	}
@@ -173,7 +173,7 @@
 }
 
 // heard copies what another core has and this one lacks. (DESIGN 6.4)
-func (n *Node) heard(ctx context.Context, c cohort.Seat) {
+func (n *Node) heard(ctx context.Context, c membership.Seat) {
 	v := n.keeper.Acceptor()
 	if (v.Phase == register.Established || v.Phase == register.Seeking) && c.Settled > v.Settled {
 		n.p.Launcher.Go(ctx, "catch", func(ctx context.Context) { n.keeper.Catch(ctx, c.Addr) })
@@ -187,7 +187,7 @@
 }
 
 // duty is the first live and able core in the agreed order.
-func (n *Node) duty() cohort.Seat {
+func (n *Node) duty() membership.Seat {
 	return n.seeker.Seats().Duty(n.seat(), n.slots(), time.Now())
 }
 
@@ -223,7 +223,7 @@
 }
 
 // writeAt carries an order out on one core.
-func (n *Node) writeAt(ctx context.Context, c cohort.Seat, o register.Order) register.Answer {
+func (n *Node) writeAt(ctx context.Context, c membership.Seat, o register.Order) register.Answer {
 	if c.Addr == n.set.Advertise {
 		return n.lead(ctx, o)
 	}
--- a/core/usher.go
+++ b/core/usher.go
@@ -5,8 +5,8 @@
 	"slices"
 	"time"
 
-	"curlewwalk/cohort"
 	"curlewwalk/launch"
+	"curlewwalk/membership"
 	"curlewwalk/register"
 	"curlewwalk/wire"
 )
@@ -45,14 +45,14 @@
 func newUsher(n *Node) *usher {
 	// A core counts as not live once it was unheard for Silence; the usher waits out
 	// the rest.
-	u := &usher{n: n, start: time.Now(), value: register.Usher{GoneFor: max(0, n.set.GoneAfter-cohort.Silence)}}
+	u := &usher{n: n, start: time.Now(), value: register.Usher{GoneFor: max(0, n.set.GoneAfter-membership.Silence)}}
 	u.box = n.p.Launcher.Spawn("usher", u.on)
 	return u
 }
 
 // run looks in rhythm until ctx ends.
 func (u *usher) run(ctx context.Context) {
-	tick := time.NewTicker(cohort.Beat)
+	tick := time.NewTicker(membership.Beat)
 	defer tick.Stop()
 	for {
 		select {
@@ -133,14 +133,14 @@
 	return out
 }
 
-func places(s cohort.Seats) map[int]register.Place {
+func places(s membership.Seats) map[int]register.Place {
 	now := time.Now()
 	live := s.Live(now)
 	out := map[int]register.Place{}
 	for _, c := range s.All() {
 		out[c.Slot] = register.Place{
 			Addr: c.Addr,
-			Live: slices.ContainsFunc(live, func(l cohort.Seat) bool { return l.Slot == c.Slot }),
+			Live: slices.ContainsFunc(live, func(l membership.Seat) bool { return l.Slot == c.Slot }),
 		}
 	}
 	return out
--- a/custody/choose.go
+++ b/custody/choose.go
@@ -4,7 +4,7 @@
 	"slices"
 
 	"curlewwalk/claim"
-	"curlewwalk/cohort"
+	"curlewwalk/membership"
 	"curlewwalk/rendezvous"
 )
 
@@ -12,16 +12,16 @@
 const Holders = 2 // (ours)
 
 // Others lists the nodes in view but one.
-func Others(v *cohort.View, own string) []cohort.Node {
-	return slices.DeleteFunc(v.Nodes(), func(n cohort.Node) bool { return n.Addr == own })
+func Others(v *membership.View, own string) []membership.Node {
+	return slices.DeleteFunc(v.Nodes(), func(n membership.Node) bool { return n.Addr == own })
 }
 
 // Choose ranks the nodes that may hold a claim: by rendezvous hashing, one of
 // each other zone before a second of any.
-func Choose(own, zone string, key claim.Key, nodes []cohort.Node) (out []cohort.Node) {
-	ranked := rendezvous.Rank(own+" "+key.Caller+" "+key.Text, nodes, func(n cohort.Node) string { return n.Addr })
+func Choose(own, zone string, key claim.Key, nodes []membership.Node) (out []membership.Node) {
+	ranked := rendezvous.Rank(own+" "+key.Caller+" "+key.Text, nodes, func(n membership.Node) string { return n.Addr })
 	seen := map[string]bool{zone: true}
-	var rest []cohort.Node
+	var rest []membership.Node
 	for _, n := range ranked {
 		switch {
 		case n.Addr == own:
--- a/custody/custody_test.go
+++ b/custody/custody_test.go
@@ -7,15 +7,15 @@
 	"time"
 
 	"curlewwalk/claim"
-	"curlewwalk/cohort"
+	"curlewwalk/membership"
 )
 
 // Holders are of other zones than the owner's and of different ones, as long
 // as there are any; a node that goes moves only what it held.
 func TestChoose(t *testing.T) {
-	var nodes []cohort.Node
+	var nodes []membership.Node
 	for i := range 12 {
-		nodes = append(nodes, cohort.Node{Addr: fmt.Sprint("node-", i), Zone: fmt.Sprint("locality-", i%4)})
+		nodes = append(nodes, membership.Node{Addr: fmt.Sprint("node-", i), Zone: fmt.Sprint("locality-", i%4)})
 	}
 	moved := 0
 	for i := range 200 {
@@ -24,7 +24,7 @@
 		if len(got) != 11 || got[0].Zone == "locality-0" || got[1].Zone == "locality-0" || got[0].Zone == got[1].Zone {
 			t.Fatalf("%s: %v", key, got[:2])
 		}
-		gone := append(append([]cohort.Node{}, nodes[:5]...), nodes[6:]...)
+		gone := append(append([]membership.Node{}, nodes[:5]...), nodes[6:]...)
 		less := Choose("node-0", "locality-0", claim.Key{Text: key}, gone)
 		if got[0].Addr != "node-5" && got[1].Addr != "node-5" {
 			if less[0].Addr != got[0].Addr || less[1].Addr != got[1].Addr {
@@ -133,7 +133,7 @@
 // What a holder that has gone, or come back in another boot, had held lacks one; the
 // next in order is asked. Nothing is asked for what is held, given up or over.
 func TestLacking(t *testing.T) {
-	nodes := []cohort.Node{{Addr: "a", Boot: 1}, {Addr: "b", Boot: 1}, {Addr: "c", Boot: 1}}
+	nodes := []membership.Node{{Addr: "a", Boot: 1}, {Addr: "b", Boot: 1}, {Addr: "c", Boot: 1}}
 	tr := NewTrusts("o", "north")
 	e := Entry{Owner: "o", Boot: 7, N: 1, Key: claim.Key{Text: "k"}, For: time.Minute}
 	ranked := Choose("o", "north", e.Key, nodes)
@@ -147,7 +147,7 @@
 	}
 	e.Response = []byte("r")
 	tr.Settle(e, 10*time.Second)
-	reborn := []cohort.Node{ranked[0], ranked[1], ranked[2]}
+	reborn := []membership.Node{ranked[0], ranked[1], ranked[2]}
 	reborn[0].Boot = 2
 	if got := tr.Lacking(reborn, 9, 20*time.Second); len(got) != 1 || got[0].To.Addr != ranked[0].Addr || string(got[0].Response) != "r" || got[0].For != 50*time.Second {
 		t.Errorf("after another boot: %+v", got)
--- a/custody/owner.go
+++ b/custody/owner.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"curlewwalk/claim"
-	"curlewwalk/cohort"
 	"curlewwalk/launch"
+	"curlewwalk/membership"
 	"curlewwalk/wire"
 )
 
@@ -36,7 +36,7 @@
 	Own  string
 	Boot uint64
 	Zone string
-	View func() *cohort.View
+	View func() *membership.View
 	// Known tells whether the view means anything yet.
 	Known    func() bool
 	Net      *wire.Net
@@ -102,7 +102,7 @@
 		}
 		o.settled.Store(o.Ready() && time.Since(known) > settleIn)
 		if o.Ready() {
-			tick.Reset(cohort.Beat)
+			tick.Reset(membership.Beat)
 		}
 		if time.Since(known) < claim.HeldFor {
 			o.gather(ctx, asked, time.Since(known))
@@ -113,14 +113,14 @@
 
 // gather asks the nodes that have not handed over yet.
 func (o *Owner) gather(ctx context.Context, asked map[string]uint64, known time.Duration) {
-	var left []cohort.Node
+	var left []membership.Node
 	for _, n := range o.others() {
 		if asked[n.Addr] != n.Boot {
 			left = append(left, n)
 		}
 	}
 	missing := 0
-	for i, ok := range each(ctx, o, left, askWait, func(ctx context.Context, n cohort.Node) bool { return o.handover(ctx, n) }) {
+	for i, ok := range each(ctx, o, left, askWait, func(ctx context.Context, n membership.Node) bool { return o.handover(ctx, n) }) {
 		if ok {
 			asked[left[i].Addr] = left[i].Boot
 		} else {
@@ -134,7 +134,7 @@
 
 // repair entrusts anew what holders that have gone had held.
 func (o *Owner) repair(ctx context.Context) {
-	for begin := time.Now(); time.Since(begin) < cohort.Beat/2; {
+	for begin := time.Now(); time.Since(begin) < membership.Beat/2; {
 		var lacks []Lack
 		o.with(func(t *Trusts, now time.Duration) { lacks = t.Lacking(o.answering(), repairAtOnce, now) })
 		taken := each(ctx, o, lacks, holdWait, func(ctx context.Context, l Lack) bool {
@@ -155,7 +155,7 @@
 }
 
 // handover gets what one node holds.
-func (o *Owner) handover(ctx context.Context, n cohort.Node) bool {
+func (o *Owner) handover(ctx context.Context, n membership.Node) bool {
 	var got Handed
 	if !o.Net.Call(ctx, n.Addr, wire.Control, KindHandover, Handover{Owner: o.Own, Boot: o.Boot}).Into(&got) {
 		return false
@@ -187,7 +187,7 @@
 	return out
 }
 
-func (o *Owner) others() []cohort.Node { return Others(o.View(), o.Own) }
+func (o *Owner) others() []membership.Node { return Others(o.View(), o.Own) }
 
 // Entrust has a new claim held by two others, or by all if there are fewer. If
 // an earlier boot had laid it, known is that claim; ok is false if it could not
@@ -200,12 +200,12 @@
 		return t, nil, true
 	}
 	ranked := Choose(o.Own, o.Zone, key, others)
-	slices.SortStableFunc(ranked, func(a, b cohort.Node) int { return o.silence(a) - o.silence(b) })
+	slices.SortStableFunc(ranked, func(a, b membership.Node) int { return o.silence(a) - o.silence(b) })
 	held := make(chan Held, len(ranked))
 	for range rounds {
 		try := ranked[:min(want-len(t.by), len(ranked))]
 		ranked = ranked[len(try):]
-		for i, ok := range each(ctx, o, try, holdWait, func(ctx context.Context, n cohort.Node) bool {
+		for i, ok := range each(ctx, o, try, holdWait, func(ctx context.Context, n membership.Node) bool {
 			h, ok := o.hold(ctx, n, t.Entry)
 			if ok {
 				held <- h
@@ -230,7 +230,7 @@
 }
 
 // hold asks a node to hold a claim; one that does not answer comes last for a while.
-func (o *Owner) hold(ctx context.Context, n cohort.Node, e Entry) (h Held, ok bool) {
+func (o *Owner) hold(ctx context.Context, n membership.Node, e Entry) (h Held, ok bool) {
 	if ok = o.Net.Call(ctx, n.Addr, wire.Control, KindHold, e).Into(&h); !ok {
 		o.shun(n.Addr)
 	}
@@ -238,7 +238,7 @@
 }
 
 // silence is 1 for a node that did not answer just now.
-func (o *Owner) silence(n cohort.Node) int {
+func (o *Owner) silence(n membership.Node) int {
 	if silent := o.silent.Load(); silent != nil && time.Now().Before((*silent)[n.Addr]) {
 		return 1
 	}
@@ -246,8 +246,8 @@
 }
 
 // answering lists the other nodes that have not just been silent.
-func (o *Owner) answering() []cohort.Node {
-	return slices.DeleteFunc(o.others(), func(n cohort.Node) bool { return o.silence(n) > 0 })
+func (o *Owner) answering() []membership.Node {
+	return slices.DeleteFunc(o.others(), func(n membership.Node) bool { return o.silence(n) > 0 })
 }
 
 // shun lets a holder that did not answer come last for a while.
--- a/custody/trusts.go
+++ b/custody/trusts.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"curlewwalk/claim"
-	"curlewwalk/cohort"
+	"curlewwalk/membership"
 )
 
 // Trusts is a decision value: which of an owner's claims are held by whom, and
@@ -24,7 +24,7 @@
 // Lack is a claim that another node must take now.
 type Lack struct {
 	Entry
-	To cohort.Node
+	To membership.Node
 }
 
 // NewTrusts makes the trusts of an owner.
@@ -33,7 +33,7 @@
 }
 
 // Held takes that a node holds a claim, in the state that e tells.
-func (t *Trusts) Held(e Entry, by cohort.Node, now time.Duration) {
+func (t *Trusts) Held(e Entry, by membership.Node, now time.Duration) {
 	x := t.held[e.Key]
 	if x == nil || x.Boot != e.Boot || x.N != e.N {
 		t.forget(e.Key)
@@ -79,7 +79,7 @@
 
 // Lacking lists up to most claims that too few of the nodes in view hold, and who
 // should take each. A holder in another boot has lost what it held.
-func (t *Trusts) Lacking(nodes []cohort.Node, most int, now time.Duration) (out []Lack) {
+func (t *Trusts) Lacking(nodes []membership.Node, most int, now time.Duration) (out []Lack) {
 	boots := map[string]uint64{}
 	for _, n := range nodes {
 		boots[n.Addr] = n.Boot
--- a/desired/bytes_test.go
+++ b/desired/bytes_test.go
@@ -29,7 +29,7 @@
 		case 0:
 			w.Service = s.Name
 		case 1:
-			w.Split, w.Legs = []Portion{{Service: s.Name, Weight: 95}, {Service: "service-0", Weight: 5}}, 1
+			w.Split, w.Attempts = []Portion{{Service: s.Name, Weight: 95}, {Service: "service-0", Weight: 5}}, 1
 		default:
 			w.Service, w.Methods, w.Contract, w.Repeatable = s.Name, []string{"GET", "HEAD"}, "slow", true
 		}
--- a/desired/check.go
+++ b/desired/check.go
@@ -16,8 +16,8 @@
 // MaxRank is the lowest rank.
 const MaxRank = 9
 
-// MaxLegs is how many legs a way may ask for.
-const MaxLegs = 10
+// MaxAttempts is how many attempts a way may ask for.
+const MaxAttempts = 10
 
 const (
 	longestTime   = 10 * time.Minute
@@ -193,7 +193,7 @@
 		c.name(&p, "name", w.Name)
 		c.leads(&p, w, services)
 		c.alone(&p, w.Name, i, names)
-		c.within(&p, "legs", int64(w.Legs), 0, MaxLegs)
+		c.within(&p, "legs", int64(w.Attempts), 0, MaxAttempts)
 		if !strings.HasPrefix(w.Prefix, "/") {
 			c.fault(&p, "prefix", "%q does not start with '/'", w.Prefix)
 		}
--- a/desired/desired_easyjson.go
+++ b/desired/desired_easyjson.go
@@ -125,7 +125,7 @@
 			if in.IsNull() {
 				in.Skip()
 			} else {
-				out.Legs = int(in.Int())
+				out.Attempts = int(in.Int())
 			}
 		default:
 			out.UnmarshalUnknown(in, key)
@@ -199,10 +199,10 @@
 		out.RawString(prefix)
 		out.Bool(bool(in.Repeatable))
 	}
-	if in.Legs != 0 {
+	if in.Attempts != 0 {
 		const prefix string = ",\"legs\":"
 		out.RawString(prefix)
-		out.Int(int(in.Legs))
+		out.Int(int(in.Attempts))
 	}
 	out.RawByte('}')
 }
--- a/desired/way.go
+++ b/desired/way.go
@@ -16,8 +16,8 @@
 	Contract string `json:"contract"`
 	// Repeatable says that running a request twice does no harm.
 	Repeatable bool `json:"repeatable,omitempty"`
-	// Legs is how many legs a request may have at most; 0 leaves it to us.
-	Legs int `json:"legs,omitempty"`
+	// Attempts is how many attempts a request may have at most; 0 leaves it to us.
+	Attempts int `json:"legs,omitempty"`
 }
 
 // Services lists the services that the way leads to.
--- a/feed/choice.go
+++ b/feed/choice.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"curlewwalk/cohort"
+	"curlewwalk/membership"
 	"curlewwalk/rendezvous"
 )
 
@@ -35,7 +35,7 @@
 type choice struct {
 	own, zone string
 	failed    map[string]time.Time // cores that failed lately
-	core      cohort.Seat          // asked last
+	core      membership.Seat      // asked last
 	answered  bool                 // it answered, if only that it is not sure
 	patience  time.Duration
 	pause     time.Duration // grows while nothing is answered
@@ -48,17 +48,17 @@
 // next chooses among the live cores: those that failed lately come last, those of the own
 // zone first, and of equals the one that ranks first by rendezvous hashing. False if
 // there is none.
-func (c *choice) next(live []cohort.Seat, now time.Time) (cohort.Seat, bool) {
+func (c *choice) next(live []membership.Seat, now time.Time) (membership.Seat, bool) {
 	if len(live) == 0 {
-		return cohort.Seat{}, false
+		return membership.Seat{}, false
 	}
 	for addr, at := range c.failed {
 		if now.Sub(at) >= avoidFor {
 			delete(c.failed, addr)
 		}
 	}
-	ranked := rendezvous.Rank(c.own, live, func(s cohort.Seat) string { return s.Addr })
-	slices.SortStableFunc(ranked, func(a, b cohort.Seat) int {
+	ranked := rendezvous.Rank(c.own, live, func(s membership.Seat) string { return s.Addr })
+	slices.SortStableFunc(ranked, func(a, b membership.Seat) int {
 		return cmp.Or(c.failed[a.Addr].Compare(c.failed[b.Addr]), cmp.Compare(c.crossing(a), c.crossing(b)))
 	})
 	first := ranked[0]
@@ -71,10 +71,10 @@
 }
 
 // same tells whether a core is the one that was asked last, in the same life.
-func (c *choice) same(s cohort.Seat) bool { return s.Addr == c.core.Addr && s.Boot == c.core.Boot }
+func (c *choice) same(s membership.Seat) bool { return s.Addr == c.core.Addr && s.Boot == c.core.Boot }
 
 // crossing is 1 for a core of another zone.
-func (c *choice) crossing(s cohort.Seat) int {
+func (c *choice) crossing(s membership.Seat) int {
 	if s.Zone == c.zone {
 		return 0
 	}
--- a/feed/choice_test.go
+++ b/feed/choice_test.go
@@ -5,14 +5,14 @@
 	"testing"
 	"time"
 
-	"curlewwalk/cohort"
+	"curlewwalk/membership"
 )
 
 var beginning = time.Unix(1000, 0)
 
-func seatsOf(zones ...string) (out []cohort.Seat) {
+func seatsOf(zones ...string) (out []membership.Seat) {
 	for i, l := range zones {
-		out = append(out, cohort.Seat{Slot: i + 1, Addr: fmt.Sprint("core-", i+1), Boot: 1, Zone: l})
+		out = append(out, membership.Seat{Slot: i + 1, Addr: fmt.Sprint("core-", i+1), Boot: 1, Zone: l})
 	}
 	return out
 }
@@ -77,7 +77,7 @@
 		t.Errorf("went on from %v to %v within %v", at, s, unsure)
 	}
 	// One that is gone, or lives anew, is not stayed with.
-	without := []cohort.Seat{}
+	without := []membership.Seat{}
 	for _, s := range live {
 		if s.Addr != at.Addr {
 			without = append(without, s)
--- a/feed/copy.go
+++ b/feed/copy.go
@@ -1,19 +1,19 @@
 package feed
 
 import (
-	"curlewwalk/cohort"
 	"curlewwalk/desired"
+	"curlewwalk/membership"
 )
 
 // Copy is what a node has of the feeds that it followed: a decision value that
 // one thread owns. (DESIGN 8.2)
 type Copy struct {
-	Nodes map[string]cohort.Node
+	Nodes map[string]membership.Node
 	stamp uint64
 }
 
 // NewCopy makes an empty copy.
-func NewCopy() *Copy { return &Copy{Nodes: map[string]cohort.Node{}} }
+func NewCopy() *Copy { return &Copy{Nodes: map[string]membership.Node{}} }
 
 // Take takes news. word is set if there is one to be put in force; changed tells
 // whether nodes came, went or changed.
@@ -49,7 +49,7 @@
 // Meet takes the soft states that other nodes than a core tell of, and the boots of
 // nodes whose processes are gone; it tells whether that changed anything. Of one boot
 // the later revision stays.
-func (c *Copy) Meet(nodes []cohort.Node, dead map[string]uint64) (changed bool) {
+func (c *Copy) Meet(nodes []membership.Node, dead map[string]uint64) (changed bool) {
 	for _, n := range nodes {
 		if old, ok := c.Nodes[n.Addr]; ok && old.Boot == n.Boot && old.Rev >= n.Rev {
 			continue
--- a/feed/directory.go
+++ b/feed/directory.go
@@ -6,10 +6,10 @@
 	"sync/atomic"
 	"time"
 
-	"curlewwalk/cohort"
 	"curlewwalk/contract"
 	"curlewwalk/desired"
 	"curlewwalk/launch"
+	"curlewwalk/membership"
 	"curlewwalk/wire"
 )
 
@@ -56,9 +56,9 @@
 		stamp uint64
 		reply chan<- []string
 	}
-	msgNode  struct{ n cohort.Node }
+	msgNode  struct{ n membership.Node }
 	msgPulse struct {
-		p     cohort.Pulse
+		p     membership.Pulse
 		reply chan<- bool
 	}
 	msgSettled struct{ w desired.Word }
@@ -77,12 +77,12 @@
 
 // State is what the directory shows.
 type State struct {
-	Stamp uint64        `json:"stamp"`
-	Feed  uint64        `json:"feed"`
-	Place uint64        `json:"place"`
-	Open  bool          `json:"open"`
-	Nodes []cohort.Node `json:"nodes"`
-	Word  desired.Word  `json:"-"`
+	Stamp uint64            `json:"stamp"`
+	Feed  uint64            `json:"feed"`
+	Place uint64            `json:"place"`
+	Open  bool              `json:"open"`
+	Nodes []membership.Node `json:"nodes"`
+	Word  desired.Word      `json:"-"`
 }
 
 // NewDirectory starts the directory's actor.
@@ -109,10 +109,10 @@
 }
 
 // Told takes a node's own word.
-func (d *Directory) Told(ctx context.Context, n cohort.Node) { d.box.Send(ctx, msgNode{n}) }
+func (d *Directory) Told(ctx context.Context, n membership.Node) { d.box.Send(ctx, msgNode{n}) }
 
 // Felt takes a node's pulse; false if the node has to be told whole.
-func (d *Directory) Felt(ctx context.Context, p cohort.Pulse) bool {
+func (d *Directory) Felt(ctx context.Context, p membership.Pulse) bool {
 	known, ok := launch.Ask(ctx, d.box, func(r chan<- bool) any { return msgPulse{p, r} })
 	return known || !ok
 }
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
-	"curlewwalk/cohort"
 	"curlewwalk/contract"
 	"curlewwalk/desired"
+	"curlewwalk/membership"
 )
 
 const (
@@ -34,7 +34,7 @@
 	// version is that word's; versions are those of late, to tell differences from.
 	version  desired.Version
 	versions desired.Versions
-	nodes    map[string]cohort.Node
+	nodes    map[string]membership.Node
 	heard    map[string]time.Duration
 	// emptySince is since when an emptied zone has nothing open.
 	emptySince map[string]time.Duration
@@ -44,7 +44,7 @@
 
 // New makes an empty feed.
 func New(id uint64, now time.Duration) *Feed {
-	return &Feed{ID: id, nodes: map[string]cohort.Node{}, heard: map[string]time.Duration{}, open: now + SettleIn, last: now}
+	return &Feed{ID: id, nodes: map[string]membership.Node{}, heard: map[string]time.Duration{}, open: now + SettleIn, last: now}
 }
 
 func (f *Feed) add(it Item) {
@@ -74,7 +74,7 @@
 }
 
 // Told takes a node's own word; true if it is news.
-func (f *Feed) Told(n cohort.Node, now time.Duration) bool {
+func (f *Feed) Told(n membership.Node, now time.Duration) bool {
 	old, ok := f.nodes[n.Addr]
 	f.heard[n.Addr] = now
 	if ok && old.Boot == n.Boot && (old.Rev > n.Rev || old.Rev == n.Rev && old.Turn > n.Turn) {
@@ -90,7 +90,7 @@
 
 // Felt takes a node's pulse; false if the node is not known as whole as it was when
 // that was told. Until it is told whole it stays as it was, its backends with it.
-func (f *Feed) Felt(p cohort.Pulse, now time.Duration) bool {
+func (f *Feed) Felt(p membership.Pulse, now time.Duration) bool {
 	n, ok := f.nodes[p.Addr]
 	if !ok || n.Boot != p.Boot {
 		return false
@@ -107,12 +107,12 @@
 // up must not be answered from what was known before.
 func (f *Feed) Wake(now time.Duration) {
 	if now-f.last > goneAfter/2 {
-		*f = Feed{ID: f.ID + 1, word: f.word, version: f.version, versions: f.versions, nodes: map[string]cohort.Node{}, heard: map[string]time.Duration{}, open: now + SettleIn, last: now}
+		*f = Feed{ID: f.ID + 1, word: f.word, version: f.version, versions: f.versions, nodes: map[string]membership.Node{}, heard: map[string]time.Duration{}, open: now + SettleIn, last: now}
 	}
 }
 
 // nodeItem is a node as followers get it: without what only cores sum up.
-func nodeItem(n cohort.Node) Item {
+func nodeItem(n membership.Node) Item {
 	n.Budgets, n.Accuses, n.Open, n.Turn = nil, nil, nil, 0
 	return Item{Node: &n}
 }
@@ -178,8 +178,8 @@
 func (f *Feed) Word() *desired.Word { return f.word }
 
 // Nodes lists the known nodes by address.
-func (f *Feed) Nodes() []cohort.Node {
-	var out []cohort.Node
+func (f *Feed) Nodes() []membership.Node {
+	var out []membership.Node
 	for _, addr := range slices.Sorted(maps.Keys(f.nodes)) {
 		out = append(out, f.nodes[addr])
 	}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"curlewwalk/cohort"
 	"curlewwalk/desired"
+	"curlewwalk/membership"
 )
 
 // A follower that asks now and then, across two cores, lost answers, freezes
@@ -23,7 +23,7 @@
 		cores := []*Feed{New(1, 0), New(100, 0)}
 		var place Follow
 		at := 0
-		nodes, stamp := map[string]cohort.Node{}, uint64(0)
+		nodes, stamp := map[string]membership.Node{}, uint64(0)
 		follow := func() {
 			if !cores[at].Open(now) {
 				return
@@ -49,7 +49,7 @@
 					delete(nodes, it.Gone)
 				}
 			}
-			var want []cohort.Node
+			var want []membership.Node
 			want = append(want, cores[at].Nodes()...)
 			if len(want) != len(nodes) {
 				t.Fatalf("seed %d: follower has %d nodes, core %d", seed, len(nodes), len(want))
@@ -74,7 +74,7 @@
 				f.Tick(now)
 			}
 			for range rng.IntN(6) {
-				n := cohort.Node{Addr: fmt.Sprint("node-", rng.IntN(8)), Boot: 1 + rng.Uint64N(2), Rev: uint64(step)}
+				n := membership.Node{Addr: fmt.Sprint("node-", rng.IntN(8)), Boot: 1 + rng.Uint64N(2), Rev: uint64(step)}
 				cores[rng.IntN(2)].Told(n, now)
 			}
 			if rng.IntN(30) == 0 {
@@ -107,7 +107,7 @@
 	}
 	for s := range uint64(50) {
 		f.Settled(desired.Word{Stamp: s + 2, Desired: []byte("{}"), Sent: []byte("sent")})
-		f.Told(cohort.Node{Addr: fmt.Sprint("node-", s)}, 0)
+		f.Told(membership.Node{Addr: fmt.Sprint("node-", s)}, 0)
 	}
 	n, fresh := f.Since(place)
 	words := 0
@@ -141,7 +141,7 @@
 		t.Error("open before it could be told of the nodes")
 	}
 	f.Tick(SettleIn)
-	f.Told(cohort.Node{Addr: "a"}, SettleIn)
+	f.Told(membership.Node{Addr: "a"}, SettleIn)
 	f.Wake(SettleIn + 100*time.Millisecond)
 	if !f.Open(SettleIn+100*time.Millisecond) || len(f.Nodes()) != 1 {
 		t.Error("an ordinary beat was taken for a freeze")
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"curlewwalk/cohort"
+	"curlewwalk/membership"
 	"curlewwalk/wire"
 )
 
@@ -16,18 +16,18 @@
 type Follower struct {
 	Own    string
 	Zone   string
-	Seats  func() cohort.Seats
+	Seats  func() membership.Seats
 	Net    *wire.Net
 	Hasten func()
 	// Take is handed each piece of news in order, with the core it came from.
 	// What the core was sure of counts from when it was asked.
-	Take func(ctx context.Context, core cohort.Seat, n News, asked time.Time)
+	Take func(ctx context.Context, core membership.Seat, n News, asked time.Time)
 }
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	var place Follow
-	var core cohort.Seat
+	var core membership.Seat
 	var holding Holding
 	choose := newChoice(f.Own, f.Zone)
 	pause := time.NewTimer(0)
@@ -67,7 +67,7 @@
 }
 
 // ask asks a core for what came after a place; false if no answer came in time.
-func (f *Follower) ask(ctx context.Context, core cohort.Seat, place Follow, patience time.Duration) (n News, ok bool) {
+func (f *Follower) ask(ctx context.Context, core membership.Seat, place Follow, patience time.Duration) (n News, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	ok = f.Net.Call(ctx, core.Addr, wire.Feed, KindFollow, place).Into(&n)
--- a/feed/holding_test.go
+++ b/feed/holding_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"curlewwalk/cohort"
 	"curlewwalk/desired"
+	"curlewwalk/membership"
 )
 
 // configured is a word with 60 routes, of which one depends on its stamp.
@@ -101,7 +101,7 @@
 			f := cores[rng.IntN(2)]
 			f.Settled(configured(s))
 			if rng.IntN(4) == 0 {
-				f.Told(cohort.Node{Addr: "node", Rev: s}, 0)
+				f.Told(membership.Node{Addr: "node", Rev: s}, 0)
 			}
 			if rng.IntN(3) == 0 {
 				f = cores[rng.IntN(2)]
--- a/feed/item.go
+++ b/feed/item.go
@@ -3,15 +3,15 @@
 package feed
 
 import (
-	"curlewwalk/cohort"
 	"curlewwalk/desired"
+	"curlewwalk/membership"
 )
 
 // Item is one change.
 type Item struct {
-	Word *desired.Word `msgpack:"w,omitempty"`
-	Node *cohort.Node  `msgpack:"n,omitempty"`
-	Gone string        `msgpack:"g,omitempty"`
+	Word *desired.Word    `msgpack:"w,omitempty"`
+	Node *membership.Node `msgpack:"n,omitempty"`
+	Gone string           `msgpack:"g,omitempty"`
 	// Patch stands for Word, towards a follower that told what it has.
 	Patch *desired.Patch `msgpack:"p,omitempty"`
 }
--- a/feed/talk_test.go
+++ b/feed/talk_test.go
@@ -11,22 +11,22 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
-	"curlewwalk/cohort"
 	"curlewwalk/contract"
+	"curlewwalk/membership"
 )
 
 // teller is a sidecar that heartbeats one core.
 type teller struct {
-	node cohort.Node
-	talk cohort.Talk
+	node membership.Node
+	talk membership.Talk
 }
 
 // letter is a heartbeat or its response, under way.
 type letter struct {
 	from     *teller
 	boot     uint64
-	told     cohort.Heartbeat
-	response *cohort.Heartbeat
+	told     membership.Heartbeat
+	response *membership.Heartbeat
 }
 
 // talks is a core, whose version may be an old one, and the sidecars that heartbeat it.
@@ -42,12 +42,12 @@
 	short, whole, asked int
 }
 
-func (*talks) backends(n cohort.Node) []cohort.Backend {
-	return []cohort.Backend{{Instance: fmt.Sprint(n.Boot, " ", n.Rev)}}
+func (*talks) backends(n membership.Node) []membership.Backend {
+	return []membership.Backend{{Instance: fmt.Sprint(n.Boot, " ", n.Rev)}}
 }
 
 func (k *talks) boot(s *teller) {
-	*s = teller{node: cohort.Node{Addr: s.node.Addr, Boot: k.rng.Uint64()}}
+	*s = teller{node: membership.Node{Addr: s.node.Addr, Boot: k.rng.Uint64()}}
 	k.change(s)
 }
 
@@ -60,7 +60,7 @@
 func (k *talks) tell(s *teller, due bool) letter {
 	s.node.Turn++
 	n := s.node
-	told := s.talk.Tell(cohort.Heartbeat{Node: &n, Digest: 7}, due)
+	told := s.talk.Tell(membership.Heartbeat{Node: &n, Digest: 7}, due)
 	if told.Pulse != nil {
 		k.short++
 	} else {
@@ -71,7 +71,7 @@
 
 // reach has a heartbeat reach the core, as far as its version understands it.
 func (k *talks) reach(l letter) letter {
-	r := cohort.Heartbeat{Digest: 7}
+	r := membership.Heartbeat{Digest: 7}
 	switch {
 	case l.told.Node != nil:
 		k.feed.Told(*l.told.Node, k.now)
@@ -123,7 +123,7 @@
 	case 7, 8, 9:
 		s.node.Stamp++
 		s.node.Open = map[string]int64{"west": k.rng.Int64N(3)}
-		s.node.Accuses = []cohort.Accusation{{Addr: "x", Inc: s.node.Stamp}}[:k.rng.IntN(2)]
+		s.node.Accuses = []membership.Accusation{{Addr: "x", Inc: s.node.Stamp}}[:k.rng.IntN(2)]
 		s.node.Budgets = map[string]contract.Tally{"c": {N: int64(s.node.Stamp)}}
 	default:
 		if len(k.letters) < 20 && k.rng.IntN(2) == 0 {
@@ -165,7 +165,7 @@
 		rng := rand.New(rand.NewPCG(seed, 5))
 		k := &talks{t: t, rng: rng, feed: New(1, 0)}
 		for i := range 3 {
-			s := &teller{node: cohort.Node{Addr: fmt.Sprint("node-", i)}}
+			s := &teller{node: membership.Node{Addr: fmt.Sprint("node-", i)}}
 			k.boot(s)
 			k.sides = append(k.sides, s)
 		}
--- a/cohort/accusation.go
+++ b/membership/accusation.go
@@ -1,4 +1,4 @@
-package cohort
+package membership
 
 // Accusation says that a node, in one incarnation of its boot, does not answer
 // its watcher.
--- a/cohort/backend.go
+++ b/membership/backend.go
@@ -1,6 +1,6 @@
-// Package cohort is what the nodes know of one another: seats of cores, nodes
+// Package membership is what the nodes know of one another: seats of cores, nodes
 // of the data plane with their backends, and the view for traffic. (DESIGN 7)
-package cohort
+package membership
 
 // Backend is one backend instance as its sidecar tells of it.
 type Backend struct {
--- a/cohort/duty_test.go
+++ b/membership/duty_test.go
@@ -1,4 +1,4 @@
-package cohort
+package membership
 
 import (
 	"testing"
--- a/cohort/load.go
+++ b/membership/load.go
@@ -1,4 +1,4 @@
-package cohort
+package membership
 
 import (
 	"sync/atomic"
@@ -7,8 +7,8 @@
 
 // Load is what this node knows of how busy a backend is.
 type Load struct {
-	// Legs counts our own legs now open there.
-	Legs atomic.Int64
+	// Attempts counts our own attempts now open there.
+	Attempts atomic.Int64
 	// told is what the far sidecar said with its last response.
 	told atomic.Int64
 	// toldAt is when it did, after born.
@@ -31,9 +31,9 @@
 // Busy estimates the open requests at the backend.
 func (l *Load) Busy() int64 {
 	if time.Since(born)-time.Duration(l.toldAt.Load()) > toldFor {
-		return l.Legs.Load()
+		return l.Attempts.Load()
 	}
-	return max(l.told.Load(), l.Legs.Load())
+	return max(l.told.Load(), l.Attempts.Load())
 }
 
 // Shun leaves the target out for a while: a passive sign, acted on locally.
--- a/cohort/seat.go
+++ b/membership/seat.go
@@ -1,4 +1,4 @@
-package cohort
+package membership
 
 // Seat is a core in its slot.
 type Seat struct {
--- a/cohort/statements.go
+++ b/membership/statements.go
@@ -1,4 +1,4 @@
-package cohort
+package membership
 
 import (
 	"cmp"
@@ -11,7 +11,7 @@
 // rests on it could be good for.
 const StatementsFor = 4 * time.Second // (ours)
 
-// Statements is a decision value: what the sidecars of a cohort said of themselves, as
+// Statements is a decision value: what the sidecars of a membership said of themselves, as
 // it was heard from them or from others, and whether a majority of them agrees that no
 // newer word than the own one is in force. (DESIGN 7.4)
 type Statements struct {
--- a/cohort/talk.go
+++ b/membership/talk.go
@@ -1,4 +1,4 @@
-package cohort
+package membership
 
 // Talk is a decision value: what is told to one process, by what its responses have
 // shown that it has. Whoever heartbeats keeps one for each address; the zero value is for
--- a/cohort/watch.go
+++ b/membership/watch.go
@@ -1,4 +1,4 @@
-package cohort
+package membership
 
 import (
 	"slices"
@@ -23,11 +23,11 @@
 
 // Watch is a decision value: whom a node watches, and whom it accuses.
 type Watch struct {
-	own    string
-	nodes  []string
-	cohort []string
-	missed map[string]int
-	last   map[string]Probe // what each answered last
+	own        string
+	nodes      []string
+	membership []string
+	missed     map[string]int
+	last       map[string]Probe // what each answered last
 }
 
 // NewWatch makes the watch of a node.
@@ -35,21 +35,21 @@
 	return &Watch{own: own, missed: map[string]int{}, last: map[string]Probe{}}
 }
 
-// Cohort lists whom to watch among the nodes known now.
-func (w *Watch) Cohort(nodes []string) []string {
+// Membership lists whom to watch among the nodes known now.
+func (w *Watch) Membership(nodes []string) []string {
 	if slices.Equal(nodes, w.nodes) {
-		return w.cohort
+		return w.membership
 	}
-	w.nodes, w.cohort = slices.Clone(nodes), nil
+	w.nodes, w.membership = slices.Clone(nodes), nil
 	kept, last := map[string]int{}, map[string]Probe{}
 	for _, n := range nodes {
 		if n != w.own && slices.Contains(WatchersOf(n, nodes), w.own) {
-			w.cohort = append(w.cohort, n)
+			w.membership = append(w.membership, n)
 			kept[n], last[n] = w.missed[n], w.last[n]
 		}
 	}
 	w.missed, w.last = kept, last
-	return w.cohort
+	return w.membership
 }
 
 // Probed takes how a probe went; answer is nil if there was none. A refused one
@@ -67,7 +67,7 @@
 
 // Accused lists whom the node accuses, given what is known of them.
 func (w *Watch) Accused(known map[string]Node) (out []Accusation) {
-	for _, addr := range w.cohort {
+	for _, addr := range w.membership {
 		if n, ok := known[addr]; ok && w.missed[addr] >= misses {
 			a := Accusation{Addr: addr, Boot: n.Boot, Inc: n.Inc}
 			if last := w.last[addr]; last.Boot == n.Boot {
--- a/cohort/watch_test.go
+++ b/membership/watch_test.go
@@ -1,4 +1,4 @@
-package cohort
+package membership
 
 import (
 	"fmt"
@@ -21,7 +21,7 @@
 		nodes := names(size)
 		watched := map[string]int{}
 		for _, own := range nodes {
-			for _, n := range NewWatch(own).Cohort(nodes) {
+			for _, n := range NewWatch(own).Membership(nodes) {
 				watched[n]++
 				if n == own {
 					t.Errorf("%s watches itself", own)
@@ -52,7 +52,7 @@
 func TestAccusation(t *testing.T) {
 	nodes := names(2)
 	w := NewWatch(nodes[0])
-	w.Cohort(nodes)
+	w.Membership(nodes)
 	known := map[string]Node{nodes[1]: {Addr: nodes[1], Boot: 7}}
 	for i, c := range []struct {
 		answer  *Probe
--- a/cohort/watcher.go
+++ b/membership/watcher.go
@@ -1,4 +1,4 @@
-package cohort
+package membership
 
 import (
 	"context"
@@ -66,7 +66,7 @@
 			}
 		case <-tick.C:
 			v := w.View()
-			for _, addr := range watch.Cohort(v.Addrs()) {
+			for _, addr := range watch.Membership(v.Addrs()) {
 				n := v.nodes[addr]
 				w.Launcher.Go(ctx, "probe", func(ctx context.Context) {
 					call, cancel := context.WithTimeout(ctx, Beat)
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -8,8 +8,8 @@
 	"slices"
 	"strings"
 
-	"curlewwalk/cohort"
 	"curlewwalk/desired"
+	"curlewwalk/membership"
 	"curlewwalk/rendezvous"
 	"curlewwalk/trace"
 )
@@ -21,8 +21,8 @@
 type side struct {
 	state   desired.State
 	emptied []string
-	nodes   []cohort.Node
-	cores   []cohort.Seat
+	nodes   []membership.Node
+	cores   []membership.Seat
 }
 
 // Make works out what a change of a snapshot would move. The faults are those
@@ -41,13 +41,13 @@
 		}
 	}
 	after.emptied = slices.DeleteFunc(append(slices.Clone(s.Emptied), c.Empty...), func(l string) bool { return slices.Contains(c.TakeBack, l) })
-	after.nodes = slices.DeleteFunc(slices.Clone(s.Nodes), func(n cohort.Node) bool { return slices.Contains(c.Lose, n.Addr) })
-	after.cores = slices.DeleteFunc(slices.Clone(s.Cores), func(x cohort.Seat) bool { return slices.Contains(c.Lose, x.Addr) })
+	after.nodes = slices.DeleteFunc(slices.Clone(s.Nodes), func(n membership.Node) bool { return slices.Contains(c.Lose, n.Addr) })
+	after.cores = slices.DeleteFunc(slices.Clone(s.Cores), func(x membership.Seat) bool { return slices.Contains(c.Lose, x.Addr) })
 	for _, a := range c.Gain {
-		after.nodes = append(after.nodes, cohort.Node{Addr: a})
+		after.nodes = append(after.nodes, membership.Node{Addr: a})
 	}
 	for _, a := range c.Lose {
-		if !slices.ContainsFunc(s.Nodes, func(n cohort.Node) bool { return n.Addr == a }) && !slices.ContainsFunc(s.Cores, func(x cohort.Seat) bool { return x.Addr == a }) {
+		if !slices.ContainsFunc(s.Nodes, func(n membership.Node) bool { return n.Addr == a }) && !slices.ContainsFunc(s.Cores, func(x membership.Seat) bool { return x.Addr == a }) {
 			faults = append(faults, desired.Fault{Path: a, Message: "no such node or core"})
 		}
 	}
@@ -163,7 +163,7 @@
 }
 
 // first is the core that ranks first for a key.
-func first(cores []cohort.Seat, key string, name func(cohort.Seat) string) string {
+func first(cores []membership.Seat, key string, name func(membership.Seat) string) string {
 	if len(cores) == 0 {
 		return "none"
 	}
@@ -172,8 +172,8 @@
 
 // follow works out what goes to other cores: followers, the duty, traces.
 func (m *Moves) follow(before, after side) {
-	addr := func(c cohort.Seat) string { return c.Addr }
-	slot := func(c cohort.Seat) string { return fmt.Sprint(c.Slot) }
+	addr := func(c membership.Seat) string { return c.Addr }
+	slot := func(c membership.Seat) string { return fmt.Sprint(c.Slot) }
 	duty := func(s side) string {
 		if len(s.cores) == 0 {
 			return "none"
@@ -185,7 +185,7 @@
 	}
 	for _, n := range after.nodes {
 		from := "none"
-		if slices.ContainsFunc(before.nodes, func(o cohort.Node) bool { return o.Addr == n.Addr }) {
+		if slices.ContainsFunc(before.nodes, func(o membership.Node) bool { return o.Addr == n.Addr }) {
 			from = first(before.cores, n.Addr, addr)
 		}
 		if to := first(after.cores, n.Addr, addr); from != to {
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -4,7 +4,7 @@
 	"strings"
 	"testing"
 
-	"curlewwalk/cohort"
+	"curlewwalk/membership"
 )
 
 // What is said of services and clients moves too; a service that only has a part
@@ -13,7 +13,7 @@
 	head := `{"contracts":[{"name":"c","aim":"1s","expiry":"2s","rank":1}],"ways":[{"name":"w","prefix":"/","contract":"c","split":[{"service":"a","weight":9},{"service":"b","weight":1}]}],`
 	was := head + `"services":[{"name":"a","connections":3,"cold":{"for":"3s","rate":9}},{"name":"b"}]}`
 	is := head + `"services":[{"name":"a","connections":3,"cold":{"for":"3s","rate":8}},{"name":"b"},{"name":"d"}],"limits":{"idle":"60s"}}`
-	s := Snapshot{Desired: was, Nodes: []cohort.Node{{Addr: "n", Backends: []cohort.Backend{{Instance: "a", Service: "a", Zone: "north", Capacity: 4}, {Instance: "b", Service: "b", Zone: "south", Capacity: 4}}}}}
+	s := Snapshot{Desired: was, Nodes: []membership.Node{{Addr: "n", Backends: []membership.Backend{{Instance: "a", Service: "a", Zone: "north", Capacity: 4}, {Instance: "b", Service: "b", Zone: "south", Capacity: 4}}}}}
 	if m, faults := Make(s, Change{Desired: []byte(was)}); m.Any() || len(faults) > 0 {
 		t.Errorf("the same again: %v %v", m, faults)
 	}
--- a/plan/snapshot.go
+++ b/plan/snapshot.go
@@ -3,17 +3,17 @@
 package plan
 
 import (
-	"curlewwalk/cohort"
+	"curlewwalk/membership"
 	"curlewwalk/window"
 )
 
 // Snapshot is what a plan starts from: a core's state, from a live core or a
 // file.
 type Snapshot struct {
-	Desired string        `json:"desired"`
-	Emptied []string      `json:"emptied"`
-	Nodes   []cohort.Node `json:"nodes"`
-	Cores   []cohort.Seat `json:"cores"`
+	Desired string            `json:"desired"`
+	Emptied []string          `json:"emptied"`
+	Nodes   []membership.Node `json:"nodes"`
+	Cores   []membership.Seat `json:"cores"`
 	// Windows are the coming maintenance windows.
 	Windows []window.Occurrence `json:"windows,omitempty"`
 }
--- a/process/reload.go
+++ b/process/reload.go
@@ -6,12 +6,12 @@
 	"time"
 
 	"curlewwalk/boot"
-	"curlewwalk/cohort"
+	"curlewwalk/membership"
 )
 
 // Reloader puts in force what a SIGHUP can, and shows what it could not.
 type Reloader struct {
-	Seeker *cohort.Seeker
+	Seeker *membership.Seeker
 	drain  atomic.Int64
 	last   atomic.Pointer[boot.Reloaded]
 }
--- a/proof/exact_test.go
+++ b/proof/exact_test.go
@@ -121,9 +121,9 @@
 	}
 }
 
-// A way marked repeatable gets another leg after a lost answer; an order does
+// A way marked repeatable gets another attempt after a lost answer; an order does
 // not, even with two backends to go to.
-func TestExtraLeg(t *testing.T) {
+func TestExtraAttempt(t *testing.T) {
 	r := newRig(t)
 	count := r.rawBackend(1, func(int, net.Conn) {})
 	r.expect(r.send("POST", "/once/", "x"), 502, "unknown")
@@ -146,9 +146,9 @@
 	}
 }
 
-// When everything fails and clients ask on, extra legs stay within a fifth of
+// When everything fails and clients ask on, extra attempts stay within a fifth of
 // the traffic and the allowance.
-func TestExtraLegsBounded(t *testing.T) {
+func TestExtraAttemptsBounded(t *testing.T) {
 	r := newRig(t)
 	var count []func() int
 	for i := range 3 {
--- a/proof/frozen_test.go
+++ b/proof/frozen_test.go
@@ -36,9 +36,9 @@
 	return o.ran[id]
 }
 
-// A far sidecar is frozen for shorter and longer than a connection bears, with legs in its
+// A far sidecar is frozen for shorter and longer than a connection bears, with attempts in its
 // buffers, and woken. What was promised not to run never runs, and nothing runs twice,
-// whatever it finds there: the leg, its recall behind it, or the end of the connection.
+// whatever it finds there: the attempt, its recall behind it, or the end of the connection.
 func TestFarFrozen(t *testing.T) {
 	t.Parallel()
 	for _, frozen := range []time.Duration{700 * time.Millisecond, 2500 * time.Millisecond, 5 * time.Second} {
--- a/proof/loss_test.go
+++ b/proof/loss_test.go
@@ -139,7 +139,7 @@
 }
 
 // Under load a fifth of all answers is lost or garbled after the run: nothing is
-// run again that must not, no garbled answer is passed on, and extra legs keep to
+// run again that must not, no garbled answer is passed on, and extra attempts keep to
 // their bound.
 func TestGarbledUnderLoad(t *testing.T) {
 	t.Parallel()
--- a/proof/messages/messages_test.go
+++ b/proof/messages/messages_test.go
@@ -11,12 +11,12 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"curlewwalk/claim"
-	"curlewwalk/cohort"
 	"curlewwalk/collect"
 	"curlewwalk/contract"
 	"curlewwalk/custody"
 	"curlewwalk/desired"
 	"curlewwalk/feed"
+	"curlewwalk/membership"
 	"curlewwalk/register"
 	"curlewwalk/relay"
 	"curlewwalk/trace"
@@ -45,13 +45,13 @@
 }
 
 var (
-	backend = cohort.Backend{Instance: "i", Service: "s", Address: "127.0.0.1:1", Zone: "north", Capacity: 4, Share: 1}
-	node    = cohort.Node{
-		Addr: "127.0.0.1:2", Boot: 7, Rev: 3, Zone: "north", Stamp: 5, Backends: []cohort.Backend{backend}, Inc: 1,
-		Accuses: []cohort.Accusation{{Addr: "127.0.0.1:3"}}, Open: map[string]int64{"north": 1}, Budgets: map[string]contract.Tally{"c": {}}, Turn: 2,
+	backend = membership.Backend{Instance: "i", Service: "s", Address: "127.0.0.1:1", Zone: "north", Capacity: 4, Share: 1}
+	node    = membership.Node{
+		Addr: "127.0.0.1:2", Boot: 7, Rev: 3, Zone: "north", Stamp: 5, Backends: []membership.Backend{backend}, Inc: 1,
+		Accuses: []membership.Accusation{{Addr: "127.0.0.1:3"}}, Open: map[string]int64{"north": 1}, Budgets: map[string]contract.Tally{"c": {}}, Turn: 2,
 	}
-	seat = cohort.Seat{Slot: 2, Slots: 3, Addr: "127.0.0.1:4", Boot: 9, Zone: "north", Established: true, Set: []int{1, 2, 3}, Held: 4, Mark: 8}
-	peer = cohort.Peer{Addr: node.Addr, Boot: 7, Rev: 3, Said: &cohort.Statement{Age: 20, Stamp: 5, Alone: true}}
+	seat = membership.Seat{Slot: 2, Slots: 3, Addr: "127.0.0.1:4", Boot: 9, Zone: "north", Established: true, Set: []int{1, 2, 3}, Held: 4, Mark: 8}
+	peer = membership.Peer{Addr: node.Addr, Boot: 7, Rev: 3, Said: &membership.Statement{Age: 20, Stamp: 5, Alone: true}}
 	word = desired.Word{Stamp: 5, DesiredStamp: 4, Desired: []byte(`{}`), Emptied: []string{"north"}, Slots: []desired.Member{{Slot: 1, ID: 11}, {Slot: 2, ID: 12}}, Top: 2}
 	mark = register.Mark{Epoch: 65537, Stamp: 5}
 	from = register.From{Slot: 1}
@@ -60,10 +60,10 @@
 // kinds are all that are registered on the wire, each way.
 var kinds = []kind{
 	of("greeting", wire.Greeting{Version: 1, Node: "n", Boot: 7}, func(wire.Greeting) {}),
-	of(cohort.KindHeartbeat, cohort.Heartbeat{Node: &node, Seat: &seat, Know: []cohort.Seat{seat}, Digest: 3, Have: 8}, heartbeat),
-	of(cohort.KindProbe, cohort.Probe{Boot: 7, Inc: 1}, probe),
-	of(cohort.KindGossip, cohort.Gossip{Own: peer, Digest: 3, Fetch: &cohort.Fetch{Nodes: []string{"x"}, Word: true, Stamp: 4}}, func(cohort.Gossip) {}),
-	of("gossiped", cohort.Gossiped{Peers: []cohort.Peer{peer}, Word: &word, Nodes: []cohort.Node{node}, Know: []cohort.Seat{seat}}, gossiped),
+	of(membership.KindHeartbeat, membership.Heartbeat{Node: &node, Seat: &seat, Know: []membership.Seat{seat}, Digest: 3, Have: 8}, heartbeat),
+	of(membership.KindProbe, membership.Probe{Boot: 7, Inc: 1}, probe),
+	of(membership.KindGossip, membership.Gossip{Own: peer, Digest: 3, Fetch: &membership.Fetch{Nodes: []string{"x"}, Word: true, Stamp: 4}}, func(membership.Gossip) {}),
+	of("gossiped", membership.Gossiped{Peers: []membership.Peer{peer}, Word: &word, Nodes: []membership.Node{node}, Know: []membership.Seat{seat}}, gossiped),
 	of(feed.KindFollow, feed.Follow{Feed: 1, Place: 1, Wait: time.Second}, follow),
 	of("news", feed.News{Feed: 1, Place: 2, Snapshot: true, Items: []feed.Item{{Word: &word}, {Node: &node}, {Gone: "x"}}, Age: time.Second}, news),
 	of(register.KindBallot, register.Ballot{From: from, Act: register.Propose, Epoch: 65537, Mark: mark, Word: word}, ballot),
@@ -78,24 +78,24 @@
 	of("held", custody.Held{Taken: true, Known: &custody.Entry{Owner: "o"}}, func(custody.Held) {}),
 	of(custody.KindHandover, custody.Handover{Owner: "o", Boot: 2}, func(q custody.Handover) { custody.NewHoldings().Handover(q, 0) }),
 	of("handed", custody.Handed{Entries: []custody.Entry{{Owner: "o", N: 1}}}, handed),
-	of(relay.KindLeg, relay.Leg{ID: "x", Service: "s", Instance: "i", Boot: 7, Method: "GET", URI: "/", Left: time.Second}, func(relay.Leg) {}),
-	of("leg receipt", relay.LegResponse{ID: "x", Fate: way.Answered, Status: 200, Body: []byte("ok")}, func(relay.LegResponse) {}),
+	of(relay.KindAttempt, relay.Attempt{ID: "x", Service: "s", Instance: "i", Boot: 7, Method: "GET", URI: "/", Left: time.Second}, func(relay.Attempt) {}),
+	of("leg receipt", relay.AttemptResponse{ID: "x", Fate: way.Answered, Status: 200, Body: []byte("ok")}, func(relay.AttemptResponse) {}),
 	of(relay.KindRecall, relay.Recall{ID: "x", Boot: 7}, func(relay.Recall) {}),
 	of("receipt", relay.Response{Status: 200, Body: []byte("ok"), Fate: way.Answered}, func(relay.Response) {}),
 }
 
-func see(nodes ...cohort.Node) {
-	all := map[string]cohort.Node{}
+func see(nodes ...membership.Node) {
+	all := map[string]membership.Node{}
 	for _, n := range nodes {
 		all[n.Addr] = n
 	}
-	cohort.NewView(all, nil).Nodes()
+	membership.NewView(all, nil).Nodes()
 }
 
-func heartbeat(h cohort.Heartbeat) {
+func heartbeat(h membership.Heartbeat) {
 	now := time.Now()
-	seats, _ := cohort.Seats{}.Heard(h, now)
-	seats, _ = seats.Heard(h, now.Add(cohort.Beat))
+	seats, _ := membership.Seats{}.Heard(h, now)
+	seats, _ = seats.Heard(h, now.Add(membership.Beat))
 	seats.Live(now)
 	seats.NoMajority(now)
 	seats.Wall(now, 1, now)
@@ -116,25 +116,25 @@
 	budgets.Sums()
 }
 
-func probe(p cohort.Probe) {
-	w := cohort.NewWatch("127.0.0.1:2")
-	w.Cohort([]string{"127.0.0.1:3"})
+func probe(p membership.Probe) {
+	w := membership.NewWatch("127.0.0.1:2")
+	w.Membership([]string{"127.0.0.1:3"})
 	w.Probed("127.0.0.1:3", &p, false)
-	w.Accused(map[string]cohort.Node{"127.0.0.1:3": {}})
+	w.Accused(map[string]membership.Node{"127.0.0.1:3": {}})
 }
 
-func gossiped(g cohort.Gossiped) {
+func gossiped(g membership.Gossiped) {
 	now := time.Now()
-	s := cohort.Statements{}.Hear("127.0.0.1:9", g.Peers, now, now)
-	view := cohort.NewView(map[string]cohort.Node{node.Addr: node}, nil)
+	s := membership.Statements{}.Hear("127.0.0.1:9", g.Peers, now, now)
+	view := membership.NewView(map[string]membership.Node{node.Addr: node}, nil)
 	s.Lacking(view, g.Peers)
-	s.Tell(peer, view, now.Add(cohort.Beat))
+	s.Tell(peer, view, now.Add(membership.Beat))
 	s.Highest(1)
 	s.Sure("127.0.0.1:9", 5, []string{node.Addr}, now)
 	c := feed.NewCopy()
 	c.Meet(g.Nodes, map[string]uint64{node.Addr: 7})
 	see(g.Nodes...)
-	heartbeat(cohort.Heartbeat{Know: g.Know})
+	heartbeat(membership.Heartbeat{Know: g.Know})
 	inForce(g.Word)
 }
 
@@ -222,7 +222,7 @@
 	for _, e := range h.Entries {
 		t.Held(e, node, 0)
 		t.Settle(e, time.Second)
-		t.Lacking([]cohort.Node{node}, 9, time.Second)
+		t.Lacking([]membership.Node{node}, 9, time.Second)
 		t.Drop(e)
 	}
 }
--- a/proof/scale/hollow.go
+++ b/proof/scale/hollow.go
@@ -12,11 +12,11 @@
 	"sync/atomic"
 	"time"
 
-	"curlewwalk/cohort"
 	"curlewwalk/contract"
 	"curlewwalk/custody"
 	"curlewwalk/desired"
 	"curlewwalk/feed"
+	"curlewwalk/membership"
 	"curlewwalk/proof/fault"
 	"curlewwalk/rendezvous"
 	"curlewwalk/roster"
@@ -36,9 +36,9 @@
 
 	net      *wire.Net
 	host     *wire.Host
-	seeker   *cohort.Seeker
+	seeker   *membership.Seeker
 	budgets  *contract.Budgets
-	watcher  *cohort.Watcher
+	watcher  *membership.Watcher
 	roster   atomic.Pointer[roster.Roster]
 	inc      atomic.Uint64
 	stamp    atomic.Uint64
@@ -51,7 +51,7 @@
 	mu   sync.Mutex   // the copy is looked at by several loops
 	size atomic.Int64 // of the copy
 	copy *feed.Copy
-	view *cohort.View // of the copy, if it has not changed since
+	view *membership.View // of the copy, if it has not changed since
 }
 
 // newHollow opens a hollow node's address.
@@ -61,22 +61,22 @@
 		return nil, err
 	}
 	ip := netip.MustParseAddrPort(addr).Addr()
-	h := &hollow{addr: addr, zone: zone, boot: rand.Uint64(), shoal: s, copy: feed.NewCopy(), budgets: contract.NewBudgets(), watcher: cohort.NewWatcher(), seeker: cohort.NewSeeker()}
+	h := &hollow{addr: addr, zone: zone, boot: rand.Uint64(), shoal: s, copy: feed.NewCopy(), budgets: contract.NewBudgets(), watcher: membership.NewWatcher(), seeker: membership.NewSeeker()}
 	h.announce = roster.Announcement{Instance: service + "-" + ip.String(), Service: service, Address: netip.AddrPortFrom(ip, 8000).String(), Zone: zone, Capacity: 9}
 	h.roster.Store(&roster.Roster{})
 	h.followed.Store(&time.Time{})
 	own := wire.Greeting{Version: wire.Version, Node: addr, Boot: h.boot}
 	h.net = wire.NewNet(s.launcher, own, net.IP(ip.AsSlice()))
 	h.host = &wire.Host{Own: own, Launcher: s.launcher, Listener: ln, Handlers: map[string]wire.Handler{
-		cohort.KindHeartbeat: h.heartbeat,
-		cohort.KindProbe: func(context.Context, wire.Request) (any, string) {
-			return cohort.Probe{Boot: h.boot, Inc: h.inc.Load()}, ""
+		membership.KindHeartbeat: h.heartbeat,
+		membership.KindProbe: func(context.Context, wire.Request) (any, string) {
+			return membership.Probe{Boot: h.boot, Inc: h.inc.Load()}, ""
 		},
 	}}
 	h.seeker.Addr, h.seeker.Net, h.seeker.Launcher = addr, h.net, s.launcher
 	h.seeker.SetSeeds(s.opt.Seeds)
-	h.seeker.Own = func() cohort.Heartbeat { n := h.node(); return cohort.Heartbeat{Node: &n} }
-	h.seeker.Heard = func(context.Context, cohort.Seat) {}
+	h.seeker.Own = func() membership.Heartbeat { n := h.node(); return membership.Heartbeat{Node: &n} }
+	h.seeker.Heard = func(context.Context, membership.Seat) {}
 	h.seeker.Told = h.told
 	h.watcher.Own, h.watcher.Net, h.watcher.Launcher, h.watcher.Changed = addr, h.net, s.launcher, h.seeker.Hasten
 	h.watcher.View = h.watched
@@ -88,11 +88,11 @@
 	ctx, h.end = context.WithCancel(ctx)
 	h.beat(time.Now())
 	follower := &feed.Follower{Own: h.addr, Zone: h.zone, Seats: h.seeker.Seats, Net: h.net, Hasten: h.seeker.Hasten, Take: h.take}
-	roll := cohort.NewRollcall()
+	roll := membership.NewRollcall()
 	roll.Own, roll.Net, roll.Launcher, roll.Node, roll.View = h.addr, h.net, h.shoal.launcher, h.node, h.whole
 	roll.Seats, roll.Word, roll.Seeds = h.seeker.Seats, h.word.Load, h.seeker.Seeds
 	roll.News, roll.Sure, roll.Take = h.news, h.agreed.Renew, h.found
-	h.host.Handlers[cohort.KindGossip] = roll.Answer
+	h.host.Handlers[membership.KindGossip] = roll.Answer
 	holder := custody.NewHolder()
 	maps.Copy(h.host.Handlers, holder.Handlers())
 	parts := map[string]func(context.Context){
@@ -119,9 +119,9 @@
 }
 
 // node is what the node tells of itself.
-func (h *hollow) node() cohort.Node {
+func (h *hollow) node() membership.Node {
 	r := h.roster.Load()
-	return cohort.Node{
+	return membership.Node{
 		Addr: h.addr, Boot: h.boot, Rev: r.Rev, Zone: h.zone, Stamp: h.stamp.Load(), Backends: r.Backends(), Inc: h.inc.Load(), Open: r.Open(),
 		Accuses: h.watcher.Accused(), Budgets: h.budgets.Own(),
 	}
@@ -129,7 +129,7 @@
 
 // steward keeps the roster: the backend's announcements come from here too.
 func (h *hollow) steward(ctx context.Context) {
-	tick := time.NewTicker(cohort.Beat)
+	tick := time.NewTicker(membership.Beat)
 	defer tick.Stop()
 	for {
 		select {
@@ -166,7 +166,7 @@
 }
 
 // told takes a core's response to a heartbeat. An accusation is refuted at once.
-func (h *hollow) told(_ context.Context, in cohort.Heartbeat) {
+func (h *hollow) told(_ context.Context, in membership.Heartbeat) {
 	if in.Budgets != nil {
 		h.budgets.Hear(in.Budgets)
 	}
@@ -178,7 +178,7 @@
 }
 
 // take takes news of the feed.
-func (h *hollow) take(_ context.Context, _ cohort.Seat, n feed.News, asked time.Time) {
+func (h *hollow) take(_ context.Context, _ membership.Seat, n feed.News, asked time.Time) {
 	now := time.Now()
 	for i := range n.Items {
 		if it := &n.Items[i]; it.Node != nil {
@@ -216,8 +216,8 @@
 func (h *hollow) news(now time.Time) time.Duration { return now.Sub(*h.followed.Load()) }
 
 // found takes what other sidecars have, while no core tells.
-func (h *hollow) found(_ context.Context, f cohort.Found) {
-	h.seeker.Hear(cohort.Heartbeat{Know: f.Know})
+func (h *hollow) found(_ context.Context, f membership.Found) {
+	h.seeker.Hear(membership.Heartbeat{Know: f.Know})
 	for i := range f.Nodes {
 		f.Nodes[i] = *h.shoal.equal(&f.Nodes[i])
 	}
@@ -226,7 +226,7 @@
 		if f.Word != nil && h.copy.Newer(*f.Word) {
 			word = f.Word
 		}
-		if h.news(time.Now()) >= cohort.Silence {
+		if h.news(time.Now()) >= membership.Silence {
 			h.copy.Meet(f.Nodes, f.Dead)
 		}
 	})
@@ -235,7 +235,7 @@
 
 // heartbeat answers another process.
 func (h *hollow) heartbeat(_ context.Context, in wire.Request) (any, string) {
-	var q cohort.Heartbeat
+	var q membership.Heartbeat
 	if !in.Into(&q) {
 		return nil, "not a heartbeat"
 	}
@@ -243,11 +243,11 @@
 }
 
 // whole is the view of all that the node knows, made only when it is asked for.
-func (h *hollow) whole() *cohort.View {
+func (h *hollow) whole() *membership.View {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.view == nil {
-		h.view = cohort.NewView(h.copy.Nodes, nil)
+		h.view = membership.NewView(h.copy.Nodes, nil)
 	}
 	return h.view
 }
@@ -255,8 +255,8 @@
 // watched is the view of itself and of those that it watches. Among these few it
 // watches just the same ones as among all: a node that is among the first to watch
 // another is so too when there are fewer to choose from.
-func (h *hollow) watched() *cohort.View {
-	few := map[string]cohort.Node{}
+func (h *hollow) watched() *membership.View {
+	few := map[string]membership.Node{}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, addr := range append(h.shoal.watchedBy(h.addr), h.addr) {
@@ -264,12 +264,12 @@
 			few[addr] = n
 		}
 	}
-	return cohort.NewView(few, nil)
+	return membership.NewView(few, nil)
 }
 
 func (h *hollow) known() int { return int(h.size.Load()) }
 
-// watches tells whom each node watches: what cohort.WatchersOf says of each, the other
+// watches tells whom each node watches: what membership.WatchersOf says of each, the other
 // way round, without sorting all for the sake of the first three.
 func watches(addrs []string) map[string][]string {
 	out := map[string][]string{}
@@ -288,9 +288,9 @@
 			for i > 0 && (at.score > first[i-1].score || at.score == first[i-1].score && w < first[i-1].addr) {
 				i--
 			}
-			if i < cohort.Watchers {
+			if i < membership.Watchers {
 				first = slices.Insert(first, i, at)
-				first = first[:min(len(first), cohort.Watchers)]
+				first = first[:min(len(first), membership.Watchers)]
 			}
 		}
 		for _, w := range first {
--- a/proof/scale/parts.go
+++ b/proof/scale/parts.go
@@ -11,12 +11,12 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"curlewwalk/cohort"
 	"curlewwalk/collect"
 	"curlewwalk/contract"
 	"curlewwalk/desired"
 	"curlewwalk/feed"
 	"curlewwalk/launch"
+	"curlewwalk/membership"
 	"curlewwalk/proof/fleet"
 	"curlewwalk/trace"
 	"curlewwalk/way"
@@ -66,30 +66,30 @@
 	}
 	site := fleet.Site{}
 	f := feed.New(1, 0)
-	nodes := make([]cohort.Node, n)
+	nodes := make([]membership.Node, n)
 	var addrs []string
 	for i := range nodes {
 		ip := site.IP(firstHollow + i%mostNodes)
 		service := serviceName(i % services)
-		nodes[i] = cohort.Node{
+		nodes[i] = membership.Node{
 			Addr: ip + ":7400", Boot: uint64(1)<<63 + uint64(i), Rev: 1, Zone: zones[i%len(zones)], Stamp: 1, Open: map[string]int64{zones[i%len(zones)]: 0}, Budgets: map[string]contract.Tally{},
-			Backends: []cohort.Backend{{Instance: service + "-" + ip, Service: service, Address: ip + ":8000", Zone: zones[i%len(zones)], Capacity: 9, Share: 1}},
+			Backends: []membership.Backend{{Instance: service + "-" + ip, Service: service, Address: ip + ":8000", Zone: zones[i%len(zones)], Capacity: 9, Share: 1}},
 		}
 		f.Told(nodes[i], 0)
 		addrs = append(addrs, nodes[i].Addr)
 	}
 	// What a sidecar heartbeats with, and what a core answers, without traffic and with.
-	size("hail", cohort.Heartbeat{Node: &nodes[0]})
+	size("hail", membership.Heartbeat{Node: &nodes[0]})
 	tallies := map[string]contract.Tally{}
 	for i := range services {
 		tallies[serviceName(i)] = contract.Tally{N: 100000, Late: time.Hour}
 		if i+1 == min(10, services) {
 			busy := nodes[0]
 			busy.Budgets = tallies
-			size("hail_with_10_tallies", cohort.Heartbeat{Node: &busy})
+			size("hail_with_10_tallies", membership.Heartbeat{Node: &busy})
 		}
 	}
-	size("receipt_with_all_tallies", cohort.Heartbeat{Budgets: tallies})
+	size("receipt_with_all_tallies", membership.Heartbeat{Budgets: tallies})
 	// The feed: a snapshot, from a core to a sidecar.
 	var news feed.News
 	var frame []byte
@@ -116,9 +116,9 @@
 	c := feed.NewCopy()
 	took("copy_taken", func() { c.Take(got) })
 	got = feed.News{}
-	var view *cohort.View
-	took("view_made", func() { view = cohort.NewView(c.Nodes, nil) })
-	took("view_made_again", func() { view = cohort.NewView(c.Nodes, view) })
+	var view *membership.View
+	took("view_made", func() { view = membership.NewView(c.Nodes, nil) })
+	took("view_made_again", func() { view = membership.NewView(c.Nodes, view) })
 	v["copy_and_view_bytes"] = float64(heap() - before)
 	for _, kept := range []any{c, view, news, frame, nodes, f} {
 		runtime.KeepAlive(kept)
@@ -126,7 +126,7 @@
 	// Who watches whom: each node works it out of all when one comes or goes.
 	took("watchers_of_20", func() {
 		for i := range min(n, ranked) {
-			cohort.WatchersOf(addrs[i*n/min(n, ranked)], addrs)
+			membership.WatchersOf(addrs[i*n/min(n, ranked)], addrs)
 		}
 	})
 	v["watchers_of_all_ms"] = v["watchers_of_20_ms"] / float64(min(n, ranked)) * float64(n)
--- a/proof/scale/run.go
+++ b/proof/scale/run.go
@@ -11,8 +11,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"curlewwalk/cohort"
 	"curlewwalk/custody"
+	"curlewwalk/membership"
 	"curlewwalk/proof/fleet"
 	"curlewwalk/wire"
 )
@@ -477,7 +477,7 @@
 
 // after counts once what the cores' death set off has begun.
 func (m *measure) after(ctx context.Context, phase string) error {
-	if err := wait(ctx, 2*cohort.Silence); err != nil {
+	if err := wait(ctx, 2*membership.Silence); err != nil {
 		return err
 	}
 	before, err := m.read(ctx)
--- a/proof/scale/scale_test.go
+++ b/proof/scale/scale_test.go
@@ -17,9 +17,9 @@
 
 	"github.com/pelletier/go-toml/v2"
 
-	"curlewwalk/cohort"
 	"curlewwalk/custody"
 	"curlewwalk/feed"
+	"curlewwalk/membership"
 	"curlewwalk/proof/fleet"
 	"curlewwalk/wire"
 )
@@ -82,8 +82,8 @@
 			t.Errorf("%d hollow nodes of %+v", h.Nodes, size)
 		}
 		// Each beat brings a heartbeat to each core, and a probe from each watcher.
-		heartbeats, probes := h.Net[cohort.KindHeartbeat].Calls, h.Host[cohort.KindProbe].Calls
-		if want := float64(size.Cores) / cohort.Watchers; heartbeats == 0 || math.Abs(heartbeats/probes-want) > 0.5*want {
+		heartbeats, probes := h.Net[membership.KindHeartbeat].Calls, h.Host[membership.KindProbe].Calls
+		if want := float64(size.Cores) / membership.Watchers; heartbeats == 0 || math.Abs(heartbeats/probes-want) > 0.5*want {
 			t.Errorf("%+v: %.2f heartbeats and %.2f probes a second", size, heartbeats, probes)
 		}
 		if h.Net[feed.KindFollow].Responses == 0 {
@@ -94,7 +94,7 @@
 		}
 		for _, role := range []string{"sidecar", "hollow"} {
 			l := find(size, "rest", role)
-			k := l.Net[cohort.KindHeartbeat]
+			k := l.Net[membership.KindHeartbeat]
 			call, response := k.CallBytes/k.Calls, k.ResponseBytes/k.Responses
 			t.Logf("%d cores, %s: heartbeats of %.0f bytes, receipts of %.0f, %.0f bytes a second", size.Cores, role, call, response, k.CallBytes+k.ResponseBytes)
 			if !(call < 150) || !(response < 150) { // in a calm, what differs is next to nothing
@@ -105,10 +105,10 @@
 		duty, nodes := find(size, "rest", "duty"), 0.0
 		for _, role := range []string{"seed", "sidecar", "hollow"} {
 			l := find(size, "rest", role)
-			nodes += float64(l.Nodes) * l.Net[cohort.KindHeartbeat].Calls / float64(size.Cores)
+			nodes += float64(l.Nodes) * l.Net[membership.KindHeartbeat].Calls / float64(size.Cores)
 		}
 		others := float64(size.Cores-1) * 2 // a second, from the other cores
-		if got := duty.Host[cohort.KindHeartbeat].Calls; math.Abs(got-nodes-others) > 0.3*got {
+		if got := duty.Host[membership.KindHeartbeat].Calls; math.Abs(got-nodes-others) > 0.3*got {
 			t.Errorf("%+v: the core got %.1f heartbeats a second, nodes sent it %.1f and cores %.1f", size, got, nodes, others)
 		}
 	}
@@ -117,7 +117,7 @@
 			t.Errorf("%s, %s: %d of %d", l.Phase, l.What, l.Times.Count, l.Times.Of)
 		}
 	}
-	if roll := find(r.Exp.Sizes[1], "coreless", "hollow").Net[cohort.KindGossip]; roll.Calls == 0 || roll.Calls > 1.1*(cohort.Fanout+1)/cohort.Beat.Seconds() {
+	if roll := find(r.Exp.Sizes[1], "coreless", "hollow").Net[membership.KindGossip]; roll.Calls == 0 || roll.Calls > 1.1*(membership.Fanout+1)/membership.Beat.Seconds() {
 		t.Errorf("%.1f calls a second by each without cores", roll.Calls)
 	}
 	dir := t.TempDir()
@@ -186,7 +186,7 @@
 		}
 		got := watches(addrs)
 		for _, addr := range addrs {
-			watchers := cohort.WatchersOf(addr, addrs)
+			watchers := membership.WatchersOf(addr, addrs)
 			for _, w := range addrs {
 				if slices.Contains(watchers, w) != slices.Contains(got[w], addr) {
 					t.Errorf("%d nodes: whether %s watches %s", n, w, addr)
@@ -197,10 +197,10 @@
 		for _, w := range addrs {
 			few := append(slices.Clone(got[w]), w)
 			slices.Sort(few)
-			cohortOf := cohort.NewWatch(w).Cohort(few)
+			membershipOf := membership.NewWatch(w).Membership(few)
 			want := slices.Sorted(slices.Values(got[w]))
-			if !slices.Equal(cohortOf, want) {
-				t.Errorf("%d nodes: %s watches %v among few, %v among all", n, w, cohortOf, want)
+			if !slices.Equal(membershipOf, want) {
+				t.Errorf("%d nodes: %s watches %v among few, %v among all", n, w, membershipOf, want)
 			}
 		}
 	}
--- a/proof/scale/shoal.go
+++ b/proof/scale/shoal.go
@@ -16,8 +16,8 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"curlewwalk/cohort"
 	"curlewwalk/launch"
+	"curlewwalk/membership"
 )
 
 // shoalOptions are how a shoal is started.
@@ -33,7 +33,7 @@
 	opt      shoalOptions
 	launcher *launch.Launcher
 	reached  reached
-	values   sync.Map // of equal: *cohort.Node by value
+	values   sync.Map // of equal: *membership.Node by value
 	watch    atomic.Pointer[map[string][]string]
 
 	mu    sync.Mutex
@@ -49,9 +49,9 @@
 }
 
 // equal is one value for all equal ones, so that a shoal has each node once.
-func (s *shoal) equal(n *cohort.Node) *cohort.Node {
+func (s *shoal) equal(n *membership.Node) *membership.Node {
 	got, _ := s.values.LoadOrStore(value{n.Addr, n.Boot, n.Rev, n.Stamp, n.Inc}, n)
-	return got.(*cohort.Node)
+	return got.(*membership.Node)
 }
 
 func (s *shoal) watchedBy(addr string) []string { return slices.Clone((*s.watch.Load())[addr]) }
@@ -144,7 +144,7 @@
 // them knows.
 func (s *shoal) rank() {
 	var last []string
-	tick := time.NewTicker(cohort.Beat / 2)
+	tick := time.NewTicker(membership.Beat / 2)
 	defer tick.Stop()
 	for range tick.C {
 		if all := s.living(); len(all) > 0 {
--- a/proof/simulator/leg.go
+++ b/proof/simulator/attempt.go
@@ -6,23 +6,23 @@
 	"time"
 
 	"curlewwalk/claim"
-	"curlewwalk/cohort"
 	"curlewwalk/custody"
 	"curlewwalk/desired"
+	"curlewwalk/membership"
 	"curlewwalk/relay"
 	"curlewwalk/way"
 )
 
-// Legs is a run of the life of legs and keys: sidecars that claim, entrust, decide,
+// Attempts is a run of the life of attempts and keys: sidecars that claim, entrust, decide,
 // send, recall and refuse, through lost, late and doubled messages, kills and
 // freezes. Decision, ledger, table of claims and holdings are the production's;
 // the run only carries what they say.
-type Legs struct {
+type Attempts struct {
 	clock
 	rng   *rand.Rand
 	base  time.Time
-	nodes []*legNode
-	view  *cohort.View
+	nodes []*attemptNode
+	view  *membership.View
 	table *way.Table
 	until time.Duration
 
@@ -35,35 +35,35 @@
 	Sent, Ran, Answered, NotRun, Unknown, Kills, Again int
 }
 
-// legNode is a sidecar, with a backend beside it if it has one.
-type legNode struct {
-	cohort.Node
-	life   int
-	up     bool
-	frozen time.Duration
-	ready  bool
-	next   uint64
-	legs   int
-	claims *claim.Table[legAnswer]
-	ledger *relay.Ledger
-	held   *custody.Holdings
-	trusts *custody.Trusts
+// attemptNode is a sidecar, with a backend beside it if it has one.
+type attemptNode struct {
+	membership.Node
+	life     int
+	up       bool
+	frozen   time.Duration
+	ready    bool
+	next     uint64
+	attempts int
+	claims   *claim.Table[attemptAnswer]
+	ledger   *relay.Ledger
+	held     *custody.Holdings
+	trusts   *custody.Trusts
 }
 
-// legAnswer is what a client gets.
-type legAnswer struct {
+// attemptAnswer is what a client gets.
+type attemptAnswer struct {
 	Fate way.Fate
 	Text string
 }
 
-// NewLegs lays a run out: some nodes, backends on the last two.
-func NewLegs(seed uint64, nodes int) *Legs {
-	l := &Legs{rng: rand.New(rand.NewPCG(seed, 19)), base: time.Now(), runs: map[string]int{}, denied: map[string]bool{}}
+// NewAttempts lays a run out: some nodes, backends on the last two.
+func NewAttempts(seed uint64, nodes int) *Attempts {
+	l := &Attempts{rng: rand.New(rand.NewPCG(seed, 19)), base: time.Now(), runs: map[string]int{}, denied: map[string]bool{}}
 	l.table, _ = way.NewTable(desired.Word{})
 	for i := range nodes {
-		n := &legNode{Node: cohort.Node{Addr: fmt.Sprintf("node-%d", i), Zone: fmt.Sprintf("locality-%d", i%3)}}
+		n := &attemptNode{Node: membership.Node{Addr: fmt.Sprintf("node-%d", i), Zone: fmt.Sprintf("locality-%d", i%3)}}
 		if i >= nodes-2 {
-			n.Backends = []cohort.Backend{{Instance: fmt.Sprintf("s-%d", i), Service: "s", Zone: n.Zone, Capacity: 4, Share: 1}}
+			n.Backends = []membership.Backend{{Instance: fmt.Sprintf("s-%d", i), Service: "s", Zone: n.Zone, Capacity: 4, Share: 1}}
 		}
 		l.nodes = append(l.nodes, n)
 		l.boot(n)
@@ -73,31 +73,31 @@
 	return l
 }
 
-func (l *Legs) some(d time.Duration) time.Duration {
+func (l *Attempts) some(d time.Duration) time.Duration {
 	return time.Duration(l.rng.Int64N(int64(d) + 1))
 }
 
 // boot starts a node with nothing in its memory.
-func (l *Legs) boot(n *legNode) {
+func (l *Attempts) boot(n *attemptNode) {
 	n.up, n.ready = true, false
 	n.Boot = l.rng.Uint64()
-	n.claims = claim.NewTable(func(legAnswer) int { return 1 })
+	n.claims = claim.NewTable(func(attemptAnswer) int { return 1 })
 	n.ledger, n.held = relay.NewLedger(), custody.NewHoldings()
 	n.trusts = custody.NewTrusts(n.Addr, n.Zone)
 }
 
 // see renews everybody's view: all that live.
-func (l *Legs) see() {
-	nodes := map[string]cohort.Node{}
+func (l *Attempts) see() {
+	nodes := map[string]membership.Node{}
 	for _, n := range l.nodes {
 		if n.up {
 			nodes[n.Addr] = n.Node
 		}
 	}
-	l.view = cohort.NewView(nodes, nil)
+	l.view = membership.NewView(nodes, nil)
 }
 
-func (l *Legs) node(addr string) *legNode {
+func (l *Attempts) node(addr string) *attemptNode {
 	for _, n := range l.nodes {
 		if n.Addr == addr {
 			return n
@@ -107,7 +107,7 @@
 }
 
 // on runs do on a node, once it is awake and if it has not died meanwhile.
-func (l *Legs) on(n *legNode, do func()) {
+func (l *Attempts) on(n *attemptNode, do func()) {
 	life := n.life
 	l.after(max(0, n.frozen-l.now), func() {
 		if n.up && n.life == life {
@@ -119,7 +119,7 @@
 // call carries a call and its answer; back is called once: with what was
 // answered, or with nothing when the call is given up. unsent tells that nobody
 // listens there.
-func (l *Legs) call(from, to *legNode, wait time.Duration, do func(reply func(any)), back func(answer any, unsent bool)) {
+func (l *Attempts) call(from, to *attemptNode, wait time.Duration, do func(reply func(any)), back func(answer any, unsent bool)) {
 	over, asked := false, from.life
 	end := func(answer any, unsent bool) {
 		l.on(from, func() {
@@ -165,7 +165,7 @@
 }
 
 // Run has clients send for a while of simulated time.
-func (l *Legs) Run(d time.Duration) {
+func (l *Attempts) Run(d time.Duration) {
 	l.until = d
 	l.every(40*time.Millisecond, l.send)
 	l.every(900*time.Millisecond, l.disturb)
@@ -175,7 +175,7 @@
 	l.run(d + 30*time.Second)
 }
 
-func (l *Legs) every(d time.Duration, do func()) {
+func (l *Attempts) every(d time.Duration, do func()) {
 	l.after(l.some(2*d), func() {
 		if l.now < l.until {
 			do()
@@ -187,7 +187,7 @@
 // disturb kills a node, or freezes one. What a key is promised to outlive is one
 // death after another: the next comes once the claims are handed over and held by
 // two again.
-func (l *Legs) disturb() {
+func (l *Attempts) disturb() {
 	n := l.nodes[l.rng.IntN(len(l.nodes))]
 	for _, o := range l.nodes {
 		if !o.up || !o.ready {
@@ -213,7 +213,7 @@
 }
 
 // handover gets a node's claims of earlier boots from all others.
-func (l *Legs) handover(n *legNode) {
+func (l *Attempts) handover(n *attemptNode) {
 	left := 0
 	for _, o := range l.nodes {
 		if o == n || !o.up {
@@ -246,7 +246,7 @@
 }
 
 // repair entrusts anew what holders that have gone had held.
-func (l *Legs) repair(n *legNode) {
+func (l *Attempts) repair(n *attemptNode) {
 	for _, lack := range n.trusts.Lacking(custody.Others(l.view, n.Addr), 1000, l.now) {
 		o := l.node(lack.To.Addr)
 		l.call(n, o, 150*time.Millisecond, func(reply func(any)) { reply(o.held.Take(lack.Entry, l.now)) }, func(answer any, _ bool) {
@@ -258,7 +258,7 @@
 }
 
 // repaired tells whether every claim is held as it should be.
-func (l *Legs) repaired() bool {
+func (l *Attempts) repaired() bool {
 	for _, n := range l.nodes {
 		if len(n.trusts.Lacking(custody.Others(l.view, n.Addr), 1, l.now)) > 0 {
 			return false
@@ -267,17 +267,17 @@
 	return true
 }
 
-func restored(e custody.Entry) legAnswer {
+func restored(e custody.Entry) attemptAnswer {
 	if e.Response == nil {
-		return legAnswer{Fate: way.Unknown}
+		return attemptAnswer{Fate: way.Unknown}
 	}
-	return legAnswer{Fate: way.Answered, Text: string(e.Response)}
+	return attemptAnswer{Fate: way.Answered, Text: string(e.Response)}
 }
 
 // send has a client send an order, and repeat it as clients do: one without a key
 // only when it was promised not to have run, one with a key also when its
 // connection broke.
-func (l *Legs) send() {
+func (l *Attempts) send() {
 	l.serial++
 	l.Sent++
 	id, keyed := fmt.Sprintf("order-%d", l.serial), l.rng.IntN(2) == 0
@@ -292,7 +292,7 @@
 		}
 		name := fmt.Sprintf("%s/%d", id, attempt)
 		life, answered := n.life, false
-		got := func(a legAnswer) {
+		got := func(a attemptAnswer) {
 			if answered {
 				return
 			}
@@ -332,7 +332,7 @@
 	try(1)
 }
 
-func (l *Legs) watch(n *legNode, life int, done func() bool, broken func()) {
+func (l *Attempts) watch(n *attemptNode, life int, done func() bool, broken func()) {
 	l.after(20*time.Millisecond, func() {
 		switch {
 		case done() || l.now > l.until+20*time.Second:
@@ -344,31 +344,31 @@
 	})
 }
 
-func (l *Legs) wrong(format string, args ...any) {
+func (l *Attempts) wrong(format string, args ...any) {
 	l.Broken = append(l.Broken, fmt.Sprintf("%v: ", l.now)+fmt.Sprintf(format, args...))
 }
 
 // request is what relay.Near does with one.
-func (l *Legs) request(n *legNode, id, name string, keyed bool, got func(legAnswer)) {
+func (l *Attempts) request(n *attemptNode, id, name string, keyed bool, got func(attemptAnswer)) {
 	if !keyed {
-		l.legs(n, id, name, got)
+		l.attempts(n, id, name, got)
 		return
 	}
 	if !n.ready {
-		got(legAnswer{Fate: way.Unknown})
+		got(attemptAnswer{Fate: way.Unknown})
 		return
 	}
 	key := claim.Key{Text: id}
 	var lay func()
 	lay = func() {
-		n.claims.Lay(key, claim.Print{}, l.now, func(a claim.Answer[legAnswer]) {
+		n.claims.Lay(key, claim.Print{}, l.now, func(a claim.Answer[attemptAnswer]) {
 			switch {
 			case a.Again:
 				l.on(n, lay)
 			case a.Verdict == claim.Repeat:
 				got(a.Response)
 			case a.Verdict == claim.First:
-				l.entrust(n, key, id, name, func(a legAnswer, keep bool) {
+				l.entrust(n, key, id, name, func(a attemptAnswer, keep bool) {
 					n.claims.Finish(key, a, keep, l.now)
 					got(a)
 				})
@@ -381,12 +381,12 @@
 }
 
 // entrust has two others hold a claim, then runs its request.
-func (l *Legs) entrust(n *legNode, key claim.Key, id, name string, done func(a legAnswer, keep bool)) {
+func (l *Attempts) entrust(n *attemptNode, key claim.Key, id, name string, done func(a attemptAnswer, keep bool)) {
 	n.next++
 	e := custody.Entry{Owner: n.Addr, Boot: n.Boot, N: n.next, Key: key, For: 10*time.Second + claim.HeldFor}
 	ranked := custody.Choose(n.Addr, n.Zone, key, custody.Others(l.view, n.Addr))
 	want := min(custody.Holders, len(ranked))
-	var by []*legNode
+	var by []*attemptNode
 	asked, over := 0, false
 	var ask func()
 	settle := func(response []byte, release bool) {
@@ -408,7 +408,7 @@
 			}, func(any, bool) {})
 		}
 	}
-	finish := func(a legAnswer, keep bool) {
+	finish := func(a attemptAnswer, keep bool) {
 		if !over {
 			over = true
 			done(a, keep)
@@ -417,7 +417,7 @@
 	ask = func() {
 		if asked == len(ranked) {
 			settle(nil, true)
-			finish(legAnswer{Fate: way.NotRun}, false)
+			finish(attemptAnswer{Fate: way.NotRun}, false)
 			return
 		}
 		o := l.node(ranked[asked].Addr)
@@ -431,7 +431,7 @@
 			case ok && h.Taken:
 				n.trusts.Held(e, o.Node, l.now)
 				if by = append(by, o); len(by) == want {
-					l.legs(n, id, name, func(a legAnswer) {
+					l.attempts(n, id, name, func(a attemptAnswer) {
 						switch a.Fate {
 						case way.Answered:
 							settle([]byte(a.Text), false)
@@ -451,34 +451,34 @@
 	}
 }
 
-// legs asks the decision and obeys, as relay.Near.run does.
-func (l *Legs) legs(n *legNode, id, name string, got func(legAnswer)) {
+// attempts asks the decision and obeys, as relay.Near.run does.
+func (l *Attempts) attempts(n *attemptNode, id, name string, got func(attemptAnswer)) {
 	deadline := l.now + 2*time.Second
 	d := &way.Decision{
 		Way: desired.Way{Name: "w", Service: "s"}, Deadline: l.base.Add(deadline), Zone: n.Zone, Rand: l.rng,
-		Means: way.Means{Cost: func(cohort.Target) way.Cost { return way.Cost{} }, Spend: func() bool { return true }},
+		Means: way.Means{Cost: func(membership.Target) way.Cost { return way.Cost{} }, Spend: func() bool { return true }},
 	}
 	last := ""
 	var next func()
 	next = func() {
 		o := d.Ask(l.table, l.view, l.base.Add(l.now))
 		if !o.Send {
-			a := legAnswer{Fate: way.Answered, Text: last}
+			a := attemptAnswer{Fate: way.Answered, Text: last}
 			if o.End.Status != 0 {
-				a = legAnswer{Fate: o.End.Fate}
+				a = attemptAnswer{Fate: o.End.Fate}
 			}
 			got(a)
 			return
 		}
-		n.legs++
-		leg := relay.Leg{ID: fmt.Sprintf("%s/%d/%s", n.Addr, n.legs, name), Boot: o.Target.Boot, Left: deadline - l.now}
+		n.attempts++
+		attempt := relay.Attempt{ID: fmt.Sprintf("%s/%d/%s", n.Addr, n.attempts, name), Boot: o.Target.Boot, Left: deadline - l.now}
 		far := l.node(o.Target.Node)
 		told := func(fate way.Fate) {
-			d.Tell(way.Leg{Target: o.Target, Fate: fate, Reason: "simulated"})
+			d.Tell(way.Attempt{Target: o.Target, Fate: fate, Reason: "simulated"})
 			next()
 		}
-		l.call(n, far, deadline-l.now, func(reply func(any)) { l.far(far, leg, id, name, reply) }, func(answer any, unsent bool) {
-			rc, ok := answer.(relay.LegResponse)
+		l.call(n, far, deadline-l.now, func(reply func(any)) { l.far(far, attempt, id, name, reply) }, func(answer any, unsent bool) {
+			rc, ok := answer.(relay.AttemptResponse)
 			switch {
 			case unsent:
 				told(way.NotRun)
@@ -486,9 +486,9 @@
 				last = string(rc.Body)
 				told(rc.Fate)
 			default:
-				// Only the far side's word that the leg never ran proves it.
+				// Only the far side's word that the attempt never ran proves it.
 				l.call(n, far, 300*time.Millisecond, func(reply func(any)) {
-					reply(far.ledger.Refuse(leg.ID, l.now) && leg.Boot == far.Boot)
+					reply(far.ledger.Refuse(attempt.ID, l.now) && attempt.Boot == far.Boot)
 				}, func(answer any, _ bool) {
 					if proven, ok := answer.(bool); ok && proven {
 						told(way.NotRun)
@@ -502,46 +502,46 @@
 	next()
 }
 
-// far is what relay.Far does with a leg; a backend goes on whatever happens to
+// far is what relay.Far does with an attempt; a backend goes on whatever happens to
 // its sidecar once it was written to.
-func (l *Legs) far(n *legNode, leg relay.Leg, id, name string, reply func(any)) {
+func (l *Attempts) far(n *attemptNode, attempt relay.Attempt, id, name string, reply func(any)) {
 	refuse := func() {
 		fate := way.NotRun
-		if !n.ledger.Refuse(leg.ID, l.now) {
+		if !n.ledger.Refuse(attempt.ID, l.now) {
 			fate = way.Unknown
 		}
-		reply(relay.LegResponse{ID: leg.ID, Fate: fate})
+		reply(relay.AttemptResponse{ID: attempt.ID, Fate: fate})
 	}
-	if leg.Boot != n.Boot || l.rng.IntN(12) == 0 { // another boot, or full
+	if attempt.Boot != n.Boot || l.rng.IntN(12) == 0 { // another boot, or full
 		refuse()
 		return
 	}
-	if !n.ledger.Begin(leg.ID, l.now) {
-		reply(relay.LegResponse{ID: leg.ID, Fate: way.Unknown})
+	if !n.ledger.Begin(attempt.ID, l.now) {
+		reply(relay.AttemptResponse{ID: attempt.ID, Fate: way.Unknown})
 		return
 	}
 	began := l.now
 	l.after(l.some(20*time.Millisecond), func() { // the backend is dialled
 		l.on(n, func() {
-			if l.now-began > leg.Left || l.rng.IntN(20) == 0 {
-				reply(relay.LegResponse{ID: leg.ID, Fate: way.NotRun}) // shut before the write
+			if l.now-began > attempt.Left || l.rng.IntN(20) == 0 {
+				reply(relay.AttemptResponse{ID: attempt.ID, Fate: way.NotRun}) // shut before the write
 				return
 			}
 			l.ran(id, name)
 			l.after(l.some(60*time.Millisecond), func() {
 				l.on(n, func() {
 					if l.rng.IntN(20) == 0 {
-						reply(relay.LegResponse{ID: leg.ID, Fate: way.Unknown}) // its answer is lost
+						reply(relay.AttemptResponse{ID: attempt.ID, Fate: way.Unknown}) // its answer is lost
 						return
 					}
-					reply(relay.LegResponse{ID: leg.ID, Fate: way.Answered, Body: []byte(id)})
+					reply(relay.AttemptResponse{ID: attempt.ID, Fate: way.Answered, Body: []byte(id)})
 				})
 			})
 		})
 	})
 }
 
-func (l *Legs) ran(id, name string) {
+func (l *Attempts) ran(id, name string) {
 	l.Ran++
 	if l.runs[id]++; l.runs[id] > 1 {
 		l.wrong("%s ran %d times", id, l.runs[id])
--- a/proof/simulator/claim.go
+++ b/proof/simulator/claim.go
@@ -5,9 +5,9 @@
 	"math/rand/v2"
 	"time"
 
-	"curlewwalk/cohort"
 	"curlewwalk/desired"
 	"curlewwalk/feed"
+	"curlewwalk/membership"
 	"curlewwalk/register"
 	"curlewwalk/roster"
 )
@@ -56,7 +56,7 @@
 	claim  roster.Claim
 	heard  time.Duration // news from a core
 	agreed roster.Claim
-	said   cohort.Statements // what it heard of itself and others
+	said   membership.Statements // what it heard of itself and others
 }
 
 // NewClaims lays a run out.
@@ -212,13 +212,13 @@
 	for _, o := range c.sides {
 		known = append(known, o.addr)
 	}
-	for _, i := range c.rng.Perm(len(c.sides))[:cohort.Fanout] {
+	for _, i := range c.rng.Perm(len(c.sides))[:membership.Fanout] {
 		o := c.sides[i]
 		if o == s {
 			continue
 		}
 		c.pass(&s.cut, &o.cut, &o.frozen, func() {
-			told, stamp := o.said.Tell(c.peer(o), cohort.NewView(nil, nil), c.base.Add(c.now)), o.stamp
+			told, stamp := o.said.Tell(c.peer(o), membership.NewView(nil, nil), c.base.Add(c.now)), o.stamp
 			c.pass(&o.cut, &s.cut, &s.frozen, func() {
 				if stamp > s.stamp {
 					c.fetch(s, o)
@@ -236,8 +236,8 @@
 }
 
 // peer is what a sidecar tells of itself.
-func (c *Claims) peer(s *claimSide) cohort.Peer {
-	return cohort.Peer{Addr: s.addr, Boot: 1, Said: &cohort.Statement{Stamp: s.stamp, Alone: c.alone(s)}}
+func (c *Claims) peer(s *claimSide) membership.Peer {
+	return membership.Peer{Addr: s.addr, Boot: 1, Said: &membership.Statement{Stamp: s.stamp, Alone: c.alone(s)}}
 }
 
 // fetch asks one sidecar for its word.
@@ -361,7 +361,7 @@
 			if c.gone() {
 				break
 			}
-			k.feed.Told(cohort.Node{Addr: "any"}, c.now)
+			k.feed.Told(membership.Node{Addr: "any"}, c.now)
 		}
 	}
 }
--- a/proof/simulator/line_test.go
+++ b/proof/simulator/line_test.go
@@ -5,8 +5,8 @@
 	"testing"
 	"time"
 
-	"curlewwalk/cohort"
 	"curlewwalk/desired"
+	"curlewwalk/membership"
 	"curlewwalk/roster"
 	"curlewwalk/way"
 )
@@ -26,7 +26,7 @@
 		base := time.Now()
 		var q clock
 		some := func(d time.Duration) time.Duration { return time.Duration(rng.Int64N(int64(d) + 1)) }
-		e := roster.Entry{Backend: cohort.Backend{Capacity: 20, Share: 0.2}, Heard: base}
+		e := roster.Entry{Backend: membership.Backend{Capacity: 20, Share: 0.2}, Heard: base}
 		running := 0
 		var line *roster.Line
 		var life int
--- a/proof/simulator/member.go
+++ b/proof/simulator/member.go
@@ -9,9 +9,9 @@
 	"strings"
 	"time"
 
-	"curlewwalk/cohort"
 	"curlewwalk/desired"
 	"curlewwalk/feed"
+	"curlewwalk/membership"
 	"curlewwalk/rendezvous"
 )
 
@@ -53,10 +53,10 @@
 
 type memberSide struct {
 	memberHost
-	node  cohort.Node
-	watch *cohort.Watch
-	seats cohort.Seats
-	talks map[string]cohort.Talk
+	node  membership.Node
+	watch *membership.Watch
+	seats membership.Seats
+	talks map[string]membership.Talk
 	turn  uint
 	copy  *feed.Copy
 	stamp uint64
@@ -99,13 +99,13 @@
 
 func (m *Members) bootSide(s *memberSide) {
 	s.up, s.stamp, s.core = true, 0, nil
-	s.node = cohort.Node{Addr: s.addr, Boot: m.rng.Uint64()}
+	s.node = membership.Node{Addr: s.addr, Boot: m.rng.Uint64()}
 	m.change(s)
-	s.watch, s.seats, s.copy, s.bad = cohort.NewWatch(s.addr), cohort.Seats{}, feed.NewCopy(), map[string]time.Duration{}
+	s.watch, s.seats, s.copy, s.bad = membership.NewWatch(s.addr), membership.Seats{}, feed.NewCopy(), map[string]time.Duration{}
 	s.has = feed.Holding{}
-	s.talks, s.turn = map[string]cohort.Talk{}, 0
-	m.every(&s.memberHost, cohort.Beat, func() { m.heartbeat(s) })
-	m.every(&s.memberHost, cohort.Beat, func() { m.probe(s) })
+	s.talks, s.turn = map[string]membership.Talk{}, 0
+	m.every(&s.memberHost, membership.Beat, func() { m.heartbeat(s) })
+	m.every(&s.memberHost, membership.Beat, func() { m.probe(s) })
 	m.every(&s.memberHost, 200*time.Millisecond, func() { m.follow(s) })
 }
 
@@ -179,13 +179,13 @@
 func (m *Members) tell(s *memberSide, c *memberCore) {
 	whole := s.node
 	whole.Turn = s.turn
-	told := s.talks[c.addr].Tell(cohort.Heartbeat{Node: &whole, Digest: 1}, s.turn%4 == 0)
+	told := s.talks[c.addr].Tell(membership.Heartbeat{Node: &whole, Digest: 1}, s.turn%4 == 0)
 	if told.Pulse != nil {
 		m.Short++
 	}
 	m.call(&s.memberHost, &c.memberHost, 750*time.Millisecond, func() any {
 		c.feed.Wake(m.now)
-		r := cohort.Heartbeat{Digest: 1}
+		r := membership.Heartbeat{Digest: 1}
 		if told.Node != nil {
 			c.feed.Told(*told.Node, m.now)
 		} else {
@@ -201,11 +201,11 @@
 		}
 		return r
 	}, func(answer any, refused bool) {
-		r, ok := answer.(cohort.Heartbeat)
+		r, ok := answer.(membership.Heartbeat)
 		if !ok {
 			return
 		}
-		s.seats = s.seats.Hear(cohort.Seat{Slot: c.slot, Slots: len(m.cores), Addr: c.addr, Inc: 1, Boot: c.boot, Established: true}, m.base.Add(m.now))
+		s.seats = s.seats.Hear(membership.Seat{Slot: c.slot, Slots: len(m.cores), Addr: c.addr, Inc: 1, Boot: c.boot, Established: true}, m.base.Add(m.now))
 		if r.Accused != nil && *r.Accused >= s.node.Inc {
 			s.node.Inc = *r.Accused + 1
 			m.Refuted++
@@ -220,8 +220,8 @@
 }
 
 // backends are those of a node in its boot and revision, and of no other.
-func backends(n cohort.Node) []cohort.Backend {
-	return []cohort.Backend{{Instance: fmt.Sprint(n.Addr, " ", n.Boot, " ", n.Rev)}}
+func backends(n membership.Node) []membership.Backend {
+	return []membership.Backend{{Instance: fmt.Sprint(n.Addr, " ", n.Boot, " ", n.Rev)}}
 }
 
 // change has a sidecar's backends change.
@@ -236,11 +236,11 @@
 
 // probe asks those that this node watches.
 func (m *Members) probe(s *memberSide) {
-	for _, addr := range s.watch.Cohort(slices.Sorted(maps.Keys(s.copy.Nodes))) {
+	for _, addr := range s.watch.Membership(slices.Sorted(maps.Keys(s.copy.Nodes))) {
 		o := m.side(addr)
-		m.call(&s.memberHost, &o.memberHost, cohort.Beat, func() any { return cohort.Probe{Boot: o.node.Boot, Inc: o.node.Inc} },
+		m.call(&s.memberHost, &o.memberHost, membership.Beat, func() any { return membership.Probe{Boot: o.node.Boot, Inc: o.node.Inc} },
 			func(answer any, refused bool) {
-				p, ok := answer.(cohort.Probe)
+				p, ok := answer.(membership.Probe)
 				if ok && p.Boot == s.copy.Nodes[addr].Boot {
 					s.watch.Probed(addr, &p, false)
 				} else {
@@ -253,11 +253,11 @@
 // follow asks the core that ranks first among the live ones; one that failed comes
 // last.
 func (m *Members) follow(s *memberSide) {
-	live := rendezvous.Rank(s.addr, s.seats.Live(m.base.Add(m.now)), func(c cohort.Seat) string { return c.Addr })
+	live := rendezvous.Rank(s.addr, s.seats.Live(m.base.Add(m.now)), func(c membership.Seat) string { return c.Addr })
 	if len(live) == 0 {
 		return
 	}
-	slices.SortStableFunc(live, func(a, b cohort.Seat) int { return int(s.bad[a.Addr]/1e6) - int(s.bad[b.Addr]/1e6) })
+	slices.SortStableFunc(live, func(a, b membership.Seat) int { return int(s.bad[a.Addr]/1e6) - int(s.bad[b.Addr]/1e6) })
 	c := m.cores[live[0].Slot-1]
 	if s.core != c || s.boot != live[0].Boot {
 		s.core, s.boot, s.place = c, live[0].Boot, feed.Follow{}
--- a/proof/simulator/register.go
+++ b/proof/simulator/register.go
@@ -6,8 +6,8 @@
 	"math/rand/v2"
 	"time"
 
-	"curlewwalk/cohort"
 	"curlewwalk/desired"
+	"curlewwalk/membership"
 	"curlewwalk/register"
 )
 
@@ -52,7 +52,7 @@
 	// What follows is of runs without static seats.
 	addr  string
 	gone  bool // for good
-	seats cohort.Seats
+	seats membership.Seats
 	usher register.Usher
 	busy  bool // a change of the set is under way
 	// leaving is whether it is being stopped: it asks for no seat.
@@ -227,7 +227,7 @@
 	c.acceptor.Settled = 0
 	c.proposer = &register.Proposer{}
 	c.proposer.Follow(c.acceptor, r.now)
-	c.seats, c.usher, c.votes, c.busy = cohort.Seats{}, register.Usher{GoneFor: time.Second}, nil, false
+	c.seats, c.usher, c.votes, c.busy = membership.Seats{}, register.Usher{GoneFor: time.Second}, nil, false
 	var tick func()
 	tick = func() {
 		if c.up && c.life == life {
--- a/proof/simulator/simulator_test.go
+++ b/proof/simulator/simulator_test.go
@@ -77,11 +77,11 @@
 // Orders through lost, late and doubled messages, kills and freezes: none runs
 // twice, none that was promised not to run does, and no answer is another's. A key
 // outlives its sidecar, and a holder beside it.
-func TestLegs(t *testing.T) {
-	var sum Legs
+func TestAttempts(t *testing.T) {
+	var sum Attempts
 	for seed := *first; seed < *first+uint64(*seeds); seed++ {
 		for _, nodes := range []int{4, 6} {
-			l := NewLegs(seed, nodes)
+			l := NewAttempts(seed, nodes)
 			l.Run(20 * time.Second)
 			for i, b := range l.Broken {
 				if i < 3 {
--- a/proof/simulator/slots.go
+++ b/proof/simulator/slots.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"curlewwalk/cohort"
 	"curlewwalk/desired"
+	"curlewwalk/membership"
 	"curlewwalk/register"
 )
 
@@ -51,15 +51,15 @@
 			return
 		}
 		r.when(c, func() { r.heartbeat(c) })
-		r.after(cohort.Beat, heartbeat)
+		r.after(membership.Beat, heartbeat)
 	}
 	heartbeat()
 }
 
 // tells is what a core tells of its seat.
-func (c *core) tells() cohort.Seat {
+func (c *core) tells() membership.Seat {
 	v := c.acceptor
-	s := cohort.Seat{
+	s := membership.Seat{
 		Slot: v.Self.Slot, Slots: len(v.Sets().Now), Set: register.Slots(v.Sets().Now), Held: v.Mark.Stamp, Addr: c.addr, Inc: v.Self.Inc,
 		Established: v.Phase == register.Established, Settled: v.Settled,
 	}
@@ -101,7 +101,7 @@
 }
 
 // heard takes what a core told of itself.
-func (r *Register) heard(c *core, s cohort.Seat) {
+func (r *Register) heard(c *core, s membership.Seat) {
 	c.seats = c.seats.Hear(s, r.wall())
 	v := c.acceptor
 	switch {
@@ -125,7 +125,7 @@
 	out := map[int]register.Place{}
 	live := c.seats.Live(now)
 	for _, s := range c.seats.All() {
-		out[s.Slot] = register.Place{Addr: s.Addr, Live: slices.ContainsFunc(live, func(l cohort.Seat) bool { return l.Slot == s.Slot })}
+		out[s.Slot] = register.Place{Addr: s.Addr, Live: slices.ContainsFunc(live, func(l membership.Seat) bool { return l.Slot == s.Slot })}
 	}
 	if v := c.acceptor; v.Self.Slot != 0 {
 		out[v.Self.Slot] = register.Place{Addr: c.addr, Live: true}
--- a/relay/answers_test.go
+++ b/relay/answers_test.go
@@ -17,7 +17,7 @@
 )
 
 // A backend that resets the connection at any point of an exchange leaves unknown what
-// it did with the request; it is sent once, and the next leg has a connection of its own.
+// it did with the request; it is sent once, and the next attempt has a connection of its own.
 func TestBackendResets(t *testing.T) {
 	reset := func(c net.Conn) { c.(*net.TCPConn).SetLinger(0) }
 	for name, speak := range map[string]func(v visit) bool{
@@ -53,13 +53,13 @@
 						return plainly(v)
 					})
 					if reused {
-						b.good(t, Leg{})
+						b.good(t, Attempt{})
 					}
-					rc := b.put(Leg{ID: "broken", Body: make([]byte, size)}, nil)
+					rc := b.put(Attempt{ID: "broken", Body: make([]byte, size)}, nil)
 					if rc.Fate != way.Unknown || len(rc.Body) > 0 || rc.Status != 0 {
 						t.Errorf("%+v", rc)
 					}
-					b.good(t, Leg{})
+					b.good(t, Attempt{})
 					b.mu.Lock()
 					if b.ran["broken"] != 1 {
 						t.Errorf("it was sent %d times", b.ran["broken"])
@@ -75,9 +75,9 @@
 }
 
 // A far side that tells what this version does not understand has told nothing: whether
-// the leg ran is unknown, and an order is neither promised not to have run nor sent again.
+// the attempt ran is unknown, and an order is neither promised not to have run nor sent again.
 func TestResponseNotUnderstood(t *testing.T) {
-	for name, rc := range map[string]LegResponse{
+	for name, rc := range map[string]AttemptResponse{
 		"no fate":          {Reason: "x"},
 		"another fate":     {Fate: "half-run", Status: 200},
 		"no status":        {Fate: way.Answered},
@@ -87,15 +87,15 @@
 		"another's word":   {ID: "another's", Fate: way.NotRun},
 	} {
 		t.Run(name, func(t *testing.T) {
-			legs := 0
+			attempts := 0
 			p := newPairWith(t, plainly, func(h map[string]wire.Handler) {
-				h[KindLeg] = func(_ context.Context, in wire.Request) (any, string) {
-					var leg Leg
-					in.Into(&leg)
-					legs++
+				h[KindAttempt] = func(_ context.Context, in wire.Request) (any, string) {
+					var attempt Attempt
+					in.Into(&attempt)
+					attempts++
 					out := rc
 					if out.ID == "" {
-						out.ID = leg.ID
+						out.ID = attempt.ID
 					}
 					return out, ""
 				}
@@ -104,16 +104,16 @@
 			c := p.client(t)
 			c.say("POST /once/x HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx")
 			resp, body := c.hear()
-			if resp == nil || resp.StatusCode != 502 || resp.Header.Get(HeaderOutcome) != string(way.Unknown) || legs != 1 {
-				t.Errorf("%+v %s after %d legs", resp, body, legs)
+			if resp == nil || resp.StatusCode != 502 || resp.Header.Get(HeaderOutcome) != string(way.Unknown) || attempts != 1 {
+				t.Errorf("%+v %s after %d legs", resp, body, attempts)
 			}
 		})
 	}
 }
 
-// A leg that no request can be made of is not taken, so that it surely does not run.
-func TestLegNotUnderstood(t *testing.T) {
-	for name, leg := range map[string]Leg{
+// An attempt that no request can be made of is not taken, so that it surely does not run.
+func TestAttemptNotUnderstood(t *testing.T) {
+	for name, attempt := range map[string]Attempt{
 		"two lines in its method": {Method: "GET / HTTP/1.1\r\nX: y\r\n\r\nGET", URI: "/look/"},
 		"no method":               {URI: "/look/"},
 		"two words in its target": {Method: "GET", URI: "/look/ HTTP/1.1"},
@@ -126,13 +126,13 @@
 			p := newPair(t, plainly)
 			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 			defer cancel()
-			leg.ID, leg.Service, leg.Instance, leg.Boot, leg.Left, leg.Aim = "odd", "desk", "a", 7, time.Second, time.Second
+			attempt.ID, attempt.Service, attempt.Instance, attempt.Boot, attempt.Left, attempt.Aim = "odd", "desk", "a", 7, time.Second, time.Second
 			node := p.near.View().Nodes()[0].Addr
-			r := p.near.Net.Call(ctx, node, wire.Traffic, KindLeg, leg)
+			r := p.near.Net.Call(ctx, node, wire.Traffic, KindAttempt, attempt)
 			if r.Fate != wire.Answered || r.Fault == "" {
 				t.Errorf("%+v", r)
 			}
-			var rc LegResponse
+			var rc AttemptResponse
 			if r := p.near.Net.Call(ctx, node, wire.Control, KindRecall, Recall{ID: "odd", Boot: 7}); !r.Into(&rc) || rc.Fate != way.NotRun {
 				t.Errorf("recalled: %+v", rc)
 			}
@@ -160,20 +160,20 @@
 	}
 }
 
-// A leg lies unread at a far side whose connection has broken. Recalled before it is read,
+// An attempt lies unread at a far side whose connection has broken. Recalled before it is read,
 // it is told not to run, and never runs; if the recall can't be heard either, nothing is
 // promised, and it runs once at most.
-func TestLegReadAfterItsRecall(t *testing.T) {
+func TestAttemptReadAfterItsRecall(t *testing.T) {
 	for _, heard := range []bool{true, false} {
 		t.Run(fmt.Sprintf("recall heard %v", heard), func(t *testing.T) {
-			came, woken, ended := make(chan struct{}, 9), make(chan struct{}), make(chan LegResponse, 9)
+			came, woken, ended := make(chan struct{}, 9), make(chan struct{}), make(chan AttemptResponse, 9)
 			p := newPairWith(t, plainly, func(h map[string]wire.Handler) {
-				leg, recall := h[KindLeg], h[KindRecall]
-				h[KindLeg] = func(ctx context.Context, in wire.Request) (any, string) {
+				attempt, recall := h[KindAttempt], h[KindRecall]
+				h[KindAttempt] = func(ctx context.Context, in wire.Request) (any, string) {
 					came <- struct{}{}
 					<-woken
-					rc, fault := leg(ctx, in)
-					ended <- rc.(LegResponse)
+					rc, fault := attempt(ctx, in)
+					ended <- rc.(AttemptResponse)
 					return rc, fault
 				}
 				h[KindRecall] = func(ctx context.Context, in wire.Request) (any, string) {
--- a/relay/leg.go
+++ b/relay/attempt.go
@@ -1,5 +1,5 @@
 // Package relay carries requests: the near side asks the decision object and
-// obeys, the far side passes legs through the gate to the backend. (DESIGN 4, 10)
+// obeys, the far side passes attempts through the gate to the backend. (DESIGN 4, 10)
 package relay
 
 import (
@@ -11,15 +11,15 @@
 	"curlewwalk/way"
 )
 
-// KindLeg and KindRecall are kinds on the wire.
+// KindAttempt and KindRecall are kinds on the wire.
 const (
-	KindLeg    = "leg"
-	KindRecall = "recall"
+	KindAttempt = "leg"
+	KindRecall  = "recall"
 )
 
-// Leg is one attempt of a request, as the near sidecar sends it.
-type Leg struct {
-	// ID is unique to the leg; the far sidecar never runs one twice.
+// Attempt is one attempt of a request, as the near sidecar sends it.
+type Attempt struct {
+	// ID is unique to the attempt; the far sidecar never runs one twice.
 	ID       string        `msgpack:"id"`
 	N        int           `msgpack:"n"`
 	Service  string        `msgpack:"s"`
@@ -45,16 +45,16 @@
 }
 
 // late is the time left in which a late answer is still worth something.
-func (l *Leg) late() time.Duration {
+func (l *Attempt) late() time.Duration {
 	if !l.Patient {
 		return 0
 	}
 	return l.Left
 }
 
-// valid tells whether a request can be made of the leg that is that one request to every
+// valid tells whether a request can be made of the attempt that is that one request to every
 // reader of it.
-func (l *Leg) valid() bool {
+func (l *Attempt) valid() bool {
 	for name := range l.Trailer {
 		if isHopByHop(name) {
 			return false
@@ -75,8 +75,8 @@
 	return !slices.ContainsFunc([]byte(s), func(b byte) bool { return b <= ' ' || b == 0x7f })
 }
 
-// LegResponse is what the far sidecar tells of a leg.
-type LegResponse struct {
+// AttemptResponse is what the far sidecar tells of an attempt.
+type AttemptResponse struct {
 	ID     string      `msgpack:"id"`
 	Fate   way.Fate    `msgpack:"f"`
 	Reason string      `msgpack:"r,omitempty"`
@@ -85,7 +85,7 @@
 	// Trailer is what the backend sent behind its body.
 	Trailer http.Header `msgpack:"tr,omitempty"`
 	Body    []byte      `msgpack:"b"`
-	// Reached says that the leg came to a backend, though it may not have run.
+	// Reached says that the attempt came to a backend, though it may not have run.
 	Reached bool `msgpack:"rd,omitempty"`
 	// Open is how many requests the backend has open.
 	Open int `msgpack:"o"`
@@ -93,18 +93,18 @@
 	Back time.Duration `msgpack:"bk,omitempty"`
 }
 
-// of tells whether the response is understood, and is that of a leg.
-func (r *LegResponse) of(leg *Leg) bool {
+// of tells whether the response is understood, and is that of an attempt.
+func (r *AttemptResponse) of(attempt *Attempt) bool {
 	switch r.Fate {
 	case way.Answered:
-		return r.ID == leg.ID && r.Status >= 200 && r.Status <= 999
+		return r.ID == attempt.ID && r.Status >= 200 && r.Status <= 999
 	case way.NotRun, way.Unknown:
-		return r.ID == leg.ID
+		return r.ID == attempt.ID
 	}
 	return false
 }
 
-// Recall asks a far sidecar, in one incarnation of it, to let a leg never run.
+// Recall asks a far sidecar, in one incarnation of it, to let an attempt never run.
 type Recall struct {
 	ID   string `msgpack:"id"`
 	Boot uint64 `msgpack:"bt"`
--- a/relay/bench_test.go
+++ b/relay/bench_test.go
@@ -37,8 +37,8 @@
 	}))
 }
 
-// BenchmarkExchange tells the CPU that a leg costs here, and the connections that 100
-// legs open.
+// BenchmarkExchange tells the CPU that an attempt costs here, and the connections that 100
+// attempts open.
 func BenchmarkExchange(b *testing.B) {
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), standInVar+"=1")
@@ -56,12 +56,12 @@
 	}
 	w := newBench(b, plainly)
 	w.entry.Address = strings.TrimSpace(addr)
-	leg := Leg{ID: "x", Body: []byte(strings.Repeat("x", 200)), Header: http.Header{"Content-Type": {"text/plain"}, "Accept": {"*/*"}}, Left: time.Minute}
+	attempt := Attempt{ID: "x", Body: []byte(strings.Repeat("x", 200)), Header: http.Header{"Content-Type": {"text/plain"}, "Accept": {"*/*"}}, Left: time.Minute}
 	open := func() roster.Refusal { return roster.Open }
 	before := cpu()
 	b.ResetTimer()
 	for range b.N {
-		if rc := w.put(leg, open); rc.Fate != way.Answered {
+		if rc := w.put(attempt, open); rc.Fate != way.Answered {
 			b.Fatalf("%+v", rc)
 		}
 	}
--- a/relay/cold_test.go
+++ b/relay/cold_test.go
@@ -39,11 +39,11 @@
 		f.Roster = func() roster.Roster { return r }
 	}
 	n := 0
-	put := func() LegResponse {
+	put := func() AttemptResponse {
 		n++
 		ctx, cancel := context.WithTimeout(ctx, time.Second)
 		defer cancel()
-		return f.carry(ctx, Leg{ID: fmt.Sprint(n), Service: "desk", Instance: "a", Way: "w", Method: "GET", URI: "/", Host: "x", Left: time.Second, Aim: time.Second}, trace.Root())
+		return f.carry(ctx, Attempt{ID: fmt.Sprint(n), Service: "desk", Instance: "a", Way: "w", Method: "GET", URI: "/", Host: "x", Left: time.Second, Aim: time.Second}, trace.Root())
 	}
 	answered := func() (count int) {
 		for range 20 {
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -15,10 +15,10 @@
 	// backend: what only sidecars may set is taken out of it.
 	Hear(r *http.Request, h http.Header) Said
 	// Address puts into h, the header of a request to a backend, what the backend is
-	// told of a leg: its caller, the instance meant, the time left.
-	Address(h http.Header, leg *Leg, left time.Duration)
-	// Judge reads what the header of a backend's answer says of a leg.
-	Judge(leg *Leg, status int, h http.Header) Judgement
+	// told of an attempt: its caller, the instance meant, the time left.
+	Address(h http.Header, attempt *Attempt, left time.Duration)
+	// Judge reads what the header of a backend's answer says of an attempt.
+	Judge(attempt *Attempt, status int, h http.Header) Judgement
 	// Word words an answer of our own.
 	Word(o Own) Response
 }
@@ -31,14 +31,14 @@
 	Key string
 }
 
-// Judgement is what a backend's answer means for its leg.
+// Judgement is what a backend's answer means for its attempt.
 type Judgement int
 
 // The judgements.
 const (
-	// Fair is the leg's own answer.
+	// Fair is the attempt's own answer.
 	Fair Judgement = iota
-	// Declined says that the backend has not run the leg and never will.
+	// Declined says that the backend has not run the attempt and never will.
 	Declined
 	// Elsewhere says so too: another instance has the address.
 	Elsewhere
@@ -69,14 +69,14 @@
 }
 
 // Address implements Dialect.
-func (Plain) Address(h http.Header, leg *Leg, _ time.Duration) {
-	if leg.Caller != "" {
-		h.Set(HeaderCaller, leg.Caller)
+func (Plain) Address(h http.Header, attempt *Attempt, _ time.Duration) {
+	if attempt.Caller != "" {
+		h.Set(HeaderCaller, attempt.Caller)
 	}
 }
 
 // Judge implements Dialect.
-func (Plain) Judge(*Leg, int, http.Header) Judgement { return Fair }
+func (Plain) Judge(*Attempt, int, http.Header) Judgement { return Fair }
 
 // Word implements Dialect.
 func (Plain) Word(o Own) Response { return ownResponse(o.Status, o.Fate, o.Reason, o.Trace, o.Back) }
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -18,14 +18,14 @@
 	"curlewwalk/way"
 )
 
-// elsewhere is the reason of a leg that another instance answered.
+// elsewhere is the reason of an attempt that another instance answered.
 const elsewhere = "another instance has the address"
 
 // exchange puts the request to the backend and reads its whole answer. Where not a
 // byte went on a link that was kept, it goes on a fresh one, past the guard again.
-func (f *Far) exchange(ctx context.Context, e roster.Entry, leg *Leg, span trace.Span, g *guard) LegResponse {
+func (f *Far) exchange(ctx context.Context, e roster.Entry, attempt *Attempt, span trace.Span, g *guard) AttemptResponse {
 	most, idle := f.most(e), freshOnly
-	if leg.Repeatable {
+	if attempt.Repeatable {
 		idle = keepFor
 	}
 	for {
@@ -33,13 +33,13 @@
 		if err != nil {
 			return lost(ctx, err)
 		}
-		req := backendRequest(ctx, e.Address, leg)
+		req := backendRequest(ctx, e.Address, attempt)
 		trace.WriteB3(req.Header, span)
-		f.Dialect.Address(req.Header, leg, time.Until(deadline(ctx)))
-		x := exchange{far: f, link: l, req: req, leg: leg, guard: g}
+		f.Dialect.Address(req.Header, attempt, time.Until(deadline(ctx)))
+		x := exchange{far: f, link: l, req: req, attempt: attempt, guard: g}
 		again := l.carried
 		l.carried = true
-		l.headed = l.headed || leg.Method == http.MethodHead
+		l.headed = l.headed || attempt.Method == http.MethodHead
 		rc := x.run(ctx)
 		if rc.Reason == elsewhere {
 			f.links.drop(l.at)
@@ -52,20 +52,20 @@
 	}
 }
 
-// exchange is one leg on one link.
+// exchange is one attempt on one link.
 type exchange struct {
-	far   *Far
-	link  *link
-	req   *http.Request
-	leg   *Leg
-	guard *guard
+	far     *Far
+	link    *link
+	req     *http.Request
+	attempt *Attempt
+	guard   *guard
 	// unwritten says that the link failed before a byte was taken.
 	unwritten bool
 }
 
 // run writes the request and reads the answer. The link stays fit to be kept only if
 // it is known to stand between two answers.
-func (x *exchange) run(ctx context.Context) LegResponse {
+func (x *exchange) run(ctx context.Context) AttemptResponse {
 	l, fit := x.link, x.link.keep
 	l.keep = 0
 	done := make(chan error, 1)
@@ -76,7 +76,7 @@
 		}
 		done <- err
 	}
-	if len(x.leg.Body) <= straight {
+	if len(x.attempt.Body) <= straight {
 		write(ctx)
 	} else {
 		// What is long may be answered before it was read to its end.
@@ -106,7 +106,7 @@
 
 // write writes the request: what is not long, at once.
 func (x *exchange) write() error {
-	out := bufio.NewWriterSize(guarded{conn: x.link.Conn, g: x.guard}, roomForHead+min(len(x.leg.Body), straight))
+	out := bufio.NewWriterSize(guarded{conn: x.link.Conn, g: x.guard}, roomForHead+min(len(x.attempt.Body), straight))
 	if err := x.req.Write(out); err != nil {
 		return err
 	}
@@ -114,12 +114,12 @@
 }
 
 // answer reads the answer, and tells how long the link may then be idle.
-func (x *exchange) answer(ctx context.Context) (rc LegResponse, idle time.Duration) {
-	unknown := func(reason string) (LegResponse, time.Duration) {
+func (x *exchange) answer(ctx context.Context) (rc AttemptResponse, idle time.Duration) {
+	unknown := func(reason string) (AttemptResponse, time.Duration) {
 		if ctx.Err() != nil {
 			reason = string(roster.Expired)
 		}
-		return LegResponse{Fate: way.Unknown, Reason: reason}, 0
+		return AttemptResponse{Fate: way.Unknown, Reason: reason}, 0
 	}
 	for early, strays := 0, 0; ; {
 		x.link.left = mostHead
@@ -137,14 +137,14 @@
 			}
 			continue
 		}
-		switch x.far.Dialect.Judge(x.leg, resp.StatusCode, resp.Header) {
+		switch x.far.Dialect.Judge(x.attempt, resp.StatusCode, resp.Header) {
 		case Declined:
 			// The head proves it. What follows only decides whether the link is kept.
 			x.link.SetReadDeadline(earlier(deadline(ctx), time.Now().Add(restFor)))
 			_, _, fault := x.whole(resp)
-			return LegResponse{Fate: way.NotRun, Reason: "declined by the backend", Reached: true}, keepAfter(resp, fault)
+			return AttemptResponse{Fate: way.NotRun, Reason: "declined by the backend", Reached: true}, keepAfter(resp, fault)
 		case Elsewhere:
-			return LegResponse{Fate: way.NotRun, Reason: elsewhere, Reached: true}, 0
+			return AttemptResponse{Fate: way.NotRun, Reason: elsewhere, Reached: true}, 0
 		case Stray:
 			// It came late, in the place of the one that is due.
 			strays++
@@ -160,14 +160,14 @@
 			return unknown(fault)
 		}
 		h := endToEnd(resp.Header)
-		if x.leg.Method == http.MethodHead && resp.Header.Get("Content-Length") != "" {
+		if x.attempt.Method == http.MethodHead && resp.Header.Get("Content-Length") != "" {
 			h["Content-Length"] = resp.Header["Content-Length"]
 		}
 		h.Del(HeaderOutcome) // only ours may promise
 		if strays == 0 {
 			idle = keepAfter(resp, "")
 		}
-		return LegResponse{Fate: way.Answered, Status: resp.StatusCode, Header: h, Trailer: endToEnd(trailer), Body: body}, idle
+		return AttemptResponse{Fate: way.Answered, Status: resp.StatusCode, Header: h, Trailer: endToEnd(trailer), Body: body}, idle
 	}
 }
 
@@ -183,7 +183,7 @@
 func (x *exchange) whole(resp *http.Response) (body []byte, trailer http.Header, fault string) {
 	most := x.far.Bodies.Most
 	switch {
-	case x.leg.Method == http.MethodHead:
+	case x.attempt.Method == http.MethodHead:
 		return []byte{}, resp.Trailer, ""
 	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
 		// Its end is only the connection's end, which a dying backend has too.
@@ -223,13 +223,13 @@
 	return keepFor
 }
 
-// lost is what is known of a leg whose link failed.
-func lost(ctx context.Context, err error) LegResponse {
+// lost is what is known of an attempt whose link failed.
+func lost(ctx context.Context, err error) AttemptResponse {
 	reason := "backend: " + cause(err)
 	if end := deadline(ctx); ctx.Err() != nil || !end.IsZero() && errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(end) {
 		reason = string(roster.Expired)
 	}
-	return LegResponse{Fate: way.Unknown, Reason: reason}
+	return AttemptResponse{Fate: way.Unknown, Reason: reason}
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -240,21 +240,21 @@
 }
 
 // backendRequest rebuilds the client's request as it was.
-func backendRequest(ctx context.Context, addr string, leg *Leg) *http.Request {
-	req := &http.Request{Method: leg.Method, URL: target(addr, leg.URI), Host: leg.Host, Header: leg.Header.Clone(), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
+func backendRequest(ctx context.Context, addr string, attempt *Attempt) *http.Request {
+	req := &http.Request{Method: attempt.Method, URL: target(addr, attempt.URI), Host: attempt.Host, Header: attempt.Header.Clone(), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
 	if req.Header == nil {
 		req.Header = http.Header{}
 	}
 	if _, ok := req.Header["User-Agent"]; !ok {
 		req.Header["User-Agent"] = nil // net/http would add its own
 	}
-	if len(leg.Body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(leg.Body))
-		req.ContentLength = int64(len(leg.Body))
+	if len(attempt.Body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(attempt.Body))
+		req.ContentLength = int64(len(attempt.Body))
 	}
-	if len(leg.Trailer) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(leg.Body))
-		req.ContentLength, req.Trailer = -1, leg.Trailer // trailers come behind chunks only
+	if len(attempt.Trailer) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(attempt.Body))
+		req.ContentLength, req.Trailer = -1, attempt.Trailer // trailers come behind chunks only
 	}
 	return req.WithContext(ctx)
 }
--- a/relay/exchange_test.go
+++ b/relay/exchange_test.go
@@ -15,9 +15,9 @@
 	"testing"
 	"time"
 
-	"curlewwalk/cohort"
 	"curlewwalk/desired"
 	"curlewwalk/launch"
+	"curlewwalk/membership"
 	"curlewwalk/roster"
 	"curlewwalk/trace"
 	"curlewwalk/way"
@@ -26,11 +26,11 @@
 // told is a dialect of backends that name the request they answer.
 type told struct{ Plain }
 
-func (told) Address(h http.Header, leg *Leg, _ time.Duration) { h.Set("Ask", leg.ID) }
+func (told) Address(h http.Header, attempt *Attempt, _ time.Duration) { h.Set("Ask", attempt.ID) }
 
-func (told) Judge(leg *Leg, _ int, h http.Header) Judgement {
+func (told) Judge(attempt *Attempt, _ int, h http.Header) Judgement {
 	switch {
-	case h.Get("For") != leg.ID:
+	case h.Get("For") != attempt.ID:
 		return Stray
 	case h.Get("Declined") != "":
 		return Declined
@@ -115,7 +115,7 @@
 	table, _ := way.NewTable(desired.Word{})
 	f.Table = func() *way.Table { return table }
 	b.far = f
-	b.entry = roster.Entry{Backend: cohort.Backend{Instance: "a", Address: ln.Addr().String(), Capacity: 8}}
+	b.entry = roster.Entry{Backend: membership.Backend{Instance: "a", Address: ln.Addr().String(), Capacity: 8}}
 	t.Cleanup(func() {
 		cancel()
 		ln.Close()
@@ -125,40 +125,40 @@
 	return b
 }
 
-var legs atomic.Int64
+var attempts atomic.Int64
 
-// put puts a leg to the backend, as carry does.
-func (b *bench) put(leg Leg, check func() roster.Refusal) LegResponse {
-	if leg.ID == "" {
-		leg.ID = fmt.Sprint("leg-", legs.Add(1))
+// put puts an attempt to the backend, as carry does.
+func (b *bench) put(attempt Attempt, check func() roster.Refusal) AttemptResponse {
+	if attempt.ID == "" {
+		attempt.ID = fmt.Sprint("leg-", attempts.Add(1))
 	}
-	if leg.Method == "" {
-		leg.Method = "POST"
+	if attempt.Method == "" {
+		attempt.Method = "POST"
 	}
-	if leg.Left == 0 {
-		leg.Left = 5 * time.Second
+	if attempt.Left == 0 {
+		attempt.Left = 5 * time.Second
 	}
-	leg.Host, leg.URI = "desk", "/x"
-	ctx, cancel := context.WithTimeout(context.Background(), leg.Left)
+	attempt.Host, attempt.URI = "desk", "/x"
+	ctx, cancel := context.WithTimeout(context.Background(), attempt.Left)
 	defer cancel()
 	if check == nil {
 		check = func() roster.Refusal { return roster.Open }
 	}
 	g := &guard{check: check}
-	rc := b.far.exchange(ctx, b.entry, &leg, trace.Root(), g)
+	rc := b.far.exchange(ctx, b.entry, &attempt, trace.Root(), g)
 	if rc.Fate == way.Unknown && g.shut() {
 		rc.Fate = way.NotRun
 	}
 	return rc
 }
 
-// good puts a leg that must be answered by its own answer.
-func (b *bench) good(t *testing.T, leg Leg) {
+// good puts an attempt that must be answered by its own answer.
+func (b *bench) good(t *testing.T, attempt Attempt) {
 	t.Helper()
-	leg.ID = fmt.Sprint("leg-", legs.Add(1))
-	rc := b.put(leg, nil)
-	if rc.Fate != way.Answered || rc.Header.Get("For") != leg.ID {
-		t.Fatalf("%s got %v %q, answer to %q", leg.ID, rc.Fate, rc.Reason, rc.Header.Get("For"))
+	attempt.ID = fmt.Sprint("leg-", attempts.Add(1))
+	rc := b.put(attempt, nil)
+	if rc.Fate != way.Answered || rc.Header.Get("For") != attempt.ID {
+		t.Fatalf("%s got %v %q, answer to %q", attempt.ID, rc.Fate, rc.Reason, rc.Header.Get("For"))
 	}
 }
 
@@ -198,13 +198,13 @@
 	})
 	for i := range 100 {
 		n := i%6 + 1
-		leg := Leg{ID: fmt.Sprint("again-", i), Body: []byte("x")}
-		rc := b.put(leg, nil)
+		attempt := Attempt{ID: fmt.Sprint("again-", i), Body: []byte("x")}
+		rc := b.put(attempt, nil)
 		want := way.Answered
 		if n == 3 {
 			want = way.NotRun
 		}
-		if rc.Fate != want || rc.Fate == way.Answered && rc.Header.Get("For") != leg.ID || rc.Reached != (n == 3) {
+		if rc.Fate != want || rc.Fate == way.Answered && rc.Header.Get("For") != attempt.ID || rc.Reached != (n == 3) {
 			t.Fatalf("%d: %+v", i, rc)
 		}
 		if n == 2 && (string(rc.Body) != "ok" || rc.Trailer.Get("Sum") != "7") {
@@ -226,7 +226,7 @@
 		return true
 	})
 	for _, m := range []string{"HEAD", "GET", "HEAD", "GET"} {
-		b.good(t, Leg{Method: m})
+		b.good(t, Attempt{Method: m})
 	}
 	if n := b.opens.Load(); n != 1 {
 		t.Errorf("%d connections", n)
@@ -249,7 +249,7 @@
 		t.Run(name, func(t *testing.T) {
 			b := newBench(t, func(v visit) bool { fmt.Fprintf(v.w, c.text, v.id); return true })
 			for range 5 {
-				b.good(t, Leg{Repeatable: true})
+				b.good(t, Attempt{Repeatable: true})
 			}
 			if n := b.opens.Load(); n != 5 {
 				t.Errorf("%d connections were opened for 5 legs", n)
@@ -265,7 +265,7 @@
 		v.say(v.id, "ok", "Keep-Alive: timeout=6, max=9")
 		return true
 	})
-	b.good(t, Leg{})
+	b.good(t, Attempt{})
 	age := func(d time.Duration) { l := b.link(t); l.since = time.Now().Add(-d) }
 	opens := func(want int64, why string) {
 		t.Helper()
@@ -274,17 +274,17 @@
 		}
 	}
 	age(900 * time.Millisecond)
-	b.good(t, Leg{})
+	b.good(t, Attempt{})
 	opens(1, "an order on a young one")
 	age(1100 * time.Millisecond)
-	b.good(t, Leg{Repeatable: true})
+	b.good(t, Attempt{Repeatable: true})
 	opens(1, "a look on an older one")
 	age(3100 * time.Millisecond)
-	b.good(t, Leg{Repeatable: true})
+	b.good(t, Attempt{Repeatable: true})
 	opens(2, "a look past half of what the backend said")
 	b.entry.Capacity = 1
 	age(1100 * time.Millisecond)
-	b.good(t, Leg{})
+	b.good(t, Attempt{})
 	opens(3, "an order on an older one")
 	b.link(t) // only one: the older made room
 }
@@ -302,13 +302,13 @@
 			v.say(v.id, "ok")
 			return true
 		})
-		b.good(t, Leg{})
-		leg := Leg{ID: "second"}
-		rc := b.put(leg, nil)
-		if rc.Fate != want || want == way.Answered && (rc.Header.Get("For") != leg.ID || string(rc.Body) != "ok") {
+		b.good(t, Attempt{})
+		attempt := Attempt{ID: "second"}
+		rc := b.put(attempt, nil)
+		if rc.Fate != want || want == way.Answered && (rc.Header.Get("For") != attempt.ID || string(rc.Body) != "ok") {
 			t.Errorf("%d strays: %v %q %q", strays, rc.Fate, rc.Reason, rc.Body)
 		}
-		b.good(t, Leg{})
+		b.good(t, Attempt{})
 		if n := b.opens.Load(); n != int64(min(strays, 1)+1) {
 			t.Errorf("%d strays: %d connections", strays, n)
 		}
@@ -328,8 +328,8 @@
 		fmt.Fprintf(v.w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\nFor: earlier\r\n\r\n%s", head, own)
 		return true
 	})
-	b.good(t, Leg{Method: "HEAD"})
-	if rc := b.put(Leg{}, nil); rc.Fate != way.Unknown {
+	b.good(t, Attempt{Method: "HEAD"})
+	if rc := b.put(Attempt{}, nil); rc.Fate != way.Unknown {
 		t.Errorf("%v %q", rc.Fate, rc.Body)
 	}
 }
@@ -338,7 +338,7 @@
 func TestLateBytes(t *testing.T) {
 	late := make(chan net.Conn, 9)
 	b := newBench(t, func(v visit) bool { v.say(v.id, "ok"); late <- v.w; return true })
-	b.good(t, Leg{})
+	b.good(t, Attempt{})
 	l := b.link(t)
 	io.WriteString(<-late, answerTo("x", "no"))
 	for end := l.since.Add(keepFor / 2); l.quiet(); {
@@ -346,13 +346,13 @@
 			t.Fatal("bytes that nobody asked for were not noticed")
 		}
 	}
-	b.good(t, Leg{})
+	b.good(t, Attempt{})
 	if n := b.opens.Load(); n != 2 {
 		t.Errorf("%d connections", n)
 	}
 }
 
-// A backend that closes its connections when it likes, legs whose time is short, and
+// A backend that closes its connections when it likes, attempts whose time is short, and
 // gates that shut: nothing runs twice, or after it was said not to, and nobody gets
 // another's answer.
 func TestBackendCloses(t *testing.T) {
@@ -382,12 +382,12 @@
 	for range 8 {
 		all.Go(func() {
 			for range 200 {
-				id := fmt.Sprint("order-", legs.Add(1))
-				leg := Leg{ID: id, Body: make([]byte, []int{1, 20 << 10, 300 << 10}[rand.IntN(3)])}
+				id := fmt.Sprint("order-", attempts.Add(1))
+				attempt := Attempt{ID: id, Body: make([]byte, []int{1, 20 << 10, 300 << 10}[rand.IntN(3)])}
 				if rand.IntN(8) == 0 {
-					leg.Left = time.Duration(1 + rand.Int64N(int64(2*time.Millisecond)))
+					attempt.Left = time.Duration(1 + rand.Int64N(int64(2*time.Millisecond)))
 				}
-				rc := b.put(leg, func() roster.Refusal {
+				rc := b.put(attempt, func() roster.Refusal {
 					if rand.IntN(16) == 0 {
 						return roster.LeavingNow
 					}
@@ -436,18 +436,18 @@
 	}
 }
 
-// A gate that shuts between two legs on one link lets not a byte through, and the link
+// A gate that shuts between two attempts on one link lets not a byte through, and the link
 // stays good.
 func TestGateOnALink(t *testing.T) {
 	b := newBench(t, plainly)
-	b.good(t, Leg{})
+	b.good(t, Attempt{})
 	for _, body := range []int{1, 100 << 10} {
-		rc := b.put(Leg{ID: "shut", Body: make([]byte, body)}, func() roster.Refusal { return roster.LeavingNow })
+		rc := b.put(Attempt{ID: "shut", Body: make([]byte, body)}, func() roster.Refusal { return roster.LeavingNow })
 		if rc.Fate != way.NotRun || rc.Reached {
 			t.Errorf("past a shut gate: %+v", rc)
 		}
 	}
-	b.good(t, Leg{})
+	b.good(t, Attempt{})
 	if b.ran["shut"] != 0 || b.opens.Load() != 1 {
 		t.Errorf("ran %d times; %d connections", b.ran["shut"], b.opens.Load())
 	}
@@ -465,26 +465,26 @@
 		return true
 	})
 	defer close(hold)
-	b.good(t, Leg{})
+	b.good(t, Attempt{})
 	if err := b.link(t).Conn.(*net.TCPConn).CloseWrite(); err != nil {
 		t.Fatal(err)
 	}
 	asked := 0
-	rc := b.put(Leg{ID: "fresh"}, func() roster.Refusal { asked++; return roster.Open })
+	rc := b.put(Attempt{ID: "fresh"}, func() roster.Refusal { asked++; return roster.Open })
 	if rc.Fate != way.Answered || b.ran["fresh"] != 1 || asked != 2 || b.opens.Load() != 2 {
 		t.Errorf("%+v, ran %d times, asked %d times, %d connections", rc, b.ran["fresh"], asked, b.opens.Load())
 	}
 }
 
-// A leg past its time closes its link.
-func TestLegPastItsTime(t *testing.T) {
+// An attempt past its time closes its link.
+func TestAttemptPastItsTime(t *testing.T) {
 	gone := make(chan error, 1)
 	b := newBench(t, func(v visit) bool {
 		_, err := v.w.Read(make([]byte, 1))
 		gone <- err
 		return false
 	})
-	rc := b.put(Leg{ID: "late", Left: 30 * time.Millisecond}, nil)
+	rc := b.put(Attempt{ID: "late", Left: 30 * time.Millisecond}, nil)
 	if rc.Fate != way.Unknown || rc.Reason != string(roster.Expired) {
 		t.Errorf("%+v", rc)
 	}
@@ -503,11 +503,11 @@
 		return v.ContentLength < 1<<20
 	})
 	b.far.Bodies.Most = 64 << 20
-	rc := b.put(Leg{ID: "long", Body: make([]byte, 32<<20)}, nil)
+	rc := b.put(Attempt{ID: "long", Body: make([]byte, 32<<20)}, nil)
 	if rc.Fate != way.Answered || string(rc.Body) != "too long" {
 		t.Errorf("%v %q", rc.Fate, rc.Reason)
 	}
-	b.good(t, Leg{})
+	b.good(t, Attempt{})
 	if n := b.opens.Load(); n != 2 {
 		t.Errorf("%d connections", n)
 	}
@@ -523,14 +523,14 @@
 	}
 	b.entry.Address = ln.Addr().String()
 	ln.Close()
-	if rc := b.put(Leg{}, nil); rc.Fate != way.NotRun || rc.Reached {
+	if rc := b.put(Attempt{}, nil); rc.Fate != way.NotRun || rc.Reached {
 		t.Errorf("%+v", rc)
 	}
 	if len(b.far.links.shelves) != 0 {
 		t.Error("a place is kept for nobody")
 	}
 	b.entry.Address = there
-	b.good(t, Leg{})
+	b.good(t, Attempt{})
 }
 
 // The sweep closes what is idle too long, what leads to a backend that takes nothing
@@ -554,19 +554,19 @@
 			t.Errorf("%s: %d are idle", why, n)
 		}
 	}
-	b.good(t, Leg{})
+	b.good(t, Attempt{})
 	b.far.links.once(time.Now())
 	idle(1, "young")
 	b.far.links.once(time.Now().Add(keepFor))
 	idle(0, "too long")
-	b.good(t, Leg{})
+	b.good(t, Attempt{})
 	stands.Store(false)
 	b.far.links.once(time.Now())
 	idle(0, "leaving")
 	stands.Store(true)
-	b.good(t, Leg{})
+	b.good(t, Attempt{})
 	other = true
-	if rc := b.put(Leg{}, nil); rc.Fate != way.NotRun || !rc.Reached {
+	if rc := b.put(Attempt{}, nil); rc.Fate != way.NotRun || !rc.Reached {
 		t.Errorf("%+v", rc)
 	}
 	idle(0, "elsewhere")
--- a/relay/far.go
+++ b/relay/far.go
@@ -21,7 +21,7 @@
 	Lineage *lineage.Keeper
 	// Claimed tells whether this sidecar may admit.
 	Claimed func() bool
-	// Draining tells whether new legs are still taken.
+	// Draining tells whether new attempts are still taken.
 	Draining func() bool
 	Counts   Counts
 	Bodies   *Bodies
@@ -56,7 +56,7 @@
 	return rate, rate > 0 && e.Cold(at)
 }
 
-// Opened and Reused count the connections to backends that were opened, and the legs
+// Opened and Reused count the connections to backends that were opened, and the attempts
 // that found one open.
 func (f *Far) Opened() int64 { return f.links.opened.Load() }
 
@@ -74,24 +74,24 @@
 	return limit
 }
 
-// Leg handles a leg.
-func (f *Far) Leg(ctx context.Context, in wire.Request) (any, string) {
-	var leg Leg
-	if !in.Into(&leg) || !leg.valid() {
+// Attempt handles an attempt.
+func (f *Far) Attempt(ctx context.Context, in wire.Request) (any, string) {
+	var attempt Attempt
+	if !in.Into(&attempt) || !attempt.valid() {
 		return nil, "not a leg" // and never begun, as a recall will tell
 	}
 	f.Counts.Requests.Add(1)
 	f.Counts.Open.Add(1)
 	defer f.Counts.Open.Add(-1)
 	span, traced := trace.From(ctx)
-	note := trace.Event{Way: leg.Way, Service: leg.Service, Caller: leg.Caller, Instance: leg.Instance, Leg: leg.N}
+	note := trace.Event{Way: attempt.Way, Service: attempt.Service, Caller: attempt.Caller, Instance: attempt.Instance, Attempt: attempt.N}
 	if !traced {
 		span = trace.Root() // an untraced peer is served all the same
 	}
-	ctx, cancel := context.WithTimeout(trace.With(context.WithoutCancel(ctx), span), leg.Left)
+	ctx, cancel := context.WithTimeout(trace.With(context.WithoutCancel(ctx), span), attempt.Left)
 	defer cancel()
 	f.Queue.Put(span, trace.ServerReceive, note)
-	rc := f.carry(ctx, leg, span)
+	rc := f.carry(ctx, attempt, span)
 	note.Status, note.Outcome, note.Reason = rc.Status, string(rc.Fate), rc.Reason
 	f.Queue.Put(span, trace.ServerSend, note)
 	f.Counts.ended(rc.Fate)
@@ -104,7 +104,7 @@
 	if !in.Into(&q) {
 		return nil, "not a recall"
 	}
-	rc := LegResponse{ID: q.ID, Fate: way.Unknown, Reason: "it was begun, or begun before a restart"}
+	rc := AttemptResponse{ID: q.ID, Fate: way.Unknown, Reason: "it was begun, or begun before a restart"}
 	if ask(ctx, f.ledger.refuse, q.ID) && q.Boot == f.Boot {
 		rc.Fate, rc.Reason = way.NotRun, "recalled before it was begun"
 	}
@@ -112,22 +112,22 @@
 }
 
 // check asks the gate. It is asked first, and again before the write.
-func (f *Far) check(ctx context.Context, leg *Leg) (roster.Entry, roster.Refusal) {
+func (f *Far) check(ctx context.Context, attempt *Attempt) (roster.Entry, roster.Refusal) {
 	switch {
-	case leg.Boot != f.Boot:
+	case attempt.Boot != f.Boot:
 		return roster.Entry{}, roster.WrongBoot
 	case ctx.Err() != nil:
 		return roster.Entry{}, roster.Expired
 	case !f.Claimed():
 		return roster.Entry{}, roster.Lapsed
 	}
-	return f.Roster().Check(roster.Ask{Service: leg.Service, Instance: leg.Instance}, f.Table().Emptied, time.Now())
+	return f.Roster().Check(roster.Ask{Service: attempt.Service, Instance: attempt.Instance}, f.Table().Emptied, time.Now())
 }
 
-func (f *Far) carry(ctx context.Context, leg Leg, span trace.Span) LegResponse {
-	refuse := func(why roster.Refusal, open int64) LegResponse {
-		rc := LegResponse{ID: leg.ID, Fate: way.NotRun, Reason: string(why), Open: int(open)}
-		if !ask(context.WithoutCancel(ctx), f.ledger.refuse, leg.ID) {
+func (f *Far) carry(ctx context.Context, attempt Attempt, span trace.Span) AttemptResponse {
+	refuse := func(why roster.Refusal, open int64) AttemptResponse {
+		rc := AttemptResponse{ID: attempt.ID, Fate: way.NotRun, Reason: string(why), Open: int(open)}
+		if !ask(context.WithoutCancel(ctx), f.ledger.refuse, attempt.ID) {
 			rc.Fate = way.Unknown // it came before, and was begun
 		}
 		return rc
@@ -135,41 +135,41 @@
 	if f.Draining() {
 		return refuse(roster.Draining, 0)
 	}
-	if size := int64(len(leg.Body)); f.Bodies.Take(size) {
+	if size := int64(len(attempt.Body)); f.Bodies.Take(size) {
 		defer f.Bodies.Give(size)
 	} else {
 		rc := refuse(roster.Full, 0)
 		rc.Back = time.Second
 		return rc
 	}
-	e, why := f.check(ctx, &leg)
+	e, why := f.check(ctx, &attempt)
 	if why != roster.Open {
 		return refuse(why, 0)
 	}
 	limit := func() int64 {
 		// The newest beat tells what the backend can bear now.
-		now, why := f.check(ctx, &leg)
+		now, why := f.check(ctx, &attempt)
 		if why != roster.Open {
 			now = e
 		}
 		return f.Limit(now, time.Now())
 	}
-	done, back := e.Desk.Enter(ctx, roster.Bid{Rank: leg.Rank, Way: leg.Way, Left: min(leg.Left, leg.Aim), Last: leg.late()}, limit)
+	done, back := e.Desk.Enter(ctx, roster.Bid{Rank: attempt.Rank, Way: attempt.Way, Left: min(attempt.Left, attempt.Aim), Last: attempt.late()}, limit)
 	if done == nil {
 		rc := refuse(roster.Full, e.Desk.Open())
 		rc.Back = back
 		return rc
 	}
 	defer done()
-	if !ask(ctx, f.ledger.begin, leg.ID) {
+	if !ask(ctx, f.ledger.begin, attempt.ID) {
 		if ctx.Err() != nil {
 			return refuse(roster.Expired, 0)
 		}
-		return LegResponse{ID: leg.ID, Fate: way.Unknown, Reason: "this leg came before"}
+		return AttemptResponse{ID: attempt.ID, Fate: way.Unknown, Reason: "this leg came before"}
 	}
 	var free time.Duration // when a cold backend may bear the next
 	g := &guard{check: func() roster.Refusal {
-		now, why := f.check(ctx, &leg)
+		now, why := f.check(ctx, &attempt)
 		if why == roster.Open && now.Address != e.Address {
 			why = roster.NoBackend
 		}
@@ -180,16 +180,16 @@
 		}
 		return why
 	}}
-	f.Lineage.Enter(ctx, lineage.Open{Span: span, Service: leg.Service, Way: leg.Way, Rank: leg.Rank, Since: time.Now(), Deadline: deadline(ctx)})
+	f.Lineage.Enter(ctx, lineage.Open{Span: span, Service: attempt.Service, Way: attempt.Way, Rank: attempt.Rank, Since: time.Now(), Deadline: deadline(ctx)})
 	defer f.Lineage.Leave(context.WithoutCancel(ctx), span.ID)
-	rc := f.exchange(ctx, e, &leg, span, g)
+	rc := f.exchange(ctx, e, &attempt, span, g)
 	if rc.Fate == way.Unknown && g.shut() {
 		rc.Fate = way.NotRun
 		if why := g.why.Load(); why != nil {
 			rc.Reason, rc.Back = string(*why), free
 		}
 	}
-	rc.ID, rc.Open, rc.Reached = leg.ID, int(e.Desk.Open()), g.state.Load() == guardWrote
+	rc.ID, rc.Open, rc.Reached = attempt.ID, int(e.Desk.Open()), g.state.Load() == guardWrote
 	return rc
 }
 
--- a/relay/fuzz_test.go
+++ b/relay/fuzz_test.go
@@ -37,7 +37,7 @@
 	}
 	f.Fuzz(func(t *testing.T, answer []byte) {
 		said <- answer
-		rc := b.put(Leg{ID: "own", Left: time.Second, Body: []byte("x")}, nil)
+		rc := b.put(Attempt{ID: "own", Left: time.Second, Body: []byte("x")}, nil)
 		switch rc.Fate {
 		case way.Answered:
 			if rc.Header.Get("For") != "own" || rc.Status < 200 || rc.Status > 999 {
@@ -57,9 +57,9 @@
 			t.Errorf("%+v", rc)
 		}
 		// The backend may close a link that looked good just then.
-		rc = b.put(Leg{ID: "next"}, nil)
+		rc = b.put(Attempt{ID: "next"}, nil)
 		for tries := 0; rc.Fate == way.Unknown && tries < 3; tries++ {
-			rc = b.put(Leg{ID: "next"}, nil)
+			rc = b.put(Attempt{ID: "next"}, nil)
 		}
 		if rc.Fate != way.Answered || rc.Header.Get("For") != "next" || string(rc.Body) != "ok" {
 			t.Errorf("the next: %+v", rc)
--- a/relay/guard.go
+++ b/relay/guard.go
@@ -28,7 +28,7 @@
 	begun bool
 }
 
-// pass lets the first write through, unless the gate or the leg is shut.
+// pass lets the first write through, unless the gate or the attempt is shut.
 func (g *guard) pass() bool {
 	if g.state.Load() == guardWrote {
 		return true
@@ -40,13 +40,13 @@
 	return g.state.CompareAndSwap(guardIdle, guardWrote)
 }
 
-// shut ends the leg. True if nothing was written: then nothing ever will be.
+// shut ends the attempt. True if nothing was written: then nothing ever will be.
 func (g *guard) shut() bool { return g.state.CompareAndSwap(guardIdle, guardShut) }
 
 // wrote tells that a byte may have gone.
 func (g *guard) wrote() bool { return g.state.Load() == guardWrote }
 
-// guarded is what a leg writes to a backend's connection through. (DESIGN 9.2)
+// guarded is what an attempt writes to a backend's connection through. (DESIGN 9.2)
 type guarded struct {
 	conn net.Conn
 	g    *guard
--- a/relay/guard_test.go
+++ b/relay/guard_test.go
@@ -7,8 +7,8 @@
 	"curlewwalk/roster"
 )
 
-// Either the write goes first or the leg is shut first, never both, however the
-// two meet; and a leg that is shut while the gate is still being asked is not
+// Either the write goes first or the attempt is shut first, never both, however the
+// two meet; and an attempt that is shut while the gate is still being asked is not
 // written, whatever the gate says.
 func TestGuard(t *testing.T) {
 	open := func() roster.Refusal { return roster.Open }
--- a/relay/ledger.go
+++ b/relay/ledger.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// remember is how long a leg's id is kept: longer than any deadline. (ours)
+// remember is how long an attempt's id is kept: longer than any deadline. (ours)
 const remember = 11 * time.Minute
 
-// Ledger is a decision value: it remembers which legs were begun and which were
-// refused, so that no leg is begun twice or after its refusal. (DESIGN 10.2)
+// Ledger is a decision value: it remembers which attempts were begun and which were
+// refused, so that no attempt is begun twice or after its refusal. (DESIGN 10.2)
 type Ledger struct {
 	seen  map[string]verdict
 	order []string
@@ -23,19 +23,19 @@
 // NewLedger makes an empty ledger.
 func NewLedger() *Ledger { return &Ledger{seen: map[string]verdict{}} }
 
-// Begin lets an unknown leg begin; false for any other.
+// Begin lets an unknown attempt begin; false for any other.
 func (l *Ledger) Begin(id string, now time.Duration) bool {
 	_, known := l.note(id, false, now)
 	return !known
 }
 
-// Refuse lets a leg never begin; false if it has begun.
+// Refuse lets an attempt never begin; false if it has begun.
 func (l *Ledger) Refuse(id string, now time.Duration) bool {
 	v, _ := l.note(id, true, now)
 	return v.refused
 }
 
-// note finds what is known of a leg, or notes it.
+// note finds what is known of an attempt, or notes it.
 func (l *Ledger) note(id string, refused bool, now time.Duration) (v verdict, known bool) {
 	for len(l.order) > 0 && now-l.seen[l.order[0]].at > remember {
 		delete(l.seen, l.order[0])
--- a/relay/ledger_test.go
+++ b/relay/ledger_test.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// A leg begins once; one that was refused or recalled before never begins; one
+// An attempt begins once; one that was refused or recalled before never begins; one
 // that has begun can't be refused any more.
 func TestLedger(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
--- a/relay/limits.go
+++ b/relay/limits.go
@@ -7,7 +7,7 @@
 	longestKey = 255 // (ours)
 	// bodyFor is how long a client may take to send a body.
 	bodyFor = time.Minute // (ours)
-	// recallFor is how long a leg's fate is asked for after it was lost.
+	// recallFor is how long an attempt's fate is asked for after it was lost.
 	recallFor = 300 * time.Millisecond // (ours)
 	// grace is what the far side gets back from to answer before the near side
 	// stops listening.
@@ -16,8 +16,8 @@
 	usual = 8 << 10 // (ours)
 	// keepFor is how long a connection to a backend may be idle.
 	keepFor = 4 * time.Second // (ours)
-	// freshOnly is how long it may have been idle for a leg that must not run twice:
-	// the backend may close it, or may have forgotten it, just as the leg is written.
+	// freshOnly is how long it may have been idle for an attempt that must not run twice:
+	// the backend may close it, or may have forgotten it, just as the attempt is written.
 	freshOnly = time.Second // (ours)
 	// sweepEvery is how often idle connections are looked at.
 	sweepEvery = 250 * time.Millisecond // (ours)
--- a/relay/link.go
+++ b/relay/link.go
@@ -15,7 +15,7 @@
 
 var errHead = eris.New("the answer's head is too large")
 
-// link is a connection of our own to a backend. It carries one leg at a time, and
+// link is a connection of our own to a backend. It carries one attempt at a time, and
 // nothing is ever tried again on it by itself. (DESIGN 10.6)
 type link struct {
 	net.Conn
@@ -24,7 +24,7 @@
 	in  *bufio.Reader
 	// left is how much more may be read until it is raised again.
 	left int64
-	// carried tells that it has carried a leg before.
+	// carried tells that it has carried an attempt before.
 	carried bool
 	// headed tells that it has carried a HEAD, whose answer has a length and no body.
 	headed bool
--- a/relay/links.go
+++ b/relay/links.go
@@ -15,7 +15,7 @@
 // place is where a backend stands.
 type place struct{ instance, address string }
 
-// links keeps the connections to the own backends. It is a table that each leg looks
+// links keeps the connections to the own backends. It is a table that each attempt looks
 // at for a moment; one sweeper closes what nobody wants any more. (DESIGN 10.6)
 type links struct {
 	life     context.Context
@@ -74,7 +74,7 @@
 		l := s.idle[len(s.idle)-1]
 		age := now.Sub(l.since)
 		if age >= idle {
-			break // it may do for another leg
+			break // it may do for another attempt
 		}
 		s.idle = s.idle[:len(s.idle)-1]
 		if age < l.keep && l.quiet() {
@@ -89,7 +89,7 @@
 	return nil
 }
 
-// dial opens a connection for a leg, within the leg's time.
+// dial opens a connection for an attempt, within the attempt's time.
 func (ls *links) dial(ctx context.Context, at place) (*link, error) {
 	d := net.Dialer{Timeout: dialFor, KeepAlive: -1}
 	c, err := d.DialContext(ctx, "tcp", at.address)
--- a/relay/near.go
+++ b/relay/near.go
@@ -15,12 +15,12 @@
 	"time"
 
 	"curlewwalk/claim"
-	"curlewwalk/cohort"
 	"curlewwalk/contract"
 	"curlewwalk/custody"
 	"curlewwalk/desired"
 	"curlewwalk/launch"
 	"curlewwalk/lineage"
+	"curlewwalk/membership"
 	"curlewwalk/metrics"
 	"curlewwalk/roster"
 	"curlewwalk/trace"
@@ -30,20 +30,20 @@
 
 // Near is the executor beside the caller.
 type Near struct {
-	Zone     string
-	Table    func() *way.Table
-	View     func() *cohort.View
-	Net      *wire.Net
-	Launcher *launch.Launcher
-	Queue    *trace.Queue
-	Log      *slog.Logger
-	Lineage  *lineage.Keeper
-	Claims   *claim.Claims[Response]
-	Custody  *custody.Owner
-	Bodies   *Bodies
-	Purses   *contract.Purses
-	Budgets  *contract.Budgets
-	Costs    *way.Costs
+	Zone         string
+	Table        func() *way.Table
+	View         func() *membership.View
+	Net          *wire.Net
+	Launcher     *launch.Launcher
+	Queue        *trace.Queue
+	Log          *slog.Logger
+	Lineage      *lineage.Keeper
+	Claims       *claim.Claims[Response]
+	Custody      *custody.Owner
+	Bodies       *Bodies
+	RetryBudgets *contract.RetryBudgets
+	Budgets      *contract.Budgets
+	Costs        *way.Costs
 	// Life ends when the node must stop at once.
 	Life context.Context
 	// Draining tells whether new requests are still taken.
@@ -81,8 +81,8 @@
 	cause    lineage.Cause
 	traced   bool // the client itself sent identifiers
 	// left is how long the client will wait; zero if it does not say.
-	left time.Duration
-	leg  Leg
+	left    time.Duration
+	attempt Attempt
 }
 
 // room is how late the request may be at all.
@@ -142,14 +142,14 @@
 	} else if !ok {
 		return n.count(n.word(http.StatusNotFound, way.NotRun, "no way takes this inquiry", "", 0))
 	}
-	q.way.Service = way.Pick(q.way, rand.IntN) // for all its legs
+	q.way.Service = way.Pick(q.way, rand.IntN) // for all its attempts
 	h := endToEnd(r.Header)
 	said := n.Dialect.Hear(r, h)
 	// A trailer may say no more than a header.
 	trailer := endToEnd(r.Trailer)
 	n.Dialect.Hear(r, trailer)
 	q.left = said.Left
-	q.leg = Leg{Service: q.way.Service, Way: q.way.Name, Rank: q.contract.Rank, Repeatable: q.way.Repeatable, Caller: cmp.Or(caller, n.Home), Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h, Trailer: trailer, Body: body}
+	q.attempt = Attempt{Service: q.way.Service, Way: q.way.Name, Rank: q.contract.Rank, Repeatable: q.way.Repeatable, Caller: cmp.Or(caller, n.Home), Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h, Trailer: trailer, Body: body}
 	// The client's going away stops nothing: the request was handed over.
 	ctx := context.WithoutCancel(r.Context())
 	n.begin(ctx, &q, r.Header)
@@ -193,7 +193,7 @@
 			q.deadline = e
 		}
 		if q.cause.Rank > 0 {
-			q.leg.Rank = q.cause.Rank
+			q.attempt.Rank = q.cause.Rank
 		}
 	}
 	if q.caller == "" && n.Home != "" {
@@ -223,7 +223,7 @@
 		return n.own(q, http.StatusServiceUnavailable, way.Unknown, "claims on keys are still being handed over to this node", time.Second)
 	}
 	key := claim.Key{Caller: q.caller, Text: text}
-	print := claim.Print(sha256.Sum256(bytes.Join([][]byte{[]byte(q.leg.Method), []byte(q.leg.Host), []byte(q.leg.URI), q.leg.Body}, []byte{0})))
+	print := claim.Print(sha256.Sum256(bytes.Join([][]byte{[]byte(q.attempt.Method), []byte(q.attempt.Host), []byte(q.attempt.URI), q.attempt.Body}, []byte{0})))
 	verdict, rc, err := n.Claims.Lay(ctx, key, print)
 	switch {
 	case err != nil && verdict == claim.Repeat:
@@ -276,20 +276,20 @@
 	return n.word(status, f, reason, q.span.Trace.String(), retry)
 }
 
-// run asks the decision and obeys, leg by leg.
+// run asks the decision and obeys, attempt by attempt.
 func (n *Near) run(ctx context.Context, q *request) Response {
 	d := way.Decision{
 		Way: q.way, Deadline: q.deadline, Zone: n.Zone, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		Means: way.Means{
 			Aim: q.aim, Room: q.room(), Patience: n.Budgets.Patience(q.contract.Name, q.room()),
-			Cost: func(t cohort.Target) way.Cost { return n.Costs.Of(q.way.Name, t) },
+			Cost: func(t membership.Target) way.Cost { return n.Costs.Of(q.way.Name, t) },
 			Hold: n.hold(q), Back: n.back(), Late: n.Late, Crossing: n.crossing(q),
-			Spend: func() bool { return n.Purses.Spend(q.way.Service) }, Unsure: n.Unsure,
+			Spend: func() bool { return n.RetryBudgets.Spend(q.way.Service) }, Unsure: n.Unsure,
 		},
 	}
 	note := trace.Event{Way: q.way.Name, Service: q.way.Service, Caller: q.caller, Link: q.cause.Link, Candidates: q.cause.Candidates}
 	n.Queue.Put(q.span, trace.ClientStart, note)
-	var last LegResponse
+	var last AttemptResponse
 	for {
 		o := d.Ask(n.Table(), n.View(), time.Now())
 		if o.Wait > 0 {
@@ -300,16 +300,16 @@
 			rc := Response{Status: last.Status, Header: last.Header, Trailer: last.Trailer, Body: last.Body, Fate: way.Answered}
 			if o.End.Status != 0 {
 				n.Log.Info("an inquiry was not answered", "trace", q.span.Trace.String(), "way", q.way.Name, "caller", q.caller,
-					"status", o.End.Status, "outcome", o.End.Fate, "reason", o.End.Reason, "legs", len(d.Legs()))
+					"status", o.End.Status, "outcome", o.End.Fate, "reason", o.End.Reason, "legs", len(d.Attempts()))
 				rc = n.own(q, o.End.Status, o.End.Fate, o.End.Reason, o.End.RetryAfter)
 			}
 			n.Budgets.Ended(q.contract.Name, time.Since(q.begun), q.contract.Aim.Duration, q.contract.Deadline.Duration, rc.Fate == way.Answered)
-			note.Status, note.Outcome, note.Reason, note.Leg = rc.Status, string(rc.Fate), o.End.Reason, len(d.Legs())
+			note.Status, note.Outcome, note.Reason, note.Attempt = rc.Status, string(rc.Fate), o.End.Reason, len(d.Attempts())
 			n.Queue.Put(q.span, trace.ClientReceive, note)
 			return rc
 		}
-		var l way.Leg
-		l, last = n.send(ctx, q, o, len(d.Legs())+1)
+		var l way.Attempt
+		l, last = n.send(ctx, q, o, len(d.Attempts())+1)
 		d.Tell(l)
 	}
 }
@@ -331,7 +331,7 @@
 
 // crossing is the price of leaving the own zone, by how much would be carried.
 func (n *Near) crossing(q *request) float64 {
-	return n.Crossing * (1 + float64(len(q.leg.Body))/usual)
+	return n.Crossing * (1 + float64(len(q.attempt.Body))/usual)
 }
 
 // back is when a refused request may come again at the soonest: spread, so that those
@@ -340,37 +340,37 @@
 	return n.ComeBack + time.Duration(rand.Int64N(int64(n.ComeBack)/2+1))
 }
 
-// send carries one leg. The first leg is the span's own; each further one is a
+// send carries one attempt. The first attempt is the span's own; each further one is a
 // child span of its own. (DESIGN 2.1)
-func (n *Near) send(ctx context.Context, q *request, o way.Order, num int) (way.Leg, LegResponse) {
+func (n *Near) send(ctx context.Context, q *request, o way.Order, num int) (way.Attempt, AttemptResponse) {
 	span, t := q.span, o.Target
 	if num == 1 {
-		n.Purses.Earn(q.way.Service)
+		n.RetryBudgets.Earn(q.way.Service)
 	} else {
-		n.Counts.ExtraLegs.Add(1)
+		n.Counts.ExtraAttempts.Add(1)
 		span = q.span.Child()
 		ctx = trace.With(ctx, span)
-		n.Queue.Put(span, trace.ClientStart, trace.Event{Way: q.way.Name, Service: q.way.Service, Instance: t.Instance, Leg: num})
+		n.Queue.Put(span, trace.ClientStart, trace.Event{Way: q.way.Name, Service: q.way.Service, Instance: t.Instance, Attempt: num})
 	}
-	leg := q.leg
-	leg.ID = span.ID.String() + "/" + trace.NewID().String()
-	leg.N, leg.Instance, leg.Boot, leg.Patient = num, t.Instance, t.Boot, o.Patient
-	leg.Left = time.Until(q.deadline) - grace
-	leg.Aim = time.Until(q.aim) + n.Budgets.Patience(q.contract.Name, q.room()) - grace
-	t.Load.Legs.Add(1)
+	attempt := q.attempt
+	attempt.ID = span.ID.String() + "/" + trace.NewID().String()
+	attempt.N, attempt.Instance, attempt.Boot, attempt.Patient = num, t.Instance, t.Boot, o.Patient
+	attempt.Left = time.Until(q.deadline) - grace
+	attempt.Aim = time.Until(q.aim) + n.Budgets.Patience(q.contract.Name, q.room()) - grace
+	t.Load.Attempts.Add(1)
 	sent := time.Now()
-	r := n.Net.Call(ctx, t.Node, wire.Traffic, KindLeg, leg)
-	t.Load.Legs.Add(-1)
+	r := n.Net.Call(ctx, t.Node, wire.Traffic, KindAttempt, attempt)
+	t.Load.Attempts.Add(-1)
 	if r.Traced {
 		span.Hear(r.Span.Counter())
 	}
-	l := way.Leg{Target: t, Fate: way.Unknown, Reason: "lost on the way", Reached: true}
-	var rc LegResponse
+	l := way.Attempt{Target: t, Fate: way.Unknown, Reason: "lost on the way", Reached: true}
+	var rc AttemptResponse
 	switch {
 	case r.Fate == wire.Unsent:
 		l.Fate, l.Reason, l.Reached = way.NotRun, "node could not be reached", false
 		t.Load.Shun(n.Shun)
-	case r.Into(&rc) && rc.of(&leg):
+	case r.Into(&rc) && rc.of(&attempt):
 		l.Fate, l.Reason, l.Reached, l.Back, l.Expired = rc.Fate, rc.Reason, rc.Reached, rc.Back, rc.Reason == string(roster.Expired)
 		l.Lapsed = rc.Fate == way.NotRun && rc.Reason == string(roster.Lapsed)
 		t.Load.Tell(rc.Open)
@@ -379,24 +379,24 @@
 		}
 	default:
 		t.Load.Shun(n.Shun)
-		l = n.recall(ctx, l, leg)
+		l = n.recall(ctx, l, attempt)
 	}
 	if expired := l.Expired || ctx.Err() != nil; expired || l.Fate == way.Answered {
 		n.Costs.Learn(q.way.Name, t, time.Since(sent), expired)
 	}
 	if num > 1 {
-		n.Queue.Put(span, trace.ClientReceive, trace.Event{Way: q.way.Name, Service: q.way.Service, Instance: t.Instance, Leg: num, Status: rc.Status, Outcome: string(l.Fate), Reason: l.Reason})
+		n.Queue.Put(span, trace.ClientReceive, trace.Event{Way: q.way.Name, Service: q.way.Service, Instance: t.Instance, Attempt: num, Status: rc.Status, Outcome: string(l.Fate), Reason: l.Reason})
 	}
 	return l, rc
 }
 
-// recall asks the far sidecar to let a lost leg never run; only its word that
-// the leg did not run proves it. Past the deadline nobody waits for that word.
+// recall asks the far sidecar to let a lost attempt never run; only its word that
+// the attempt did not run proves it. Past the deadline nobody waits for that word.
 // (DESIGN 10.2)
-func (n *Near) recall(ctx context.Context, l way.Leg, leg Leg) way.Leg {
-	ask := func(ctx context.Context) (rc LegResponse, ok bool) {
-		ok = n.Net.Call(ctx, l.Target.Node, wire.Control, KindRecall, Recall{ID: leg.ID, Boot: leg.Boot}).Into(&rc)
-		return rc, ok && rc.of(&leg)
+func (n *Near) recall(ctx context.Context, l way.Attempt, attempt Attempt) way.Attempt {
+	ask := func(ctx context.Context) (rc AttemptResponse, ok bool) {
+		ok = n.Net.Call(ctx, l.Target.Node, wire.Control, KindRecall, Recall{ID: attempt.ID, Boot: attempt.Boot}).Into(&rc)
+		return rc, ok && rc.of(&attempt)
 	}
 	if ctx.Err() != nil {
 		n.Launcher.Go(context.WithoutCancel(ctx), "recall", func(ctx context.Context) {
--- a/relay/pair_test.go
+++ b/relay/pair_test.go
@@ -14,11 +14,11 @@
 	"testing"
 	"time"
 
-	"curlewwalk/cohort"
 	"curlewwalk/contract"
 	"curlewwalk/desired"
 	"curlewwalk/launch"
 	"curlewwalk/lineage"
+	"curlewwalk/membership"
 	"curlewwalk/roster"
 	"curlewwalk/trace"
 	"curlewwalk/way"
@@ -99,17 +99,17 @@
 	}
 	kept := &connections{Listener: listener}
 	p.cut = kept.cut
-	handlers := map[string]wire.Handler{KindLeg: f.Leg, KindRecall: f.Recall}
+	handlers := map[string]wire.Handler{KindAttempt: f.Attempt, KindRecall: f.Recall}
 	between(handlers)
 	host := &wire.Host{Launcher: l, Listener: kept, Handlers: handlers}
-	node := cohort.Node{Addr: listener.Addr().String(), Boot: 7, Zone: "north", Backends: []cohort.Backend{
+	node := membership.Node{Addr: listener.Addr().String(), Boot: 7, Zone: "north", Backends: []membership.Backend{
 		{Instance: "a", Service: "desk", Address: p.entry.Address, Zone: "north", Capacity: 8, Share: 1},
 	}}
-	view := cohort.NewView(map[string]cohort.Node{node.Addr: node}, nil)
+	view := membership.NewView(map[string]membership.Node{node.Addr: node}, nil)
 	p.near = &Near{
-		Zone: "north", Table: f.Table, View: func() *cohort.View { return view }, Net: wire.NewNet(l, wire.Greeting{}, nil),
+		Zone: "north", Table: f.Table, View: func() *membership.View { return view }, Net: wire.NewNet(l, wire.Greeting{}, nil),
 		Launcher: l, Queue: queue, Log: slog.New(slog.DiscardHandler), Lineage: lin, Bodies: &Bodies{Most: 1 << 20, All: 8 << 20},
-		Purses: contract.NewPurses("near", 20), Budgets: contract.NewBudgets(), Costs: way.NewCosts(), Life: ctx,
+		RetryBudgets: contract.NewRetryBudgets("near", 20), Budgets: contract.NewBudgets(), Costs: way.NewCosts(), Life: ctx,
 		Draining: no, Dialect: told{}, Shun: time.Millisecond, ComeBack: 100 * time.Millisecond,
 	}
 	l.Go(ctx, "lineage", lin.Run)
--- a/relay/refused_test.go
+++ b/relay/refused_test.go
@@ -11,7 +11,7 @@
 	"curlewwalk/way"
 )
 
-// A leg that comes a second time, while the first is being run, and is refused by
+// An attempt that comes a second time, while the first is being run, and is refused by
 // then, is not told to be not run.
 func TestRefusedTwin(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
@@ -22,10 +22,10 @@
 	if !ask(ctx, f.ledger.begin, "first") {
 		t.Fatal("the first did not begin")
 	}
-	if rc := f.carry(ctx, Leg{ID: "first"}, trace.Root()); rc.Fate != way.Unknown {
+	if rc := f.carry(ctx, Attempt{ID: "first"}, trace.Root()); rc.Fate != way.Unknown {
 		t.Errorf("the twin of what runs was told %q", rc.Fate)
 	}
-	if rc := f.carry(ctx, Leg{ID: "other"}, trace.Root()); rc.Fate != way.NotRun {
+	if rc := f.carry(ctx, Attempt{ID: "other"}, trace.Root()); rc.Fate != way.NotRun {
 		t.Errorf("what was never begun was told %q", rc.Fate)
 	}
 }
--- a/roster/desk.go
+++ b/roster/desk.go
@@ -52,7 +52,7 @@
 	}, 0
 }
 
-// Drip lets a leg in to a cold backend, of a rate a second, or tells when to come
+// Drip lets an attempt in to a cold backend, of a rate a second, or tells when to come
 // again. up is how long the sidecar has been up.
 func (d *Desk) Drip(rate float64, up time.Duration) (ok bool, back time.Duration) {
 	d.mu.Lock()
--- a/roster/entry.go
+++ b/roster/entry.go
@@ -4,12 +4,12 @@
 	"cmp"
 	"time"
 
-	"curlewwalk/cohort"
+	"curlewwalk/membership"
 )
 
 // Entry is one own backend in a snapshot.
 type Entry struct {
-	cohort.Backend
+	membership.Backend
 	// Heard is when it last announced itself, by the monotonic clock.
 	Heard time.Time
 	// LeftAt is when it said that it was leaving.
--- a/roster/gate.go
+++ b/roster/gate.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Ask is what a leg wants of the gate.
+// Ask is what an attempt wants of the gate.
 type Ask struct {
 	Service, Instance string
 }
@@ -24,7 +24,7 @@
 	Lapsed     Refusal = "claim-lapsed"
 )
 
-// Check asks whether a leg may go to its backend at this moment. (DESIGN 9.2)
+// Check asks whether an attempt may go to its backend at this moment. (DESIGN 9.2)
 func (r Roster) Check(a Ask, emptied func(zone string) bool, now time.Time) (Entry, Refusal) {
 	e, ok := r.entries[a.Instance]
 	switch {
--- a/roster/line.go
+++ b/roster/line.go
@@ -10,7 +10,7 @@
 // deepest is how many may wait for each place at a backend.
 const deepest = 4 // (ours)
 
-// Bid is what a leg asks of a line.
+// Bid is what an attempt asks of a line.
 type Bid struct {
 	Rank int
 	Way  string
@@ -24,7 +24,7 @@
 // Verdict is what a line decides on a bid.
 type Verdict int
 
-// The leg runs now, waits for its turn, or is refused.
+// The attempt runs now, waits for its turn, or is refused.
 const (
 	Run Verdict = iota
 	Wait
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"curlewwalk/cohort"
+	"curlewwalk/membership"
 )
 
 // leftFor is how long a leaving backend stays so whatever it says, so that a beat that
@@ -31,7 +31,7 @@
 	if known && a.Count != 0 && a.Count < old.count {
 		return r, nil // overtaken by a later one: it tells nothing any more
 	}
-	e := Entry{Heard: now, ramp: ramp, share: share, coldUntil: now.Add(left), Desk: old.Desk, LeftAt: old.LeftAt, count: a.Count, Backend: cohort.Backend{
+	e := Entry{Heard: now, ramp: ramp, share: share, coldUntil: now.Add(left), Desk: old.Desk, LeftAt: old.LeftAt, count: a.Count, Backend: membership.Backend{
 		Instance: a.Instance, Service: a.Service, Address: a.Address, Capacity: a.Capacity, Share: share,
 		Zone: cmp.Or(a.Zone, home), Leaving: a.Leaving,
 	}}
@@ -129,8 +129,8 @@
 }
 
 // Backends lists what is told to others.
-func (r Roster) Backends() []cohort.Backend {
-	var out []cohort.Backend
+func (r Roster) Backends() []membership.Backend {
+	var out []membership.Backend
 	for _, e := range r.Entries() {
 		out = append(out, e.Backend)
 	}
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -7,9 +7,9 @@
 	"net/http"
 	"time"
 
-	"curlewwalk/cohort"
 	"curlewwalk/contract"
 	"curlewwalk/launch"
+	"curlewwalk/membership"
 	"curlewwalk/process"
 	"curlewwalk/relay"
 	"curlewwalk/roster"
@@ -30,7 +30,7 @@
 
 // entryView is a backend as an operator reads it.
 type entryView struct {
-	cohort.Backend
+	membership.Backend
 	Age      string `json:"age"`
 	Open     int64  `json:"open"`
 	Limit    int64  `json:"limit"`
@@ -39,19 +39,19 @@
 
 // stats is what GET /v1/stats shows.
 type stats struct {
-	Node     string           `json:"node"`
-	Boot     uint64           `json:"boot"`
-	Zone     string           `json:"locality"`
-	Stamp    uint64           `json:"stamp"`
-	Follows  follows          `json:"follows"`
-	NewsAge  string           `json:"news_age"`
-	ClaimAge string           `json:"claim_age"`
-	Claimed  bool             `json:"claimed"`
-	Cores    []cohort.Seat    `json:"cores"`
-	Near     relay.Totals     `json:"near"`
-	Far      relay.Totals     `json:"far"`
-	Trace    trace.QueueStats `json:"trace_queue"`
-	Draining bool             `json:"draining"`
+	Node     string            `json:"node"`
+	Boot     uint64            `json:"boot"`
+	Zone     string            `json:"locality"`
+	Stamp    uint64            `json:"stamp"`
+	Follows  follows           `json:"follows"`
+	NewsAge  string            `json:"news_age"`
+	ClaimAge string            `json:"claim_age"`
+	Claimed  bool              `json:"claimed"`
+	Cores    []membership.Seat `json:"cores"`
+	Near     relay.Totals      `json:"near"`
+	Far      relay.Totals      `json:"far"`
+	Trace    trace.QueueStats  `json:"trace_queue"`
+	Draining bool              `json:"draining"`
 	// Held counts the claims on keys that this node holds for others, Settled those
 	// of them with a response; HandedOver tells whether it has got its own of earlier
 	// boots.
@@ -60,8 +60,8 @@
 	HandedOver bool  `json:"claims_handed_over"`
 	// Bodies are the bytes of requests' bodies held now, by the near and the far side.
 	Bodies [2]int64 `json:"bodies_held"`
-	// ExtraLegs is how many extra legs to each service this node may make now.
-	ExtraLegs map[string]float64 `json:"extra_legs"`
+	// ExtraAttempts is how many extra attempts to each service this node may make now.
+	ExtraAttempts map[string]float64 `json:"extra_legs"`
 }
 
 // control serves a sidecar's /v1, /live and /ready.
@@ -169,7 +169,7 @@
 	return stats{
 		Node: n.set.Advertise, Boot: n.p.Boot, Zone: n.set.Zone, Stamp: n.steward.table.Load().Stamp, Follows: f,
 		NewsAge: time.Since(f.Since).String(), ClaimAge: n.steward.claim.Age(time.Now()).String(), Claimed: n.claimed(), Cores: n.seeker.Seats().Known(), Near: n.near.Counts.Read(), Far: n.far.Counts.Read(),
-		Trace: n.queue.Stats(), Draining: n.draining.Load(), ExtraLegs: n.steward.purses.Held(),
+		Trace: n.queue.Stats(), Draining: n.draining.Load(), ExtraAttempts: n.steward.retryBudgets.Held(),
 		Held: held, Settled: settled, HandedOver: n.near.Custody.Ready(), Bodies: [2]int64{n.near.Bodies.Held(), n.far.Bodies.Held()},
 	}
 }
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -33,13 +33,13 @@
 			emit(float64(t.Open), side)
 		})),
 		metrics.Counter("retries_total", "Attempts beyond a request's first.", nil, metrics.Value(func() float64 {
-			return float64(n.near.Counts.Read().ExtraLegs)
+			return float64(n.near.Counts.Read().ExtraAttempts)
 		})),
 		metrics.Counter("joined_requests_total", "Repeats of an Idempotency-Key that got the answer of its first request.", nil, metrics.Value(func() float64 {
 			return float64(n.near.Counts.Read().Joined)
 		})),
 		metrics.Gauge("retry_budget", "Retries to a service that this sidecar may make now.", []string{"service"}, func(emit metrics.Emit) {
-			for service, held := range n.steward.purses.Held() {
+			for service, held := range n.steward.retryBudgets.Held() {
 				emit(held, service)
 			}
 		}),
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -14,12 +14,12 @@
 
 	"curlewwalk/boot"
 	"curlewwalk/claim"
-	"curlewwalk/cohort"
 	"curlewwalk/collect"
 	"curlewwalk/custody"
 	"curlewwalk/feed"
 	"curlewwalk/launch"
 	"curlewwalk/lineage"
+	"curlewwalk/membership"
 	"curlewwalk/process"
 	"curlewwalk/relay"
 	"curlewwalk/rendezvous"
@@ -57,13 +57,13 @@
 	p        *process.Process
 	set      boot.Sidecar
 	steward  *steward
-	seeker   *cohort.Seeker
+	seeker   *membership.Seeker
 	near     *relay.Near
 	far      *relay.Far
 	holder   *custody.Holder
 	queue    *trace.Queue
 	outgoing *outgoing
-	// draining: not ready, and no new legs. closed: no new requests either.
+	// draining: not ready, and no new attempts. closed: no new requests either.
 	draining, closed atomic.Bool
 	reload           *process.Reloader
 	webs             []*process.Web
@@ -73,8 +73,8 @@
 func New(set boot.Sidecar, doors *Doors) *Node {
 	p := process.New("sidecar", set.Common)
 	n := &Node{p: p, set: set, queue: trace.NewQueue(set.Advertise, p.Boot, set.TraceQueue)}
-	n.seeker = cohort.NewSeeker()
-	n.steward = newSteward(p.Launcher, set.Advertise, p.Boot, set.Zone, set.ExtraLegs, n.seeker.Hasten)
+	n.seeker = membership.NewSeeker()
+	n.steward = newSteward(p.Launcher, set.Advertise, p.Boot, set.Zone, set.ExtraAttempts, n.seeker.Hasten)
 	n.steward.roster.Store(&roster.Roster{Pace: roster.Pace{Beat: set.Beat}})
 	n.steward.climb = way.Climb{For: set.Ramp, From: set.RampFrom}
 	if set.Memory > 0 {
@@ -82,19 +82,19 @@
 	}
 	lin := lineage.NewKeeper()
 	claims := claim.New(func(r relay.Response) int { return len(r.Body) })
-	n.seeker.Own = func() cohort.Heartbeat { nd := n.steward.node(); return cohort.Heartbeat{Node: &nd} }
+	n.seeker.Own = func() membership.Heartbeat { nd := n.steward.node(); return membership.Heartbeat{Node: &nd} }
 	n.seeker.Addr, n.seeker.Net, n.seeker.Launcher = set.Advertise, p.Net, p.Launcher
 	n.reload = &process.Reloader{Seeker: n.seeker}
 	n.reload.Apply(set.Common)
 	n.seeker.Told = n.steward.told
 	watcher := n.steward.watcher
 	watcher.Own, watcher.Net, watcher.Launcher, watcher.Changed = set.Advertise, p.Net, p.Launcher, n.seeker.Hasten
-	watcher.View = func() *cohort.View { return n.steward.view.Load() }
-	n.seeker.Heard = func(context.Context, cohort.Seat) {}
+	watcher.View = func() *membership.View { return n.steward.view.Load() }
+	n.seeker.Heard = func(context.Context, membership.Seat) {}
 	table := func() *way.Table { return n.steward.table.Load() }
 	n.near = &relay.Near{
-		Zone: set.Zone, Table: table, View: func() *cohort.View { return n.steward.view.Load() },
-		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log, Lineage: lin, Claims: claims, Purses: n.steward.purses, Budgets: n.steward.budgets, Costs: way.NewCosts(), Life: p.Life, Draining: n.shut,
+		Zone: set.Zone, Table: table, View: func() *membership.View { return n.steward.view.Load() },
+		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log, Lineage: lin, Claims: claims, RetryBudgets: n.steward.retryBudgets, Budgets: n.steward.budgets, Costs: way.NewCosts(), Life: p.Life, Draining: n.shut,
 	}
 	n.near.Shun = set.Shun
 	n.near.Unsure = n.unsure
@@ -115,23 +115,23 @@
 	n.far.Boot, n.far.Table, n.far.Queue, n.far.Lineage, n.far.Draining = p.Boot, table, n.queue, lin, n.draining.Load
 	n.far.Claimed, n.far.Dialect, n.far.Halving = n.claimed, n.near.Dialect, set.Halving
 	n.far.Bodies = &relay.Bodies{Most: set.MaxBody, All: set.BodyMemory}
-	rollcall := cohort.NewRollcall()
+	rollcall := membership.NewRollcall()
 	rollcall.Own, rollcall.Net, rollcall.Launcher, rollcall.Node, rollcall.View = set.Advertise, p.Net, p.Launcher, n.steward.node, watcher.View
 	rollcall.Seats, rollcall.Word, rollcall.Seeds = n.seeker.Seats, n.steward.spoken.Load, n.seeker.Seeds
 	rollcall.News, rollcall.Sure = n.steward.news, n.steward.agreed.Renew
-	rollcall.Take = func(ctx context.Context, f cohort.Found) {
-		n.seeker.Hear(cohort.Heartbeat{Know: f.Know})
+	rollcall.Take = func(ctx context.Context, f membership.Found) {
+		n.seeker.Hear(membership.Heartbeat{Know: f.Know})
 		n.steward.box.Send(ctx, msgFound{f})
 	}
 	n.far.Roster = func() roster.Roster { return *n.steward.roster.Load() }
 	n.outgoing = &outgoing{p: p, near: n.near, host: netip.MustParseAddrPort(set.Advertise).Addr(), fixed: set.Outgoing, known: n.steward.services, webs: map[string]*process.Web{}}
 
-	p.Host.Handlers[cohort.KindHeartbeat] = n.heartbeat
-	p.Host.Handlers[cohort.KindProbe] = func(context.Context, wire.Request) (any, string) {
-		return cohort.Probe{Boot: p.Boot, Inc: n.steward.inc.Load()}, ""
+	p.Host.Handlers[membership.KindHeartbeat] = n.heartbeat
+	p.Host.Handlers[membership.KindProbe] = func(context.Context, wire.Request) (any, string) {
+		return membership.Probe{Boot: p.Boot, Inc: n.steward.inc.Load()}, ""
 	}
-	p.Host.Handlers[cohort.KindGossip] = rollcall.Answer
-	p.Host.Handlers[relay.KindLeg] = n.far.Leg
+	p.Host.Handlers[membership.KindGossip] = rollcall.Answer
+	p.Host.Handlers[relay.KindAttempt] = n.far.Attempt
 	p.Host.Handlers[relay.KindRecall] = n.far.Recall
 	p.Host.Listener = p.Listen("wire", set.Wire)
 	n.webs = append(n.webs, p.Serve(p.Listen("control", set.Control), n.control()))
@@ -143,7 +143,7 @@
 	}
 	follower := &feed.Follower{
 		Own: set.Advertise, Zone: set.Zone, Seats: n.seeker.Seats, Net: p.Net, Hasten: n.seeker.Hasten,
-		Take: func(ctx context.Context, c cohort.Seat, news feed.News, asked time.Time) {
+		Take: func(ctx context.Context, c membership.Seat, news feed.News, asked time.Time) {
 			// No more is asked for before it is in force: of words that come faster
 			// than that, the core then tells the newest only. (DESIGN 8.2)
 			launch.Ask(ctx, n.steward.box, func(r chan<- bool) any { return msgNews{c, news, asked, r} })
@@ -203,7 +203,7 @@
 
 // heartbeat answers another process.
 func (n *Node) heartbeat(_ context.Context, in wire.Request) (any, string) {
-	var h cohort.Heartbeat
+	var h membership.Heartbeat
 	if !in.Into(&h) {
 		return nil, "not a heartbeat"
 	}
@@ -214,11 +214,11 @@
 // zone if there are any. (DESIGN 2.6)
 func (n *Node) collector(id trace.TraceID) (string, bool) {
 	live := n.seeker.Seats().Live(time.Now())
-	own := slices.DeleteFunc(slices.Clone(live), func(c cohort.Seat) bool { return c.Zone != n.set.Zone })
+	own := slices.DeleteFunc(slices.Clone(live), func(c membership.Seat) bool { return c.Zone != n.set.Zone })
 	if len(own) > 0 {
 		live = own
 	}
-	live = rendezvous.Rank(id.String(), live, func(c cohort.Seat) string { return fmt.Sprint(c.Slot) })
+	live = rendezvous.Rank(id.String(), live, func(c membership.Seat) string { return fmt.Sprint(c.Slot) })
 	if len(live) == 0 {
 		return "", false
 	}
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -7,11 +7,11 @@
 	"sync/atomic"
 	"time"
 
-	"curlewwalk/cohort"
 	"curlewwalk/contract"
 	"curlewwalk/desired"
 	"curlewwalk/feed"
 	"curlewwalk/launch"
+	"curlewwalk/membership"
 	"curlewwalk/roster"
 	"curlewwalk/way"
 )
@@ -19,22 +19,22 @@
 // steward is the one thread of control state. It swaps whole the snapshots
 // that traffic reads. (DESIGN 1.3)
 type steward struct {
-	box     *launch.Mailbox
-	addr    string
-	boot    uint64
-	zone    string
-	hasten  func()
-	purses  *contract.Purses
-	budgets *contract.Budgets
-	watcher *cohort.Watcher
-	inc     atomic.Uint64
-	sleep   roster.Sleep
+	box          *launch.Mailbox
+	addr         string
+	boot         uint64
+	zone         string
+	hasten       func()
+	retryBudgets *contract.RetryBudgets
+	budgets      *contract.Budgets
+	watcher      *membership.Watcher
+	inc          atomic.Uint64
+	sleep        roster.Sleep
 
 	copy *feed.Copy
 
 	roster atomic.Pointer[roster.Roster]
 	table  atomic.Pointer[way.Table]
-	view   atomic.Pointer[cohort.View]
+	view   atomic.Pointer[membership.View]
 	shown  atomic.Pointer[follows]
 	claim  roster.Claim
 	// agreed is the claim that a roll call gives while no majority of cores lives.
@@ -65,33 +65,33 @@
 		reply    chan<- bool
 	}
 	msgNews struct {
-		core  cohort.Seat
+		core  membership.Seat
 		n     feed.News
 		asked time.Time
 		taken chan<- bool
 	}
-	msgFound struct{ f cohort.Found }
+	msgFound struct{ f membership.Found }
 	msgTick  struct{}
 	msgPulse struct{}
 	msgDrain struct{}
 	msgLive  struct{ reply chan<- bool }
 )
 
-func newSteward(l *launch.Launcher, addr string, boot uint64, zone string, extraLegs int, hasten func()) *steward {
+func newSteward(l *launch.Launcher, addr string, boot uint64, zone string, extraAttempts int, hasten func()) *steward {
 	s := &steward{addr: addr, boot: boot, zone: zone, hasten: hasten, copy: feed.NewCopy()}
-	s.watcher = cohort.NewWatcher()
-	s.purses, s.budgets = contract.NewPurses(addr, extraLegs), contract.NewBudgets()
+	s.watcher = membership.NewWatcher()
+	s.retryBudgets, s.budgets = contract.NewRetryBudgets(addr, extraAttempts), contract.NewBudgets()
 	s.roster.Store(&roster.Roster{})
 	t, _ := way.NewTable(desired.Word{})
 	s.table.Store(t)
-	s.view.Store(cohort.NewView(nil, nil))
+	s.view.Store(membership.NewView(nil, nil))
 	s.shown.Store(&follows{})
 	s.box = l.Spawn("steward", s.on)
 	return s
 }
 
 // told takes a core's response to a heartbeat. An accusation is refuted at once.
-func (s *steward) told(_ context.Context, h cohort.Heartbeat) {
+func (s *steward) told(_ context.Context, h membership.Heartbeat) {
 	if h.Budgets != nil {
 		s.budgets.Hear(h.Budgets)
 	}
@@ -104,7 +104,7 @@
 
 // run keeps time until ctx ends.
 func (s *steward) run(ctx context.Context) {
-	tick, pulse := time.NewTicker(cohort.Beat), time.NewTicker(roster.Pulse)
+	tick, pulse := time.NewTicker(membership.Beat), time.NewTicker(roster.Pulse)
 	defer tick.Stop()
 	defer pulse.Stop()
 	for {
@@ -120,9 +120,9 @@
 }
 
 // Node is what this sidecar tells of itself.
-func (s *steward) node() cohort.Node {
+func (s *steward) node() membership.Node {
 	r := s.roster.Load()
-	return cohort.Node{
+	return membership.Node{
 		Addr: s.addr, Boot: s.boot, Rev: r.Rev, Zone: s.zone, Stamp: s.table.Load().Stamp, Backends: r.Backends(), Inc: s.inc.Load(), Open: r.Open(),
 		Accuses: s.watcher.Accused(), Budgets: s.budgets.Own(),
 	}
@@ -169,7 +169,7 @@
 		}
 	case msgTick:
 		s.swapRoster(s.roster.Load().Tick(now))
-		s.purses.Share(slices.Sorted(maps.Keys(s.copy.Nodes)), now)
+		s.retryBudgets.Share(slices.Sorted(maps.Keys(s.copy.Nodes)), now)
 	case msgLive:
 		m.reply <- true
 	}
@@ -188,10 +188,10 @@
 // look rebuilds the view. Of itself a node knows best.
 func (s *steward) look() {
 	s.copy.Nodes[s.addr] = s.node()
-	s.view.Store(cohort.NewView(s.copy.Nodes, s.view.Load()))
+	s.view.Store(membership.NewView(s.copy.Nodes, s.view.Load()))
 }
 
-func (s *steward) take(core cohort.Seat, n feed.News) {
+func (s *steward) take(core membership.Seat, n feed.News) {
 	word, changed := s.copy.Take(n)
 	if word != nil {
 		s.word(*word)
@@ -207,11 +207,11 @@
 
 // found takes what other sidecars have, while no core tells: one round's finds at a
 // time, so that the view is made anew once a round at most. (DESIGN 7.4)
-func (s *steward) found(f cohort.Found, now time.Time) {
+func (s *steward) found(f membership.Found, now time.Time) {
 	if f.Word != nil && s.copy.Newer(*f.Word) {
 		s.word(*f.Word)
 	}
-	if s.news(now) < cohort.Silence {
+	if s.news(now) < membership.Silence {
 		return
 	}
 	if s.copy.Meet(f.Nodes, f.Dead) {
--- a/sidecar/steward_test.go
+++ b/sidecar/steward_test.go
@@ -5,8 +5,8 @@
 	"log/slog"
 	"testing"
 
-	"curlewwalk/cohort"
 	"curlewwalk/launch"
+	"curlewwalk/membership"
 )
 
 // What a round of the roll call found is taken as one message; the view isn't made anew
@@ -15,12 +15,12 @@
 func TestFound(t *testing.T) {
 	l := launch.New(slog.New(slog.DiscardHandler), func(name string, cause any, stack []byte) { t.Errorf("%s: %v\n%s", name, cause, stack) })
 	s := newSteward(l, "10.0.0.1:7020", 1, "north", 0, func() {})
-	var found cohort.Found
+	var found membership.Found
 	for i := range 199 {
 		addr := fmt.Sprintf("10.0.1.%d:7020", i)
-		found.Nodes = append(found.Nodes, cohort.Node{Addr: addr, Boot: 1, Rev: 1, Backends: []cohort.Backend{{Service: "orders", Instance: addr}}})
+		found.Nodes = append(found.Nodes, membership.Node{Addr: addr, Boot: 1, Rev: 1, Backends: []membership.Backend{{Service: "orders", Instance: addr}}})
 	}
-	send := func(f cohort.Found) *cohort.View {
+	send := func(f membership.Found) *membership.View {
 		s.box.Send(t.Context(), msgFound{f})
 		if _, ok := launch.Ask(t.Context(), s.box, func(r chan<- bool) any { return msgLive{r} }); !ok {
 			t.Fatal("no answer")
@@ -35,7 +35,7 @@
 		t.Error("the view was made again for what was known")
 	}
 	dead := map[string]uint64{found.Nodes[0].Addr: 1, found.Nodes[1].Addr: 7}
-	if got := len(send(cohort.Found{Dead: dead}).Addrs()); got != 199 {
+	if got := len(send(membership.Found{Dead: dead}).Addrs()); got != 199 {
 		t.Errorf("%d known; one died in its boot, of another an earlier process did", got)
 	}
 }
--- a/trace/event.go
+++ b/trace/event.go
@@ -31,7 +31,7 @@
 	Status   int           `msgpack:"st,omitempty"`
 	Outcome  string        `msgpack:"o,omitempty"`
 	Reason   string        `msgpack:"r,omitempty"`
-	Leg      int           `msgpack:"lg,omitempty"`
+	Attempt  int           `msgpack:"lg,omitempty"`
 	// Link says how an outgoing call was tied to its cause. (DESIGN 2.5)
 	Link       Link `msgpack:"ln,omitempty"`
 	Candidates []ID `msgpack:"cd,omitempty"`
--- a/way/cost.go
+++ b/way/cost.go
@@ -15,8 +15,8 @@
 	enough = 8 // (ours)
 )
 
-// Cost is what was learned of how long legs of a way take, subtree and waiting
-// included: a histogram that ages. The last bucket is for legs that did not
+// Cost is what was learned of how long attempts of a way take, subtree and waiting
+// included: a histogram that ages. The last bucket is for attempts that did not
 // come back in time.
 type Cost struct {
 	mass [costBuckets + 1]float64
@@ -33,12 +33,12 @@
 	return min(costBuckets-1, 1+int(math.Log(float64(d)/costLow)/math.Log(costStep)))
 }
 
-// costOf is about what the legs of a bucket took.
+// costOf is about what the attempts of a bucket took.
 func costOf(bucket int) time.Duration {
 	return time.Duration(costLow * math.Pow(costStep, float64(bucket)-0.5))
 }
 
-// learn takes a leg that took so long, or, missed, did not come back in time.
+// learn takes an attempt that took so long, or, missed, did not come back in time.
 func (c *Cost) learn(took time.Duration, missed bool, now time.Duration) {
 	c.age(now)
 	i := costBuckets
@@ -64,7 +64,7 @@
 // Known tells whether enough was learned to be believed.
 func (c *Cost) Known() bool { return c.sum >= enough }
 
-// Within is the share of legs that come back within d.
+// Within is the share of attempts that come back within d.
 func (c *Cost) Within(d time.Duration) float64 {
 	if c.sum == 0 {
 		return 1
@@ -78,7 +78,7 @@
 	return in / c.sum
 }
 
-// Quantile is how long a share of the legs takes at most; ok is false if it is
+// Quantile is how long a share of the attempts takes at most; ok is false if it is
 // more than can be told.
 func (c *Cost) Quantile(share float64) (d time.Duration, ok bool) {
 	left := share * c.sum
@@ -90,7 +90,7 @@
 	return costOf(costBuckets), false
 }
 
-// Lateness is how late a leg that is sent now ends on average, given the time
+// Lateness is how late an attempt that is sent now ends on average, given the time
 // left to its aim and by how much it may be late at most.
 func (c *Cost) Lateness(aim, room time.Duration) time.Duration {
 	if c.sum == 0 {
--- a/way/costs.go
+++ b/way/costs.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"curlewwalk/cohort"
+	"curlewwalk/membership"
 )
 
 // Costs are what a sidecar has learned of its ways, by backend. Many threads
@@ -35,8 +35,8 @@
 // NewCosts makes an empty table.
 func NewCosts() *Costs { return &Costs{table: map[costKey]*Cost{}, start: time.Now()} }
 
-// Learn takes a leg that came back after a while, or that did not in time.
-func (c *Costs) Learn(way string, t cohort.Target, took time.Duration, missed bool) {
+// Learn takes an attempt that came back after a while, or that did not in time.
+func (c *Costs) Learn(way string, t membership.Target, took time.Duration, missed bool) {
 	now := time.Since(c.start)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -64,7 +64,7 @@
 
 // Of is what was learned of a way at a backend, or, if that is too little, of
 // the way at all.
-func (c *Costs) Of(way string, t cohort.Target) Cost {
+func (c *Costs) Of(way string, t membership.Target) Cost {
 	now := time.Since(c.start)
 	c.mu.Lock()
 	defer c.mu.Unlock()
