--- a/way/decision.go
+++ b/way/decision.go
@@ -6,13 +6,13 @@
 	"net/http"
 	"time"
 
-	"curlewwalk/cohort"
 	"curlewwalk/desired"
+	"curlewwalk/membership"
 )
 
 const (
-	// mostLegs is how many legs a request has whose way does not say.
-	mostLegs = 3 // (ours)
+	// mostAttempts is how many attempts a request has whose way does not say.
+	mostAttempts = 3 // (ours)
 	// mostAsked is how many it has, those that came to no backend counted in.
 	mostAsked = 8 // (ours)
 	// turnedAway is after how many refusals a request rather stands in line to be
@@ -29,7 +29,7 @@
 )
 
 // Decision is the object that is asked about one request. The executor obeys
-// it and tells it what came of each leg. (DESIGN 4.2)
+// it and tells it what came of each attempt. (DESIGN 4.2)
 type Decision struct {
 	// Way has as its Service the one that was picked for the request.
 	Way      desired.Way
@@ -37,19 +37,19 @@
 	Zone     string
 	Rand     *rand.Rand
 	Means    Means
-	legs     []Leg
-	// again is how many of the legs no longer tell against their targets.
+	attempts []Attempt
+	// again is how many of the attempts no longer tell against their targets.
 	again int
 }
 
-// Tell takes the fate of a leg.
-func (d *Decision) Tell(l Leg) { d.legs = append(d.legs, l) }
+// Tell takes the fate of an attempt.
+func (d *Decision) Tell(l Attempt) { d.attempts = append(d.attempts, l) }
 
-// Service is the one service that all legs go to.
+// Service is the one service that all attempts go to.
 func (d *Decision) Service() string { return d.Way.Service }
 
-// Legs lists the legs so far.
-func (d *Decision) Legs() []Leg { return d.legs }
+// Attempts lists the attempts so far.
+func (d *Decision) Attempts() []Attempt { return d.attempts }
 
 // history is what is known from the attempts so far.
 type history struct {
@@ -78,27 +78,27 @@
 		back:    cmp.Or(d.Means.Back, time.Second),
 		expired: !now.Before(d.Deadline),
 	}
-	for _, leg := range d.legs {
-		past.reason = leg.Reason
-		past.back = max(past.back, leg.Back)
-		if leg.Fate == Unknown {
+	for _, attempt := range d.attempts {
+		past.reason = attempt.Reason
+		past.back = max(past.back, attempt.Back)
+		if attempt.Fate == Unknown {
 			past.fate = Unknown
 		}
-		if leg.Reached || leg.Fate == Unknown {
+		if attempt.Reached || attempt.Fate == Unknown {
 			past.reached++
 		} else {
 			past.turned++
 		}
 	}
-	if n := len(d.legs); n > 0 && d.legs[n-1].Expired {
+	if n := len(d.attempts); n > 0 && d.attempts[n-1].Expired {
 		past.expired = true
 	}
 	return past
 }
 
 // Ask decides what comes next, on the snapshots as they are now.
-func (d *Decision) Ask(t *Table, v *cohort.View, now time.Time) Order {
-	if n := len(d.legs); n > 0 && d.legs[n-1].Fate == Answered {
+func (d *Decision) Ask(t *Table, v *membership.View, now time.Time) Order {
+	if n := len(d.attempts); n > 0 && d.attempts[n-1].Fate == Answered {
 		return Order{}
 	}
 	past := d.history(now)
@@ -111,7 +111,7 @@
 	target, patient, ok := d.target(t, v, past, now)
 	if !ok && now.Add(askAgain).Before(d.Means.Hold) {
 		// Those that refused it without a backend's having seen it may be asked again.
-		d.again = len(d.legs)
+		d.again = len(d.attempts)
 		return Order{Wait: askAgain}
 	}
 	if !ok {
@@ -132,21 +132,21 @@
 	if past.fate == Unknown && !d.Way.Repeatable {
 		return true
 	}
-	return past.reached >= cmp.Or(d.Way.Legs, mostLegs) || len(d.legs) >= mostAsked
+	return past.reached >= cmp.Or(d.Way.Attempts, mostAttempts) || len(d.attempts) >= mostAsked
 }
 
 // target chooses where the next attempt goes. A patient one was refused before and
 // rather waits in line to be late: it may go to those that refused it, too.
-func (d *Decision) target(t *Table, v *cohort.View, past history, now time.Time) (target cohort.Target, patient, ok bool) {
+func (d *Decision) target(t *Table, v *membership.View, past history, now time.Time) (target membership.Target, patient, ok bool) {
 	patient = d.Means.Late && past.turned >= turnedAway
 	if patient {
-		d.again = len(d.legs)
+		d.again = len(d.attempts)
 	}
 	target, ok = d.choose(t, v, now)
 	if ok || !d.Means.Late || past.turned == 0 {
 		return target, patient, ok
 	}
-	d.again = len(d.legs)
+	d.again = len(d.attempts)
 	target, ok = d.choose(t, v, now)
 	return target, true, ok
 }
@@ -154,7 +154,7 @@
 // lapsed tells whether nobody may be expected to admit the request now.
 func (d *Decision) lapsed() bool {
 	n := 0
-	for _, l := range d.legs {
+	for _, l := range d.attempts {
 		if l.Lapsed {
 			n++
 		}
@@ -174,8 +174,8 @@
 }
 
 // choose takes one of two random backends, of the own zone first.
-func (d *Decision) choose(t *Table, v *cohort.View, now time.Time) (cohort.Target, bool) {
-	var near, far, shunned []cohort.Target
+func (d *Decision) choose(t *Table, v *membership.View, now time.Time) (membership.Target, bool) {
+	var near, far, shunned []membership.Target
 	for _, c := range v.Service(d.Way.Service) {
 		switch {
 		case c.Leaving || t.Emptied(c.Zone) || d.tried(c):
@@ -198,9 +198,9 @@
 }
 
 // two takes the better of two random places.
-func (d *Decision) two(from []cohort.Target, now time.Time) (cohort.Target, bool) {
+func (d *Decision) two(from []membership.Target, now time.Time) (membership.Target, bool) {
 	if len(from) == 0 {
-		return cohort.Target{}, false
+		return membership.Target{}, false
 	}
 	i := d.Rand.IntN(len(from))
 	a := from[i]
@@ -215,12 +215,12 @@
 }
 
 // fill is the share of what a backend can bear that is taken.
-func fill(t cohort.Target) float64 {
+func fill(t membership.Target) float64 {
 	return float64(t.Load.Busy()) / max(1, float64(t.Capacity)*t.Share)
 }
 
-func (d *Decision) tried(t cohort.Target) bool {
-	for i, l := range d.legs {
+func (d *Decision) tried(t membership.Target) bool {
+	for i, l := range d.attempts {
 		if i < d.again && !l.Reached && l.Fate == NotRun {
 			continue
 		}
--- a/way/lapsed_test.go
+++ b/way/lapsed_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"curlewwalk/cohort"
 	"curlewwalk/desired"
+	"curlewwalk/membership"
 )
 
 // Where no sidecar is sure of the newest word, a request is refused at once, after two
@@ -23,9 +23,9 @@
 	}
 	table, _ := NewTable(desired.Word{})
 	for name, c := range map[string]struct {
-		unsure bool
-		sure   int // the how manieth sidecar that is asked admits; 0: none
-		legs   int
+		unsure   bool
+		sure     int // the how manieth sidecar that is asked admits; 0: none
+		attempts int
 	}{
 		"nobody is sure":               {true, 0, mostLapsed},
 		"the own one is":               {false, 0, mostAsked},
@@ -37,21 +37,21 @@
 			Way: desired.Way{Name: "w", Service: "s"}, Deadline: now.Add(time.Minute), Zone: "north", Rand: rand.New(rand.NewPCG(1, 1)),
 			Means: Means{
 				Aim: now.Add(time.Second), Room: time.Minute, Patience: time.Minute, Late: true, Hold: now.Add(time.Minute),
-				Cost:   func(target cohort.Target) Cost { return s.costs.Of("w", target) },
+				Cost:   func(target membership.Target) Cost { return s.costs.Of("w", target) },
 				Unsure: func() bool { return c.unsure }, Spend: func() bool { return true },
 			},
 		}
 		o := d.Ask(table, s.view, now)
-		for o.Send && len(d.Legs()) < 20 {
-			l := Leg{Target: o.Target, Fate: NotRun, Lapsed: true}
-			if len(d.Legs())+1 == c.sure {
-				l = Leg{Target: o.Target, Fate: Answered, Reached: true}
+		for o.Send && len(d.Attempts()) < 20 {
+			l := Attempt{Target: o.Target, Fate: NotRun, Lapsed: true}
+			if len(d.Attempts())+1 == c.sure {
+				l = Attempt{Target: o.Target, Fate: Answered, Reached: true}
 			}
 			d.Tell(l)
 			o = d.Ask(table, s.view, now)
 		}
-		if len(d.Legs()) != c.legs || o.Wait > 0 {
-			t.Errorf("%s: %d legs, then waits %v", name, len(d.Legs()), o.Wait)
+		if len(d.Attempts()) != c.attempts || o.Wait > 0 {
+			t.Errorf("%s: %d legs, then waits %v", name, len(d.Attempts()), o.Wait)
 		}
 		if c.sure == 0 && (o.End.Status != http.StatusServiceUnavailable || o.End.Fate != NotRun || o.End.RetryAfter <= 0) {
 			t.Errorf("%s: %+v", name, o.End)
--- a/way/order.go
+++ b/way/order.go
@@ -3,15 +3,15 @@
 import (
 	"time"
 
-	"curlewwalk/cohort"
+	"curlewwalk/membership"
 )
 
-// Order is what the executor must do next: send a leg, wait and ask again, or end the
+// Order is what the executor must do next: send an attempt, wait and ask again, or end the
 // request.
 type Order struct {
 	Send   bool
-	Target cohort.Target
-	// Patient says that the leg rather waits to be late than be refused.
+	Target membership.Target
+	// Patient says that the attempt rather waits to be late than be refused.
 	Patient bool
 	Wait    time.Duration
 	// End, when Send is false and Wait zero.
@@ -19,7 +19,7 @@
 }
 
 // End is how a request ends without a whole answer of its backend. A zero
-// Status means that the last leg's answer is passed on.
+// Status means that the last attempt's answer is passed on.
 type End struct {
 	Status     int
 	Fate       Fate
--- a/way/pick_test.go
+++ b/way/pick_test.go
@@ -6,8 +6,8 @@
 	"testing"
 	"time"
 
-	"curlewwalk/cohort"
 	"curlewwalk/desired"
+	"curlewwalk/membership"
 )
 
 // A split's services get their parts; one of no weight gets nothing.
@@ -25,32 +25,32 @@
 	}
 }
 
-// A request has as many legs as its way says, three if it says nothing.
-func TestLegs(t *testing.T) {
-	nodes := map[string]cohort.Node{}
+// A request has as many attempts as its way says, three if it says nothing.
+func TestAttempts(t *testing.T) {
+	nodes := map[string]membership.Node{}
 	for _, name := range []string{"a", "b", "c", "d", "e", "f"} {
-		nodes[name] = cohort.Node{Addr: name, Backends: []cohort.Backend{{Instance: name, Service: "s", Capacity: 1, Share: 1}}}
+		nodes[name] = membership.Node{Addr: name, Backends: []membership.Backend{{Instance: name, Service: "s", Capacity: 1, Share: 1}}}
 	}
-	view := cohort.NewView(nodes, nil)
+	view := membership.NewView(nodes, nil)
 	table, _ := NewTable(desired.Word{})
-	for legs, want := range map[int]int{0: 3, 1: 1, 2: 2, 5: 5, 10: 6} {
+	for attempts, want := range map[int]int{0: 3, 1: 1, 2: 2, 5: 5, 10: 6} {
 		now := time.Now()
 		d := Decision{
-			Way: desired.Way{Name: "w", Service: "s", Legs: legs}, Deadline: now.Add(time.Second), Rand: rand.New(rand.NewPCG(1, 1)),
-			Means: Means{Cost: func(cohort.Target) Cost { return Cost{} }, Spend: func() bool { return true }},
+			Way: desired.Way{Name: "w", Service: "s", Attempts: attempts}, Deadline: now.Add(time.Second), Rand: rand.New(rand.NewPCG(1, 1)),
+			Means: Means{Cost: func(membership.Target) Cost { return Cost{} }, Spend: func() bool { return true }},
 		}
 		for {
 			o := d.Ask(table, view, now)
 			if !o.Send {
 				if o.End.Status != http.StatusServiceUnavailable {
-					t.Errorf("legs %d: ended with %+v", legs, o.End)
+					t.Errorf("legs %d: ended with %+v", attempts, o.End)
 				}
 				break
 			}
-			d.Tell(Leg{Target: o.Target, Fate: NotRun, Reached: true})
+			d.Tell(Attempt{Target: o.Target, Fate: NotRun, Reached: true})
 		}
-		if got := len(d.Legs()); got != want {
-			t.Errorf("legs %d: %d were sent", legs, got)
+		if got := len(d.Attempts()); got != want {
+			t.Errorf("legs %d: %d were sent", attempts, got)
 		}
 	}
 }
--- a/way/spend.go
+++ b/way/spend.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"curlewwalk/cohort"
+	"curlewwalk/membership"
 )
 
 // Means is what a request may spend of its contract's budget, and what is known
@@ -15,7 +15,7 @@
 	// Patience is how late it may be planned to be.
 	Patience time.Duration
 	// Cost is what was learned of its way at a backend.
-	Cost func(t cohort.Target) Cost
+	Cost func(t membership.Target) Cost
 	// Crossing is the price of leaving the own zone, as a part of what being in time
 	// is worth; zero: nearly none. It is weighed against the chance of being late.
 	Crossing float64
@@ -27,7 +27,7 @@
 	Late bool
 	// Back is when to come again at the soonest, if it is refused; zero: a second.
 	Back time.Duration
-	// Spend pays for an extra leg after one that came to a backend.
+	// Spend pays for an extra attempt after one that came to a backend.
 	Spend func() bool
 	// Unsure, if set, tells whether the near sidecar too is not sure of the newest word.
 	Unsure func() bool
@@ -40,7 +40,7 @@
 	forPlaces = 4 // (ours)
 	// crossing is the price of leaving the own zone, as a part of the room.
 	crossing = 100 // (ours)
-	// hopeless is the share of legs that must come back in the time left.
+	// hopeless is the share of attempts that must come back in the time left.
 	hopeless = 0.1 // (ours)
 	// trickle is one of how many hopeless requests is sent all the same, so that
 	// a wrong lesson heals.
@@ -48,13 +48,13 @@
 )
 
 // late is how late the request would be at a place.
-func (m *Means) late(t cohort.Target, now time.Time) time.Duration {
+func (m *Means) late(t membership.Target, now time.Time) time.Duration {
 	c := m.Cost(t)
 	return c.Lateness(m.Aim.Sub(now), m.Room)
 }
 
 // inTime is the chance of being in time at a place.
-func (m *Means) inTime(t cohort.Target, now time.Time) float64 {
+func (m *Means) inTime(t membership.Target, now time.Time) float64 {
 	c := m.Cost(t)
 	if !c.Known() {
 		return 1
@@ -63,14 +63,14 @@
 }
 
 // bears tells whether the budget bears a place.
-func (m *Means) bears(t cohort.Target, now time.Time) bool {
+func (m *Means) bears(t membership.Target, now time.Time) bool {
 	return m.late(t, now) <= m.Patience/forPlaces
 }
 
 // prefer chooses between two places of which the first is the less busy. A
 // contract with room takes a slower one and leaves the quick one to others; one
 // without takes the quick one as long as that is not full.
-func (m *Means) prefer(a, b cohort.Target, now time.Time) cohort.Target {
+func (m *Means) prefer(a, b membership.Target, now time.Time) membership.Target {
 	ca, cb := m.Cost(a), m.Cost(b)
 	da, okA := ca.Quantile(0.5)
 	db, okB := cb.Quantile(0.5)
@@ -87,7 +87,7 @@
 }
 
 // crosses tells whether to leave the own zone for a place in another.
-func (m *Means) crosses(near, far cohort.Target, now time.Time) bool {
+func (m *Means) crosses(near, far membership.Target, now time.Time) bool {
 	if m.Crossing > 0 {
 		// A place that is full refuses, and then one crosses all the same.
 		there := m.inTime(far, now)
@@ -108,8 +108,8 @@
 	return m.late(far, now)+m.Room/crossing < m.late(near, now)
 }
 
-// vain tells whether a leg to a place would hardly come back in the time left.
-func (m *Means) vain(t cohort.Target, left time.Duration) bool {
+// vain tells whether an attempt to a place would hardly come back in the time left.
+func (m *Means) vain(t membership.Target, left time.Duration) bool {
 	c := m.Cost(t)
 	return c.Known() && c.Within(left) < hopeless
 }
--- a/way/spend_test.go
+++ b/way/spend_test.go
@@ -6,30 +6,30 @@
 	"testing"
 	"time"
 
-	"curlewwalk/cohort"
 	"curlewwalk/desired"
+	"curlewwalk/membership"
 )
 
 // site is a view with places of a service, and what was learned of them.
 type site struct {
-	nodes map[string]cohort.Node
+	nodes map[string]membership.Node
 	costs *Costs
-	view  *cohort.View
+	view  *membership.View
 	// crossing is Means.Crossing.
 	crossing float64
 }
 
-// newSite makes places by instance: where they stand and how long legs take.
+// newSite makes places by instance: where they stand and how long attempts take.
 func newSite(places map[string]struct {
 	zone  string
 	takes time.Duration
 },
 ) *site {
-	s := &site{nodes: map[string]cohort.Node{}, costs: NewCosts()}
+	s := &site{nodes: map[string]membership.Node{}, costs: NewCosts()}
 	for name, p := range places {
-		s.nodes[name] = cohort.Node{Addr: name, Backends: []cohort.Backend{{Instance: name, Service: "s", Zone: p.zone, Capacity: 4, Share: 1}}}
+		s.nodes[name] = membership.Node{Addr: name, Backends: []membership.Backend{{Instance: name, Service: "s", Zone: p.zone, Capacity: 4, Share: 1}}}
 	}
-	s.view = cohort.NewView(s.nodes, nil)
+	s.view = membership.NewView(s.nodes, nil)
 	for _, t := range s.view.Service("s") {
 		for range 20 {
 			s.costs.Learn("w", t, places[t.Instance].takes, false)
@@ -49,7 +49,7 @@
 			Way: desired.Way{Name: "w", Service: "s"}, Deadline: now.Add(left), Zone: "north", Rand: rand.New(rand.NewPCG(seed, 1)),
 			Means: Means{
 				Aim: now.Add(100 * time.Millisecond), Room: 900 * time.Millisecond, Patience: patience, Crossing: s.crossing,
-				Cost: func(t cohort.Target) Cost { return s.costs.Of("w", t) }, Spend: func() bool { return true },
+				Cost: func(t membership.Target) Cost { return s.costs.Of("w", t) }, Spend: func() bool { return true },
 			},
 		}
 		if o := d.Ask(table, s.view, now); o.Send {
@@ -78,7 +78,7 @@
 	}
 	for _, x := range s.view.Service("s") {
 		if x.Instance == "quick" {
-			x.Load.Legs.Add(5)
+			x.Load.Attempts.Add(5)
 		}
 	}
 	if got := s.picks(time.Second, 0); got["slow"] < 400 {
@@ -119,11 +119,11 @@
 	} {
 		s := newSite(places)
 		s.crossing = 0.06
-		s.nodes["far"] = cohort.Node{Addr: "far", Backends: []cohort.Backend{{Instance: "far", Service: "s", Zone: "south", Capacity: 4, Share: 1}}}
-		s.view = cohort.NewView(s.nodes, nil)
+		s.nodes["far"] = membership.Node{Addr: "far", Backends: []membership.Backend{{Instance: "far", Service: "s", Zone: "south", Capacity: 4, Share: 1}}}
+		s.view = membership.NewView(s.nodes, nil)
 		for _, x := range s.view.Service("s") {
 			if x.Instance == "near" {
-				x.Load.Legs.Add(c.open)
+				x.Load.Attempts.Add(c.open)
 			} else if c.far > 0 {
 				for range 20 {
 					s.costs.Learn("w", x, c.far, false)
@@ -137,7 +137,7 @@
 }
 
 // When the time left hardly covers what a way takes, it is refused before any
-// leg, not run; a trickle still goes, so that a wrong lesson heals.
+// attempt, not run; a trickle still goes, so that a wrong lesson heals.
 func TestVain(t *testing.T) {
 	s := newSite(places{"near": {"north", 500 * time.Millisecond}, "far": {"south", 500 * time.Millisecond}})
 	if got := s.picks(time.Second, 0); got["refused"] > 0 {
