--- a/collect/tree.go
+++ b/collect/tree.go
@@ -24,7 +24,7 @@
 	Parent string `json:"parent,omitempty"`
 	// Lost is set when the parent is not among the spans.
 	Lost       bool        `json:"parent_missing,omitempty"`
-	Way        string      `json:"way,omitempty"`
+	Route      string      `json:"way,omitempty"`
 	Service    string      `json:"service,omitempty"`
 	Caller     string      `json:"caller,omitempty"`
 	Link       trace.Link  `json:"link,omitempty"`
@@ -87,7 +87,7 @@
 }
 
 func (n *Node) add(e trace.Event) {
-	n.Way, n.Service, n.Caller = cmp.Or(n.Way, e.Way), cmp.Or(n.Service, e.Service), cmp.Or(n.Caller, e.Caller)
+	n.Route, n.Service, n.Caller = cmp.Or(n.Route, e.Route), cmp.Or(n.Service, e.Service), cmp.Or(n.Caller, e.Caller)
 	if n.Link == trace.LinkNone && e.Link != trace.LinkNone {
 		n.Link = e.Link
 		for _, c := range e.Candidates {
--- a/core/control.go
+++ b/core/control.go
@@ -15,8 +15,8 @@
 	"curlewwalk/membership"
 	"curlewwalk/process"
 	"curlewwalk/register"
+	"curlewwalk/routing"
 	"curlewwalk/trace"
-	"curlewwalk/way"
 	"curlewwalk/wire"
 )
 
@@ -236,7 +236,7 @@
 // getBudgets shows the budgets, summed over the nodes that this core hears.
 func (n *Node) getBudgets(w http.ResponseWriter, r *http.Request) {
 	st, ok := n.directory.State(r.Context())
-	table, good := way.NewTable(st.Word)
+	table, good := routing.NewTable(st.Word)
 	if !ok || !good {
 		process.Error(w, http.StatusServiceUnavailable, "no configuration is known")
 		return
--- a/desired/bytes_test.go
+++ b/desired/bytes_test.go
@@ -24,7 +24,7 @@
 			s.Cold = &Cold{For: Duration{Duration: 3 * time.Second}, Rate: 9.3}
 		}
 		st.Services = append(st.Services, s)
-		w := Way{Name: fmt.Sprintf("way-%d", i), Host: fmt.Sprintf("host-%d.example", i%40), Prefix: fmt.Sprintf("/some/where/%d/<&>", i), Contract: "quick"}
+		w := Route{Name: fmt.Sprintf("way-%d", i), Host: fmt.Sprintf("host-%d.example", i%40), Prefix: fmt.Sprintf("/some/where/%d/<&>", i), Contract: "quick"}
 		switch i % 3 {
 		case 0:
 			w.Service = s.Name
@@ -33,14 +33,14 @@
 		default:
 			w.Service, w.Methods, w.Contract, w.Repeatable = s.Name, []string{"GET", "HEAD"}, "slow", true
 		}
-		st.Ways = append(st.Ways, w)
+		st.Routes = append(st.Routes, w)
 	}
 	return st
 }
 
 // What a State is written as reads back as the same one.
 func TestBytes(t *testing.T) {
-	for name, st := range map[string]State{"empty": {}, "one way, nothing else": {Contracts: big(1).Contracts, Ways: big(1).Ways}, "all": big(40)} {
+	for name, st := range map[string]State{"empty": {}, "one way, nothing else": {Contracts: big(1).Contracts, Routes: big(1).Routes}, "all": big(40)} {
 		text := st.Bytes()
 		got, faults, ok := Parse(text)
 		if !ok || len(faults) > 0 {
--- a/desired/check.go
+++ b/desired/check.go
@@ -129,7 +129,7 @@
 	top := spot{name: "$"}
 	c.stray(&top, &st.Stray)
 	contracts, services := c.contracts(&top, st.Contracts), c.services(&top, st.Services)
-	c.ways(&top, st.Ways, contracts, services)
+	c.routes(&top, st.Routes, contracts, services)
 	p, l := spot{up: &top, name: "limits"}, &st.Limits
 	c.stray(&p, &l.Stray)
 	c.within(&p, "header_bytes", int64(l.HeaderBytes), 0, mostHeader)
@@ -185,7 +185,7 @@
 // taken is what a way takes: no two may take the same.
 type taken struct{ host, method, prefix string }
 
-func (c *checker) ways(top *spot, list []Way, contracts, services map[string]int) {
+func (c *checker) routes(top *spot, list []Route, contracts, services map[string]int) {
 	in, names, matches := spot{up: top, name: "ways"}, make(map[string]int, len(list)), make(map[taken]int, len(list))
 	for i := range list {
 		w, p := &list[i], spot{up: &in, index: i}
@@ -221,7 +221,7 @@
 }
 
 // leads checks where a way leads: to one service, or to several by weight.
-func (c *checker) leads(p *spot, w *Way, services map[string]int) {
+func (c *checker) leads(p *spot, w *Route, services map[string]int) {
 	known := func(p *spot, name string) {
 		if _, ok := services[name]; !ok && len(services) > 0 && IsName(name) {
 			c.fault(p, "service", "no service is named %q", name)
--- a/desired/check_test.go
+++ b/desired/check_test.go
@@ -40,22 +40,22 @@
 // Each rule of splits, services and limits has its fault.
 func TestRules(t *testing.T) {
 	head := `{"contracts":[{"name":"c","aim":"1ms","expiry":"1ms","rank":1}],`
-	way := func(rest string) string {
+	route := func(rest string) string {
 		return head + `"ways":[{"name":"w","prefix":"/","contract":"c",` + rest + `}]}`
 	}
 	for body, want := range map[string][]string{
-		way(`"service":"s"`):           nil,
-		way(`"service":"s","legs":10`): nil,
-		way(`"service":"s","legs":11`): {"$.ways[0].legs"},
-		way(`"service":"s","legs":-1`): {"$.ways[0].legs"},
-		way(`"repeatable":true`):       {"$.ways[0].service"},
-		way(`"split":[]`):              {"$.ways[0].service"},
-		way(`"split":[{"service":"a","weight":0},{"service":"b","weight":1000000}]`):    nil,
-		way(`"service":"s","split":[{"service":"a","weight":1}]`):                       {"$.ways[0].service"},
-		way(`"split":[{"service":"a","weight":0}]`):                                     {"$.ways[0].split"},
-		way(`"split":[{"service":"a","weight":1},{"service":"a","weight":1}]`):          {"$.ways[0].split[1].service"},
-		way(`"split":[{"service":"a","weight":1000001},{"service":"A","weight":1}]`):    {"$.ways[0].split[0].weight", "$.ways[0].split[1].service"},
-		way(`"split":[{"service":"a","weight":-1},{"service":"b","weight":0.5,"x":1}]`): {"$.ways[0].split[0].weight", "$.ways[0].split[1].weight", "$.ways[0].split[1].x", "$.ways[0].split"},
+		route(`"service":"s"`):           nil,
+		route(`"service":"s","legs":10`): nil,
+		route(`"service":"s","legs":11`): {"$.ways[0].legs"},
+		route(`"service":"s","legs":-1`): {"$.ways[0].legs"},
+		route(`"repeatable":true`):       {"$.ways[0].service"},
+		route(`"split":[]`):              {"$.ways[0].service"},
+		route(`"split":[{"service":"a","weight":0},{"service":"b","weight":1000000}]`):    nil,
+		route(`"service":"s","split":[{"service":"a","weight":1}]`):                       {"$.ways[0].service"},
+		route(`"split":[{"service":"a","weight":0}]`):                                     {"$.ways[0].split"},
+		route(`"split":[{"service":"a","weight":1},{"service":"a","weight":1}]`):          {"$.ways[0].split[1].service"},
+		route(`"split":[{"service":"a","weight":1000001},{"service":"A","weight":1}]`):    {"$.ways[0].split[0].weight", "$.ways[0].split[1].service"},
+		route(`"split":[{"service":"a","weight":-1},{"service":"b","weight":0.5,"x":1}]`): {"$.ways[0].split[0].weight", "$.ways[0].split[1].weight", "$.ways[0].split[1].x", "$.ways[0].split"},
 		head + `"services":[{"name":"a"},{"name":"b"}],"ways":[{"name":"w","prefix":"/","contract":"c","service":"s"},{"name":"v","prefix":"/v","contract":"c","split":[{"service":"a","weight":1},{"service":"x","weight":1}]}]}`: {
 			"$.ways[0].service", "$.ways[1].split[1].service",
 		},
--- a/desired/desired_easyjson.go
+++ b/desired/desired_easyjson.go
@@ -17,7 +17,7 @@
 	_ easyjson.Marshaler
 )
 
-func easyjsonDced91f4DecodeCurlewwalkDesired(in *jlexer.Lexer, out *Way) {
+func easyjsonDced91f4DecodeCurlewwalkDesired(in *jlexer.Lexer, out *Route) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -137,7 +137,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonDced91f4EncodeCurlewwalkDesired(out *jwriter.Writer, in Way) {
+func easyjsonDced91f4EncodeCurlewwalkDesired(out *jwriter.Writer, in Route) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -208,26 +208,26 @@
 }
 
 // MarshalJSON supports json.Marshaler interface
-func (v Way) MarshalJSON() ([]byte, error) {
+func (v Route) MarshalJSON() ([]byte, error) {
 	w := jwriter.Writer{}
 	easyjsonDced91f4EncodeCurlewwalkDesired(&w, v)
 	return w.Buffer.BuildBytes(), w.Error
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
-func (v Way) MarshalEasyJSON(w *jwriter.Writer) {
+func (v Route) MarshalEasyJSON(w *jwriter.Writer) {
 	easyjsonDced91f4EncodeCurlewwalkDesired(w, v)
 }
 
 // UnmarshalJSON supports json.Unmarshaler interface
-func (v *Way) UnmarshalJSON(data []byte) error {
+func (v *Route) UnmarshalJSON(data []byte) error {
 	r := jlexer.Lexer{Data: data}
 	easyjsonDced91f4DecodeCurlewwalkDesired(&r, v)
 	return r.Error()
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
-func (v *Way) UnmarshalEasyJSON(l *jlexer.Lexer) {
+func (v *Route) UnmarshalEasyJSON(l *jlexer.Lexer) {
 	easyjsonDced91f4DecodeCurlewwalkDesired(l, v)
 }
 func easyjsonDced91f4DecodeCurlewwalkDesired1(in *jlexer.Lexer, out *State) {
@@ -247,26 +247,26 @@
 		case "ways":
 			if in.IsNull() {
 				in.Skip()
-				out.Ways = nil
+				out.Routes = nil
 			} else {
 				in.Delim('[')
-				if out.Ways == nil {
+				if out.Routes == nil {
 					if !in.IsDelim(']') {
-						out.Ways = make([]Way, 0, 0)
+						out.Routes = make([]Route, 0, 0)
 					} else {
-						out.Ways = []Way{}
+						out.Routes = []Route{}
 					}
 				} else {
-					out.Ways = (out.Ways)[:0]
+					out.Routes = (out.Routes)[:0]
 				}
 				for !in.IsDelim(']') {
-					var v7 Way
+					var v7 Route
 					if in.IsNull() {
 						in.Skip()
 					} else {
 						(v7).UnmarshalEasyJSON(in)
 					}
-					out.Ways = append(out.Ways, v7)
+					out.Routes = append(out.Routes, v7)
 					in.WantComma()
 				}
 				in.Delim(']')
@@ -348,11 +348,11 @@
 	{
 		const prefix string = ",\"ways\":"
 		out.RawString(prefix[1:])
-		if in.Ways == nil && (out.Flags&jwriter.NilSliceAsEmpty) == 0 {
+		if in.Routes == nil && (out.Flags&jwriter.NilSliceAsEmpty) == 0 {
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v10, v11 := range in.Ways {
+			for v10, v11 := range in.Routes {
 				if v10 > 0 {
 					out.RawByte(',')
 				}
--- a/desired/fuzz_test.go
+++ b/desired/fuzz_test.go
@@ -6,7 +6,7 @@
 	"testing"
 
 	"curlewwalk/desired"
-	"curlewwalk/way"
+	"curlewwalk/routing"
 )
 
 // FuzzParse: whatever is sent as a configuration, it is taken whole or its faults are
@@ -31,7 +31,7 @@
 		if !ok || len(faults) > 0 {
 			return
 		}
-		table, ok := way.NewTable(desired.Word{Stamp: 1, DesiredStamp: 1, Desired: b})
+		table, ok := routing.NewTable(desired.Word{Stamp: 1, DesiredStamp: 1, Desired: b})
 		if !ok {
 			t.Fatal("what was found good can't be put in force")
 		}
--- a/desired/way.go
+++ b/desired/route.go
@@ -3,7 +3,7 @@
 // Way is one route: which requests go to which service, under which contract.
 //
 //easyjson:json
-type Way struct {
+type Route struct {
 	Stray
 	Name    string   `json:"name"`
 	Host    string   `json:"host,omitempty"`
@@ -21,7 +21,7 @@
 }
 
 // Services lists the services that the way leads to.
-func (w *Way) Services() (out []string) {
+func (w *Route) Services() (out []string) {
 	if w.Service != "" {
 		out = append(out, w.Service)
 	}
--- a/desired/state.go
+++ b/desired/state.go
@@ -9,7 +9,7 @@
 //easyjson:json
 type State struct {
 	Stray
-	Ways      []Way      `json:"ways"`
+	Routes    []Route    `json:"ways"`
 	Contracts []Contract `json:"contracts"`
 	Services  []Service  `json:"services,omitempty"`
 	Limits    Limits     `json:"limits,omitempty"`
--- a/lineage/book.go
+++ b/lineage/book.go
@@ -45,7 +45,7 @@
 	}
 	delete(b.open, id)
 	o.ended = true
-	b.ended[o.Way]++
+	b.ended[o.Route]++
 	for key, list := range b.guesses {
 		if key[0] != o.Service {
 			continue
@@ -57,7 +57,7 @@
 			}
 			for i, c := range g.of {
 				c.calls[key[1]] += g.share[i]
-				b.habit(c.Way, key[1]).learn(g.at.Sub(c.Since), g.share[i])
+				b.habit(c.Route, key[1]).learn(g.at.Sub(c.Since), g.share[i])
 			}
 			return true
 		})
@@ -66,9 +66,9 @@
 
 // Link ties an outgoing call of a service. told is the span that the call
 // itself carried, if any.
-func (b *Book) Link(service, way string, told trace.Span, now time.Time) Cause {
+func (b *Book) Link(service, route string, told trace.Span, now time.Time) Cause {
 	if o, ok := b.open[told.ID]; ok && o.Service == service && o.Span.Trace == told.Trace {
-		return b.sure(o, way, now)
+		return b.sure(o, route, now)
 	}
 	var all []*Open
 	for _, o := range b.open {
@@ -80,10 +80,10 @@
 	case 0:
 		return Cause{}
 	case 1:
-		return b.sure(all[0], way, now)
+		return b.sure(all[0], route, now)
 	}
 	inOrder(all)
-	return b.infer([2]string{service, way}, all, now)
+	return b.infer([2]string{service, route}, all, now)
 }
 
 // inOrder sorts candidates, so that a run can be repeated.
@@ -94,9 +94,9 @@
 }
 
 // sure ties a call to the one request that can have caused it.
-func (b *Book) sure(o *Open, way string, now time.Time) Cause {
-	o.calls[way]++
-	b.habit(o.Way, way).learn(now.Sub(o.Since), 1)
+func (b *Book) sure(o *Open, route string, now time.Time) Cause {
+	o.calls[route]++
+	b.habit(o.Route, route).learn(now.Sub(o.Since), 1)
 	return Cause{Parent: o.Span, Link: trace.LinkProven, Candidates: []trace.ID{o.Span.ID}, Deadline: o.Deadline, Rank: o.Rank}
 }
 
@@ -107,8 +107,8 @@
 	list := b.guesses[key]
 	earlier := made(list)
 	for i, o := range all {
-		left := max(0.02, 1-(o.calls[key[1]]+earlier[o])/b.usual(o.Way, key[1]))
-		g.share[i] = left * b.rate(o.Way, key[1]) * b.habits[[2]string{o.Way, key[1]}].density(now.Sub(o.Since))
+		left := max(0.02, 1-(o.calls[key[1]]+earlier[o])/b.usual(o.Route, key[1]))
+		g.share[i] = left * b.rate(o.Route, key[1]) * b.habits[[2]string{o.Route, key[1]}].density(now.Sub(o.Since))
 	}
 	g.settle()
 	if list = append(list, g); len(list) > mostOpen {
@@ -153,7 +153,7 @@
 		sums := made(list)
 		for _, g := range list {
 			for i, o := range g.of {
-				room := max(0.02, b.usual(o.Way, key[1])-o.calls[key[1]])
+				room := max(0.02, b.usual(o.Route, key[1])-o.calls[key[1]])
 				if m := sums[o]; m > room || o.ended && m > 0 {
 					g.share[i] *= room / m
 				}
@@ -164,25 +164,25 @@
 }
 
 // rate is how many calls of a way a request of another makes on average.
-func (b *Book) rate(way, call string) float64 {
+func (b *Book) rate(route, call string) float64 {
 	calls := 0.0
-	if h := b.habits[[2]string{way, call}]; h != nil {
+	if h := b.habits[[2]string{route, call}]; h != nil {
 		calls = h.calls
 	}
-	return (calls + 1) / (b.ended[way] + 1)
+	return (calls + 1) / (b.ended[route] + 1)
 }
 
 // usual is rate in whole calls.
-func (b *Book) usual(way, call string) float64 {
-	r := b.rate(way, call)
+func (b *Book) usual(route, call string) float64 {
+	r := b.rate(route, call)
 	if r < 0.5 {
 		return max(r, 0.02)
 	}
 	return math.Round(r)
 }
 
-func (b *Book) habit(way, call string) *habit {
-	key := [2]string{way, call}
+func (b *Book) habit(route, call string) *habit {
+	key := [2]string{route, call}
 	h := b.habits[key]
 	if h == nil {
 		h = new(habit)
--- a/lineage/book_test.go
+++ b/lineage/book_test.go
@@ -45,14 +45,14 @@
 		if left--; left < 0 {
 			return
 		}
-		way, call, work, inner := "place", "take", 30*time.Millisecond, 15*time.Millisecond
+		route, call, work, inner := "place", "take", 30*time.Millisecond, 15*time.Millisecond
 		if rng.IntN(7) < 3 {
-			way, call, work, inner = "read", "look", 10*time.Millisecond, 5*time.Millisecond
+			route, call, work, inner = "read", "look", 10*time.Millisecond, 5*time.Millisecond
 		}
 		vary := func(d time.Duration) time.Duration { return d/2 + time.Duration(rng.Int64N(int64(d))) }
 		total := vary(work)
 		s := trace.Root()
-		b.Enter(Open{Span: s, Service: "orders", Way: way, Since: base.Add(now), Deadline: base.Add(now + time.Minute)})
+		b.Enter(Open{Span: s, Service: "orders", Route: route, Since: base.Add(now), Deadline: base.Add(now + time.Minute)})
 		after(total/2, func() {
 			c := b.Link("orders", call, trace.Span{}, base.Add(now))
 			made++
@@ -105,8 +105,8 @@
 func TestLatestDeadline(t *testing.T) {
 	b, now := NewBook(), time.Now()
 	soon, late := trace.Root(), trace.Root()
-	b.Enter(Open{Span: soon, Service: "s", Way: "w", Rank: 3, Since: now, Deadline: now.Add(10 * time.Millisecond)})
-	b.Enter(Open{Span: late, Service: "s", Way: "w", Rank: 1, Since: now, Deadline: now.Add(time.Second)})
+	b.Enter(Open{Span: soon, Service: "s", Route: "w", Rank: 3, Since: now, Deadline: now.Add(10 * time.Millisecond)})
+	b.Enter(Open{Span: late, Service: "s", Route: "w", Rank: 1, Since: now, Deadline: now.Add(time.Second)})
 	c := b.Link("s", "call", trace.Span{}, now.Add(time.Millisecond))
 	if !c.Deadline.Equal(now.Add(time.Second)) || c.Rank != 1 || len(c.Candidates) != 2 {
 		t.Errorf("%+v", c)
--- a/lineage/keeper.go
+++ b/lineage/keeper.go
@@ -15,8 +15,8 @@
 }
 
 type query struct {
-	service, way string
-	told         trace.Span
+	service, route string
+	told           trace.Span
 	// left is the time left that it tells; set if it may be a client's.
 	left  *time.Duration
 	at    time.Time
@@ -39,9 +39,9 @@
 			b.Leave(id)
 		case q := <-k.links:
 			if q.left != nil {
-				q.reply <- b.Mingled(q.service, q.way, q.told, *q.left, q.at)
+				q.reply <- b.Mingled(q.service, q.route, q.told, *q.left, q.at)
 			} else {
-				q.reply <- b.Link(q.service, q.way, q.told, q.at)
+				q.reply <- b.Link(q.service, q.route, q.told, q.at)
 			}
 		case <-ctx.Done():
 			return
@@ -66,13 +66,13 @@
 }
 
 // Link ties an outgoing call.
-func (k *Keeper) Link(ctx context.Context, service, way string, told trace.Span) Cause {
-	return k.ask(ctx, query{service: service, way: way, told: told})
+func (k *Keeper) Link(ctx context.Context, service, route string, told trace.Span) Cause {
+	return k.ask(ctx, query{service: service, route: route, told: told})
 }
 
 // Mingled ties what may be a client's request as well as an outgoing call.
-func (k *Keeper) Mingled(ctx context.Context, service, way string, told trace.Span, left time.Duration) Cause {
-	return k.ask(ctx, query{service: service, way: way, told: told, left: &left})
+func (k *Keeper) Mingled(ctx context.Context, service, route string, told trace.Span, left time.Duration) Cause {
+	return k.ask(ctx, query{service: service, route: route, told: told, left: &left})
 }
 
 func (k *Keeper) ask(ctx context.Context, q query) Cause {
--- a/lineage/mingled.go
+++ b/lineage/mingled.go
@@ -25,11 +25,11 @@
 // time left than all that its service has open, or comes while nothing is, is a client's;
 // a way of which some are so is one of clients. What is left is inferred, never proven:
 // it decides no more than where the request hangs in its tree. (DESIGN 2.5)
-func (b *Book) Mingled(service, way string, told trace.Span, left time.Duration, now time.Time) Cause {
+func (b *Book) Mingled(service, route string, told trace.Span, left time.Duration, now time.Time) Cause {
 	if o, ok := b.open[told.ID]; ok && o.Service == service && o.Span.Trace == told.Trace {
-		return b.sure(o, way, now)
+		return b.sure(o, route, now)
 	}
-	key := [2]string{service, way}
+	key := [2]string{service, route}
 	m := b.mingled[key]
 	if m == nil {
 		m = &mingled{}
@@ -38,7 +38,7 @@
 	m.seen++
 	var all []*Open
 	for _, o := range b.open {
-		if o.Service == service && o.Way != way && !o.Deadline.Add(slack).Before(now.Add(left)) {
+		if o.Service == service && o.Route != route && !o.Deadline.Add(slack).Before(now.Add(left)) {
 			all = append(all, o)
 		}
 	}
--- a/lineage/mingled_test.go
+++ b/lineage/mingled_test.go
@@ -26,7 +26,7 @@
 			at := base.Add(now)
 			if len(open) < 9 && rng.IntN(50) == 0 {
 				s, work := trace.Root(), 80*time.Millisecond+time.Duration(rng.Int64N(int64(160*time.Millisecond)))
-				b.Enter(Open{Span: s, Service: "home", Way: "browse", Since: at, Deadline: at.Add(1800 * time.Millisecond)})
+				b.Enter(Open{Span: s, Service: "home", Route: "browse", Since: at, Deadline: at.Add(1800 * time.Millisecond)})
 				open = append(open, run{span: s, call: now + (work / 2).Truncate(time.Millisecond), to: now + work})
 			}
 			kept := open[:0]
@@ -47,13 +47,13 @@
 			}
 			open = kept
 			for _, c := range []struct {
-				way  string
-				left time.Duration
+				route string
+				left  time.Duration
 			}{{"browse", 2 * time.Second}, {"lodge", 2500 * time.Millisecond}, {"quick", time.Second}} {
 				if rng.IntN(60) > 0 {
 					continue
 				}
-				if c := b.Mingled("home", c.way, trace.Span{}, c.left, at); now > 20*time.Second {
+				if c := b.Mingled("home", c.route, trace.Span{}, c.left, at); now > 20*time.Second {
 					clients++
 					if !c.Parent.IsZero() {
 						wrong++
--- a/lineage/open.go
+++ b/lineage/open.go
@@ -12,7 +12,7 @@
 type Open struct {
 	Span     trace.Span
 	Service  string
-	Way      string
+	Route    string
 	Rank     int
 	Since    time.Time
 	Deadline time.Time
--- a/plan/moves.go
+++ b/plan/moves.go
@@ -11,7 +11,7 @@
 
 // Moves is what a change would move.
 type Moves struct {
-	Ways      []string `json:"ways"`
+	Routes    []string `json:"ways"`
 	Contracts []string `json:"contracts"`
 	// Services lists those of which something else is said; Limits tells whether
 	// clients are bound otherwise.
@@ -61,13 +61,13 @@
 
 // Any tells whether anything moves.
 func (m Moves) Any() bool {
-	return m.Limits || len(m.Ways)+len(m.Contracts)+len(m.Services)+len(m.Capacity)+len(m.Followers)+len(m.AtRisk) > 0 || m.Duty != nil || m.Collectors > 0
+	return m.Limits || len(m.Routes)+len(m.Contracts)+len(m.Services)+len(m.Capacity)+len(m.Followers)+len(m.AtRisk) > 0 || m.Duty != nil || m.Collectors > 0
 }
 
 // String is the moves as text.
 func (m Moves) String() string {
 	var b strings.Builder
-	for _, w := range m.Ways {
+	for _, w := range m.Routes {
 		fmt.Fprintf(&b, "way %s\n", w)
 	}
 	for _, c := range m.Contracts {
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -54,7 +54,7 @@
 	if len(faults) > 0 {
 		return m, faults
 	}
-	m.Ways = differ(before.state.Ways, after.state.Ways, func(w desired.Way) string { return w.Name })
+	m.Routes = differ(before.state.Routes, after.state.Routes, func(w desired.Route) string { return w.Name })
 	m.Contracts = differ(before.state.Contracts, after.state.Contracts, func(k desired.Contract) string { return k.Name })
 	m.Services = differ(before.state.Services, after.state.Services, func(x desired.Service) string { return x.Name })
 	m.Limits = text(before.state.Limits) != text(after.state.Limits)
@@ -148,7 +148,7 @@
 // risks lists the contracts of ways whose service is left without backends, or
 // with less than half of its places.
 func risks(before, after side) (out []Risk) {
-	for _, w := range after.state.Ways {
+	for _, w := range after.state.Routes {
 		for _, service := range w.Services() {
 			was, is := before.of(service), after.of(service)
 			switch {
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -335,12 +335,12 @@
 
 // Configuration is the fleet's plans as an operator would put them.
 func (f *Fleet) Configuration() []byte {
-	var ways, contracts []map[string]any
+	var routes, contracts []map[string]any
 	for _, p := range f.Size.Plans {
-		ways = append(ways, map[string]any{"name": p.Name, "prefix": p.Prefix, "methods": []string{p.Method}, "service": p.Service, "contract": p.Name, "repeatable": p.Repeatable})
+		routes = append(routes, map[string]any{"name": p.Name, "prefix": p.Prefix, "methods": []string{p.Method}, "service": p.Service, "contract": p.Name, "repeatable": p.Repeatable})
 		contracts = append(contracts, map[string]any{"name": p.Name, "aim": p.Aim.String(), "expiry": p.Deadline.String(), "rank": p.Rank})
 	}
-	b, _ := json.MarshalIndent(map[string]any{"ways": ways, "contracts": contracts}, "", "  ")
+	b, _ := json.MarshalIndent(map[string]any{"ways": routes, "contracts": contracts}, "", "  ")
 	return b
 }
 
--- a/proof/fleet/tree.go
+++ b/proof/fleet/tree.go
@@ -10,9 +10,9 @@
 
 // Branch is one span of a tree.
 type Branch struct {
-	Span, Parent, Way, Service, Caller, Link string
-	Candidates, Missing                      []string
-	Events                                   []struct {
+	Span, Parent, Route, Service, Caller, Link string
+	Candidates, Missing                        []string
+	Events                                     []struct {
 		Kind, Node, Outcome, Reason string
 		Counter                     uint64
 		Status                      int
--- a/proof/generation_test.go
+++ b/proof/generation_test.go
@@ -17,7 +17,7 @@
 	st := desired.State{Contracts: []desired.Contract{{Name: "c", Aim: desired.Duration{Duration: time.Second}, Deadline: desired.Duration{Duration: 2 * time.Second}, Rank: 1}}}
 	for i := range n {
 		st.Services = append(st.Services, desired.Service{Name: fmt.Sprint("s", i), Connections: number})
-		st.Ways = append(st.Ways, desired.Way{
+		st.Routes = append(st.Routes, desired.Route{
 			Name: fmt.Sprint("w", i), Prefix: fmt.Sprint("/", i), Contract: "c",
 			Split: []desired.Portion{{Service: fmt.Sprint("s", i), Weight: 95}, {Service: "s0", Weight: 5}}[:min(2, 1+i)],
 		})
--- a/proof/loss_test.go
+++ b/proof/loss_test.go
@@ -194,14 +194,14 @@
 		t.Errorf("the quick backend ran %d, the slow one %d", quick, slow)
 	}
 	var pages []struct {
-		Way, Instance, Half string
-		Weight              float64
+		Route, Instance, Half string
+		Weight                float64
 	}
 	_, err := f.Sidecars[3].Get(ctx, "/v1/costs", &pages)
 	must(t, err)
 	half := map[string]time.Duration{}
 	for _, p := range pages {
-		if p.Way == "order-place" && p.Instance != "" {
+		if p.Route == "order-place" && p.Instance != "" {
 			half[p.Instance], _ = time.ParseDuration(p.Half)
 		}
 	}
--- a/proof/messages/messages_test.go
+++ b/proof/messages/messages_test.go
@@ -19,8 +19,8 @@
 	"curlewwalk/membership"
 	"curlewwalk/register"
 	"curlewwalk/relay"
+	"curlewwalk/routing"
 	"curlewwalk/trace"
-	"curlewwalk/way"
 	"curlewwalk/wire"
 )
 
@@ -72,16 +72,16 @@
 	of(register.KindPatchedOrder, desired.Patch{Difference: []byte{8, 1, 2, 3, 4}}, patched),
 	of("answer", register.Answer{ID: 1, Result: register.Taken}, func(register.Answer) {}),
 	of(register.KindSeat, register.Asker{ID: 5, Addr: "127.0.0.1:5", Zone: "north"}, asker),
-	of(collect.KindPublish, collect.Batch{Events: []trace.Event{{Trace: trace.Root().Trace, Way: "w"}}}, batch),
+	of(collect.KindPublish, collect.Batch{Events: []trace.Event{{Trace: trace.Root().Trace, Route: "w"}}}, batch),
 	of(collect.KindTrace, collect.Query{Trace: trace.Root().Trace}, func(collect.Query) {}),
 	of(custody.KindHold, custody.Entry{Owner: "o", Boot: 1, N: 1, Key: claim.Key{Text: "k"}, For: time.Minute, Response: []byte("r")}, hold),
 	of("held", custody.Held{Taken: true, Known: &custody.Entry{Owner: "o"}}, func(custody.Held) {}),
 	of(custody.KindHandover, custody.Handover{Owner: "o", Boot: 2}, func(q custody.Handover) { custody.NewHoldings().Handover(q, 0) }),
 	of("handed", custody.Handed{Entries: []custody.Entry{{Owner: "o", N: 1}}}, handed),
 	of(relay.KindAttempt, relay.Attempt{ID: "x", Service: "s", Instance: "i", Boot: 7, Method: "GET", URI: "/", Left: time.Second}, func(relay.Attempt) {}),
-	of("leg receipt", relay.AttemptResponse{ID: "x", Fate: way.Answered, Status: 200, Body: []byte("ok")}, func(relay.AttemptResponse) {}),
+	of("leg receipt", relay.AttemptResponse{ID: "x", Fate: routing.Answered, Status: 200, Body: []byte("ok")}, func(relay.AttemptResponse) {}),
 	of(relay.KindRecall, relay.Recall{ID: "x", Boot: 7}, func(relay.Recall) {}),
-	of("receipt", relay.Response{Status: 200, Body: []byte("ok"), Fate: way.Answered}, func(relay.Response) {}),
+	of("receipt", relay.Response{Status: 200, Body: []byte("ok"), Fate: routing.Answered}, func(relay.Response) {}),
 }
 
 func see(nodes ...membership.Node) {
@@ -143,7 +143,7 @@
 		return
 	}
 	w.Shut()
-	if t, ok := way.NewTable(*w); ok {
+	if t, ok := routing.NewTable(*w); ok {
 		t.Match("x", "/", "GET")
 	}
 }
--- a/proof/scale/delay.go
+++ b/proof/scale/delay.go
@@ -101,14 +101,14 @@
 		b   []byte
 		due time.Time
 	}
-	way := make(chan piece, held)
+	route := make(chan piece, held)
 	go func() {
-		defer close(way)
+		defer close(route)
 		for {
 			b := make([]byte, 8<<10)
 			n, err := src.Read(b)
 			if n > 0 {
-				way <- piece{b[:n], time.Now().Add(d)}
+				route <- piece{b[:n], time.Now().Add(d)}
 			}
 			if err != nil {
 				return
@@ -116,7 +116,7 @@
 		}
 	}()
 	broken := false
-	for p := range way {
+	for p := range route {
 		if left := time.Until(p.due); left > 0 && !broken {
 			t := time.NewTimer(left)
 			<-t.C
--- a/proof/scale/parts.go
+++ b/proof/scale/parts.go
@@ -18,8 +18,8 @@
 	"curlewwalk/launch"
 	"curlewwalk/membership"
 	"curlewwalk/proof/fleet"
+	"curlewwalk/routing"
 	"curlewwalk/trace"
-	"curlewwalk/way"
 	"curlewwalk/wire"
 )
 
@@ -149,10 +149,10 @@
 		}
 	})
 	before = heap()
-	var table *way.Table
+	var table *routing.Table
 	took("table_made", func() {
 		var ok bool
-		if table, ok = way.NewTable(w); !ok {
+		if table, ok = routing.NewTable(w); !ok {
 			v["table_refused"] = 1
 		}
 	})
@@ -189,7 +189,7 @@
 			}
 			batch.Events[i] = trace.Event{
 				Trace: root.Trace, Span: trace.NewID(), Parent: root.ID, Kind: trace.ServerReceive, Counter: uint64(i), Node: "127.10.2.1:7400", Boot: uint64(1)<<63 + uint64(b),
-				Since: time.Since(begin), Way: serviceName(b), Service: serviceName(i), Caller: serviceName(b), Instance: "service-1-127.10.2.1", Status: 200,
+				Since: time.Since(begin), Route: serviceName(b), Service: serviceName(i), Caller: serviceName(b), Instance: "service-1-127.10.2.1", Status: 200,
 			}
 		}
 		var t collect.Taken
--- a/proof/simulator/attempt.go
+++ b/proof/simulator/attempt.go
@@ -10,7 +10,7 @@
 	"curlewwalk/desired"
 	"curlewwalk/membership"
 	"curlewwalk/relay"
-	"curlewwalk/way"
+	"curlewwalk/routing"
 )
 
 // Attempts is a run of the life of attempts and keys: sidecars that claim, entrust, decide,
@@ -23,7 +23,7 @@
 	base  time.Time
 	nodes []*attemptNode
 	view  *membership.View
-	table *way.Table
+	table *routing.Table
 	until time.Duration
 
 	serial int
@@ -52,14 +52,14 @@
 
 // attemptAnswer is what a client gets.
 type attemptAnswer struct {
-	Fate way.Fate
+	Fate routing.Fate
 	Text string
 }
 
 // NewAttempts lays a run out: some nodes, backends on the last two.
 func NewAttempts(seed uint64, nodes int) *Attempts {
 	l := &Attempts{rng: rand.New(rand.NewPCG(seed, 19)), base: time.Now(), runs: map[string]int{}, denied: map[string]bool{}}
-	l.table, _ = way.NewTable(desired.Word{})
+	l.table, _ = routing.NewTable(desired.Word{})
 	for i := range nodes {
 		n := &attemptNode{Node: membership.Node{Addr: fmt.Sprintf("node-%d", i), Zone: fmt.Sprintf("locality-%d", i%3)}}
 		if i >= nodes-2 {
@@ -269,9 +269,9 @@
 
 func restored(e custody.Entry) attemptAnswer {
 	if e.Response == nil {
-		return attemptAnswer{Fate: way.Unknown}
+		return attemptAnswer{Fate: routing.Unknown}
 	}
-	return attemptAnswer{Fate: way.Answered, Text: string(e.Response)}
+	return attemptAnswer{Fate: routing.Answered, Text: string(e.Response)}
 }
 
 // send has a client send an order, and repeat it as clients do: one without a key
@@ -298,14 +298,14 @@
 			}
 			answered = true
 			switch a.Fate {
-			case way.Answered:
+			case routing.Answered:
 				l.Answered++
 				if a.Text != id {
 					l.wrong("%s was answered with that of %q", id, a.Text)
 				}
-			case way.Unknown:
+			case routing.Unknown:
 				l.Unknown++
-			case way.NotRun:
+			case routing.NotRun:
 				l.NotRun++
 				l.denied[name] = true
 				if !keyed && l.runs[id] > 0 {
@@ -355,7 +355,7 @@
 		return
 	}
 	if !n.ready {
-		got(attemptAnswer{Fate: way.Unknown})
+		got(attemptAnswer{Fate: routing.Unknown})
 		return
 	}
 	key := claim.Key{Text: id}
@@ -417,7 +417,7 @@
 	ask = func() {
 		if asked == len(ranked) {
 			settle(nil, true)
-			finish(attemptAnswer{Fate: way.NotRun}, false)
+			finish(attemptAnswer{Fate: routing.NotRun}, false)
 			return
 		}
 		o := l.node(ranked[asked].Addr)
@@ -433,12 +433,12 @@
 				if by = append(by, o); len(by) == want {
 					l.attempts(n, id, name, func(a attemptAnswer) {
 						switch a.Fate {
-						case way.Answered:
+						case routing.Answered:
 							settle([]byte(a.Text), false)
-						case way.NotRun:
+						case routing.NotRun:
 							settle(nil, true)
 						}
-						finish(a, a.Fate != way.NotRun)
+						finish(a, a.Fate != routing.NotRun)
 					})
 				}
 			default:
@@ -454,16 +454,16 @@
 // attempts asks the decision and obeys, as relay.Near.run does.
 func (l *Attempts) attempts(n *attemptNode, id, name string, got func(attemptAnswer)) {
 	deadline := l.now + 2*time.Second
-	d := &way.Decision{
-		Way: desired.Way{Name: "w", Service: "s"}, Deadline: l.base.Add(deadline), Zone: n.Zone, Rand: l.rng,
-		Means: way.Means{Cost: func(membership.Target) way.Cost { return way.Cost{} }, Spend: func() bool { return true }},
+	d := &routing.Decision{
+		Route: desired.Route{Name: "w", Service: "s"}, Deadline: l.base.Add(deadline), Zone: n.Zone, Rand: l.rng,
+		Means: routing.Means{Cost: func(membership.Target) routing.Cost { return routing.Cost{} }, Spend: func() bool { return true }},
 	}
 	last := ""
 	var next func()
 	next = func() {
 		o := d.Ask(l.table, l.view, l.base.Add(l.now))
 		if !o.Send {
-			a := attemptAnswer{Fate: way.Answered, Text: last}
+			a := attemptAnswer{Fate: routing.Answered, Text: last}
 			if o.End.Status != 0 {
 				a = attemptAnswer{Fate: o.End.Fate}
 			}
@@ -473,15 +473,15 @@
 		n.attempts++
 		attempt := relay.Attempt{ID: fmt.Sprintf("%s/%d/%s", n.Addr, n.attempts, name), Boot: o.Target.Boot, Left: deadline - l.now}
 		far := l.node(o.Target.Node)
-		told := func(fate way.Fate) {
-			d.Tell(way.Attempt{Target: o.Target, Fate: fate, Reason: "simulated"})
+		told := func(fate routing.Fate) {
+			d.Tell(routing.Attempt{Target: o.Target, Fate: fate, Reason: "simulated"})
 			next()
 		}
 		l.call(n, far, deadline-l.now, func(reply func(any)) { l.far(far, attempt, id, name, reply) }, func(answer any, unsent bool) {
 			rc, ok := answer.(relay.AttemptResponse)
 			switch {
 			case unsent:
-				told(way.NotRun)
+				told(routing.NotRun)
 			case ok:
 				last = string(rc.Body)
 				told(rc.Fate)
@@ -491,9 +491,9 @@
 					reply(far.ledger.Refuse(attempt.ID, l.now) && attempt.Boot == far.Boot)
 				}, func(answer any, _ bool) {
 					if proven, ok := answer.(bool); ok && proven {
-						told(way.NotRun)
+						told(routing.NotRun)
 					} else {
-						told(way.Unknown)
+						told(routing.Unknown)
 					}
 				})
 			}
@@ -506,9 +506,9 @@
 // its sidecar once it was written to.
 func (l *Attempts) far(n *attemptNode, attempt relay.Attempt, id, name string, reply func(any)) {
 	refuse := func() {
-		fate := way.NotRun
+		fate := routing.NotRun
 		if !n.ledger.Refuse(attempt.ID, l.now) {
-			fate = way.Unknown
+			fate = routing.Unknown
 		}
 		reply(relay.AttemptResponse{ID: attempt.ID, Fate: fate})
 	}
@@ -517,24 +517,24 @@
 		return
 	}
 	if !n.ledger.Begin(attempt.ID, l.now) {
-		reply(relay.AttemptResponse{ID: attempt.ID, Fate: way.Unknown})
+		reply(relay.AttemptResponse{ID: attempt.ID, Fate: routing.Unknown})
 		return
 	}
 	began := l.now
 	l.after(l.some(20*time.Millisecond), func() { // the backend is dialled
 		l.on(n, func() {
 			if l.now-began > attempt.Left || l.rng.IntN(20) == 0 {
-				reply(relay.AttemptResponse{ID: attempt.ID, Fate: way.NotRun}) // shut before the write
+				reply(relay.AttemptResponse{ID: attempt.ID, Fate: routing.NotRun}) // shut before the write
 				return
 			}
 			l.ran(id, name)
 			l.after(l.some(60*time.Millisecond), func() {
 				l.on(n, func() {
 					if l.rng.IntN(20) == 0 {
-						reply(relay.AttemptResponse{ID: attempt.ID, Fate: way.Unknown}) // its answer is lost
+						reply(relay.AttemptResponse{ID: attempt.ID, Fate: routing.Unknown}) // its answer is lost
 						return
 					}
-					reply(relay.AttemptResponse{ID: attempt.ID, Fate: way.Answered, Body: []byte(id)})
+					reply(relay.AttemptResponse{ID: attempt.ID, Fate: routing.Answered, Body: []byte(id)})
 				})
 			})
 		})
--- a/proof/simulator/line_test.go
+++ b/proof/simulator/line_test.go
@@ -8,14 +8,14 @@
 	"curlewwalk/desired"
 	"curlewwalk/membership"
 	"curlewwalk/roster"
-	"curlewwalk/way"
+	"curlewwalk/routing"
 )
 
 // A cold backend with everybody coming at once, whose sidecar is killed again and
 // again while its runs go on, never runs more than one and a half times what it
 // can bear at that moment; in between it is used.
 func TestColdThroughKills(t *testing.T) {
-	table, ok := way.NewTable(desired.Word{Stamp: 1, DesiredStamp: 1, Desired: []byte(`{"contracts": [{"name":"c","aim":"1s","expiry":"4s","rank":1}], "ways": [{"name":"w","prefix":"/","service":"s","contract":"c"}]}`)})
+	table, ok := routing.NewTable(desired.Word{Stamp: 1, DesiredStamp: 1, Desired: []byte(`{"contracts": [{"name":"c","aim":"1s","expiry":"4s","rank":1}], "ways": [{"name":"w","prefix":"/","service":"s","contract":"c"}]}`)})
 	if !ok {
 		t.Fatal("no table")
 	}
@@ -65,7 +65,7 @@
 					}
 				})
 			}
-			v, id, _, s := line.Ask(roster.Bid{Rank: 1 + rng.IntN(3), Way: "w", Left: 4 * time.Second}, limit(), q.now)
+			v, id, _, s := line.Ask(roster.Bid{Rank: 1 + rng.IntN(3), Route: "w", Left: 4 * time.Second}, limit(), q.now)
 			switch v {
 			case roster.Run:
 				run()
--- a/proof/trace_test.go
+++ b/proof/trace_test.go
@@ -50,10 +50,10 @@
 				len(tr.Roots[0].Events) == 4 && len(tr.Roots[0].Children[0].Events) == 4
 		}))
 		root, child := tr.Roots[0], tr.Roots[0].Children[0]
-		if root.Parent != "00000000000000ff" || root.Way != "order-read" || root.Caller != "" || tr.Whole {
+		if root.Parent != "00000000000000ff" || root.Route != "order-read" || root.Caller != "" || tr.Whole {
 			t.Errorf("root %+v, whole %v though the client's own span is missing", root, tr.Whole)
 		}
-		if child.Parent != root.Span || child.Way != "stock-read" || child.Caller != "orders" || child.Link != "proven" || len(child.Candidates) != 1 {
+		if child.Parent != root.Span || child.Route != "stock-read" || child.Caller != "orders" || child.Link != "proven" || len(child.Candidates) != 1 {
 			t.Errorf("child %+v", child)
 		}
 		for _, b := range []fleet.Branch{root, child} {
--- a/relay/answers_test.go
+++ b/relay/answers_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"curlewwalk/way"
+	"curlewwalk/routing"
 	"curlewwalk/wire"
 )
 
@@ -56,7 +56,7 @@
 						b.good(t, Attempt{})
 					}
 					rc := b.put(Attempt{ID: "broken", Body: make([]byte, size)}, nil)
-					if rc.Fate != way.Unknown || len(rc.Body) > 0 || rc.Status != 0 {
+					if rc.Fate != routing.Unknown || len(rc.Body) > 0 || rc.Status != 0 {
 						t.Errorf("%+v", rc)
 					}
 					b.good(t, Attempt{})
@@ -80,11 +80,11 @@
 	for name, rc := range map[string]AttemptResponse{
 		"no fate":          {Reason: "x"},
 		"another fate":     {Fate: "half-run", Status: 200},
-		"no status":        {Fate: way.Answered},
-		"an odd status":    {Fate: way.Answered, Status: 1000},
-		"a passing status": {Fate: way.Answered, Status: 100},
-		"another's":        {ID: "another's", Fate: way.Answered, Status: 200, Body: []byte("another's")},
-		"another's word":   {ID: "another's", Fate: way.NotRun},
+		"no status":        {Fate: routing.Answered},
+		"an odd status":    {Fate: routing.Answered, Status: 1000},
+		"a passing status": {Fate: routing.Answered, Status: 100},
+		"another's":        {ID: "another's", Fate: routing.Answered, Status: 200, Body: []byte("another's")},
+		"another's word":   {ID: "another's", Fate: routing.NotRun},
 	} {
 		t.Run(name, func(t *testing.T) {
 			attempts := 0
@@ -104,7 +104,7 @@
 			c := p.client(t)
 			c.say("POST /once/x HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx")
 			resp, body := c.hear()
-			if resp == nil || resp.StatusCode != 502 || resp.Header.Get(HeaderOutcome) != string(way.Unknown) || attempts != 1 {
+			if resp == nil || resp.StatusCode != 502 || resp.Header.Get(HeaderOutcome) != string(routing.Unknown) || attempts != 1 {
 				t.Errorf("%+v %s after %d legs", resp, body, attempts)
 			}
 		})
@@ -133,7 +133,7 @@
 				t.Errorf("%+v", r)
 			}
 			var rc AttemptResponse
-			if r := p.near.Net.Call(ctx, node, wire.Control, KindRecall, Recall{ID: "odd", Boot: 7}); !r.Into(&rc) || rc.Fate != way.NotRun {
+			if r := p.near.Net.Call(ctx, node, wire.Control, KindRecall, Recall{ID: "odd", Boot: 7}); !r.Into(&rc) || rc.Fate != routing.NotRun {
 				t.Errorf("recalled: %+v", rc)
 			}
 			if len(p.uris()) > 0 {
@@ -155,7 +155,7 @@
 	p := newPair(t, plainly)
 	r := httptest.NewRequest("POST", "/once/x", stuck{})
 	r.ContentLength = 10
-	if rc := p.near.serve("", r); rc.Status != http.StatusRequestTimeout || rc.Fate != way.NotRun {
+	if rc := p.near.serve("", r); rc.Status != http.StatusRequestTimeout || rc.Fate != routing.NotRun {
 		t.Errorf("%+v", rc)
 	}
 }
@@ -188,16 +188,16 @@
 			<-came
 			p.cut()
 			resp, body := c.hear()
-			status, outcome := 503, way.NotRun
+			status, outcome := 503, routing.NotRun
 			if !heard {
-				status, outcome = 502, way.Unknown
+				status, outcome = 502, routing.Unknown
 			}
 			if resp == nil || resp.StatusCode != status || resp.Header.Get(HeaderOutcome) != string(outcome) {
 				t.Errorf("%+v %s", resp, body)
 			}
 			close(woken)
 			rc := <-ended
-			if heard && (rc.Fate == way.Answered || len(p.uris()) > 0) {
+			if heard && (rc.Fate == routing.Answered || len(p.uris()) > 0) {
 				t.Errorf("it was promised not to run, and came to %+v", rc)
 			}
 			if p.uris()["/once/x"] > 1 || len(came) > 0 {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"curlewwalk/way"
+	"curlewwalk/routing"
 )
 
 // KindAttempt and KindRecall are kinds on the wire.
@@ -25,7 +25,7 @@
 	Service  string        `msgpack:"s"`
 	Instance string        `msgpack:"i"`
 	Boot     uint64        `msgpack:"bt"`
-	Way      string        `msgpack:"w"`
+	Route    string        `msgpack:"w"`
 	Rank     int           `msgpack:"rk"`
 	Left     time.Duration `msgpack:"l"`
 	// Aim is the time left until the request is late; it waits no longer.
@@ -77,11 +77,11 @@
 
 // AttemptResponse is what the far sidecar tells of an attempt.
 type AttemptResponse struct {
-	ID     string      `msgpack:"id"`
-	Fate   way.Fate    `msgpack:"f"`
-	Reason string      `msgpack:"r,omitempty"`
-	Status int         `msgpack:"s"`
-	Header http.Header `msgpack:"h"`
+	ID     string       `msgpack:"id"`
+	Fate   routing.Fate `msgpack:"f"`
+	Reason string       `msgpack:"r,omitempty"`
+	Status int          `msgpack:"s"`
+	Header http.Header  `msgpack:"h"`
 	// Trailer is what the backend sent behind its body.
 	Trailer http.Header `msgpack:"tr,omitempty"`
 	Body    []byte      `msgpack:"b"`
@@ -96,9 +96,9 @@
 // of tells whether the response is understood, and is that of an attempt.
 func (r *AttemptResponse) of(attempt *Attempt) bool {
 	switch r.Fate {
-	case way.Answered:
+	case routing.Answered:
 		return r.ID == attempt.ID && r.Status >= 200 && r.Status <= 999
-	case way.NotRun, way.Unknown:
+	case routing.NotRun, routing.Unknown:
 		return r.ID == attempt.ID
 	}
 	return false
--- a/relay/bench_test.go
+++ b/relay/bench_test.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"curlewwalk/roster"
-	"curlewwalk/way"
+	"curlewwalk/routing"
 )
 
 // standInVar tells the test binary to be a backend in a process of its own, so that
@@ -61,7 +61,7 @@
 	before := cpu()
 	b.ResetTimer()
 	for range b.N {
-		if rc := w.put(attempt, open); rc.Fate != way.Answered {
+		if rc := w.put(attempt, open); rc.Fate != routing.Answered {
 			b.Fatalf("%+v", rc)
 		}
 	}
--- a/relay/cold_test.go
+++ b/relay/cold_test.go
@@ -9,8 +9,8 @@
 	"curlewwalk/desired"
 	"curlewwalk/lineage"
 	"curlewwalk/roster"
+	"curlewwalk/routing"
 	"curlewwalk/trace"
-	"curlewwalk/way"
 )
 
 // A cold backend is let have its service's rate over any second, from the sidecar's
@@ -24,13 +24,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	f.links.launcher.Go(ctx, "lineage", f.Lineage.Run)
-	table, ok := way.NewTable(desired.Word{Stamp: 1, DesiredStamp: 1, Desired: []byte(`{"ways": [{"name": "w", "prefix": "/", "service": "desk", "contract": "c"}],
+	table, ok := routing.NewTable(desired.Word{Stamp: 1, DesiredStamp: 1, Desired: []byte(`{"ways": [{"name": "w", "prefix": "/", "service": "desk", "contract": "c"}],
 		"contracts": [{"name": "c", "rank": 1, "aim": "1s", "expiry": "2s"}],
 		"services": [{"name": "desk", "connections": 6, "cold": {"for": "5s", "rate": 4}}]}`)})
 	if !ok {
 		t.Fatal("the configuration is not taken")
 	}
-	f.Table = func() *way.Table { return table }
+	f.Table = func() *routing.Table { return table }
 	announce := func(left string) {
 		r, faults := roster.Roster{}.Announce(roster.Announcement{Instance: "a", Service: "desk", Address: b.entry.Address, Capacity: 20, Warmup: &roster.Warmup{Left: left}}, "north", time.Now())
 		if len(faults) > 0 {
@@ -43,15 +43,15 @@
 		n++
 		ctx, cancel := context.WithTimeout(ctx, time.Second)
 		defer cancel()
-		return f.carry(ctx, Attempt{ID: fmt.Sprint(n), Service: "desk", Instance: "a", Way: "w", Method: "GET", URI: "/", Host: "x", Left: time.Second, Aim: time.Second}, trace.Root())
+		return f.carry(ctx, Attempt{ID: fmt.Sprint(n), Service: "desk", Instance: "a", Route: "w", Method: "GET", URI: "/", Host: "x", Left: time.Second, Aim: time.Second}, trace.Root())
 	}
 	answered := func() (count int) {
 		for range 20 {
 			rc := put()
 			switch {
-			case rc.Fate == way.Answered:
+			case rc.Fate == routing.Answered:
 				count++
-			case rc.Fate != way.NotRun || rc.Reason != string(roster.Full) || rc.Back <= 0 || rc.Reached:
+			case rc.Fate != routing.NotRun || rc.Reason != string(roster.Full) || rc.Back <= 0 || rc.Reached:
 				t.Fatalf("%+v", rc)
 			}
 		}
--- a/relay/counts.go
+++ b/relay/counts.go
@@ -3,7 +3,7 @@
 import (
 	"sync/atomic"
 
-	"curlewwalk/way"
+	"curlewwalk/routing"
 )
 
 // Counts are a side's running totals, for /v1/stats.
@@ -14,11 +14,11 @@
 }
 
 // ended takes how one ended.
-func (c *Counts) ended(f way.Fate) {
+func (c *Counts) ended(f routing.Fate) {
 	switch f {
-	case way.Answered:
+	case routing.Answered:
 		c.Answered.Add(1)
-	case way.NotRun:
+	case routing.NotRun:
 		c.NotRun.Add(1)
 	default:
 		c.Unknown.Add(1)
--- a/relay/dialect.go
+++ b/relay/dialect.go
@@ -4,7 +4,7 @@
 	"net/http"
 	"time"
 
-	"curlewwalk/way"
+	"curlewwalk/routing"
 )
 
 // Dialect is how the callers and backends of a sidecar word what they say. The
@@ -51,7 +51,7 @@
 // Own is an answer of our own, before it is worded.
 type Own struct {
 	Status int
-	Fate   way.Fate
+	Fate   routing.Fate
 	Reason string
 	// Trace is the trace's id, if there is one.
 	Trace string
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"curlewwalk/roster"
+	"curlewwalk/routing"
 	"curlewwalk/trace"
-	"curlewwalk/way"
 )
 
 // elsewhere is the reason of an attempt that another instance answered.
@@ -119,7 +119,7 @@
 		if ctx.Err() != nil {
 			reason = string(roster.Expired)
 		}
-		return AttemptResponse{Fate: way.Unknown, Reason: reason}, 0
+		return AttemptResponse{Fate: routing.Unknown, Reason: reason}, 0
 	}
 	for early, strays := 0, 0; ; {
 		x.link.left = mostHead
@@ -142,9 +142,9 @@
 			// The head proves it. What follows only decides whether the link is kept.
 			x.link.SetReadDeadline(earlier(deadline(ctx), time.Now().Add(restFor)))
 			_, _, fault := x.whole(resp)
-			return AttemptResponse{Fate: way.NotRun, Reason: "declined by the backend", Reached: true}, keepAfter(resp, fault)
+			return AttemptResponse{Fate: routing.NotRun, Reason: "declined by the backend", Reached: true}, keepAfter(resp, fault)
 		case Elsewhere:
-			return AttemptResponse{Fate: way.NotRun, Reason: elsewhere, Reached: true}, 0
+			return AttemptResponse{Fate: routing.NotRun, Reason: elsewhere, Reached: true}, 0
 		case Stray:
 			// It came late, in the place of the one that is due.
 			strays++
@@ -167,7 +167,7 @@
 		if strays == 0 {
 			idle = keepAfter(resp, "")
 		}
-		return AttemptResponse{Fate: way.Answered, Status: resp.StatusCode, Header: h, Trailer: endToEnd(trailer), Body: body}, idle
+		return AttemptResponse{Fate: routing.Answered, Status: resp.StatusCode, Header: h, Trailer: endToEnd(trailer), Body: body}, idle
 	}
 }
 
@@ -229,7 +229,7 @@
 	if end := deadline(ctx); ctx.Err() != nil || !end.IsZero() && errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(end) {
 		reason = string(roster.Expired)
 	}
-	return AttemptResponse{Fate: way.Unknown, Reason: reason}
+	return AttemptResponse{Fate: routing.Unknown, Reason: reason}
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/relay/exchange_test.go
+++ b/relay/exchange_test.go
@@ -19,8 +19,8 @@
 	"curlewwalk/launch"
 	"curlewwalk/membership"
 	"curlewwalk/roster"
+	"curlewwalk/routing"
 	"curlewwalk/trace"
-	"curlewwalk/way"
 )
 
 // told is a dialect of backends that name the request they answer.
@@ -112,8 +112,8 @@
 	f := NewFar(ctx, l)
 	f.Bodies, f.Dialect = &Bodies{Most: 1 << 20, All: 1 << 30}, told{}
 	f.links.stands = func(place) bool { return true }
-	table, _ := way.NewTable(desired.Word{})
-	f.Table = func() *way.Table { return table }
+	table, _ := routing.NewTable(desired.Word{})
+	f.Table = func() *routing.Table { return table }
 	b.far = f
 	b.entry = roster.Entry{Backend: membership.Backend{Instance: "a", Address: ln.Addr().String(), Capacity: 8}}
 	t.Cleanup(func() {
@@ -146,8 +146,8 @@
 	}
 	g := &guard{check: check}
 	rc := b.far.exchange(ctx, b.entry, &attempt, trace.Root(), g)
-	if rc.Fate == way.Unknown && g.shut() {
-		rc.Fate = way.NotRun
+	if rc.Fate == routing.Unknown && g.shut() {
+		rc.Fate = routing.NotRun
 	}
 	return rc
 }
@@ -157,7 +157,7 @@
 	t.Helper()
 	attempt.ID = fmt.Sprint("leg-", attempts.Add(1))
 	rc := b.put(attempt, nil)
-	if rc.Fate != way.Answered || rc.Header.Get("For") != attempt.ID {
+	if rc.Fate != routing.Answered || rc.Header.Get("For") != attempt.ID {
 		t.Fatalf("%s got %v %q, answer to %q", attempt.ID, rc.Fate, rc.Reason, rc.Header.Get("For"))
 	}
 }
@@ -200,11 +200,11 @@
 		n := i%6 + 1
 		attempt := Attempt{ID: fmt.Sprint("again-", i), Body: []byte("x")}
 		rc := b.put(attempt, nil)
-		want := way.Answered
+		want := routing.Answered
 		if n == 3 {
-			want = way.NotRun
+			want = routing.NotRun
 		}
-		if rc.Fate != want || rc.Fate == way.Answered && rc.Header.Get("For") != attempt.ID || rc.Reached != (n == 3) {
+		if rc.Fate != want || rc.Fate == routing.Answered && rc.Header.Get("For") != attempt.ID || rc.Reached != (n == 3) {
 			t.Fatalf("%d: %+v", i, rc)
 		}
 		if n == 2 && (string(rc.Body) != "ok" || rc.Trailer.Get("Sum") != "7") {
@@ -292,7 +292,7 @@
 // An answer to another request, in the place of the one that is due, is passed over;
 // after it, the link is not used again.
 func TestStrayAnswers(t *testing.T) {
-	for strays, want := range []way.Fate{way.Answered, way.Answered, way.Answered, way.Unknown} {
+	for strays, want := range []routing.Fate{routing.Answered, routing.Answered, routing.Answered, routing.Unknown} {
 		b := newBench(t, func(v visit) bool {
 			if v.n == 2 {
 				for range strays {
@@ -305,7 +305,7 @@
 		b.good(t, Attempt{})
 		attempt := Attempt{ID: "second"}
 		rc := b.put(attempt, nil)
-		if rc.Fate != want || want == way.Answered && (rc.Header.Get("For") != attempt.ID || string(rc.Body) != "ok") {
+		if rc.Fate != want || want == routing.Answered && (rc.Header.Get("For") != attempt.ID || string(rc.Body) != "ok") {
 			t.Errorf("%d strays: %v %q %q", strays, rc.Fate, rc.Reason, rc.Body)
 		}
 		b.good(t, Attempt{})
@@ -329,7 +329,7 @@
 		return true
 	})
 	b.good(t, Attempt{Method: "HEAD"})
-	if rc := b.put(Attempt{}, nil); rc.Fate != way.Unknown {
+	if rc := b.put(Attempt{}, nil); rc.Fate != routing.Unknown {
 		t.Errorf("%v %q", rc.Fate, rc.Body)
 	}
 }
@@ -393,18 +393,18 @@
 					}
 					return roster.Open
 				})
-				if rc.Fate == way.NotRun {
+				if rc.Fate == routing.NotRun {
 					notRun.Store(id, rc.Reason)
 				}
 				b.mu.Lock()
 				ran := b.ran[id]
 				b.mu.Unlock()
-				if rc.Fate == way.Answered {
+				if rc.Fate == routing.Answered {
 					answered.Add(1)
 				} else {
 					unknown.Add(1)
 				}
-				if ran > 1 || rc.Fate == way.NotRun && ran > 0 || rc.Fate == way.Answered && rc.Header.Get("For") != id {
+				if ran > 1 || rc.Fate == routing.NotRun && ran > 0 || rc.Fate == routing.Answered && rc.Header.Get("For") != id {
 					t.Errorf("%s: %v %q, ran %d times, answer to %q", id, rc.Fate, rc.Reason, ran, rc.Header.Get("For"))
 				}
 			}
@@ -443,7 +443,7 @@
 	b.good(t, Attempt{})
 	for _, body := range []int{1, 100 << 10} {
 		rc := b.put(Attempt{ID: "shut", Body: make([]byte, body)}, func() roster.Refusal { return roster.LeavingNow })
-		if rc.Fate != way.NotRun || rc.Reached {
+		if rc.Fate != routing.NotRun || rc.Reached {
 			t.Errorf("past a shut gate: %+v", rc)
 		}
 	}
@@ -471,7 +471,7 @@
 	}
 	asked := 0
 	rc := b.put(Attempt{ID: "fresh"}, func() roster.Refusal { asked++; return roster.Open })
-	if rc.Fate != way.Answered || b.ran["fresh"] != 1 || asked != 2 || b.opens.Load() != 2 {
+	if rc.Fate != routing.Answered || b.ran["fresh"] != 1 || asked != 2 || b.opens.Load() != 2 {
 		t.Errorf("%+v, ran %d times, asked %d times, %d connections", rc, b.ran["fresh"], asked, b.opens.Load())
 	}
 }
@@ -485,7 +485,7 @@
 		return false
 	})
 	rc := b.put(Attempt{ID: "late", Left: 30 * time.Millisecond}, nil)
-	if rc.Fate != way.Unknown || rc.Reason != string(roster.Expired) {
+	if rc.Fate != routing.Unknown || rc.Reason != string(roster.Expired) {
 		t.Errorf("%+v", rc)
 	}
 	if err := <-gone; err == nil {
@@ -504,7 +504,7 @@
 	})
 	b.far.Bodies.Most = 64 << 20
 	rc := b.put(Attempt{ID: "long", Body: make([]byte, 32<<20)}, nil)
-	if rc.Fate != way.Answered || string(rc.Body) != "too long" {
+	if rc.Fate != routing.Answered || string(rc.Body) != "too long" {
 		t.Errorf("%v %q", rc.Fate, rc.Reason)
 	}
 	b.good(t, Attempt{})
@@ -523,7 +523,7 @@
 	}
 	b.entry.Address = ln.Addr().String()
 	ln.Close()
-	if rc := b.put(Attempt{}, nil); rc.Fate != way.NotRun || rc.Reached {
+	if rc := b.put(Attempt{}, nil); rc.Fate != routing.NotRun || rc.Reached {
 		t.Errorf("%+v", rc)
 	}
 	if len(b.far.links.shelves) != 0 {
@@ -566,7 +566,7 @@
 	stands.Store(true)
 	b.good(t, Attempt{})
 	other = true
-	if rc := b.put(Attempt{}, nil); rc.Fate != way.NotRun || !rc.Reached {
+	if rc := b.put(Attempt{}, nil); rc.Fate != routing.NotRun || !rc.Reached {
 		t.Errorf("%+v", rc)
 	}
 	idle(0, "elsewhere")
--- a/relay/far.go
+++ b/relay/far.go
@@ -7,8 +7,8 @@
 	"curlewwalk/launch"
 	"curlewwalk/lineage"
 	"curlewwalk/roster"
+	"curlewwalk/routing"
 	"curlewwalk/trace"
-	"curlewwalk/way"
 	"curlewwalk/wire"
 )
 
@@ -16,7 +16,7 @@
 type Far struct {
 	Boot    uint64
 	Roster  func() roster.Roster
-	Table   func() *way.Table
+	Table   func() *routing.Table
 	Queue   *trace.Queue
 	Lineage *lineage.Keeper
 	// Claimed tells whether this sidecar may admit.
@@ -84,7 +84,7 @@
 	f.Counts.Open.Add(1)
 	defer f.Counts.Open.Add(-1)
 	span, traced := trace.From(ctx)
-	note := trace.Event{Way: attempt.Way, Service: attempt.Service, Caller: attempt.Caller, Instance: attempt.Instance, Attempt: attempt.N}
+	note := trace.Event{Route: attempt.Route, Service: attempt.Service, Caller: attempt.Caller, Instance: attempt.Instance, Attempt: attempt.N}
 	if !traced {
 		span = trace.Root() // an untraced peer is served all the same
 	}
@@ -104,9 +104,9 @@
 	if !in.Into(&q) {
 		return nil, "not a recall"
 	}
-	rc := AttemptResponse{ID: q.ID, Fate: way.Unknown, Reason: "it was begun, or begun before a restart"}
+	rc := AttemptResponse{ID: q.ID, Fate: routing.Unknown, Reason: "it was begun, or begun before a restart"}
 	if ask(ctx, f.ledger.refuse, q.ID) && q.Boot == f.Boot {
-		rc.Fate, rc.Reason = way.NotRun, "recalled before it was begun"
+		rc.Fate, rc.Reason = routing.NotRun, "recalled before it was begun"
 	}
 	return rc, ""
 }
@@ -126,9 +126,9 @@
 
 func (f *Far) carry(ctx context.Context, attempt Attempt, span trace.Span) AttemptResponse {
 	refuse := func(why roster.Refusal, open int64) AttemptResponse {
-		rc := AttemptResponse{ID: attempt.ID, Fate: way.NotRun, Reason: string(why), Open: int(open)}
+		rc := AttemptResponse{ID: attempt.ID, Fate: routing.NotRun, Reason: string(why), Open: int(open)}
 		if !ask(context.WithoutCancel(ctx), f.ledger.refuse, attempt.ID) {
-			rc.Fate = way.Unknown // it came before, and was begun
+			rc.Fate = routing.Unknown // it came before, and was begun
 		}
 		return rc
 	}
@@ -154,7 +154,7 @@
 		}
 		return f.Limit(now, time.Now())
 	}
-	done, back := e.Desk.Enter(ctx, roster.Bid{Rank: attempt.Rank, Way: attempt.Way, Left: min(attempt.Left, attempt.Aim), Last: attempt.late()}, limit)
+	done, back := e.Desk.Enter(ctx, roster.Bid{Rank: attempt.Rank, Route: attempt.Route, Left: min(attempt.Left, attempt.Aim), Last: attempt.late()}, limit)
 	if done == nil {
 		rc := refuse(roster.Full, e.Desk.Open())
 		rc.Back = back
@@ -165,7 +165,7 @@
 		if ctx.Err() != nil {
 			return refuse(roster.Expired, 0)
 		}
-		return AttemptResponse{ID: attempt.ID, Fate: way.Unknown, Reason: "this leg came before"}
+		return AttemptResponse{ID: attempt.ID, Fate: routing.Unknown, Reason: "this leg came before"}
 	}
 	var free time.Duration // when a cold backend may bear the next
 	g := &guard{check: func() roster.Refusal {
@@ -180,11 +180,11 @@
 		}
 		return why
 	}}
-	f.Lineage.Enter(ctx, lineage.Open{Span: span, Service: attempt.Service, Way: attempt.Way, Rank: attempt.Rank, Since: time.Now(), Deadline: deadline(ctx)})
+	f.Lineage.Enter(ctx, lineage.Open{Span: span, Service: attempt.Service, Route: attempt.Route, Rank: attempt.Rank, Since: time.Now(), Deadline: deadline(ctx)})
 	defer f.Lineage.Leave(context.WithoutCancel(ctx), span.ID)
 	rc := f.exchange(ctx, e, &attempt, span, g)
-	if rc.Fate == way.Unknown && g.shut() {
-		rc.Fate = way.NotRun
+	if rc.Fate == routing.Unknown && g.shut() {
+		rc.Fate = routing.NotRun
 		if why := g.why.Load(); why != nil {
 			rc.Reason, rc.Back = string(*why), free
 		}
--- a/relay/fuzz_test.go
+++ b/relay/fuzz_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"curlewwalk/way"
+	"curlewwalk/routing"
 )
 
 // FuzzBackendAnswer: whatever a backend writes behind a request, and then closes, the
@@ -39,7 +39,7 @@
 		said <- answer
 		rc := b.put(Attempt{ID: "own", Left: time.Second, Body: []byte("x")}, nil)
 		switch rc.Fate {
-		case way.Answered:
+		case routing.Answered:
 			if rc.Header.Get("For") != "own" || rc.Status < 200 || rc.Status > 999 {
 				t.Errorf("%d, answer to %q", rc.Status, rc.Header.Get("For"))
 			}
@@ -48,20 +48,20 @@
 					t.Errorf("%s is passed on", name)
 				}
 			}
-		case way.NotRun:
+		case routing.NotRun:
 			if !bytes.Contains(bytes.ToLower(answer), []byte("declined")) && !bytes.Contains(bytes.ToLower(answer), []byte("elsewhere")) {
 				t.Errorf("promised: %+v", rc)
 			}
-		case way.Unknown:
+		case routing.Unknown:
 		default:
 			t.Errorf("%+v", rc)
 		}
 		// The backend may close a link that looked good just then.
 		rc = b.put(Attempt{ID: "next"}, nil)
-		for tries := 0; rc.Fate == way.Unknown && tries < 3; tries++ {
+		for tries := 0; rc.Fate == routing.Unknown && tries < 3; tries++ {
 			rc = b.put(Attempt{ID: "next"}, nil)
 		}
-		if rc.Fate != way.Answered || rc.Header.Get("For") != "next" || string(rc.Body) != "ok" {
+		if rc.Fate != routing.Answered || rc.Header.Get("For") != "next" || string(rc.Body) != "ok" {
 			t.Errorf("the next: %+v", rc)
 		}
 	})
--- a/relay/near.go
+++ b/relay/near.go
@@ -23,15 +23,15 @@
 	"curlewwalk/membership"
 	"curlewwalk/metrics"
 	"curlewwalk/roster"
+	"curlewwalk/routing"
 	"curlewwalk/trace"
-	"curlewwalk/way"
 	"curlewwalk/wire"
 )
 
 // Near is the executor beside the caller.
 type Near struct {
 	Zone         string
-	Table        func() *way.Table
+	Table        func() *routing.Table
 	View         func() *membership.View
 	Net          *wire.Net
 	Launcher     *launch.Launcher
@@ -43,7 +43,7 @@
 	Bodies       *Bodies
 	RetryBudgets *contract.RetryBudgets
 	Budgets      *contract.Budgets
-	Costs        *way.Costs
+	Costs        *routing.Costs
 	// Life ends when the node must stop at once.
 	Life context.Context
 	// Draining tells whether new requests are still taken.
@@ -72,7 +72,7 @@
 // request is one client's request on its way.
 type request struct {
 	caller   string
-	way      desired.Way
+	route    desired.Route
 	contract desired.Contract
 	deadline time.Time
 	begun    time.Time
@@ -106,7 +106,7 @@
 	defer n.Counts.Open.Add(-1)
 	// Calls of the own backends belong to requests that were handed over.
 	if caller == "" && n.Draining() {
-		return n.count(n.word(http.StatusServiceUnavailable, way.NotRun, "this node is stopping", "", time.Second))
+		return n.count(n.word(http.StatusServiceUnavailable, routing.NotRun, "this node is stopping", "", time.Second))
 	}
 	size := r.ContentLength
 	if size < 0 {
@@ -116,7 +116,7 @@
 		return n.tooLarge()
 	}
 	if !n.Bodies.Take(size) {
-		return n.count(n.word(http.StatusServiceUnavailable, way.NotRun, "this node holds as many bodies as it can", "", time.Second))
+		return n.count(n.word(http.StatusServiceUnavailable, routing.NotRun, "this node holds as many bodies as it can", "", time.Second))
 	}
 	defer n.Bodies.Give(size)
 	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, n.Bodies.Most))
@@ -125,31 +125,31 @@
 	case errors.As(err, &big):
 		return n.tooLarge()
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return n.count(n.word(http.StatusRequestTimeout, way.NotRun, "body took too long", "", time.Second))
+		return n.count(n.word(http.StatusRequestTimeout, routing.NotRun, "body took too long", "", time.Second))
 	case err != nil:
-		return n.count(n.word(http.StatusBadRequest, way.NotRun, "body was cut short", "", 0))
+		return n.count(n.word(http.StatusBadRequest, routing.NotRun, "body was cut short", "", 0))
 	}
 	if target("", r.RequestURI).RequestURI() != r.RequestURI {
-		return n.count(n.word(http.StatusBadRequest, way.NotRun, "this path can't be passed on as it is", "", 0))
+		return n.count(n.word(http.StatusBadRequest, routing.NotRun, "this path can't be passed on as it is", "", 0))
 	}
 	q := request{caller: caller, begun: begun}
 	var ok bool
 	table := n.Table()
-	if q.way, q.contract, ok = table.Match(r.Host, r.URL.Path, r.Method); !ok && table.Stamp == 0 {
-		return n.count(n.word(http.StatusServiceUnavailable, way.NotRun, "no configuration is known here yet", "", time.Second))
+	if q.route, q.contract, ok = table.Match(r.Host, r.URL.Path, r.Method); !ok && table.Stamp == 0 {
+		return n.count(n.word(http.StatusServiceUnavailable, routing.NotRun, "no configuration is known here yet", "", time.Second))
 	} else if !ok && n.Unsure != nil && n.Unsure() {
-		return n.count(n.word(http.StatusServiceUnavailable, way.NotRun, "no way is known here, but a newer configuration may be in force", "", time.Second))
+		return n.count(n.word(http.StatusServiceUnavailable, routing.NotRun, "no way is known here, but a newer configuration may be in force", "", time.Second))
 	} else if !ok {
-		return n.count(n.word(http.StatusNotFound, way.NotRun, "no way takes this inquiry", "", 0))
+		return n.count(n.word(http.StatusNotFound, routing.NotRun, "no way takes this inquiry", "", 0))
 	}
-	q.way.Service = way.Pick(q.way, rand.IntN) // for all its attempts
+	q.route.Service = routing.Pick(q.route, rand.IntN) // for all its attempts
 	h := endToEnd(r.Header)
 	said := n.Dialect.Hear(r, h)
 	// A trailer may say no more than a header.
 	trailer := endToEnd(r.Trailer)
 	n.Dialect.Hear(r, trailer)
 	q.left = said.Left
-	q.attempt = Attempt{Service: q.way.Service, Way: q.way.Name, Rank: q.contract.Rank, Repeatable: q.way.Repeatable, Caller: cmp.Or(caller, n.Home), Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h, Trailer: trailer, Body: body}
+	q.attempt = Attempt{Service: q.route.Service, Route: q.route.Name, Rank: q.contract.Rank, Repeatable: q.route.Repeatable, Caller: cmp.Or(caller, n.Home), Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h, Trailer: trailer, Body: body}
 	// The client's going away stops nothing: the request was handed over.
 	ctx := context.WithoutCancel(r.Context())
 	n.begin(ctx, &q, r.Header)
@@ -160,16 +160,16 @@
 		rc.Header = rc.Header.Clone()
 		trace.WriteB3(rc.Header, q.span)
 	}
-	n.Routes.Add(q.way.Name, string(rc.Fate))
+	n.Routes.Add(q.route.Name, string(rc.Fate))
 	return n.count(rc)
 }
 
 func (n *Near) tooLarge() Response {
-	return n.count(n.word(http.StatusRequestEntityTooLarge, way.NotRun, fmt.Sprintf("body is over %d bytes", n.Bodies.Most), "", 0))
+	return n.count(n.word(http.StatusRequestEntityTooLarge, routing.NotRun, fmt.Sprintf("body is over %d bytes", n.Bodies.Most), "", 0))
 }
 
 // word words an answer of our own.
-func (n *Near) word(status int, f way.Fate, reason, trace string, back time.Duration) Response {
+func (n *Near) word(status int, f routing.Fate, reason, trace string, back time.Duration) Response {
 	return n.Dialect.Word(Own{Status: status, Fate: f, Reason: reason, Trace: trace, Back: back})
 }
 
@@ -188,7 +188,7 @@
 		q.deadline = q.begun.Add(q.left)
 	}
 	if q.caller != "" {
-		q.cause = n.Lineage.Link(ctx, q.caller, q.way.Name, told)
+		q.cause = n.Lineage.Link(ctx, q.caller, q.route.Name, told)
 		if e := q.cause.Deadline; !e.IsZero() && e.Before(q.deadline) {
 			q.deadline = e
 		}
@@ -198,7 +198,7 @@
 	}
 	if q.caller == "" && n.Home != "" {
 		// It says itself how long its client waits: what is inferred decides nothing.
-		q.cause = n.Lineage.Mingled(ctx, n.Home, q.way.Name, told, time.Until(q.deadline))
+		q.cause = n.Lineage.Mingled(ctx, n.Home, q.route.Name, told, time.Until(q.deadline))
 	}
 	switch {
 	case !q.cause.Parent.IsZero():
@@ -216,24 +216,24 @@
 		return n.run(ctx, q)
 	}
 	if len(text) > longestKey {
-		return n.own(q, http.StatusBadRequest, way.NotRun, fmt.Sprintf("%s is over %d bytes", HeaderKey, longestKey), 0)
+		return n.own(q, http.StatusBadRequest, routing.NotRun, fmt.Sprintf("%s is over %d bytes", HeaderKey, longestKey), 0)
 	}
 	if !n.Custody.Ready() {
 		// An earlier life of this node may have run what this repeats.
-		return n.own(q, http.StatusServiceUnavailable, way.Unknown, "claims on keys are still being handed over to this node", time.Second)
+		return n.own(q, http.StatusServiceUnavailable, routing.Unknown, "claims on keys are still being handed over to this node", time.Second)
 	}
 	key := claim.Key{Caller: q.caller, Text: text}
 	print := claim.Print(sha256.Sum256(bytes.Join([][]byte{[]byte(q.attempt.Method), []byte(q.attempt.Host), []byte(q.attempt.URI), q.attempt.Body}, []byte{0})))
 	verdict, rc, err := n.Claims.Lay(ctx, key, print)
 	switch {
 	case err != nil && verdict == claim.Repeat:
-		return n.own(q, http.StatusGatewayTimeout, way.Unknown, "expired while the first inquiry of this key was running", time.Second)
+		return n.own(q, http.StatusGatewayTimeout, routing.Unknown, "expired while the first inquiry of this key was running", time.Second)
 	case verdict == claim.Crowded:
-		return n.own(q, http.StatusServiceUnavailable, way.NotRun, "too many keys are claimed", time.Second)
+		return n.own(q, http.StatusServiceUnavailable, routing.NotRun, "too many keys are claimed", time.Second)
 	case verdict == claim.Gone:
-		return n.own(q, http.StatusBadGateway, way.Unknown, "the first inquiry of this key has ended; its answer is kept no longer", time.Second)
+		return n.own(q, http.StatusBadGateway, routing.Unknown, "the first inquiry of this key has ended; its answer is kept no longer", time.Second)
 	case verdict == claim.Clash:
-		return n.own(q, http.StatusUnprocessableEntity, way.NotRun, "this key was used for another inquiry", 0)
+		return n.own(q, http.StatusUnprocessableEntity, routing.NotRun, "this key was used for another inquiry", 0)
 	case verdict == claim.Repeat:
 		n.Counts.Joined.Add(1)
 		return rc
@@ -242,15 +242,15 @@
 	keep := true
 	switch {
 	case known != nil && known.Print != print:
-		rc, keep = n.own(q, http.StatusUnprocessableEntity, way.NotRun, "this key was used for another inquiry", 0), false
+		rc, keep = n.own(q, http.StatusUnprocessableEntity, routing.NotRun, "this key was used for another inquiry", 0), false
 	case known != nil:
 		rc = n.restored(*known)
 	case !ok:
-		rc, keep = n.own(q, http.StatusServiceUnavailable, way.NotRun, "the claim on this key could not be entrusted to other nodes", time.Second), false
+		rc, keep = n.own(q, http.StatusServiceUnavailable, routing.NotRun, "the claim on this key could not be entrusted to other nodes", time.Second), false
 		n.Custody.Settle(ctx, trust, nil)
 	default:
 		rc = n.run(ctx, q)
-		keep = rc.Fate != way.NotRun
+		keep = rc.Fate != routing.NotRun
 		n.Custody.Settle(ctx, trust, rc.pack(keep))
 	}
 	n.Claims.Finish(n.Life, key, rc, keep)
@@ -267,27 +267,27 @@
 func (n *Near) restored(e custody.Entry) Response {
 	rc, ok := unpack(e.Response)
 	if !ok {
-		rc = n.word(http.StatusBadGateway, way.Unknown, "this node was restarted before the first inquiry of this key was answered", "", time.Second)
+		rc = n.word(http.StatusBadGateway, routing.Unknown, "this node was restarted before the first inquiry of this key was answered", "", time.Second)
 	}
 	return rc
 }
 
-func (n *Near) own(q *request, status int, f way.Fate, reason string, retry time.Duration) Response {
+func (n *Near) own(q *request, status int, f routing.Fate, reason string, retry time.Duration) Response {
 	return n.word(status, f, reason, q.span.Trace.String(), retry)
 }
 
 // run asks the decision and obeys, attempt by attempt.
 func (n *Near) run(ctx context.Context, q *request) Response {
-	d := way.Decision{
-		Way: q.way, Deadline: q.deadline, Zone: n.Zone, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Means: way.Means{
+	d := routing.Decision{
+		Route: q.route, Deadline: q.deadline, Zone: n.Zone, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		Means: routing.Means{
 			Aim: q.aim, Room: q.room(), Patience: n.Budgets.Patience(q.contract.Name, q.room()),
-			Cost: func(t membership.Target) way.Cost { return n.Costs.Of(q.way.Name, t) },
+			Cost: func(t membership.Target) routing.Cost { return n.Costs.Of(q.route.Name, t) },
 			Hold: n.hold(q), Back: n.back(), Late: n.Late, Crossing: n.crossing(q),
-			Spend: func() bool { return n.RetryBudgets.Spend(q.way.Service) }, Unsure: n.Unsure,
+			Spend: func() bool { return n.RetryBudgets.Spend(q.route.Service) }, Unsure: n.Unsure,
 		},
 	}
-	note := trace.Event{Way: q.way.Name, Service: q.way.Service, Caller: q.caller, Link: q.cause.Link, Candidates: q.cause.Candidates}
+	note := trace.Event{Route: q.route.Name, Service: q.route.Service, Caller: q.caller, Link: q.cause.Link, Candidates: q.cause.Candidates}
 	n.Queue.Put(q.span, trace.ClientStart, note)
 	var last AttemptResponse
 	for {
@@ -297,18 +297,18 @@
 			continue
 		}
 		if !o.Send {
-			rc := Response{Status: last.Status, Header: last.Header, Trailer: last.Trailer, Body: last.Body, Fate: way.Answered}
+			rc := Response{Status: last.Status, Header: last.Header, Trailer: last.Trailer, Body: last.Body, Fate: routing.Answered}
 			if o.End.Status != 0 {
-				n.Log.Info("an inquiry was not answered", "trace", q.span.Trace.String(), "way", q.way.Name, "caller", q.caller,
+				n.Log.Info("an inquiry was not answered", "trace", q.span.Trace.String(), "way", q.route.Name, "caller", q.caller,
 					"status", o.End.Status, "outcome", o.End.Fate, "reason", o.End.Reason, "legs", len(d.Attempts()))
 				rc = n.own(q, o.End.Status, o.End.Fate, o.End.Reason, o.End.RetryAfter)
 			}
-			n.Budgets.Ended(q.contract.Name, time.Since(q.begun), q.contract.Aim.Duration, q.contract.Deadline.Duration, rc.Fate == way.Answered)
+			n.Budgets.Ended(q.contract.Name, time.Since(q.begun), q.contract.Aim.Duration, q.contract.Deadline.Duration, rc.Fate == routing.Answered)
 			note.Status, note.Outcome, note.Reason, note.Attempt = rc.Status, string(rc.Fate), o.End.Reason, len(d.Attempts())
 			n.Queue.Put(q.span, trace.ClientReceive, note)
 			return rc
 		}
-		var l way.Attempt
+		var l routing.Attempt
 		l, last = n.send(ctx, q, o, len(d.Attempts())+1)
 		d.Tell(l)
 	}
@@ -342,15 +342,15 @@
 
 // send carries one attempt. The first attempt is the span's own; each further one is a
 // child span of its own. (DESIGN 2.1)
-func (n *Near) send(ctx context.Context, q *request, o way.Order, num int) (way.Attempt, AttemptResponse) {
+func (n *Near) send(ctx context.Context, q *request, o routing.Order, num int) (routing.Attempt, AttemptResponse) {
 	span, t := q.span, o.Target
 	if num == 1 {
-		n.RetryBudgets.Earn(q.way.Service)
+		n.RetryBudgets.Earn(q.route.Service)
 	} else {
 		n.Counts.ExtraAttempts.Add(1)
 		span = q.span.Child()
 		ctx = trace.With(ctx, span)
-		n.Queue.Put(span, trace.ClientStart, trace.Event{Way: q.way.Name, Service: q.way.Service, Instance: t.Instance, Attempt: num})
+		n.Queue.Put(span, trace.ClientStart, trace.Event{Route: q.route.Name, Service: q.route.Service, Instance: t.Instance, Attempt: num})
 	}
 	attempt := q.attempt
 	attempt.ID = span.ID.String() + "/" + trace.NewID().String()
@@ -364,28 +364,28 @@
 	if r.Traced {
 		span.Hear(r.Span.Counter())
 	}
-	l := way.Attempt{Target: t, Fate: way.Unknown, Reason: "lost on the way", Reached: true}
+	l := routing.Attempt{Target: t, Fate: routing.Unknown, Reason: "lost on the way", Reached: true}
 	var rc AttemptResponse
 	switch {
 	case r.Fate == wire.Unsent:
-		l.Fate, l.Reason, l.Reached = way.NotRun, "node could not be reached", false
+		l.Fate, l.Reason, l.Reached = routing.NotRun, "node could not be reached", false
 		t.Load.Shun(n.Shun)
 	case r.Into(&rc) && rc.of(&attempt):
 		l.Fate, l.Reason, l.Reached, l.Back, l.Expired = rc.Fate, rc.Reason, rc.Reached, rc.Back, rc.Reason == string(roster.Expired)
-		l.Lapsed = rc.Fate == way.NotRun && rc.Reason == string(roster.Lapsed)
+		l.Lapsed = rc.Fate == routing.NotRun && rc.Reason == string(roster.Lapsed)
 		t.Load.Tell(rc.Open)
-		if rc.Fate != way.Answered && rc.Reason != string(roster.Full) {
+		if rc.Fate != routing.Answered && rc.Reason != string(roster.Full) {
 			t.Load.Shun(n.Shun)
 		}
 	default:
 		t.Load.Shun(n.Shun)
 		l = n.recall(ctx, l, attempt)
 	}
-	if expired := l.Expired || ctx.Err() != nil; expired || l.Fate == way.Answered {
-		n.Costs.Learn(q.way.Name, t, time.Since(sent), expired)
+	if expired := l.Expired || ctx.Err() != nil; expired || l.Fate == routing.Answered {
+		n.Costs.Learn(q.route.Name, t, time.Since(sent), expired)
 	}
 	if num > 1 {
-		n.Queue.Put(span, trace.ClientReceive, trace.Event{Way: q.way.Name, Service: q.way.Service, Instance: t.Instance, Attempt: num, Status: rc.Status, Outcome: string(l.Fate), Reason: l.Reason})
+		n.Queue.Put(span, trace.ClientReceive, trace.Event{Route: q.route.Name, Service: q.route.Service, Instance: t.Instance, Attempt: num, Status: rc.Status, Outcome: string(l.Fate), Reason: l.Reason})
 	}
 	return l, rc
 }
@@ -393,7 +393,7 @@
 // recall asks the far sidecar to let a lost attempt never run; only its word that
 // the attempt did not run proves it. Past the deadline nobody waits for that word.
 // (DESIGN 10.2)
-func (n *Near) recall(ctx context.Context, l way.Attempt, attempt Attempt) way.Attempt {
+func (n *Near) recall(ctx context.Context, l routing.Attempt, attempt Attempt) routing.Attempt {
 	ask := func(ctx context.Context) (rc AttemptResponse, ok bool) {
 		ok = n.Net.Call(ctx, l.Target.Node, wire.Control, KindRecall, Recall{ID: attempt.ID, Boot: attempt.Boot}).Into(&rc)
 		return rc, ok && rc.of(&attempt)
@@ -408,8 +408,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, recallFor)
 	defer cancel()
-	if rc, ok := ask(ctx); ok && rc.Fate == way.NotRun {
-		l.Fate, l.Reason, l.Reached = way.NotRun, rc.Reason, false
+	if rc, ok := ask(ctx); ok && rc.Fate == routing.NotRun {
+		l.Fate, l.Reason, l.Reached = routing.NotRun, rc.Reason, false
 	}
 	return l
 }
--- a/relay/pair_test.go
+++ b/relay/pair_test.go
@@ -20,8 +20,8 @@
 	"curlewwalk/lineage"
 	"curlewwalk/membership"
 	"curlewwalk/roster"
+	"curlewwalk/routing"
 	"curlewwalk/trace"
-	"curlewwalk/way"
 	"curlewwalk/wire"
 )
 
@@ -78,7 +78,7 @@
 	p := &pair{bench: newBench(t, speak)}
 	ctx, cancel := context.WithCancel(context.Background())
 	l := launch.New(slog.New(slog.DiscardHandler), func(name string, cause any, stack []byte) { t.Errorf("%s: %v\n%s", name, cause, stack) })
-	table, ok := way.NewTable(desired.Word{Stamp: 1, DesiredStamp: 1, Desired: []byte(pairConfiguration)})
+	table, ok := routing.NewTable(desired.Word{Stamp: 1, DesiredStamp: 1, Desired: []byte(pairConfiguration)})
 	if !ok {
 		t.Fatal("the configuration is not taken")
 	}
@@ -88,7 +88,7 @@
 
 	f := p.far
 	f.Boot, f.Queue, f.Lineage, f.Draining, f.Claimed = 7, queue, lin, no, func() bool { return true }
-	f.Table = func() *way.Table { return table }
+	f.Table = func() *routing.Table { return table }
 	f.Roster = func() roster.Roster {
 		r, _ := roster.Roster{}.Announce(roster.Announcement{Instance: "a", Service: "desk", Address: p.entry.Address, Capacity: 8}, "north", time.Now())
 		return r
@@ -109,7 +109,7 @@
 	p.near = &Near{
 		Zone: "north", Table: f.Table, View: func() *membership.View { return view }, Net: wire.NewNet(l, wire.Greeting{}, nil),
 		Launcher: l, Queue: queue, Log: slog.New(slog.DiscardHandler), Lineage: lin, Bodies: &Bodies{Most: 1 << 20, All: 8 << 20},
-		RetryBudgets: contract.NewRetryBudgets("near", 20), Budgets: contract.NewBudgets(), Costs: way.NewCosts(), Life: ctx,
+		RetryBudgets: contract.NewRetryBudgets("near", 20), Budgets: contract.NewBudgets(), Costs: routing.NewCosts(), Life: ctx,
 		Draining: no, Dialect: told{}, Shun: time.Millisecond, ComeBack: 100 * time.Millisecond,
 	}
 	l.Go(ctx, "lineage", lin.Run)
@@ -227,7 +227,7 @@
 			conn := p.client(t)
 			go conn.say("%sPOST /once/next HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", c.text)
 			resp, _ := conn.hear()
-			if resp == nil || resp.StatusCode != c.status || resp.Header.Get(HeaderOutcome) != string(way.NotRun) {
+			if resp == nil || resp.StatusCode != c.status || resp.Header.Get(HeaderOutcome) != string(routing.NotRun) {
 				t.Fatalf("%+v", resp)
 			}
 			if resp, body := conn.hear(); resp != nil && body != "/once/next " {
--- a/relay/refused_test.go
+++ b/relay/refused_test.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"curlewwalk/launch"
+	"curlewwalk/routing"
 	"curlewwalk/trace"
-	"curlewwalk/way"
 )
 
 // An attempt that comes a second time, while the first is being run, and is refused by
@@ -22,10 +22,10 @@
 	if !ask(ctx, f.ledger.begin, "first") {
 		t.Fatal("the first did not begin")
 	}
-	if rc := f.carry(ctx, Attempt{ID: "first"}, trace.Root()); rc.Fate != way.Unknown {
+	if rc := f.carry(ctx, Attempt{ID: "first"}, trace.Root()); rc.Fate != routing.Unknown {
 		t.Errorf("the twin of what runs was told %q", rc.Fate)
 	}
-	if rc := f.carry(ctx, Attempt{ID: "other"}, trace.Root()); rc.Fate != way.NotRun {
+	if rc := f.carry(ctx, Attempt{ID: "other"}, trace.Root()); rc.Fate != routing.NotRun {
 		t.Errorf("what was never begun was told %q", rc.Fate)
 	}
 }
--- a/relay/response.go
+++ b/relay/response.go
@@ -10,7 +10,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
-	"curlewwalk/way"
+	"curlewwalk/routing"
 	"curlewwalk/wire"
 )
 
@@ -21,14 +21,14 @@
 	// Trailer follows the body.
 	Trailer http.Header
 	Body    []byte
-	Fate    way.Fate
+	Fate    routing.Fate
 }
 
 // Farewell is the answer to whatever a client may be sending on an idle connection
 // that is about to be closed. A client that sends nothing takes it for the end of the
 // connection. (DESIGN 11.3)
 func Farewell(d Dialect) []byte {
-	rc := d.Word(Own{Status: http.StatusRequestTimeout, Fate: way.NotRun, Reason: "this node is stopping", Back: time.Second})
+	rc := d.Word(Own{Status: http.StatusRequestTimeout, Fate: routing.NotRun, Reason: "this node is stopping", Back: time.Second})
 	rc.Header.Set("Connection", "close")
 	resp := http.Response{StatusCode: rc.Status, ProtoMajor: 1, ProtoMinor: 1, Header: rc.Header, ContentLength: int64(len(rc.Body)), Body: io.NopCloser(bytes.NewReader(rc.Body))}
 	var b bytes.Buffer
@@ -59,14 +59,14 @@
 
 // refusal is the body of an answer that is our own.
 type refusal struct {
-	Outcome way.Fate `json:"outcome"`
-	Reason  string   `json:"reason"`
-	Trace   string   `json:"trace,omitempty"`
+	Outcome routing.Fate `json:"outcome"`
+	Reason  string       `json:"reason"`
+	Trace   string       `json:"trace,omitempty"`
 }
 
 // ownResponse builds an answer of our own: at once, with what is known and when
 // to come back. (DESIGN 10.2)
-func ownResponse(status int, f way.Fate, reason, trace string, retry time.Duration) Response {
+func ownResponse(status int, f routing.Fate, reason, trace string, retry time.Duration) Response {
 	body, _ := json.Marshal(refusal{Outcome: f, Reason: reason, Trace: trace})
 	h := http.Header{"Content-Type": {"application/json"}, HeaderOutcome: {string(f)}}
 	if retry > 0 {
--- a/relay/unsure_test.go
+++ b/relay/unsure_test.go
@@ -6,19 +6,19 @@
 	"testing"
 
 	"curlewwalk/desired"
-	"curlewwalk/way"
+	"curlewwalk/routing"
 )
 
 // That there is no way for a request is said only by who is sure of the newest
 // configuration; else it is refused as not run, with when to come back.
-func TestNoWayWhileUnsure(t *testing.T) {
-	table, ok := way.NewTable(desired.Word{Stamp: 3, DesiredStamp: 3, Desired: []byte(`{"ways":[],"contracts":[]}`)})
+func TestNoRouteWhileUnsure(t *testing.T) {
+	table, ok := routing.NewTable(desired.Word{Stamp: 3, DesiredStamp: 3, Desired: []byte(`{"ways":[],"contracts":[]}`)})
 	if !ok {
 		t.Fatal("no table")
 	}
 	unsure := false
 	n := &Near{
-		Table: func() *way.Table { return table }, Dialect: Plain{}, Draining: func() bool { return false }, Bodies: &Bodies{Most: 1 << 20, All: 1 << 20},
+		Table: func() *routing.Table { return table }, Dialect: Plain{}, Draining: func() bool { return false }, Bodies: &Bodies{Most: 1 << 20, All: 1 << 20},
 		Unsure: func() bool { return unsure },
 	}
 	for _, c := range []struct {
--- a/roster/desk.go
+++ b/roster/desk.go
@@ -48,7 +48,7 @@
 	return func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		d.tell(d.line.Done(b.Way, time.Since(began), limit(), time.Since(d.start)))
+		d.tell(d.line.Done(b.Route, time.Since(began), limit(), time.Since(d.start)))
 	}, 0
 }
 
--- a/roster/line.go
+++ b/roster/line.go
@@ -12,8 +12,8 @@
 
 // Bid is what an attempt asks of a line.
 type Bid struct {
-	Rank int
-	Way  string
+	Rank  int
+	Route string
 	// Left is the time left in which the answer is in time.
 	Left time.Duration
 	// Last is the time left in which a late answer is still worth something; zero:
@@ -88,7 +88,7 @@
 		l.open++
 		return Run, 0, 0, s
 	}
-	cost := l.costs[b.Way].need()
+	cost := l.costs[b.Route].need()
 	p := place{id: l.next + 1, rank: b.Rank, size: bits.Len64(uint64(cost / grain)), giveUp: now + b.Left - cost, last: now + min(b.Last-cost, b.Last/2)}
 	at, _ := slices.BinarySearchFunc(l.waiting, p, place.before)
 	switch {
@@ -128,13 +128,13 @@
 }
 
 // Done takes that a run has ended, and how long it took.
-func (l *Line) Done(way string, took time.Duration, limit int64, now time.Duration) Shift {
+func (l *Line) Done(route string, took time.Duration, limit int64, now time.Duration) Shift {
 	l.open--
 	if l.costs == nil {
 		l.costs = map[string]cost{}
 	}
 	l.mean = blend(l.mean, took)
-	l.costs[way] = l.costs[way].learn(took)
+	l.costs[route] = l.costs[route].learn(took)
 	return l.shift(limit, now)
 }
 
--- a/roster/line_test.go
+++ b/roster/line_test.go
@@ -64,7 +64,7 @@
 				take(l.Done("w", 20*time.Millisecond, limit, now), now)
 			}
 			if rng.IntN(3) > 0 {
-				b := Bid{Rank: 1 + rng.IntN(3), Way: "w", Left: time.Duration(rng.Int64N(int64(150 * time.Millisecond)))}
+				b := Bid{Rank: 1 + rng.IntN(3), Route: "w", Left: time.Duration(rng.Int64N(int64(150 * time.Millisecond)))}
 				v, id, back, s := l.Ask(b, limit, now)
 				switch v {
 				case Run:
@@ -100,7 +100,7 @@
 	const ms = time.Millisecond
 	var l Line
 	bid := func(rank int, left, last time.Duration, now time.Duration) (Verdict, uint64) {
-		v, id, _, s := l.Ask(Bid{Rank: rank, Way: "w", Left: left, Last: last}, 1, now)
+		v, id, _, s := l.Ask(Bid{Rank: rank, Route: "w", Left: left, Last: last}, 1, now)
 		if len(s.Run) > 0 || len(s.Refused) > 0 {
 			t.Errorf("asking shifted %+v", s)
 		}
@@ -144,16 +144,16 @@
 	const ms = time.Millisecond
 	var l Line
 	for _, r := range []struct {
-		way  string
-		took time.Duration
+		route string
+		took  time.Duration
 	}{{"short", 40 * ms}, {"long", 200 * ms}} {
-		l.Ask(Bid{Rank: 1, Way: r.way, Left: time.Second}, 1, 0)
-		l.Done(r.way, r.took, 1, 0)
+		l.Ask(Bid{Rank: 1, Route: r.route, Left: time.Second}, 1, 0)
+		l.Done(r.route, r.took, 1, 0)
 	}
-	l.Ask(Bid{Rank: 1, Way: "long", Left: time.Second}, 1, 0)
-	_, long, _, _ := l.Ask(Bid{Rank: 1, Way: "long", Left: 700 * ms}, 1, 0)
-	_, short, _, _ := l.Ask(Bid{Rank: 1, Way: "short", Left: 900 * ms}, 1, 0)
-	_, first, _, _ := l.Ask(Bid{Rank: 0, Way: "long", Left: 900 * ms}, 1, 0)
+	l.Ask(Bid{Rank: 1, Route: "long", Left: time.Second}, 1, 0)
+	_, long, _, _ := l.Ask(Bid{Rank: 1, Route: "long", Left: 700 * ms}, 1, 0)
+	_, short, _, _ := l.Ask(Bid{Rank: 1, Route: "short", Left: 900 * ms}, 1, 0)
+	_, first, _, _ := l.Ask(Bid{Rank: 0, Route: "long", Left: 900 * ms}, 1, 0)
 	var order []uint64
 	for range 3 {
 		order = append(order, l.Done("long", 200*ms, 1, 100*ms).Run...)
--- a/way/attempt.go
+++ b/routing/attempt.go
@@ -1,4 +1,4 @@
-package way
+package routing
 
 import (
 	"time"
--- a/way/costs.go
+++ b/routing/costs.go
@@ -1,4 +1,4 @@
-package way
+package routing
 
 import (
 	"cmp"
@@ -17,11 +17,11 @@
 	start time.Time
 }
 
-type costKey struct{ way, node, instance string }
+type costKey struct{ route, node, instance string }
 
 // CostPage shows one of them to an operator.
 type CostPage struct {
-	Way      string  `json:"way"`
+	Route    string  `json:"way"`
 	Node     string  `json:"node,omitempty"`
 	Instance string  `json:"instance,omitempty"`
 	Half     string  `json:"half"`
@@ -36,11 +36,11 @@
 func NewCosts() *Costs { return &Costs{table: map[costKey]*Cost{}, start: time.Now()} }
 
 // Learn takes an attempt that came back after a while, or that did not in time.
-func (c *Costs) Learn(way string, t membership.Target, took time.Duration, missed bool) {
+func (c *Costs) Learn(route string, t membership.Target, took time.Duration, missed bool) {
 	now := time.Since(c.start)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, k := range []costKey{{way: way}, {way, t.Node, t.Instance}} {
+	for _, k := range []costKey{{route: route}, {route, t.Node, t.Instance}} {
 		x := c.table[k]
 		if x == nil {
 			if len(c.table) >= mostCosts {
@@ -64,11 +64,11 @@
 
 // Of is what was learned of a way at a backend, or, if that is too little, of
 // the way at all.
-func (c *Costs) Of(way string, t membership.Target) Cost {
+func (c *Costs) Of(route string, t membership.Target) Cost {
 	now := time.Since(c.start)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, k := range []costKey{{way, t.Node, t.Instance}, {way: way}} {
+	for _, k := range []costKey{{route, t.Node, t.Instance}, {route: route}} {
 		if x := c.table[k]; x != nil {
 			if x.age(now); x.Known() {
 				known := *x
@@ -90,7 +90,7 @@
 		if x.age(now); x.sum < 0.01 {
 			continue
 		}
-		page := CostPage{Way: k.way, Node: k.node, Instance: k.instance, Missed: x.mass[costBuckets] / x.sum, Weight: x.sum}
+		page := CostPage{Route: k.route, Node: k.node, Instance: k.instance, Missed: x.mass[costBuckets] / x.sum, Weight: x.sum}
 		for share, text := range map[float64]*string{0.5: &page.Half, 0.95: &page.Most} {
 			d, ok := x.Quantile(share)
 			if *text = d.Round(100 * time.Microsecond).String(); !ok {
@@ -100,7 +100,7 @@
 		out = append(out, page)
 	}
 	slices.SortFunc(out, func(a, b CostPage) int {
-		return cmp.Or(cmp.Compare(a.Way, b.Way), cmp.Compare(a.Node, b.Node), cmp.Compare(a.Instance, b.Instance))
+		return cmp.Or(cmp.Compare(a.Route, b.Route), cmp.Compare(a.Node, b.Node), cmp.Compare(a.Instance, b.Instance))
 	})
 	return out
 }
--- a/way/decision.go
+++ b/routing/decision.go
@@ -1,4 +1,4 @@
-package way
+package routing
 
 import (
 	"cmp"
@@ -32,7 +32,7 @@
 // it and tells it what came of each attempt. (DESIGN 4.2)
 type Decision struct {
 	// Way has as its Service the one that was picked for the request.
-	Way      desired.Way
+	Route    desired.Route
 	Deadline time.Time
 	Zone     string
 	Rand     *rand.Rand
@@ -46,7 +46,7 @@
 func (d *Decision) Tell(l Attempt) { d.attempts = append(d.attempts, l) }
 
 // Service is the one service that all attempts go to.
-func (d *Decision) Service() string { return d.Way.Service }
+func (d *Decision) Service() string { return d.Route.Service }
 
 // Attempts lists the attempts so far.
 func (d *Decision) Attempts() []Attempt { return d.attempts }
@@ -74,7 +74,7 @@
 func (d *Decision) history(now time.Time) history {
 	past := history{
 		fate:    NotRun,
-		reason:  "no backend of " + d.Way.Service,
+		reason:  "no backend of " + d.Route.Service,
 		back:    cmp.Or(d.Means.Back, time.Second),
 		expired: !now.Before(d.Deadline),
 	}
@@ -129,10 +129,10 @@
 // exhausted tells whether no further attempt may be made: one may have run that
 // must not run twice, or there were as many as the route allows.
 func (d *Decision) exhausted(past history) bool {
-	if past.fate == Unknown && !d.Way.Repeatable {
+	if past.fate == Unknown && !d.Route.Repeatable {
 		return true
 	}
-	return past.reached >= cmp.Or(d.Way.Attempts, mostAttempts) || len(d.attempts) >= mostAsked
+	return past.reached >= cmp.Or(d.Route.Attempts, mostAttempts) || len(d.attempts) >= mostAsked
 }
 
 // target chooses where the next attempt goes. A patient one was refused before and
@@ -176,7 +176,7 @@
 // choose takes one of two random backends, of the own zone first.
 func (d *Decision) choose(t *Table, v *membership.View, now time.Time) (membership.Target, bool) {
 	var near, far, shunned []membership.Target
-	for _, c := range v.Service(d.Way.Service) {
+	for _, c := range v.Service(d.Route.Service) {
 		switch {
 		case c.Leaving || t.Emptied(c.Zone) || d.tried(c):
 		case c.Load.Shunned():
--- a/way/index.go
+++ b/routing/index.go
@@ -1,4 +1,4 @@
-package way
+package routing
 
 import (
 	"slices"
@@ -18,31 +18,31 @@
 // group is the ways of one host, as long as it was written.
 type group struct {
 	host    int
-	lengths []int                    // of its prefixes, the longest first
-	ways    map[string][]desired.Way // by prefix, those with methods first
+	lengths []int                      // of its prefixes, the longest first
+	routes  map[string][]desired.Route // by prefix, those with methods first
 }
 
 // newIndex takes ways in the order in which they win.
-func newIndex(ways []desired.Way) index {
+func newIndex(routes []desired.Route) index {
 	x := index{hosts: map[string][]*group{}}
-	for _, w := range ways {
+	for _, w := range routes {
 		key := fold(w.Host)
 		list := x.hosts[key]
 		// The order has the longer hosts first, and of each the longer prefixes.
 		if len(list) == 0 || list[len(list)-1].host != len(w.Host) {
-			list = append(list, &group{host: len(w.Host), ways: map[string][]desired.Way{}})
+			list = append(list, &group{host: len(w.Host), routes: map[string][]desired.Route{}})
 			x.hosts[key] = list
 		}
 		g := list[len(list)-1]
 		if n := len(g.lengths); n == 0 || g.lengths[n-1] != len(w.Prefix) {
 			g.lengths = append(g.lengths, len(w.Prefix))
 		}
-		g.ways[w.Prefix] = append(g.ways[w.Prefix], w)
+		g.routes[w.Prefix] = append(g.routes[w.Prefix], w)
 	}
 	return x
 }
 
-func (x *index) find(host, path, method string) *desired.Way {
+func (x *index) find(host, path, method string) *desired.Route {
 	for _, key := range [2]string{fold(host), ""} {
 		for _, g := range x.hosts[key] {
 			if w := g.find(path, method); w != nil {
@@ -53,12 +53,12 @@
 	return nil
 }
 
-func (g *group) find(path, method string) *desired.Way {
+func (g *group) find(path, method string) *desired.Route {
 	for _, n := range g.lengths {
 		if n > len(path) {
 			continue
 		}
-		list := g.ways[path[:n]]
+		list := g.routes[path[:n]]
 		for i := range list {
 			if w := &list[i]; len(w.Methods) == 0 || slices.Contains(w.Methods, method) {
 				return w
--- a/way/index_test.go
+++ b/routing/index_test.go
@@ -1,4 +1,4 @@
-package way
+package routing
 
 import (
 	"encoding/json"
@@ -16,22 +16,22 @@
 )
 
 // linear looks through all ways, in the order in which they win.
-func linear(t *Table, host, path, method string) (desired.Way, bool) {
+func linear(t *Table, host, path, method string) (desired.Route, bool) {
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
 	}
-	for _, w := range t.ways {
+	for _, w := range t.routes {
 		if (w.Host == "" || strings.EqualFold(w.Host, host)) && strings.HasPrefix(path, w.Prefix) &&
 			(len(w.Methods) == 0 || slices.Contains(w.Methods, method)) {
 			return w, true
 		}
 	}
-	return desired.Way{}, false
+	return desired.Route{}, false
 }
 
 // tableOf builds a table of ways under one contract.
-func tableOf(t testing.TB, ways []desired.Way) *Table {
-	st := desired.State{Ways: ways}
+func tableOf(t testing.TB, routes []desired.Route) *Table {
+	st := desired.State{Routes: routes}
 	if err := json.Unmarshal([]byte(`{"contracts":[{"name":"c","aim":"1s","expiry":"2s","rank":1}]}`), &st); err != nil {
 		t.Fatal(err)
 	}
@@ -52,10 +52,10 @@
 	for seed := range uint64(300) {
 		rng := rand.New(rand.NewPCG(seed, 3))
 		type key struct{ host, prefix, method string }
-		var ways []desired.Way
+		var routes []desired.Route
 		taken := map[key]bool{}
 		for i := range 1 + rng.IntN(40) {
-			w := desired.Way{Name: fmt.Sprint("w", i), Host: one(rng, hosts), Prefix: "/" + one(rng, parts) + one(rng, parts), Service: "s", Contract: "c"}
+			w := desired.Route{Name: fmt.Sprint("w", i), Host: one(rng, hosts), Prefix: "/" + one(rng, parts) + one(rng, parts), Service: "s", Contract: "c"}
 			for _, m := range methods {
 				if rng.IntN(4) == 0 {
 					w.Methods = append(w.Methods, m)
@@ -74,9 +74,9 @@
 			for _, k := range keys {
 				taken[k] = true
 			}
-			ways = append(ways, w)
+			routes = append(routes, w)
 		}
-		table := tableOf(t, ways)
+		table := tableOf(t, routes)
 		for range 200 {
 			host, path, method := one(rng, hosts), "/"+one(rng, parts)+one(rng, parts)+one(rng, parts), one(rng, methods)
 			switch rng.IntN(4) {
@@ -120,14 +120,14 @@
 func BenchmarkMatch(b *testing.B) {
 	for _, n := range []int{30, 310, 3000} {
 		for _, hosts := range []int{1, 50} {
-			var ways []desired.Way
+			var routes []desired.Route
 			for i := range n {
-				ways = append(ways, desired.Way{Name: fmt.Sprint("w", i), Host: fmt.Sprintf("host-%d.example", i%hosts), Prefix: fmt.Sprintf("/part-%d/of/it", i), Service: "s", Contract: "c"})
+				routes = append(routes, desired.Route{Name: fmt.Sprint("w", i), Host: fmt.Sprintf("host-%d.example", i%hosts), Prefix: fmt.Sprintf("/part-%d/of/it", i), Service: "s", Contract: "c"})
 			}
-			table := tableOf(b, ways)
+			table := tableOf(b, routes)
 			b.Run(fmt.Sprintf("%d ways of %d hosts", n, hosts), func(b *testing.B) {
 				for i := range b.N {
-					w := &ways[i%n]
+					w := &routes[i%n]
 					if got, _, ok := table.Match(w.Host, w.Prefix+"/and/more", "GET"); !ok || got.Name != w.Name {
 						b.Fatal(got.Name)
 					}
@@ -145,7 +145,7 @@
 			b.Fatal(err)
 		}
 		for i := range n {
-			st.Ways = append(st.Ways, desired.Way{Name: fmt.Sprint("w", i), Host: fmt.Sprintf("host-%d.example", i%50), Prefix: fmt.Sprintf("/part-%d/of/it", i), Service: "s", Contract: "c"})
+			st.Routes = append(st.Routes, desired.Route{Name: fmt.Sprint("w", i), Host: fmt.Sprintf("host-%d.example", i%50), Prefix: fmt.Sprintf("/part-%d/of/it", i), Service: "s", Contract: "c"})
 		}
 		w := desired.Word{Stamp: 1, DesiredStamp: 1, Desired: st.Bytes()}
 		b.Run(fmt.Sprintf("%d ways", n), func(b *testing.B) {
--- a/way/lapsed_test.go
+++ b/routing/lapsed_test.go
@@ -1,4 +1,4 @@
-package way
+package routing
 
 import (
 	"math/rand/v2"
@@ -34,7 +34,7 @@
 	} {
 		s, now := newSite(at), time.Now()
 		d := Decision{
-			Way: desired.Way{Name: "w", Service: "s"}, Deadline: now.Add(time.Minute), Zone: "north", Rand: rand.New(rand.NewPCG(1, 1)),
+			Route: desired.Route{Name: "w", Service: "s"}, Deadline: now.Add(time.Minute), Zone: "north", Rand: rand.New(rand.NewPCG(1, 1)),
 			Means: Means{
 				Aim: now.Add(time.Second), Room: time.Minute, Patience: time.Minute, Late: true, Hold: now.Add(time.Minute),
 				Cost:   func(target membership.Target) Cost { return s.costs.Of("w", target) },
--- a/way/pick_test.go
+++ b/routing/pick_test.go
@@ -1,4 +1,4 @@
-package way
+package routing
 
 import (
 	"math/rand/v2"
@@ -12,11 +12,11 @@
 
 // A split's services get their parts; one of no weight gets nothing.
 func TestPick(t *testing.T) {
-	if got := Pick(desired.Way{Service: "one"}, nil); got != "one" {
+	if got := Pick(desired.Route{Service: "one"}, nil); got != "one" {
 		t.Errorf("without a split: %q", got)
 	}
 	rng := rand.New(rand.NewPCG(1, 1))
-	w, got := desired.Way{Split: []desired.Portion{{Service: "none"}, {Service: "most", Weight: 95}, {Service: "few", Weight: 5}, {Service: "never"}}}, map[string]int{}
+	w, got := desired.Route{Split: []desired.Portion{{Service: "none"}, {Service: "most", Weight: 95}, {Service: "few", Weight: 5}, {Service: "never"}}}, map[string]int{}
 	for range 20000 {
 		got[Pick(w, rng.IntN)]++
 	}
@@ -36,7 +36,7 @@
 	for attempts, want := range map[int]int{0: 3, 1: 1, 2: 2, 5: 5, 10: 6} {
 		now := time.Now()
 		d := Decision{
-			Way: desired.Way{Name: "w", Service: "s", Attempts: attempts}, Deadline: now.Add(time.Second), Rand: rand.New(rand.NewPCG(1, 1)),
+			Route: desired.Route{Name: "w", Service: "s", Attempts: attempts}, Deadline: now.Add(time.Second), Rand: rand.New(rand.NewPCG(1, 1)),
 			Means: Means{Cost: func(membership.Target) Cost { return Cost{} }, Spend: func() bool { return true }},
 		}
 		for {
--- a/way/spend_test.go
+++ b/routing/spend_test.go
@@ -1,4 +1,4 @@
-package way
+package routing
 
 import (
 	"math/rand/v2"
@@ -46,7 +46,7 @@
 	for seed := range uint64(400) {
 		now := time.Now()
 		d := Decision{
-			Way: desired.Way{Name: "w", Service: "s"}, Deadline: now.Add(left), Zone: "north", Rand: rand.New(rand.NewPCG(seed, 1)),
+			Route: desired.Route{Name: "w", Service: "s"}, Deadline: now.Add(left), Zone: "north", Rand: rand.New(rand.NewPCG(seed, 1)),
 			Means: Means{
 				Aim: now.Add(100 * time.Millisecond), Room: 900 * time.Millisecond, Patience: patience, Crossing: s.crossing,
 				Cost: func(t membership.Target) Cost { return s.costs.Of("w", t) }, Spend: func() bool { return true },
--- a/way/table.go
+++ b/routing/table.go
@@ -1,6 +1,6 @@
 // Package way decides where a request goes: a decision object that is asked.
 // (DESIGN 4)
-package way
+package routing
 
 import (
 	"cmp"
@@ -16,7 +16,7 @@
 // Table is the immutable snapshot of ways and contracts under one stamp.
 type Table struct {
 	Stamp     uint64
-	ways      []desired.Way
+	routes    []desired.Route
 	index     index
 	contracts map[string]desired.Contract
 	services  map[string]desired.Service
@@ -65,7 +65,7 @@
 	if !ok || len(faults) > 0 {
 		return nil, false
 	}
-	t.ways, t.limits, t.services = st.Ways, st.Limits, map[string]desired.Service{}
+	t.routes, t.limits, t.services = st.Routes, st.Limits, map[string]desired.Service{}
 	for _, s := range st.Services {
 		t.services[s.Name] = s
 	}
@@ -73,21 +73,21 @@
 		t.contracts[c.Name] = c
 	}
 	// The closest match stands first: host, then longer prefix, then method.
-	slices.SortStableFunc(t.ways, func(a, b desired.Way) int {
+	slices.SortStableFunc(t.routes, func(a, b desired.Route) int {
 		return cmp.Or(cmp.Compare(len(b.Host), len(a.Host)), cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(min(1, len(b.Methods)), min(1, len(a.Methods))))
 	})
-	t.index = newIndex(t.ways)
+	t.index = newIndex(t.routes)
 	return t, true
 }
 
 // Match finds the way of a request and its contract.
-func (t *Table) Match(host, path, method string) (desired.Way, desired.Contract, bool) {
+func (t *Table) Match(host, path, method string) (desired.Route, desired.Contract, bool) {
 	if h, _, err := net.SplitHostPort(host); err == nil {
 		host = h
 	}
 	w := t.index.find(host, path, method)
 	if w == nil {
-		return desired.Way{}, desired.Contract{}, false
+		return desired.Route{}, desired.Contract{}, false
 	}
 	return *w, t.contracts[w.Contract], true
 }
@@ -114,8 +114,8 @@
 // said of.
 func (t *Table) Services() []string {
 	out := slices.Collect(maps.Keys(t.services))
-	for i := range t.ways {
-		out = append(out, t.ways[i].Services()...)
+	for i := range t.routes {
+		out = append(out, t.routes[i].Services()...)
 	}
 	slices.Sort(out)
 	return slices.Compact(out)
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -6,7 +6,7 @@
 
 	"curlewwalk/metrics"
 	"curlewwalk/relay"
-	"curlewwalk/way"
+	"curlewwalk/routing"
 )
 
 // metrics serves the sidecar's metrics. The client side takes requests from
@@ -25,9 +25,9 @@
 	return []*metrics.Metric{
 		metrics.Counter("route_requests_total", "Requests of callers that a route took, by outcome.", []string{"route", "outcome"}, n.near.Routes.Read),
 		metrics.Counter("requests_total", "Requests of callers, and attempts for own backends, that have ended, by outcome.", []string{"side", "outcome"}, n.bySide(func(t relay.Totals, emit metrics.Emit, side string) {
-			emit(float64(t.Answered), side, string(way.Answered))
-			emit(float64(t.NotRun), side, string(way.NotRun))
-			emit(float64(t.Unknown), side, string(way.Unknown))
+			emit(float64(t.Answered), side, string(routing.Answered))
+			emit(float64(t.NotRun), side, string(routing.NotRun))
+			emit(float64(t.Unknown), side, string(routing.Unknown))
 		})),
 		metrics.Gauge("requests_in_flight", "Requests of callers, and attempts for own backends, that are open.", side, n.bySide(func(t relay.Totals, emit metrics.Emit, side string) {
 			emit(float64(t.Open), side)
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -24,8 +24,8 @@
 	"curlewwalk/relay"
 	"curlewwalk/rendezvous"
 	"curlewwalk/roster"
+	"curlewwalk/routing"
 	"curlewwalk/trace"
-	"curlewwalk/way"
 	"curlewwalk/wire"
 )
 
@@ -76,7 +76,7 @@
 	n.seeker = membership.NewSeeker()
 	n.steward = newSteward(p.Launcher, set.Advertise, p.Boot, set.Zone, set.ExtraAttempts, n.seeker.Hasten)
 	n.steward.roster.Store(&roster.Roster{Pace: roster.Pace{Beat: set.Beat}})
-	n.steward.climb = way.Climb{For: set.Ramp, From: set.RampFrom}
+	n.steward.climb = routing.Climb{For: set.Ramp, From: set.RampFrom}
 	if set.Memory > 0 {
 		debug.SetMemoryLimit(set.Memory << 20 * 85 / 100)
 	}
@@ -91,10 +91,10 @@
 	watcher.Own, watcher.Net, watcher.Launcher, watcher.Changed = set.Advertise, p.Net, p.Launcher, n.seeker.Hasten
 	watcher.View = func() *membership.View { return n.steward.view.Load() }
 	n.seeker.Heard = func(context.Context, membership.Seat) {}
-	table := func() *way.Table { return n.steward.table.Load() }
+	table := func() *routing.Table { return n.steward.table.Load() }
 	n.near = &relay.Near{
 		Zone: set.Zone, Table: table, View: func() *membership.View { return n.steward.view.Load() },
-		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log, Lineage: lin, Claims: claims, RetryBudgets: n.steward.retryBudgets, Budgets: n.steward.budgets, Costs: way.NewCosts(), Life: p.Life, Draining: n.shut,
+		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log, Lineage: lin, Claims: claims, RetryBudgets: n.steward.retryBudgets, Budgets: n.steward.budgets, Costs: routing.NewCosts(), Life: p.Life, Draining: n.shut,
 	}
 	n.near.Shun = set.Shun
 	n.near.Unsure = n.unsure
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -13,7 +13,7 @@
 	"curlewwalk/launch"
 	"curlewwalk/membership"
 	"curlewwalk/roster"
-	"curlewwalk/way"
+	"curlewwalk/routing"
 )
 
 // steward is the one thread of control state. It swaps whole the snapshots
@@ -33,7 +33,7 @@
 	copy *feed.Copy
 
 	roster atomic.Pointer[roster.Roster]
-	table  atomic.Pointer[way.Table]
+	table  atomic.Pointer[routing.Table]
 	view   atomic.Pointer[membership.View]
 	shown  atomic.Pointer[follows]
 	claim  roster.Claim
@@ -44,7 +44,7 @@
 	// report limits how often new configurations hasten heartbeats.
 	report reportLimit
 	// climb is how zones are taken back.
-	climb way.Climb
+	climb routing.Climb
 }
 
 // follows is what the steward shows of the feed.
@@ -82,7 +82,7 @@
 	s.watcher = membership.NewWatcher()
 	s.retryBudgets, s.budgets = contract.NewRetryBudgets(addr, extraAttempts), contract.NewBudgets()
 	s.roster.Store(&roster.Roster{})
-	t, _ := way.NewTable(desired.Word{})
+	t, _ := routing.NewTable(desired.Word{})
 	s.table.Store(t)
 	s.view.Store(membership.NewView(nil, nil))
 	s.shown.Store(&follows{})
@@ -221,7 +221,7 @@
 
 // word puts a word in force.
 func (s *steward) word(w desired.Word) {
-	if t, ok := way.NewTable(w); ok {
+	if t, ok := routing.NewTable(w); ok {
 		t.Climb = s.climb
 		t.After(s.table.Load(), time.Now())
 		s.table.Store(t)
--- a/trace/event.go
+++ b/trace/event.go
@@ -24,7 +24,7 @@
 	Node     string        `msgpack:"n"`
 	Boot     uint64        `msgpack:"b"`
 	Since    time.Duration `msgpack:"at"`
-	Way      string        `msgpack:"w,omitempty"`
+	Route    string        `msgpack:"w,omitempty"`
 	Service  string        `msgpack:"sv,omitempty"`
 	Caller   string        `msgpack:"cl,omitempty"`
 	Instance string        `msgpack:"i,omitempty"`
