--- a/cmd/core/main.go
+++ b/cmd/core/main.go
@@ -5,13 +5,13 @@
 import (
 	"os"
 
-	"curlewwalk/boot"
 	"curlewwalk/core"
 	"curlewwalk/process"
+	"curlewwalk/settings"
 )
 
 func main() {
-	set, exit := boot.ReadCore(os.Args[1:])
+	set, exit := settings.ReadCore(os.Args[1:])
 	process.Exit(exit)
-	core.New(set, nil).Run(func() (boot.Core, boot.Exit) { return boot.ReadCore(os.Args[1:]) })
+	core.New(set, nil).Run(func() (settings.Core, settings.Exit) { return settings.ReadCore(os.Args[1:]) })
 }
--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -5,13 +5,13 @@
 import (
 	"os"
 
-	"curlewwalk/boot"
 	"curlewwalk/process"
+	"curlewwalk/settings"
 	"curlewwalk/sidecar"
 )
 
 func main() {
-	set, exit := boot.ReadSidecar(os.Args[1:])
+	set, exit := settings.ReadSidecar(os.Args[1:])
 	process.Exit(exit)
-	sidecar.New(set, nil).Run(func() (boot.Sidecar, boot.Exit) { return boot.ReadSidecar(os.Args[1:]) })
+	sidecar.New(set, nil).Run(func() (settings.Sidecar, settings.Exit) { return settings.ReadSidecar(os.Args[1:]) })
 }
--- a/register/chair.go
+++ b/consensus/chair.go
@@ -1,4 +1,4 @@
-package register
+package consensus
 
 // Chair is what an acceptor knows of a slot: the highest incarnation, and whose
 // disk has it.
--- a/register/epoch.go
+++ b/consensus/epoch.go
@@ -1,4 +1,4 @@
-package register
+package consensus
 
 // stride is how far a slot's epochs lie apart where slots come and go; MostSlots
 // bounds slot numbers, of which each disk gets a new one. 29 bits of slots and 35 of
--- a/register/from.go
+++ b/consensus/from.go
@@ -1,4 +1,4 @@
-package register
+package consensus
 
 // From names a sender: its slot, the incarnation in which it sits there, and
 // the identity that its disk drew when it was empty.
--- a/register/generation_test.go
+++ b/consensus/generation_test.go
@@ -1,4 +1,4 @@
-package register
+package consensus
 
 import (
 	"testing"
--- a/register/mark.go
+++ b/consensus/mark.go
@@ -1,7 +1,7 @@
-// Package register holds the operator's word on the cores: acceptors that keep
+// Package consensus holds the operator's word on the cores: acceptors that keep
 // it, and the proposer of the duty core that writes it. Both are plain decision
 // values. (DESIGN 6)
-package register
+package consensus
 
 import "cmp"
 
--- a/register/phase.go
+++ b/consensus/phase.go
@@ -1,4 +1,4 @@
-package register
+package consensus
 
 // Phase is how far an acceptor's disk has come.
 type Phase string
--- a/core/applicant.go
+++ b/core/applicant.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"curlewwalk/consensus"
 	"curlewwalk/membership"
-	"curlewwalk/register"
 	"curlewwalk/wire"
 )
 
@@ -27,7 +27,7 @@
 		case <-wait.C:
 		}
 		next := membership.Beat
-		if n.keeper.Acceptor().Phase == register.Seeking && !n.draining.Load() {
+		if n.keeper.Acceptor().Phase == consensus.Seeking && !n.draining.Load() {
 			n.ask(ctx)
 			next = applyEvery
 		}
@@ -37,7 +37,7 @@
 
 // ask asks the core on duty, or any that passes it on.
 func (n *Node) ask(ctx context.Context) {
-	a := register.Asker{ID: n.keeper.Acceptor().Self.ID, Addr: n.set.Advertise, Zone: n.set.Zone}
+	a := consensus.Asker{ID: n.keeper.Acceptor().Self.ID, Addr: n.set.Advertise, Zone: n.set.Zone}
 	ctx, cancel := context.WithTimeout(ctx, seatLimit)
 	defer cancel()
 	to := n.duty().Addr
@@ -48,5 +48,5 @@
 		}
 		to = live[0].Addr
 	}
-	n.p.Net.Call(ctx, to, wire.Control, register.KindSeat, a)
+	n.p.Net.Call(ctx, to, wire.Control, consensus.KindSeat, a)
 }
--- a/core/await_test.go
+++ b/core/await_test.go
@@ -5,8 +5,8 @@
 	"log/slog"
 	"testing"
 
+	"curlewwalk/consensus"
 	"curlewwalk/launch"
-	"curlewwalk/register"
 )
 
 // Whoever gives an order learns that its outcome is not known when its time is over,
@@ -15,20 +15,20 @@
 	l := launch.New(slog.New(slog.DiscardHandler), func(name string, cause any, _ []byte) { t.Errorf("%s: %v", name, cause) })
 	ctx, giveUp := context.WithCancel(t.Context())
 	release, done := make(chan struct{}), make(chan error, 1)
-	order := func(ctx context.Context) register.Answer {
+	order := func(ctx context.Context) consensus.Answer {
 		giveUp()
 		<-release
 		done <- ctx.Err()
-		return register.Answer{Result: register.Taken}
+		return consensus.Answer{Result: consensus.Taken}
 	}
-	if a := await(ctx, l, order); a.Result != register.Unknown {
+	if a := await(ctx, l, order); a.Result != consensus.Unknown {
 		t.Errorf("answered %q before its end", a.Result)
 	}
 	close(release)
 	if err := <-done; err != nil {
 		t.Errorf("the order ended with its caller: %v", err)
 	}
-	if a := await(t.Context(), l, func(context.Context) register.Answer { return register.Answer{Result: register.Taken} }); a.Result != register.Taken {
+	if a := await(t.Context(), l, func(context.Context) consensus.Answer { return consensus.Answer{Result: consensus.Taken} }); a.Result != consensus.Taken {
 		t.Errorf("answered %q", a.Result)
 	}
 }
--- a/core/control.go
+++ b/core/control.go
@@ -9,12 +9,12 @@
 	"time"
 
 	"curlewwalk/collect"
+	"curlewwalk/consensus"
 	"curlewwalk/contract"
 	"curlewwalk/desired"
 	"curlewwalk/feed"
 	"curlewwalk/membership"
 	"curlewwalk/process"
-	"curlewwalk/register"
 	"curlewwalk/routing"
 	"curlewwalk/trace"
 	"curlewwalk/wire"
@@ -29,8 +29,8 @@
 
 // written is the response of an operator's write.
 type written struct {
-	Stamp uint64          `json:"stamp,omitempty"`
-	Taken register.Result `json:"taken"`
+	Stamp uint64           `json:"stamp,omitempty"`
+	Taken consensus.Result `json:"taken"`
 	// InForce tells whether every sidecar that this core hears has it in force;
 	// Behind lists those that have not.
 	InForce *bool    `json:"in_force,omitempty"`
@@ -46,16 +46,16 @@
 
 // state is what GET /v1/state shows.
 type state struct {
-	Self      membership.Seat        `json:"self"`
-	Phase     register.Phase         `json:"phase"`
-	Promised  uint64                 `json:"promised"`
-	Mark      register.Mark          `json:"mark"`
-	Slots     register.Sets          `json:"slots"`
-	Seats     map[int]register.Chair `json:"incarnations"`
-	Duty      int                    `json:"duty"`
-	Cores     []membership.Seat      `json:"cores"`
-	Live      []int                  `json:"live"`
-	Directory feed.State             `json:"directory"`
+	Self      membership.Seat         `json:"self"`
+	Phase     consensus.Phase         `json:"phase"`
+	Promised  uint64                  `json:"promised"`
+	Mark      consensus.Mark          `json:"mark"`
+	Slots     consensus.Sets          `json:"slots"`
+	Seats     map[int]consensus.Chair `json:"incarnations"`
+	Duty      int                     `json:"duty"`
+	Cores     []membership.Seat       `json:"cores"`
+	Live      []int                   `json:"live"`
+	Directory feed.State              `json:"directory"`
 }
 
 // control serves a core's /v1, /live and /ready.
@@ -66,8 +66,8 @@
 	mux.HandleFunc("GET /v1/desired", n.getDesired)
 	mux.HandleFunc("GET /v1/localities", n.getZones)
 	mux.HandleFunc("GET /v1/localities/{name}", n.getDrain)
-	mux.HandleFunc("PUT /v1/localities/{name}/emptied", n.zone(register.Empty))
-	mux.HandleFunc("DELETE /v1/localities/{name}/emptied", n.zone(register.TakeBack))
+	mux.HandleFunc("PUT /v1/localities/{name}/emptied", n.zone(consensus.Empty))
+	mux.HandleFunc("DELETE /v1/localities/{name}/emptied", n.zone(consensus.TakeBack))
 	mux.HandleFunc("PUT /v1/windows", n.putWindows)
 	mux.HandleFunc("GET /v1/windows", n.getWindows)
 	mux.HandleFunc("DELETE /v1/windows", func(w http.ResponseWriter, r *http.Request) {
@@ -140,7 +140,7 @@
 	n.response(w, r, a)
 }
 
-func (n *Node) zone(kind register.OrderKind) http.HandlerFunc {
+func (n *Node) zone(kind consensus.OrderKind) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		name := r.PathValue("name")
 		if !desired.IsName(name) {
@@ -148,7 +148,7 @@
 			return
 		}
 		if m, ok := ifMatch(w, r); ok {
-			n.response(w, r, n.evacuate(r.Context(), register.Order{Kind: kind, Zone: name, IfMatch: m}))
+			n.response(w, r, n.evacuate(r.Context(), consensus.Order{Kind: kind, Zone: name, IfMatch: m}))
 		}
 	}
 }
@@ -167,22 +167,22 @@
 }
 
 // response tells what is known of an order that was carried out.
-func (n *Node) response(w http.ResponseWriter, r *http.Request, a register.Answer) {
+func (n *Node) response(w http.ResponseWriter, r *http.Request, a consensus.Answer) {
 	out := written{Taken: a.Result, Stamp: a.Word.Stamp}
 	status := http.StatusOK
 	switch a.Result {
-	case register.Taken:
+	case consensus.Taken:
 		stamped(w, a.Word.Stamp)
 		behind, known := n.InForce(r.Context(), a.Word.Stamp)
 		inForce := known && len(behind) == 0
 		out.InForce, out.Behind = &inForce, behind
-	case register.Mismatch:
+	case consensus.Mismatch:
 		status, out.Stamp, out.Error = http.StatusPreconditionFailed, a.Word.DesiredStamp, "the newest stamp is another one"
-	case register.Conflict:
+	case consensus.Conflict:
 		status, out.Stamp, out.Error = http.StatusConflict, 0, "another configuration was taken under its number"
 	default:
 		out.Error = "no majority of cores took it"
-		if a.Result == register.Overtaken {
+		if a.Result == consensus.Overtaken {
 			out.Error = "a newer order on the locality was taken meanwhile"
 		}
 		status = http.StatusServiceUnavailable
--- a/core/door.go
+++ b/core/door.go
@@ -4,45 +4,45 @@
 	"context"
 	"fmt"
 
+	"curlewwalk/consensus"
 	"curlewwalk/desired"
 	"curlewwalk/launch"
-	"curlewwalk/register"
 )
 
 // What an operator may ask of a core, in whatever dialect. An order that was begun goes
 // on though whoever gave it goes away. (DESIGN 18)
 
 // Put has a configuration put, unless it has faults: then nothing is done.
-func (n *Node) Put(ctx context.Context, e Generation) (register.Answer, []desired.Fault) {
+func (n *Node) Put(ctx context.Context, e Generation) (consensus.Answer, []desired.Fault) {
 	if len(e.Desired) > desired.MaxBytes || len(e.Sent) > desired.MaxBytes {
-		return register.Answer{Result: register.NotTaken}, []desired.Fault{{Path: "$", Message: fmt.Sprintf("over %d bytes", desired.MaxBytes)}}
+		return consensus.Answer{Result: consensus.NotTaken}, []desired.Fault{{Path: "$", Message: fmt.Sprintf("over %d bytes", desired.MaxBytes)}}
 	}
 	_, faults, ok := desired.Parse(e.Desired)
 	if !ok {
 		faults = []desired.Fault{{Path: "$", Message: "not JSON"}}
 	}
 	if len(faults) > 0 {
-		return register.Answer{Result: register.NotTaken}, faults
+		return consensus.Answer{Result: consensus.NotTaken}, faults
 	}
-	o := register.Order{Kind: register.Put, Bytes: e.Desired, Generation: e.Number, Sent: e.Sent, IfMatch: e.IfMatch}
+	o := consensus.Order{Kind: consensus.Put, Bytes: e.Desired, Generation: e.Number, Sent: e.Sent, IfMatch: e.IfMatch}
 	if e.Number != 0 {
 		o.Digest = desired.Digest(e.Sent, e.Desired)
 	}
 	a := n.obey(ctx, o)
-	if a.Result == register.Conflict {
+	if a.Result == consensus.Conflict {
 		n.p.Log.Warn("another configuration was taken under its number", "generation", e.Number, "held", a.Word.Generation)
 	}
 	return a, nil
 }
 
 // Empty has a zone emptied.
-func (n *Node) Empty(ctx context.Context, zone string) register.Answer {
-	return n.evacuate(ctx, register.Order{Kind: register.Empty, Zone: zone})
+func (n *Node) Empty(ctx context.Context, zone string) consensus.Answer {
+	return n.evacuate(ctx, consensus.Order{Kind: consensus.Empty, Zone: zone})
 }
 
 // TakeBack has a zone taken back.
-func (n *Node) TakeBack(ctx context.Context, zone string) register.Answer {
-	return n.evacuate(ctx, register.Order{Kind: register.TakeBack, Zone: zone})
+func (n *Node) TakeBack(ctx context.Context, zone string) consensus.Answer {
+	return n.evacuate(ctx, consensus.Order{Kind: consensus.TakeBack, Zone: zone})
 }
 
 // evacuate carries an order on a zone out. It is bound to what was settled when it
@@ -50,33 +50,33 @@
 // carried out; and it is not begun if whoever gave it has gone away meanwhile, since the
 // same was then given elsewhere, and perhaps something newer. A core that has just woken
 // can't know that yet, and takes none. (DESIGN 6.3)
-func (n *Node) evacuate(ctx context.Context, o register.Order) register.Answer {
+func (n *Node) evacuate(ctx context.Context, o consensus.Order) consensus.Answer {
 	if !n.keeper.Connected() || n.keeper.Woken() {
-		return register.Answer{Result: register.NotTaken}
+		return consensus.Answer{Result: consensus.NotTaken}
 	}
 	since, ok := n.keeper.Newest(ctx, n.refresh)
 	if !ok || ctx.Err() != nil {
-		return register.Answer{Result: register.NotTaken}
+		return consensus.Answer{Result: consensus.NotTaken}
 	}
 	o.Since = &since
 	return n.obey(ctx, o)
 }
 
 // obey carries an order out.
-func (n *Node) obey(ctx context.Context, o register.Order) register.Answer {
-	return await(ctx, n.p.Launcher, func(ctx context.Context) register.Answer { return n.write(ctx, o) })
+func (n *Node) obey(ctx context.Context, o consensus.Order) consensus.Answer {
+	return await(ctx, n.p.Launcher, func(ctx context.Context) consensus.Answer { return n.write(ctx, o) })
 }
 
 // await carries out an order that goes on though whoever gave it goes away, and returns
 // its answer, or that it is not known when ctx ends before.
-func await(ctx context.Context, l *launch.Launcher, order func(ctx context.Context) register.Answer) register.Answer {
-	answer := make(chan register.Answer, 1)
+func await(ctx context.Context, l *launch.Launcher, order func(ctx context.Context) consensus.Answer) consensus.Answer {
+	answer := make(chan consensus.Answer, 1)
 	l.Go(context.WithoutCancel(ctx), "order", func(ctx context.Context) { answer <- order(ctx) })
 	select {
 	case a := <-answer:
 		return a
 	case <-ctx.Done():
-		return register.Answer{Result: register.Unknown}
+		return consensus.Answer{Result: consensus.Unknown}
 	}
 }
 
@@ -113,9 +113,9 @@
 // whether it did when this was last asked. A change of the set that brought it in has to
 // be finished: until then a loss in the set before may stop the cores. Changes after that
 // one leave it a member.
-func lacksSeat(v register.Acceptor, joined bool) string {
+func lacksSeat(v consensus.Acceptor, joined bool) string {
 	switch {
-	case v.Phase != register.Established:
+	case v.Phase != consensus.Established:
 		return "not established in its slot"
 	case !v.Member():
 		return "its slot was struck"
--- a/core/door_test.go
+++ b/core/door_test.go
@@ -3,8 +3,8 @@
 import (
 	"testing"
 
+	"curlewwalk/consensus"
 	"curlewwalk/desired"
-	"curlewwalk/register"
 )
 
 // A newcomer is ready only once the set that names it is in force by itself; a member
@@ -14,18 +14,18 @@
 	now := append(before[:2:2], desired.Member{Slot: 4, ID: 4})
 	changing := desired.Word{Slots: now, Formerly: before}
 	changed := desired.Word{Slots: now}
-	newcomer, struck := register.From{Slot: 4, Inc: 1, ID: 4}, register.From{Slot: 3, Inc: 1, ID: 3}
+	newcomer, struck := consensus.From{Slot: 4, Inc: 1, ID: 4}, consensus.From{Slot: 3, Inc: 1, ID: 3}
 	for _, c := range []struct {
 		name     string
-		acceptor register.Acceptor
+		acceptor consensus.Acceptor
 		joined   bool
 		ready    bool
 	}{
-		{"no seat yet", register.Acceptor{Self: newcomer, Phase: register.Seeking, Word: changing}, false, false},
-		{"seated by a change that is not finished", register.Acceptor{Self: newcomer, Phase: register.Established, Word: changing}, false, false},
-		{"seated by a finished change", register.Acceptor{Self: newcomer, Phase: register.Established, Word: changed}, false, true},
-		{"a member during a later change", register.Acceptor{Self: newcomer, Phase: register.Established, Word: changing}, true, true},
-		{"struck", register.Acceptor{Self: struck, Phase: register.Established, Word: changed}, true, false},
+		{"no seat yet", consensus.Acceptor{Self: newcomer, Phase: consensus.Seeking, Word: changing}, false, false},
+		{"seated by a change that is not finished", consensus.Acceptor{Self: newcomer, Phase: consensus.Established, Word: changing}, false, false},
+		{"seated by a finished change", consensus.Acceptor{Self: newcomer, Phase: consensus.Established, Word: changed}, false, true},
+		{"a member during a later change", consensus.Acceptor{Self: newcomer, Phase: consensus.Established, Word: changing}, true, true},
+		{"struck", consensus.Acceptor{Self: struck, Phase: consensus.Established, Word: changed}, true, false},
 	} {
 		if why := lacksSeat(c.acceptor, c.joined); (why == "") != c.ready {
 			t.Errorf("%s: %q", c.name, why)
--- a/core/leave.go
+++ b/core/leave.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"curlewwalk/register"
+	"curlewwalk/consensus"
 )
 
 const (
@@ -25,13 +25,13 @@
 	left := false
 	for {
 		v := n.keeper.Acceptor()
-		o, ok := register.Leave(v)
+		o, ok := consensus.Leave(v)
 		switch {
-		case left && v.Phase != register.Established:
+		case left && v.Phase != consensus.Established:
 			return // it has learnt that the set without it is in force
 		case !left && ok:
 			a := n.write(ctx, o)
-			left = a.Result == register.Taken
+			left = a.Result == consensus.Taken
 			n.p.Log.Info("leaves the set of slots", "slot", v.Self.Slot, "taken", string(a.Result))
 		case !left && len(v.Sets().Before) == 0:
 			return
--- a/core/metrics.go
+++ b/core/metrics.go
@@ -6,9 +6,9 @@
 	"sync/atomic"
 	"time"
 
+	"curlewwalk/consensus"
 	"curlewwalk/feed"
 	"curlewwalk/metrics"
-	"curlewwalk/register"
 )
 
 // stateWait is how long a scrape waits for the directory. (ours)
@@ -25,7 +25,7 @@
 }
 
 // lead carries an order out on this core, and counts it.
-func (n *Node) lead(ctx context.Context, o register.Order) register.Answer {
+func (n *Node) lead(ctx context.Context, o consensus.Order) consensus.Answer {
 	a := n.keeper.Write(ctx, o)
 	n.counters.orders.Add(string(o.Kind), string(a.Result))
 	return a
--- a/core/node.go
+++ b/core/node.go
@@ -9,14 +9,14 @@
 	"sync/atomic"
 	"time"
 
-	"curlewwalk/boot"
 	"curlewwalk/clock"
 	"curlewwalk/collect"
+	"curlewwalk/consensus"
 	"curlewwalk/desired"
 	"curlewwalk/feed"
 	"curlewwalk/membership"
 	"curlewwalk/process"
-	"curlewwalk/register"
+	"curlewwalk/settings"
 	"curlewwalk/vault"
 	"curlewwalk/wire"
 )
@@ -34,8 +34,8 @@
 // Node is a core with its parts.
 type Node struct {
 	p         *process.Process
-	set       boot.Core
-	keeper    *register.Keeper
+	set       settings.Core
+	keeper    *consensus.Keeper
 	directory *feed.Directory
 	seeker    *membership.Seeker
 	store     *collect.Store
@@ -49,14 +49,14 @@
 }
 
 // New puts the parts together and opens the addresses.
-func New(set boot.Core, doors Doors) *Node {
+func New(set settings.Core, doors Doors) *Node {
 	p := process.New("core", set.Common)
 	n := &Node{p: p, set: set, store: collect.NewStore(), seeker: membership.NewSeeker(), directory: feed.NewDirectory(p.Launcher, p.Boot)}
 	v, err := vault.Open(set.Data)
 	if err != nil {
 		p.Fail("data", err)
 	}
-	if n.keeper, err = register.NewKeeper(p.Launcher, &register.Disk{Vault: v}, start(set)); err != nil {
+	if n.keeper, err = consensus.NewKeeper(p.Launcher, &consensus.Disk{Vault: v}, start(set)); err != nil {
 		p.Fail("data", err)
 	}
 	n.warden = &warden{n: n}
@@ -73,7 +73,7 @@
 	p.Host.Handlers[membership.KindHeartbeat] = n.heartbeat
 	p.Host.Handlers[feed.KindFollow] = n.directory.Answer
 	maps.Copy(p.Host.Handlers, n.keeper.Handlers())
-	p.Host.Handlers[register.KindSeat] = n.usher.asked
+	p.Host.Handlers[consensus.KindSeat] = n.usher.asked
 	p.Host.Handlers[collect.KindPublish] = n.store.Publish
 	p.Host.Handlers[collect.KindTrace] = n.store.Trace
 	p.Host.Listener = p.Listen("wire", set.Wire)
@@ -91,7 +91,7 @@
 
 // Run prints the signal of readiness and returns when the core has been warned and
 // stopped in order; read reads the settings again.
-func (n *Node) Run(read func() (boot.Core, boot.Exit)) {
+func (n *Node) Run(read func() (settings.Core, settings.Exit)) {
 	fmt.Fprintf(os.Stdout, "started wire=%s control=%s\n", n.p.Host.Addr(), n.web.Listener.Addr())
 	n.p.Wait(func() {
 		next, exit := read()
@@ -108,13 +108,13 @@
 	v := n.keeper.Acceptor()
 	s := membership.Seat{
 		Slot: v.Self.Slot, Addr: n.set.Advertise, Inc: v.Self.Inc, Boot: n.p.Boot,
-		Zone: n.set.Zone, Established: v.Phase == register.Established, Settled: v.Settled, Wall: clock.Wall().UnixNano(),
+		Zone: n.set.Zone, Established: v.Phase == consensus.Established, Settled: v.Settled, Wall: clock.Wall().UnixNano(),
 	}
 	sets := v.Sets()
-	s.Set, s.Slots, s.Held = register.Slots(sets.Now), len(sets.Now), v.Mark.Stamp
+	s.Set, s.Slots, s.Held = consensus.Slots(sets.Now), len(sets.Now), v.Mark.Stamp
 	s.Unable = !n.keeper.Able()
 	if v.Settled < v.Mark.Stamp {
-		s.Before = register.Slots(sets.Before)
+		s.Before = consensus.Slots(sets.Before)
 	}
 	return s.Marked()
 }
@@ -130,7 +130,7 @@
 
 // remembered are the members that a disk tells of: they are heartbeated first, whatever
 // the seeds are now.
-func remembered(v register.Acceptor) (out []membership.Seat) {
+func remembered(v consensus.Acceptor) (out []membership.Seat) {
 	for _, m := range v.Sets().Union() {
 		if m.Addr != "" && m.ID != v.Self.ID {
 			out = append(out, membership.Seat{Slot: m.Slot, Addr: m.Addr})
@@ -140,8 +140,8 @@
 }
 
 // start is what the settings say of this core's seat.
-func start(set boot.Core) register.Start {
-	s := register.Start{First: set.First, Founders: set.Founders, Addr: set.Advertise}
+func start(set settings.Core) consensus.Start {
+	s := consensus.Start{First: set.First, Founders: set.Founders, Addr: set.Advertise}
 	if set.Static() {
 		s.Slot, s.Slots = set.Slot, set.Slots
 	}
@@ -175,12 +175,12 @@
 // heard copies what another core has and this one lacks. (DESIGN 6.4)
 func (n *Node) heard(ctx context.Context, c membership.Seat) {
 	v := n.keeper.Acceptor()
-	if (v.Phase == register.Established || v.Phase == register.Seeking) && c.Settled > v.Settled {
+	if (v.Phase == consensus.Established || v.Phase == consensus.Seeking) && c.Settled > v.Settled {
 		n.p.Launcher.Go(ctx, "catch", func(ctx context.Context) { n.keeper.Catch(ctx, c.Addr) })
 	}
 }
 
-// Addr implements register.Peers.
+// Addr implements consensus.Peers.
 func (n *Node) Addr(slot int) (string, bool) {
 	c, ok := n.seeker.Seats().At(slot)
 	return c.Addr, ok
@@ -197,21 +197,21 @@
 	if set, _, held := n.seeker.Seats().Set(); len(set) > 0 && (held > v.Mark.Stamp || len(v.Sets().Now) == 0) {
 		return set
 	}
-	return register.Slots(v.Sets().Now)
+	return consensus.Slots(v.Sets().Now)
 }
 
-// OnDuty implements register.Peers.
+// OnDuty implements consensus.Peers.
 func (n *Node) OnDuty() bool { return n.duty().Addr == n.set.Advertise }
 
 // write carries an order out on the core on duty. One that was surely not taken, since
 // the duty has passed on meanwhile, goes to the core that has it now.
-func (n *Node) write(ctx context.Context, o register.Order) register.Answer {
+func (n *Node) write(ctx context.Context, o consensus.Order) consensus.Answer {
 	ctx, cancel := context.WithTimeout(ctx, writeLimit)
 	defer cancel()
 	for {
 		c := n.duty()
 		a := n.writeAt(ctx, c, o)
-		if a.Result != register.NotTaken || n.duty().Addr == c.Addr {
+		if a.Result != consensus.NotTaken || n.duty().Addr == c.Addr {
 			return a
 		}
 		select {
@@ -223,23 +223,23 @@
 }
 
 // writeAt carries an order out on one core.
-func (n *Node) writeAt(ctx context.Context, c membership.Seat, o register.Order) register.Answer {
+func (n *Node) writeAt(ctx context.Context, c membership.Seat, o consensus.Order) consensus.Answer {
 	if c.Addr == n.set.Advertise {
 		return n.lead(ctx, o)
 	}
-	var a register.Answer
+	var a consensus.Answer
 	switch r := n.keeper.Forward(ctx, c.Addr, o); {
 	case r.Into(&a):
 		return a
 	case r.Fate == wire.Unsent:
 		return n.lead(ctx, o) // it is gone; the epoch settles who is right
 	}
-	return register.Answer{Result: register.Unknown}
+	return consensus.Answer{Result: consensus.Unknown}
 }
 
 // refresh makes sure that a majority holds the newest word.
-func (n *Node) refresh(ctx context.Context) register.Answer {
-	return n.write(ctx, register.Order{Kind: register.Refresh})
+func (n *Node) refresh(ctx context.Context) consensus.Answer {
+	return n.write(ctx, consensus.Order{Kind: consensus.Refresh})
 }
 
 // stop ends the core in order.
--- a/core/usher.go
+++ b/core/usher.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
+	"curlewwalk/consensus"
 	"curlewwalk/launch"
 	"curlewwalk/membership"
-	"curlewwalk/register"
 	"curlewwalk/wire"
 )
 
@@ -23,7 +23,7 @@
 type usher struct {
 	n     *Node
 	box   *launch.Mailbox
-	value register.Usher
+	value consensus.Usher
 	start time.Time
 	busy  bool          // an order for a change is under way
 	rest  time.Duration // none before this
@@ -31,7 +31,7 @@
 
 type (
 	msgAsk struct {
-		a register.Asker
+		a consensus.Asker
 	}
 	msgLook struct{}
 	msgDone struct{ taken bool }
@@ -45,7 +45,7 @@
 func newUsher(n *Node) *usher {
 	// A core counts as not live once it was unheard for Silence; the usher waits out
 	// the rest.
-	u := &usher{n: n, start: time.Now(), value: register.Usher{GoneFor: max(0, n.set.GoneAfter-membership.Silence)}}
+	u := &usher{n: n, start: time.Now(), value: consensus.Usher{GoneFor: max(0, n.set.GoneAfter-membership.Silence)}}
 	u.box = n.p.Launcher.Spawn("usher", u.on)
 	return u
 }
@@ -67,7 +67,7 @@
 // asked answers a core that asks for a seat; what is not for this core is passed on
 // to the one on duty.
 func (u *usher) asked(ctx context.Context, in wire.Request) (any, string) {
-	var a register.Asker
+	var a consensus.Asker
 	if !in.Into(&a) {
 		return nil, "does not ask for a seat"
 	}
@@ -79,7 +79,7 @@
 			return nil, "not on duty"
 		}
 		a.Passed = true
-		if !u.n.p.Net.Call(ctx, duty.Addr, wire.Control, register.KindSeat, a).Into(&h) {
+		if !u.n.p.Net.Call(ctx, duty.Addr, wire.Control, consensus.KindSeat, a).Into(&h) {
 			return nil, "the core on duty does not answer"
 		}
 		return h, ""
@@ -112,7 +112,7 @@
 }
 
 // order has the set changed, one change at a time.
-func (u *usher) order(ctx context.Context, o register.Order) {
+func (u *usher) order(ctx context.Context, o consensus.Order) {
 	if u.busy || time.Since(u.start) < u.rest {
 		return
 	}
@@ -120,25 +120,25 @@
 	u.n.p.Launcher.Go(ctx, "change-set", func(ctx context.Context) {
 		a := u.n.lead(ctx, o)
 		u.n.p.Log.Info("the set of slots", "comes", o.Seat.Slot, "at", o.Seat.Addr, "goes", o.Out, "taken", string(a.Result), "stamp", a.Word.Stamp)
-		u.box.Send(ctx, msgDone{a.Result == register.Taken})
+		u.box.Send(ctx, msgDone{a.Result == consensus.Taken})
 	})
 }
 
 // places tells of each slot whether its core is live; the own one is.
-func (u *usher) places() map[int]register.Place {
+func (u *usher) places() map[int]consensus.Place {
 	out := places(u.n.seeker.Seats())
 	if v := u.n.keeper.Acceptor(); v.Self.Slot != 0 {
-		out[v.Self.Slot] = register.Place{Addr: u.n.set.Advertise, Live: true}
+		out[v.Self.Slot] = consensus.Place{Addr: u.n.set.Advertise, Live: true}
 	}
 	return out
 }
 
-func places(s membership.Seats) map[int]register.Place {
+func places(s membership.Seats) map[int]consensus.Place {
 	now := time.Now()
 	live := s.Live(now)
-	out := map[int]register.Place{}
+	out := map[int]consensus.Place{}
 	for _, c := range s.All() {
-		out[c.Slot] = register.Place{
+		out[c.Slot] = consensus.Place{
 			Addr: c.Addr,
 			Live: slices.ContainsFunc(live, func(l membership.Seat) bool { return l.Slot == c.Slot }),
 		}
--- a/core/warden.go
+++ b/core/warden.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"curlewwalk/clock"
-	"curlewwalk/register"
+	"curlewwalk/consensus"
 	"curlewwalk/window"
 )
 
@@ -29,7 +29,7 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			if w.n.OnDuty() && w.n.keeper.Acceptor().Phase == register.Established {
+			if w.n.OnDuty() && w.n.keeper.Acceptor().Phase == consensus.Established {
 				w.look(ctx)
 			}
 		}
@@ -47,9 +47,9 @@
 		w.stamp = st.Word.CalendarStamp
 	}
 	for _, s := range window.Decide(w.calendar, st.Word.Closures, w.n.wall()) {
-		o := register.Order{Kind: register.End, Zone: s.Zone, Window: s.Window}
+		o := consensus.Order{Kind: consensus.End, Zone: s.Zone, Window: s.Window}
 		if s.Begin {
-			o.Kind = register.Begin
+			o.Kind = consensus.Begin
 		}
 		a := w.n.lead(ctx, o)
 		w.n.p.Log.Info("a maintenance window", "step", string(o.Kind), "locality", s.Zone, "window", s.Window, "taken", string(a.Result))
--- a/core/windows.go
+++ b/core/windows.go
@@ -5,9 +5,9 @@
 	"strings"
 	"time"
 
+	"curlewwalk/consensus"
 	"curlewwalk/desired"
 	"curlewwalk/process"
-	"curlewwalk/register"
 	"curlewwalk/window"
 )
 
@@ -47,7 +47,7 @@
 // calendar has a calendar put; an empty one has no windows.
 func (n *Node) calendar(w http.ResponseWriter, r *http.Request, b []byte) {
 	if m, ok := ifMatch(w, r); ok {
-		n.response(w, r, n.obey(r.Context(), register.Order{Kind: register.Calendar, Bytes: b, IfMatch: m}))
+		n.response(w, r, n.obey(r.Context(), consensus.Order{Kind: consensus.Calendar, Bytes: b, IfMatch: m}))
 	}
 }
 
--- a/desired/route.go
+++ b/desired/route.go
@@ -1,6 +1,6 @@
 package desired
 
-// Way is one route: which requests go to which service, under which contract.
+// Route is one route: which requests go to which service, under which contract.
 //
 //easyjson:json
 type Route struct {
--- a/process/process.go
+++ b/process/process.go
@@ -15,9 +15,9 @@
 	"syscall"
 	"time"
 
-	"curlewwalk/boot"
 	"curlewwalk/launch"
 	"curlewwalk/ring"
+	"curlewwalk/settings"
 	"curlewwalk/wire"
 )
 
@@ -37,7 +37,7 @@
 
 // Exit prints an exit's text where it belongs and ends the process, if it is
 // one.
-func Exit(e boot.Exit) {
+func Exit(e settings.Exit) {
 	if !e.Now {
 		return
 	}
@@ -50,7 +50,7 @@
 }
 
 // New makes the frame: ring log, launcher, connections, host.
-func New(name string, s boot.Common) *Process {
+func New(name string, s settings.Common) *Process {
 	var echo io.Writer
 	if s.Echo {
 		echo = os.Stderr
--- a/process/reload.go
+++ b/process/reload.go
@@ -5,19 +5,19 @@
 	"sync/atomic"
 	"time"
 
-	"curlewwalk/boot"
 	"curlewwalk/membership"
+	"curlewwalk/settings"
 )
 
 // Reloader puts in force what a SIGHUP can, and shows what it could not.
 type Reloader struct {
 	Seeker *membership.Seeker
 	drain  atomic.Int64
-	last   atomic.Pointer[boot.Reloaded]
+	last   atomic.Pointer[settings.Reloaded]
 }
 
 // Apply puts the reloadable settings in force.
-func (r *Reloader) Apply(c boot.Common) {
+func (r *Reloader) Apply(c settings.Common) {
 	r.Seeker.SetSeeds(c.Seeds)
 	r.drain.Store(int64(c.Drain))
 }
@@ -26,13 +26,13 @@
 func (r *Reloader) Drain() time.Duration { return time.Duration(r.drain.Load()) }
 
 // Reload takes newly read settings next in place of old.
-func (r *Reloader) Reload(p *Process, old, next any, common boot.Common, exit boot.Exit) {
+func (r *Reloader) Reload(p *Process, old, next any, common settings.Common, exit settings.Exit) {
 	if exit.Now {
-		r.last.Store(&boot.Reloaded{Fault: exit.Text})
+		r.last.Store(&settings.Reloaded{Fault: exit.Text})
 		p.Log.Error("settings were not reloaded", "fault", exit.Text)
 		return
 	}
-	diff := boot.Compare(old, next)
+	diff := settings.Compare(old, next)
 	r.Apply(common)
 	r.last.Store(&diff)
 	p.Log.Info("settings reloaded", "applied", diff.Applied, "needs_restart", diff.Restart)
--- a/proof/messages/messages_test.go
+++ b/proof/messages/messages_test.go
@@ -12,12 +12,12 @@
 
 	"curlewwalk/claim"
 	"curlewwalk/collect"
+	"curlewwalk/consensus"
 	"curlewwalk/contract"
 	"curlewwalk/custody"
 	"curlewwalk/desired"
 	"curlewwalk/feed"
 	"curlewwalk/membership"
-	"curlewwalk/register"
 	"curlewwalk/relay"
 	"curlewwalk/routing"
 	"curlewwalk/trace"
@@ -53,8 +53,8 @@
 	seat = membership.Seat{Slot: 2, Slots: 3, Addr: "127.0.0.1:4", Boot: 9, Zone: "north", Established: true, Set: []int{1, 2, 3}, Held: 4, Mark: 8}
 	peer = membership.Peer{Addr: node.Addr, Boot: 7, Rev: 3, Said: &membership.Statement{Age: 20, Stamp: 5, Alone: true}}
 	word = desired.Word{Stamp: 5, DesiredStamp: 4, Desired: []byte(`{}`), Emptied: []string{"north"}, Slots: []desired.Member{{Slot: 1, ID: 11}, {Slot: 2, ID: 12}}, Top: 2}
-	mark = register.Mark{Epoch: 65537, Stamp: 5}
-	from = register.From{Slot: 1}
+	mark = consensus.Mark{Epoch: 65537, Stamp: 5}
+	from = consensus.From{Slot: 1}
 )
 
 // kinds are all that are registered on the wire, each way.
@@ -66,12 +66,12 @@
 	of("gossiped", membership.Gossiped{Peers: []membership.Peer{peer}, Word: &word, Nodes: []membership.Node{node}, Know: []membership.Seat{seat}}, gossiped),
 	of(feed.KindFollow, feed.Follow{Feed: 1, Place: 1, Wait: time.Second}, follow),
 	of("news", feed.News{Feed: 1, Place: 2, Snapshot: true, Items: []feed.Item{{Word: &word}, {Node: &node}, {Gone: "x"}}, Age: time.Second}, news),
-	of(register.KindBallot, register.Ballot{From: from, Act: register.Propose, Epoch: 65537, Mark: mark, Word: word}, ballot),
-	of("vote", register.Vote{From: from, Act: register.Prepare, OK: true, Mark: mark, Word: word, Seats: map[int]register.Chair{1: {Inc: 1}}}, vote),
-	of(register.KindOrder, register.Order{ID: 1, Kind: register.Empty, Zone: "north"}, func(register.Order) {}),
-	of(register.KindPatchedOrder, desired.Patch{Difference: []byte{8, 1, 2, 3, 4}}, patched),
-	of("answer", register.Answer{ID: 1, Result: register.Taken}, func(register.Answer) {}),
-	of(register.KindSeat, register.Asker{ID: 5, Addr: "127.0.0.1:5", Zone: "north"}, asker),
+	of(consensus.KindBallot, consensus.Ballot{From: from, Act: consensus.Propose, Epoch: 65537, Mark: mark, Word: word}, ballot),
+	of("vote", consensus.Vote{From: from, Act: consensus.Prepare, OK: true, Mark: mark, Word: word, Seats: map[int]consensus.Chair{1: {Inc: 1}}}, vote),
+	of(consensus.KindOrder, consensus.Order{ID: 1, Kind: consensus.Empty, Zone: "north"}, func(consensus.Order) {}),
+	of(consensus.KindPatchedOrder, desired.Patch{Difference: []byte{8, 1, 2, 3, 4}}, patched),
+	of("answer", consensus.Answer{ID: 1, Result: consensus.Taken}, func(consensus.Answer) {}),
+	of(consensus.KindSeat, consensus.Asker{ID: 5, Addr: "127.0.0.1:5", Zone: "north"}, asker),
 	of(collect.KindPublish, collect.Batch{Events: []trace.Event{{Trace: trace.Root().Trace, Route: "w"}}}, batch),
 	of(collect.KindTrace, collect.Query{Trace: trace.Root().Trace}, func(collect.Query) {}),
 	of(custody.KindHold, custody.Entry{Owner: "o", Boot: 1, N: 1, Key: claim.Key{Text: "k"}, For: time.Minute, Response: []byte("r")}, hold),
@@ -165,20 +165,20 @@
 	c.Take(n)
 }
 
-func acceptor() register.Acceptor {
-	return register.Acceptor{Self: from, Mark: mark, Word: word, Seats: map[int]register.Chair{}}
+func acceptor() consensus.Acceptor {
+	return consensus.Acceptor{Self: from, Mark: mark, Word: word, Seats: map[int]consensus.Chair{}}
 }
 
-func ballot(b register.Ballot) {
+func ballot(b consensus.Ballot) {
 	next, _ := acceptor().On(b)
 	next, _ = next.On(b)
 	next.Sets()
 	inForce(&next.Word)
 }
 
-func vote(v register.Vote) {
+func vote(v consensus.Vote) {
 	v.By(word.Slots[0])
-	register.Top(map[int]register.Vote{1: v}, acceptor().Sets())
+	consensus.Top(map[int]consensus.Vote{1: v}, acceptor().Sets())
 }
 
 func patched(p desired.Patch) {
@@ -194,10 +194,10 @@
 	kept.Apply(p)
 }
 
-func asker(a register.Asker) {
-	u := register.Usher{GoneFor: time.Second}
+func asker(a consensus.Asker) {
+	u := consensus.Usher{GoneFor: time.Second}
 	u = u.Look(word.Slots, nil, time.Second)
-	u.Seat(a, acceptor(), map[int]register.Place{1: {Addr: a.Addr}}, 2*time.Second)
+	u.Seat(a, acceptor(), map[int]consensus.Place{1: {Addr: a.Addr}}, 2*time.Second)
 }
 
 func batch(b collect.Batch) {
--- a/proof/model/check.go
+++ b/proof/model/check.go
@@ -5,8 +5,8 @@
 	"fmt"
 	"slices"
 
+	"curlewwalk/consensus"
 	"curlewwalk/desired"
-	"curlewwalk/register"
 )
 
 // view identifies what check looks at.
@@ -29,19 +29,19 @@
 	for _, a := range s.acked {
 		stamp = max(stamp, a.stamp)
 	}
-	votes := make([]register.Vote, len(s.nodes))
+	votes := make([]consensus.Vote, len(s.nodes))
 	for i, n := range s.nodes {
-		_, votes[i] = n.memory.On(register.Ballot{Act: register.Read})
+		_, votes[i] = n.memory.On(consensus.Ballot{Act: consensus.Read})
 	}
 	for asker := range s.nodes {
 		own := s.nodes[asker].memory.Sets()
 		for asked := 1; asked < 1<<len(s.nodes); asked++ {
 			got := s.votes(votes, asked, own)
-			counted := register.Counted(got)
-			if !register.Complete(counted, own) {
+			counted := consensus.Counted(got)
+			if !consensus.Complete(counted, own) {
 				continue
 			}
-			top, sets := register.Top(counted, own)
+			top, sets := consensus.Top(counted, own)
 			if !isQuorum(sets, counted) {
 				return fmt.Sprintf("node %d counts %v as majorities of %v and %v", asker+1, senders(counted), sets.Now, sets.Before)
 			}
@@ -55,8 +55,8 @@
 
 // votes are those of the nodes asked, each as the member that its address belongs to,
 // also where its disk is another by now.
-func (s *state) votes(all []register.Vote, asked int, own register.Sets) map[int]register.Vote {
-	out := map[int]register.Vote{}
+func (s *state) votes(all []consensus.Vote, asked int, own consensus.Sets) map[int]consensus.Vote {
+	out := map[int]consensus.Vote{}
 	known := own.Union()
 	for i := range all {
 		if asked&(1<<i) != 0 {
@@ -81,7 +81,7 @@
 }
 
 // isQuorum counts anew: members whose own disk has voted.
-func isQuorum(sets register.Sets, votes map[int]register.Vote) bool {
+func isQuorum(sets consensus.Sets, votes map[int]consensus.Vote) bool {
 	for _, set := range [][]desired.Member{sets.Now, sets.Before} {
 		n := 0
 		for _, m := range set {
@@ -96,10 +96,10 @@
 	return true
 }
 
-func senders(votes map[int]register.Vote) (out []register.From) {
+func senders(votes map[int]consensus.Vote) (out []consensus.From) {
 	for _, v := range votes {
 		out = append(out, v.From)
 	}
-	slices.SortFunc(out, func(a, b register.From) int { return a.Slot - b.Slot })
+	slices.SortFunc(out, func(a, b consensus.From) int { return a.Slot - b.Slot })
 	return out
 }
--- a/proof/model/scenario.go
+++ b/proof/model/scenario.go
@@ -1,8 +1,8 @@
 package model
 
 import (
+	"curlewwalk/consensus"
 	"curlewwalk/desired"
-	"curlewwalk/register"
 )
 
 // Scenario is what is explored: who founds the system, who may come, whose disk may be
@@ -29,13 +29,13 @@
 
 // order is what the proposer is given: a change of the set is decided on the set that the
 // node knows of.
-func (g Given) order(s *state) register.Order {
+func (g Given) order(s *state) consensus.Order {
 	if g.Comes == "" && g.Goes == 0 {
-		return register.Order{Kind: register.Put, Generation: g.Generation, Bytes: []byte(g.Text)}
+		return consensus.Order{Kind: consensus.Put, Generation: g.Generation, Bytes: []byte(g.Text)}
 	}
 	v := s.nodes[g.Node].memory
 	set := v.Sets().Now
-	o := register.Order{Kind: register.Reseat, Of: set, Out: g.Goes}
+	o := consensus.Order{Kind: consensus.Reseat, Of: set, Out: g.Goes}
 	if g.Comes != "" {
 		o.Seat = desired.Member{Slot: max(v.Word.Top, set[len(set)-1].Slot) + 1, ID: s.nodes[s.at(g.Comes)].memory.Self.ID, Addr: g.Comes}
 	}
--- a/proof/model/state.go
+++ b/proof/model/state.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"curlewwalk/register"
+	"curlewwalk/consensus"
 )
 
 // digest identifies a state, or a part of one.
@@ -23,9 +23,9 @@
 // another.
 type node struct {
 	addr     string
-	disk     register.Acceptor
-	memory   register.Acceptor
-	proposer *register.Proposer
+	disk     consensus.Acceptor
+	memory   consensus.Acceptor
+	proposer *consensus.Proposer
 	now      time.Duration
 	key      digest
 	acceptor digest // of the memory alone
@@ -43,8 +43,8 @@
 // message is a ballot on its way, or the vote that answers it.
 type message struct {
 	from, to int
-	ballot   *register.Ballot
-	vote     *register.Vote
+	ballot   *consensus.Ballot
+	vote     *consensus.Vote
 	slot     int // the member's that a ballot is meant for
 	id       uint64
 	key      digest
@@ -64,7 +64,7 @@
 
 // proposal is what an epoch's proposals under one stamp were, and by whom.
 type proposal struct {
-	mark register.Mark
+	mark consensus.Mark
 	node int
 	word digest
 }
@@ -96,11 +96,11 @@
 	s := &state{scenario: &sc, left: b, open: 1<<len(sc.Orders) - 1, settled: map[uint64]digest{}}
 	s.left.Depth, s.left.States = 0, 0
 	for i := range sc.Founders {
-		v := register.Start{First: true, Founders: sc.Founders, Addr: sc.Founders[i]}.Empty(0)
+		v := consensus.Start{First: true, Founders: sc.Founders, Addr: sc.Founders[i]}.Empty(0)
 		s.nodes = append(s.nodes, boot(sc.Founders[i], v, 0))
 	}
 	for i, addr := range sc.Newcomers {
-		s.nodes = append(s.nodes, boot(addr, register.Start{}.Empty(newcomerID(i)), 0))
+		s.nodes = append(s.nodes, boot(addr, consensus.Start{}.Empty(newcomerID(i)), 0))
 	}
 	return s
 }
@@ -117,9 +117,9 @@
 }
 
 // boot starts a core from its disk.
-func boot(addr string, disk register.Acceptor, now time.Duration) *node {
+func boot(addr string, disk consensus.Acceptor, now time.Duration) *node {
 	disk.OathDirty, disk.WordDirty = false, false
-	n := &node{addr: addr, disk: disk, memory: disk, proposer: &register.Proposer{}, now: now}
+	n := &node{addr: addr, disk: disk, memory: disk, proposer: &consensus.Proposer{}, now: now}
 	n.memory.Settled = 0
 	n.memory.Promised = max(disk.Promised, disk.Mark.Epoch)
 	n.proposer.Follow(n.memory, now)
--- a/proof/model/step.go
+++ b/proof/model/step.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
+	"curlewwalk/consensus"
 	"curlewwalk/desired"
-	"curlewwalk/register"
 )
 
 // later is beyond every limit of the proposer's.
@@ -48,7 +48,7 @@
 // String describes the message.
 func (m message) String() string {
 	if m.ballot != nil {
-		return fmt.Sprintf("from %d %s epoch %d mark %v slots %v", m.from+1, m.ballot.Act, m.ballot.Epoch, m.ballot.Mark, register.Slots(m.ballot.Word.Slots))
+		return fmt.Sprintf("from %d %s epoch %d mark %v slots %v", m.from+1, m.ballot.Act, m.ballot.Epoch, m.ballot.Mark, consensus.Slots(m.ballot.Word.Slots))
 	}
 	return fmt.Sprintf("from %d vote %s epoch %d ok %v promised %d holds %v", m.from+1, m.vote.Act, m.vote.Epoch, m.vote.OK, m.vote.Promised, m.vote.Mark)
 }
@@ -74,13 +74,13 @@
 		if s.left.Wiped > 0 && slices.Contains(s.scenario.Wiped, n.addr) {
 			out = append(out, event{kind: wipe, node: i})
 		}
-		if s.left.Timeouts > 0 && n.memory.Phase == register.Established {
+		if s.left.Timeouts > 0 && n.memory.Phase == consensus.Established {
 			out = append(out, event{kind: timeout, node: i})
 		}
 	}
 	for i, o := range s.scenario.Orders {
 		ready := !o.AfterWipe || s.drawn > 0
-		if s.open&(1<<i) != 0 && ready && s.nodes[o.Node].memory.Phase == register.Established {
+		if s.open&(1<<i) != 0 && ready && s.nodes[o.Node].memory.Phase == consensus.Established {
 			out = append(out, event{kind: give, node: o.Node, n: i})
 		}
 	}
@@ -105,11 +105,11 @@
 		next.nodes[e.node] = boot(n.addr, n.disk, n.now)
 	case wipe:
 		next.left.Wiped--
-		next.nodes[e.node] = boot(s.nodes[e.node].addr, register.Start{}.Empty(drawnID(s.drawn)), s.nodes[e.node].now)
+		next.nodes[e.node] = boot(s.nodes[e.node].addr, consensus.Start{}.Empty(drawnID(s.drawn)), s.nodes[e.node].now)
 		next.drawn++
 	case timeout:
 		next.left.Timeouts--
-		next.proposer(e.node, func(n *node) []register.Outcome {
+		next.proposer(e.node, func(n *node) []consensus.Outcome {
 			n.now += later
 			return n.proposer.Tick(n.now)
 		})
@@ -117,7 +117,7 @@
 		next.open &^= 1 << e.n
 		o := s.scenario.Orders[e.n].order(s)
 		o.ID, o.Until = uint64(e.n+1), never
-		next.proposer(e.node, func(n *node) []register.Outcome { return n.proposer.Take(o, n.now) })
+		next.proposer(e.node, func(n *node) []consensus.Outcome { return n.proposer.Take(o, n.now) })
 	}
 	next.forget()
 	return next
@@ -126,8 +126,8 @@
 // take has a node take a message.
 func (s *state) take(m message, torn bool) {
 	if m.vote != nil {
-		s.proposer(m.to, func(n *node) []register.Outcome {
-			if n.memory.Phase != register.Established {
+		s.proposer(m.to, func(n *node) []consensus.Outcome {
+			if n.memory.Phase != consensus.Established {
 				return nil
 			}
 			return n.proposer.Hear(*m.vote, n.now)
@@ -145,13 +145,13 @@
 	}
 	s.save(m.to, acceptor)
 	s.settles(acceptor)
-	if v := vote.By(desired.Member{Slot: m.slot, ID: m.id}); v != nil && m.ballot.Act != register.Settle {
+	if v := vote.By(desired.Member{Slot: m.slot, ID: m.id}); v != nil && m.ballot.Act != consensus.Settle {
 		s.post(message{from: m.to, to: m.from, vote: v})
 	}
 }
 
 // save puts on disk what an acceptor says must be there, and goes on with it.
-func (s *state) save(at int, acceptor register.Acceptor) {
+func (s *state) save(at int, acceptor consensus.Acceptor) {
 	old := s.nodes[at]
 	n := &node{addr: old.addr, disk: old.disk, memory: acceptor, proposer: old.proposer.Clone(), now: old.now}
 	if acceptor.WordDirty {
@@ -170,7 +170,7 @@
 }
 
 // proposer lets a node's proposer do something, and carries out what it wants.
-func (s *state) proposer(at int, do func(*node) []register.Outcome) {
+func (s *state) proposer(at int, do func(*node) []consensus.Outcome) {
 	n := *s.nodes[at]
 	n.proposer = n.proposer.Clone()
 	outs := do(&n)
@@ -200,12 +200,12 @@
 
 // takeOwn has a node's own acceptor take its proposer's ballot, and the proposer the vote, at once:
 // both are one core's, and no other message need come between.
-func (s *state) takeOwn(at int, b register.Ballot, m desired.Member) {
+func (s *state) takeOwn(at int, b consensus.Ballot, m desired.Member) {
 	acceptor, vote := s.nodes[at].memory.On(b)
 	s.save(at, acceptor)
 	s.settles(acceptor)
-	if v := vote.By(m); v != nil && b.Act != register.Settle {
-		s.proposer(at, func(n *node) []register.Outcome { return n.proposer.Hear(*v, n.now) })
+	if v := vote.By(m); v != nil && b.Act != consensus.Settle {
+		s.proposer(at, func(n *node) []consensus.Outcome { return n.proposer.Hear(*v, n.now) })
 	}
 }
 
@@ -227,9 +227,9 @@
 		}
 		to, b := s.nodes[m.to].memory, m.ballot
 		switch b.Act {
-		case register.Settle:
+		case consensus.Settle:
 			return to.Mark.Compare(b.Mark) < 0 || to.Settled < b.Mark.Stamp
-		case register.Propose:
+		case consensus.Propose:
 			stale := to.Promised > b.Epoch || to.Mark.Compare(b.Mark) > 0
 			return !stale || s.nodes[m.from].proposer.Holds(b.Epoch)
 		}
@@ -241,11 +241,11 @@
 }
 
 // proposed notes a proposal: an epoch is one node's, and a mark one word's.
-func (s *state) proposed(at int, b register.Ballot) {
-	if b.Act == register.Settle {
+func (s *state) proposed(at int, b consensus.Ballot) {
+	if b.Act == consensus.Settle {
 		s.settle(b.Mark.Stamp, b.Word)
 	}
-	if b.Act != register.Propose {
+	if b.Act != consensus.Propose {
 		return
 	}
 	p := proposal{mark: b.Mark, node: at, word: wordDigest(b.Word)}
@@ -263,9 +263,9 @@
 	}
 }
 
-func wordDigest(w desired.Word) digest { return digestOf(register.AppendWord(nil, w)) }
+func wordDigest(w desired.Word) digest { return digestOf(consensus.AppendWord(nil, w)) }
 
-func (s *state) settles(v register.Acceptor) {
+func (s *state) settles(v consensus.Acceptor) {
 	if v.Settled != 0 && v.Settled == v.Mark.Stamp {
 		s.settle(v.Settled, v.Word)
 	}
@@ -285,11 +285,11 @@
 }
 
 // answer notes what an operator is told.
-func (s *state) answer(a register.Answer) {
+func (s *state) answer(a consensus.Answer) {
 	given := s.scenario.Orders[a.ID-1]
 	s.answered = append(s.answered, given.Name+" "+string(a.Result))
-	if a.Result != register.Taken {
-		if given.Generation != 0 && a.Result == register.Conflict {
+	if a.Result != consensus.Taken {
+		if given.Generation != 0 && a.Result == consensus.Conflict {
 			return
 		}
 		for _, o := range s.acked {
--- a/proof/restart_test.go
+++ b/proof/restart_test.go
@@ -60,7 +60,7 @@
 		{File: "membership/node.go", Old: "type Node struct {", New: "type Node struct {\n\tMood string `msgpack:\"zz\"`"},
 		{File: "membership/heartbeat.go", Old: "type Heartbeat struct {", New: "type Heartbeat struct {\n\tMood float64 `msgpack:\"zz\"`"},
 		{File: "feed/news.go", Old: "type News struct {", New: "type News struct {\n\tMood [3]int `msgpack:\"zz\"`"},
-		{File: "register/ballot.go", Old: "type Ballot struct {", New: "type Ballot struct {\n\tMood *int `msgpack:\"zz\"`"},
+		{File: "consensus/ballot.go", Old: "type Ballot struct {", New: "type Ballot struct {\n\tMood *int `msgpack:\"zz\"`"},
 		{File: "custody/entry.go", Old: "type Entry struct {", New: "type Entry struct {\n\tMood bool `msgpack:\"zz\"`"},
 	}
 )
--- a/proof/scale/program.go
+++ b/proof/scale/program.go
@@ -5,11 +5,11 @@
 	"os"
 	"path/filepath"
 
-	"curlewwalk/boot"
 	"curlewwalk/core"
 	"curlewwalk/process"
 	"curlewwalk/proof/fleet"
 	"curlewwalk/relay"
+	"curlewwalk/settings"
 	"curlewwalk/sidecar"
 	"curlewwalk/wire"
 )
@@ -20,14 +20,14 @@
 func Be(args []string) bool {
 	switch filepath.Base(args[0]) {
 	case "core":
-		set, exit := boot.ReadCore(args[1:])
+		set, exit := settings.ReadCore(args[1:])
 		process.Exit(exit)
-		read := func() (boot.Core, boot.Exit) { return boot.ReadCore(args[1:]) }
+		read := func() (settings.Core, settings.Exit) { return settings.ReadCore(args[1:]) }
 		core.New(set, func(n *core.Node) { showProcess(set.Common, n.Process()) }).Run(read)
 	case "sidecar":
-		set, exit := boot.ReadSidecar(args[1:])
+		set, exit := settings.ReadSidecar(args[1:])
 		process.Exit(exit)
-		read := func() (boot.Sidecar, boot.Exit) { return boot.ReadSidecar(args[1:]) }
+		read := func() (settings.Sidecar, settings.Exit) { return settings.ReadSidecar(args[1:]) }
 		sidecar.New(set, &sidecar.Doors{Dialect: relay.Plain{}, Open: func(n *sidecar.Node) { showProcess(set.Common, n.Process()) }}).Run(read)
 	case "shoal":
 		runShoal(args[1:])
@@ -37,7 +37,7 @@
 	return true
 }
 
-func showProcess(set boot.Common, p *process.Process) {
+func showProcess(set settings.Common, p *process.Process) {
 	page := func() Page {
 		return Page{Usage: used(), Nodes: []NodePage{nodePage(set.Advertise, p.Net, p.Host)}}
 	}
--- a/proof/simulator/claim.go
+++ b/proof/simulator/claim.go
@@ -5,10 +5,10 @@
 	"math/rand/v2"
 	"time"
 
+	"curlewwalk/consensus"
 	"curlewwalk/desired"
 	"curlewwalk/feed"
 	"curlewwalk/membership"
-	"curlewwalk/register"
 	"curlewwalk/roster"
 )
 
@@ -151,7 +151,7 @@
 			c.pass(&from.cut, &k.cut, &k.frozen, func() {
 				k.accepted = max(k.accepted, stamp)
 				c.pass(&k.cut, &from.cut, &from.frozen, func() {
-					if got[k] = true; len(got) >= register.Majority(len(c.cores)) && len(c.settled) < int(stamp) {
+					if got[k] = true; len(got) >= consensus.Majority(len(c.cores)) && len(c.settled) < int(stamp) {
 						c.settled = append(c.settled, c.now)
 						c.acknowledge(stamp, c.now+time.Second)
 					}
@@ -199,7 +199,7 @@
 			refused++
 		}
 	}
-	return refused >= register.Majority(len(c.cores))
+	return refused >= consensus.Majority(len(c.cores))
 }
 
 // rollcall asks a few of the other sidecars while no core tells, and counts what they
@@ -257,7 +257,7 @@
 			seen := o.accepted
 			c.pass(&o.cut, &k.cut, &k.frozen, func() {
 				votes[o] = seen
-				if len(votes) != register.Majority(len(c.cores)) {
+				if len(votes) != consensus.Majority(len(c.cores)) {
 					return
 				}
 				var top uint64
--- a/proof/simulator/history.go
+++ b/proof/simulator/history.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"curlewwalk/consensus"
 	"curlewwalk/desired"
-	"curlewwalk/register"
 )
 
 // Call is an operator's call with what it was answered.
@@ -32,7 +32,7 @@
 }
 
 // put records that a configuration is put.
-func (h *History) put(o register.Order, now time.Duration) *Call {
+func (h *History) put(o consensus.Order, now time.Duration) *Call {
 	c := &Call{Write: true, Generation: o.Generation, Text: string(o.Bytes), From: now, Open: true}
 	h.calls = append(h.calls, c)
 	return c
@@ -40,11 +40,11 @@
 
 // answered records what became of a put. One that was not taken never will be: it is
 // struck from the history, so that a read which shows it has nothing to come from.
-func (h *History) answered(c *Call, r register.Result, now time.Duration) {
+func (h *History) answered(c *Call, r consensus.Result, now time.Duration) {
 	switch r {
-	case register.Taken:
+	case consensus.Taken:
 		c.To, c.Open = now, false
-	case register.NotTaken, register.Mismatch, register.Conflict:
+	case consensus.NotTaken, consensus.Mismatch, consensus.Conflict:
 		for i := range h.calls {
 			if h.calls[i] == c {
 				h.calls = append(h.calls[:i:i], h.calls[i+1:]...)
@@ -60,12 +60,12 @@
 }
 
 // recorded is back, with what a configuration is answered kept in the history.
-func (r *Register) recorded(o register.Order, back func(register.Answer)) func(register.Answer) {
-	if o.Kind != register.Put {
+func (r *Register) recorded(o consensus.Order, back func(consensus.Answer)) func(consensus.Answer) {
+	if o.Kind != consensus.Put {
 		return back
 	}
 	call := r.History.put(o, r.now)
-	return func(a register.Answer) {
+	return func(a consensus.Answer) {
 		r.History.answered(call, a.Result, r.now)
 		back(a)
 	}
--- a/proof/simulator/losses.go
+++ b/proof/simulator/losses.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"curlewwalk/register"
+	"curlewwalk/consensus"
 )
 
 const (
@@ -84,7 +84,7 @@
 		case 0:
 			l.note(c, "is lost with its disk and comes back")
 			l.off(c)
-			c.disk = register.Start{Founders: l.founders, Addr: c.addr}.Empty(l.rng.Uint64() | 1)
+			c.disk = consensus.Start{Founders: l.founders, Addr: c.addr}.Empty(l.rng.Uint64() | 1)
 			l.after(away, func() { l.boot(c) })
 		case 1:
 			l.remove(c)
@@ -119,13 +119,13 @@
 	l.run(l.now + settleFor)
 	l.note(old, "is stopped")
 	old.leaving = true
-	for end := l.now + leaveFor; l.now < end && old.acceptor.Phase == register.Established; {
-		o, ok := register.Leave(old.acceptor)
+	for end := l.now + leaveFor; l.now < end && old.acceptor.Phase == consensus.Established; {
+		o, ok := consensus.Leave(old.acceptor)
 		if !ok && len(old.acceptor.Sets().Before) == 0 {
 			break
 		}
 		if duty := l.duty(old); ok && duty.up {
-			l.order(duty, o, func(register.Answer) {})
+			l.order(duty, o, func(consensus.Answer) {})
 		}
 		l.run(l.now + leaveEvery)
 	}
@@ -160,9 +160,9 @@
 		members[c.acceptor.Self.Slot] = true
 	}
 	for _, c := range here {
-		set := register.Slots(c.acceptor.Sets().Now)
+		set := consensus.Slots(c.acceptor.Sets().Now)
 		live := len(set) - len(slices.DeleteFunc(slices.Clone(set), func(s int) bool { return members[s] }))
-		if live-l.bearable() < register.Majority(len(set)) {
+		if live-l.bearable() < consensus.Majority(len(set)) {
 			l.broken("%d of %v live, which does not bear %d losses: %s", live, set, l.bearable(), l.show())
 			return
 		}
--- a/proof/simulator/operators.go
+++ b/proof/simulator/operators.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
+	"curlewwalk/consensus"
 	"curlewwalk/desired"
-	"curlewwalk/register"
 )
 
 const (
@@ -67,7 +67,7 @@
 // core is one that an operator might reach.
 func (o *Operators) core() *core {
 	c := o.r.any()
-	if !c.up || c.frozen > o.r.now || c.acceptor.Phase != register.Established {
+	if !c.up || c.frozen > o.r.now || c.acceptor.Phase != consensus.Established {
 		return nil
 	}
 	return c
@@ -112,12 +112,12 @@
 		o.r.after(o.r.some(100*time.Millisecond), again)
 		return
 	}
-	order := register.Order{Kind: register.Put, Generation: number, Bytes: text, Sent: text}
-	o.r.order(c, order, func(a register.Answer) {
+	order := consensus.Order{Kind: consensus.Put, Generation: number, Bytes: text, Sent: text}
+	o.r.order(c, order, func(a consensus.Answer) {
 		o.hear(number, text, a)
 		switch {
 		case o.r.rng.Float64() < answerLoss:
-		case a.Result == register.Taken || a.Result == register.Conflict:
+		case a.Result == consensus.Taken || a.Result == consensus.Conflict:
 			clear = true
 		default:
 			o.r.after(o.r.some(100*time.Millisecond), again)
@@ -126,9 +126,9 @@
 }
 
 // hear checks an answer to a configuration.
-func (o *Operators) hear(number uint64, text []byte, a register.Answer) {
+func (o *Operators) hear(number uint64, text []byte, a consensus.Answer) {
 	switch a.Result {
-	case register.Taken:
+	case consensus.Taken:
 		o.Acked++
 		o.acked[number] = append(o.acked[number], text)
 		o.r.check(a.Word, "an operator")
@@ -137,11 +137,11 @@
 		if a.Word.Generation < number {
 			o.r.broken("number %d was acknowledged while %d was held", number, a.Word.Generation)
 		}
-	case register.Conflict:
+	case consensus.Conflict:
 		o.Conflicts++
 		o.refused[number] = append(o.refused[number], text)
 		o.settled(a.Word)
-	case register.NotTaken, register.Unknown:
+	case consensus.NotTaken, consensus.Unknown:
 	default:
 		o.r.broken("a valid configuration got %q", a.Result)
 	}
@@ -240,9 +240,9 @@
 		o.r.after(o.r.some(100*time.Millisecond), again)
 		return
 	}
-	order := register.Order{Kind: register.Empty, Zone: e.zone}
+	order := consensus.Order{Kind: consensus.Empty, Zone: e.zone}
 	if !e.empty {
-		order.Kind = register.TakeBack
+		order.Kind = consensus.TakeBack
 	}
 	o.r.newest(c, func(stamp uint64) {
 		if gone {
@@ -258,13 +258,13 @@
 			if to == nil {
 				return
 			}
-			o.r.order(to, order, func(a register.Answer) {
+			o.r.order(to, order, func(a consensus.Answer) {
 				if o.r.rng.Float64() < answerLoss || gone {
 					o.heard(e, a, false)
 					return
 				}
 				o.heard(e, a, true)
-				if gone = a.Result == register.Taken; gone {
+				if gone = a.Result == consensus.Taken; gone {
 					done()
 				}
 			})
@@ -273,17 +273,17 @@
 }
 
 // heard checks an answer to an order on a zone.
-func (o *Operators) heard(e evacuation, a register.Answer, byOperator bool) {
+func (o *Operators) heard(e evacuation, a consensus.Answer, byOperator bool) {
 	switch a.Result {
-	case register.Taken:
+	case consensus.Taken:
 		o.r.check(a.Word, "an operator")
-	case register.Overtaken:
+	case consensus.Overtaken:
 		o.Overtaken++
-	case register.NotTaken, register.Unknown:
+	case consensus.NotTaken, consensus.Unknown:
 	default:
 		o.r.broken("an order on a locality got %q", a.Result)
 	}
-	if byOperator && a.Result == register.Taken && e.number == o.evacuations[e.zone].number {
+	if byOperator && a.Result == consensus.Taken && e.number == o.evacuations[e.zone].number {
 		o.Evacuations++
 		e.acked, e.stamp = true, a.Word.Stamp
 		o.evacuations[e.zone] = e
@@ -307,19 +307,19 @@
 // newest asks a majority for the newest settled stamp, as a core does for an order that
 // comes to it.
 func (r *Register) newest(c *core, got func(stamp uint64)) {
-	votes, done := map[int]register.Vote{}, false
+	votes, done := map[int]consensus.Vote{}, false
 	own := c.acceptor.Sets()
-	r.spread(c, register.Ballot{From: c.acceptor.Self, Act: register.Look}, false, votes, func(register.Vote) {
-		counted := register.Counted(votes)
-		if done || !register.Complete(counted, own) {
+	r.spread(c, consensus.Ballot{From: c.acceptor.Self, Act: consensus.Look}, false, votes, func(consensus.Vote) {
+		counted := consensus.Counted(votes)
+		if done || !consensus.Complete(counted, own) {
 			return
 		}
 		done = true
-		if top, held := register.Newest(counted, own); held {
+		if top, held := consensus.Newest(counted, own); held {
 			got(top.Mark.Stamp)
-		} else if c.acceptor.Phase == register.Established {
-			r.order(c, register.Order{Kind: register.Refresh}, func(a register.Answer) {
-				if a.Result == register.Taken {
+		} else if c.acceptor.Phase == consensus.Established {
+			r.order(c, consensus.Order{Kind: consensus.Refresh}, func(a consensus.Answer) {
+				if a.Result == consensus.Taken {
 					got(a.Word.Stamp)
 				}
 			})
--- a/proof/simulator/register.go
+++ b/proof/simulator/register.go
@@ -6,9 +6,9 @@
 	"math/rand/v2"
 	"time"
 
+	"curlewwalk/consensus"
 	"curlewwalk/desired"
 	"curlewwalk/membership"
-	"curlewwalk/register"
 )
 
 // Faults says which failures a run brings about.
@@ -41,11 +41,11 @@
 	up       bool
 	frozen   time.Duration // until then it does nothing; what comes piles up
 	cut      int           // which side of a split it is on
-	disk     register.Acceptor
-	acceptor register.Acceptor
-	proposer *register.Proposer
-	votes    map[int]register.Vote // of the current search for a seat
-	asked    register.From         // the claim of that search; zero while it only reads
+	disk     consensus.Acceptor
+	acceptor consensus.Acceptor
+	proposer *consensus.Proposer
+	votes    map[int]consensus.Vote // of the current search for a seat
+	asked    consensus.From         // the claim of that search; zero while it only reads
 	told     uint64
 	life     int
 
@@ -53,7 +53,7 @@
 	addr  string
 	gone  bool // for good
 	seats membership.Seats
-	usher register.Usher
+	usher consensus.Usher
 	busy  bool // a change of the set is under way
 	// leaving is whether it is being stopped: it asks for no seat.
 	leaving bool
@@ -68,8 +68,8 @@
 	cores  []*core // the last of a slot is the one that belongs there
 	seq    uint64
 
-	orders  map[uint64]register.Order
-	asks    map[uint64]func(register.Answer)
+	orders  map[uint64]consensus.Order
+	asks    map[uint64]func(consensus.Answer)
 	settled map[uint64][]byte
 	acked   uint64
 	// generations are those of the settled words, by stamp; generation is the highest
@@ -78,8 +78,8 @@
 	generation  uint64
 	asking      bool // no seat is static: cores ask for them
 	founders    []string
-	begun       map[uint64][]register.Sets // of proposals, by stamp
-	word        desired.Word               // the highest that was settled
+	begun       map[uint64][]consensus.Sets // of proposals, by stamp
+	word        desired.Word                // the highest that was settled
 	// number is the highest that any operator used; Operators are those that race.
 	number    uint64
 	Operators *Operators
@@ -101,8 +101,8 @@
 // NewRegister lays a run out.
 func NewRegister(seed uint64, slots int, f Faults) *Register {
 	r := &Register{
-		rng: rand.New(rand.NewPCG(seed, 7)), slots: slots, faults: f, orders: map[uint64]register.Order{},
-		asks: map[uint64]func(register.Answer){}, settled: map[uint64][]byte{}, generations: map[uint64]uint64{}, begun: map[uint64][]register.Sets{},
+		rng: rand.New(rand.NewPCG(seed, 7)), slots: slots, faults: f, orders: map[uint64]consensus.Order{},
+		asks: map[uint64]func(consensus.Answer){}, settled: map[uint64][]byte{}, generations: map[uint64]uint64{}, begun: map[uint64][]consensus.Sets{},
 	}
 	r.Operators = newOperators(r)
 	for s := 1; s <= slots; s++ {
@@ -113,8 +113,8 @@
 	return r
 }
 
-func (r *Register) blank(slot int) register.Acceptor {
-	return register.Acceptor{Self: register.From{Slot: slot, ID: r.rng.Uint64() | 1}, Founded: r.slots, Phase: register.Virgin, Seats: map[int]register.Chair{}}
+func (r *Register) blank(slot int) consensus.Acceptor {
+	return consensus.Acceptor{Self: consensus.From{Slot: slot, ID: r.rng.Uint64() | 1}, Founded: r.slots, Phase: consensus.Virgin, Seats: map[int]consensus.Chair{}}
 }
 
 func (r *Register) some(d time.Duration) time.Duration {
@@ -187,7 +187,7 @@
 	for _, c := range r.cores {
 		if !c.gone {
 			v := c.acceptor
-			s += fmt.Sprintf("\n%s [%d/%x up=%v %s promised %d %v settled %d of %v before %v top %d]", c.addr, v.Self.Slot, v.Self.ID>>52, c.up, v.Phase, v.Promised, v.Mark, v.Settled, register.Slots(v.Sets().Now), register.Slots(v.Sets().Before), v.Word.Top)
+			s += fmt.Sprintf("\n%s [%d/%x up=%v %s promised %d %v settled %d of %v before %v top %d]", c.addr, v.Self.Slot, v.Self.ID>>52, c.up, v.Phase, v.Promised, v.Mark, v.Settled, consensus.Slots(v.Sets().Now), consensus.Slots(v.Sets().Before), v.Word.Top)
 		}
 	}
 	return s
@@ -225,9 +225,9 @@
 	life := c.life
 	c.acceptor = c.disk
 	c.acceptor.Settled = 0
-	c.proposer = &register.Proposer{}
+	c.proposer = &consensus.Proposer{}
 	c.proposer.Follow(c.acceptor, r.now)
-	c.seats, c.usher, c.votes, c.busy = membership.Seats{}, register.Usher{GoneFor: time.Second}, nil, false
+	c.seats, c.usher, c.votes, c.busy = membership.Seats{}, consensus.Usher{GoneFor: time.Second}, nil, false
 	var tick func()
 	tick = func() {
 		if c.up && c.life == life {
@@ -261,13 +261,13 @@
 	if r.asking && r.seek(c) {
 		return
 	}
-	if c.acceptor.Phase != register.Established {
+	if c.acceptor.Phase != consensus.Established {
 		r.lookForSeat(c)
 		return
 	}
 	c.proposer.Follow(c.acceptor, r.now)
 	if (c.acceptor.Mark.Stamp > c.acceptor.Settled || len(c.acceptor.Word.Formerly) > 0) && r.rng.IntN(20) == 0 && (!r.asking || r.duty(c) == c) {
-		r.order(c, register.Order{Kind: register.Refresh}, func(register.Answer) {})
+		r.order(c, consensus.Order{Kind: consensus.Refresh}, func(consensus.Answer) {})
 	}
 	r.obey(c, c.proposer.Tick(r.now))
 }
@@ -277,26 +277,26 @@
 	if r.rng.IntN(6) != 0 {
 		return
 	}
-	if c.votes != nil && c.asked == (register.From{}) {
+	if c.votes != nil && c.asked == (consensus.From{}) {
 		if next, ok := c.acceptor.Born(c.votes); ok {
 			r.save(c, next)
 			return
 		}
 		self, may := c.acceptor.Claimant(c.votes)
-		if c.asked = (register.From{}); may {
+		if c.asked = (consensus.From{}); may {
 			c.asked = self
 		}
 	} else {
-		c.asked = register.From{}
+		c.asked = consensus.From{}
 	}
-	c.votes = map[int]register.Vote{}
-	b := register.Ballot{From: c.acceptor.Self, Act: register.Read}
-	if c.asked != (register.From{}) {
-		b = register.Ballot{From: c.asked, Act: register.Sit}
+	c.votes = map[int]consensus.Vote{}
+	b := consensus.Ballot{From: c.acceptor.Self, Act: consensus.Read}
+	if c.asked != (consensus.From{}) {
+		b = consensus.Ballot{From: c.asked, Act: consensus.Sit}
 	}
 	votes := c.votes
-	r.spread(c, b, true, votes, func(v register.Vote) {
-		if self := c.asked; self == b.From && b.Act == register.Sit {
+	r.spread(c, b, true, votes, func(v consensus.Vote) {
+		if self := c.asked; self == b.From && b.Act == consensus.Sit {
 			if next, ok := c.acceptor.Seated(self, votes); ok {
 				r.save(c, next)
 				r.tell(c)
@@ -307,7 +307,7 @@
 
 // spread puts a ballot to all slots that a core knows of, and that the votes tell
 // of, and gathers those.
-func (r *Register) spread(c *core, b register.Ballot, others bool, votes map[int]register.Vote, heard func(register.Vote)) {
+func (r *Register) spread(c *core, b consensus.Ballot, others bool, votes map[int]consensus.Vote, heard func(consensus.Vote)) {
 	asked := map[int]bool{}
 	var ask func(set []desired.Member)
 	ask = func(set []desired.Member) {
@@ -316,7 +316,7 @@
 				continue
 			}
 			asked[s.Slot] = true
-			r.put(c, s, b, func(v register.Vote) {
+			r.put(c, s, b, func(v consensus.Vote) {
 				votes[v.From.Slot] = v
 				ask(v.Sets.Union())
 				heard(v)
@@ -327,9 +327,9 @@
 }
 
 // put brings a ballot to a slot, and its vote back, through what may happen.
-func (r *Register) put(from *core, m desired.Member, b register.Ballot, back func(register.Vote)) {
+func (r *Register) put(from *core, m desired.Member, b consensus.Ballot, back func(consensus.Vote)) {
 	if b.Mark.Stamp > r.word.Stamp && len(b.Word.Slots) > 0 {
-		r.begun[b.Mark.Stamp] = append(r.begun[b.Mark.Stamp], register.Sets{Now: b.Word.Slots, Before: b.Word.Formerly})
+		r.begun[b.Mark.Stamp] = append(r.begun[b.Mark.Stamp], consensus.Sets{Now: b.Word.Slots, Before: b.Word.Formerly})
 	}
 	to := r.find(from, m)
 	if to == nil {
@@ -400,9 +400,9 @@
 	}
 }
 
-func (r *Register) save(c *core, next register.Acceptor) {
+func (r *Register) save(c *core, next consensus.Acceptor) {
 	if next.Mark != c.acceptor.Mark || next.Promised != c.acceptor.Promised || next.Phase != c.acceptor.Phase {
-		r.note(c, "%s, promised %d, holds %v %q of %v", next.Phase, next.Promised, next.Mark, next.Word.Desired, register.Slots(next.Sets().Now))
+		r.note(c, "%s, promised %d, holds %v %q of %v", next.Phase, next.Promised, next.Mark, next.Word.Desired, consensus.Slots(next.Sets().Now))
 	}
 	c.acceptor, c.disk = next, next
 	c.proposer.Follow(next, r.now)
@@ -438,7 +438,7 @@
 	r.Operators.settled(w)
 }
 
-func (r *Register) obey(c *core, outs []register.Outcome) {
+func (r *Register) obey(c *core, outs []consensus.Outcome) {
 	for _, o := range outs {
 		if o.Answer != nil {
 			if back, ok := r.asks[o.Answer.ID]; ok {
@@ -447,15 +447,15 @@
 			}
 		}
 		for _, s := range o.To {
-			r.put(c, s, *o.Ballot, func(v register.Vote) { r.obey(c, c.proposer.Hear(v, r.now)) })
+			r.put(c, s, *o.Ballot, func(v consensus.Vote) { r.obey(c, c.proposer.Hear(v, r.now)) })
 		}
 	}
 }
 
-func (r *Register) order(c *core, o register.Order, back func(register.Answer)) {
+func (r *Register) order(c *core, o consensus.Order, back func(consensus.Answer)) {
 	r.seq++
 	o.ID, o.Until = r.seq, r.now+3*time.Second
-	if o.Kind == register.Reseat {
+	if o.Kind == consensus.Reseat {
 		o.Until = r.now + 2*time.Second
 	}
 	r.asks[o.ID] = r.recorded(o, back)
@@ -466,17 +466,17 @@
 // one is a generation, some of them late.
 func (r *Register) write() {
 	c := r.any()
-	if !c.up || c.frozen > r.now || c.acceptor.Phase != register.Established {
+	if !c.up || c.frozen > r.now || c.acceptor.Phase != consensus.Established {
 		return
 	}
 	text := fmt.Appendf(nil, "configuration %d", r.seq+1)
-	o := register.Order{Kind: register.Put, Bytes: text}
+	o := consensus.Order{Kind: consensus.Put, Bytes: text}
 	if r.rng.IntN(2) == 0 {
 		o.Generation = r.number + 1 + r.rng.Uint64N(4)
 		r.number = o.Generation
 	}
-	r.order(c, o, func(a register.Answer) {
-		if a.Result != register.Taken {
+	r.order(c, o, func(a consensus.Answer) {
+		if a.Result != consensus.Taken {
 			r.Refused++
 			return
 		}
@@ -511,19 +511,19 @@
 			r.broken("edition %d was read after %d was acknowledged", w.Generation, generation)
 		}
 	}
-	votes, done := map[int]register.Vote{}, false
+	votes, done := map[int]consensus.Vote{}, false
 	own := c.acceptor.Sets()
-	r.spread(c, register.Ballot{From: c.acceptor.Self, Act: register.Read}, false, votes, func(register.Vote) {
-		counted := register.Counted(votes)
-		if done || !register.Complete(counted, own) {
+	r.spread(c, consensus.Ballot{From: c.acceptor.Self, Act: consensus.Read}, false, votes, func(consensus.Vote) {
+		counted := consensus.Counted(votes)
+		if done || !consensus.Complete(counted, own) {
 			return
 		}
 		done = true
-		if top, held := register.Newest(counted, own); held {
+		if top, held := consensus.Newest(counted, own); held {
 			got(top.Word)
-		} else if c.acceptor.Phase == register.Established {
-			r.order(c, register.Order{Kind: register.Refresh}, func(a register.Answer) {
-				if a.Result == register.Taken {
+		} else if c.acceptor.Phase == consensus.Established {
+			r.order(c, consensus.Order{Kind: consensus.Refresh}, func(a consensus.Answer) {
+				if a.Result == consensus.Taken {
 					got(a.Word)
 				}
 			})
@@ -564,7 +564,7 @@
 func (r *Register) swap() {
 	slot := r.rng.IntN(r.slots) + 1
 	for s := 1; s <= r.slots; s++ {
-		if c := r.seat(s); c.disk.Phase != register.Established {
+		if c := r.seat(s); c.disk.Phase != consensus.Established {
 			return
 		}
 	}
--- a/proof/simulator/slots.go
+++ b/proof/simulator/slots.go
@@ -6,9 +6,9 @@
 	"slices"
 	"time"
 
+	"curlewwalk/consensus"
 	"curlewwalk/desired"
 	"curlewwalk/membership"
-	"curlewwalk/register"
 )
 
 // epochOfTime is when simulated runs begin, for what counts in wall time.
@@ -26,7 +26,7 @@
 		r.founders = append(r.founders, fmt.Sprintf("core %d", i))
 	}
 	for i := range founders {
-		c := &core{addr: r.founders[i], disk: register.Start{First: true, Founders: r.founders, Addr: r.founders[i]}.Empty(r.rng.Uint64() | 1)}
+		c := &core{addr: r.founders[i], disk: consensus.Start{First: true, Founders: r.founders, Addr: r.founders[i]}.Empty(r.rng.Uint64() | 1)}
 		r.cores = append(r.cores, c)
 		r.after(r.some(time.Second), func() { r.boot(c) })
 	}
@@ -60,11 +60,11 @@
 func (c *core) tells() membership.Seat {
 	v := c.acceptor
 	s := membership.Seat{
-		Slot: v.Self.Slot, Slots: len(v.Sets().Now), Set: register.Slots(v.Sets().Now), Held: v.Mark.Stamp, Addr: c.addr, Inc: v.Self.Inc,
-		Established: v.Phase == register.Established, Settled: v.Settled,
+		Slot: v.Self.Slot, Slots: len(v.Sets().Now), Set: consensus.Slots(v.Sets().Now), Held: v.Mark.Stamp, Addr: c.addr, Inc: v.Self.Inc,
+		Established: v.Phase == consensus.Established, Settled: v.Settled,
 	}
 	if v.Settled < v.Mark.Stamp {
-		s.Before = register.Slots(v.Sets().Before)
+		s.Before = consensus.Slots(v.Sets().Before)
 	}
 	return s
 }
@@ -108,12 +108,12 @@
 	case s.Settled > v.Settled:
 		from := r.at(s.Addr)
 		r.send(c, from, func() {
-			_, vote := from.acceptor.On(register.Ballot{From: v.Self, Act: register.Read})
+			_, vote := from.acceptor.On(consensus.Ballot{From: v.Self, Act: consensus.Read})
 			r.send(from, c, func() {
 				if vote.Settled != vote.Mark.Stamp {
 					return
 				}
-				next, _ := c.acceptor.On(register.Ballot{From: c.acceptor.Self, Act: register.Settle, Epoch: vote.Mark.Epoch, Mark: vote.Mark, Word: vote.Word})
+				next, _ := c.acceptor.On(consensus.Ballot{From: c.acceptor.Self, Act: consensus.Settle, Epoch: vote.Mark.Epoch, Mark: vote.Mark, Word: vote.Word})
 				r.save(c, next)
 				r.tell(c)
 			})
@@ -121,25 +121,25 @@
 	}
 }
 
-func (c *core) places(now time.Time) map[int]register.Place {
-	out := map[int]register.Place{}
+func (c *core) places(now time.Time) map[int]consensus.Place {
+	out := map[int]consensus.Place{}
 	live := c.seats.Live(now)
 	for _, s := range c.seats.All() {
-		out[s.Slot] = register.Place{Addr: s.Addr, Live: slices.ContainsFunc(live, func(l membership.Seat) bool { return l.Slot == s.Slot })}
+		out[s.Slot] = consensus.Place{Addr: s.Addr, Live: slices.ContainsFunc(live, func(l membership.Seat) bool { return l.Slot == s.Slot })}
 	}
 	if v := c.acceptor; v.Self.Slot != 0 {
-		out[v.Self.Slot] = register.Place{Addr: c.addr, Live: true}
+		out[v.Self.Slot] = consensus.Place{Addr: c.addr, Live: true}
 	}
 	return out
 }
 
 // duty is the core that one takes for the one on duty.
 func (r *Register) duty(c *core) *core {
-	set := register.Slots(c.acceptor.Sets().Now)
+	set := consensus.Slots(c.acceptor.Sets().Now)
 	if s, _, held := c.seats.Set(); len(s) > 0 && (held > c.acceptor.Mark.Stamp || len(set) == 0) {
 		set = s
 	}
-	member := c.acceptor.Phase == register.Established && slices.Contains(set, c.acceptor.Self.Slot)
+	member := c.acceptor.Phase == consensus.Established && slices.Contains(set, c.acceptor.Self.Slot)
 	for _, s := range c.seats.Live(r.wall()) {
 		if s.Slot != c.acceptor.Self.Slot && slices.Contains(set, s.Slot) && (s.Slot < c.acceptor.Self.Slot || !member) {
 			return r.at(s.Addr)
@@ -155,7 +155,7 @@
 		r.Struck++
 		r.save(c, c.acceptor.Afresh(r.rng.Uint64()|1))
 	}
-	if c.acceptor.Phase != register.Seeking {
+	if c.acceptor.Phase != consensus.Seeking {
 		return false
 	}
 	if !c.leaving && r.rng.IntN(4) == 0 {
@@ -167,7 +167,7 @@
 }
 
 func (r *Register) ask(c, to *core) {
-	a := register.Asker{ID: c.acceptor.Self.ID, Addr: c.addr}
+	a := consensus.Asker{ID: c.acceptor.Self.ID, Addr: c.addr}
 	r.send(c, to, func() {
 		if !to.acceptor.Member() || r.duty(to) != to {
 			return
@@ -179,14 +179,14 @@
 }
 
 // reseat has the set changed, one change at a time.
-func (r *Register) reseat(c *core, o register.Order) {
+func (r *Register) reseat(c *core, o consensus.Order) {
 	if c.busy {
 		return
 	}
 	c.busy = true
 	r.note(c, "orders %s into %d, %d out", o.Seat.Addr, o.Seat.Slot, o.Out)
 	life := c.life
-	r.order(c, o, func(register.Answer) {
+	r.order(c, o, func(consensus.Answer) {
 		if c.life == life {
 			c.busy = false
 		}
@@ -209,7 +209,7 @@
 // bears tells whether the cores' disks would still be enough with some of them lost:
 // a majority of each set that may decide.
 func (r *Register) bears(lost ...*core) bool {
-	sets := []register.Sets{{Now: r.word.Slots, Before: r.word.Formerly}}
+	sets := []consensus.Sets{{Now: r.word.Slots, Before: r.word.Formerly}}
 	for _, c := range r.cores {
 		if m := c.disk.Mark; len(r.word.Slots) == 0 || m.Stamp > r.word.Stamp {
 			sets = append(sets, c.disk.Sets())
@@ -230,7 +230,7 @@
 					n++
 				}
 			}
-			if len(set) > 0 && n < register.Majority(len(set)) {
+			if len(set) > 0 && n < consensus.Majority(len(set)) {
 				return false
 			}
 		}
@@ -294,7 +294,7 @@
 
 func (r *Register) join() {
 	r.Joins++
-	c := &core{addr: fmt.Sprintf("core %d", len(r.cores)), disk: register.Start{}.Empty(r.rng.Uint64() | 1)}
+	c := &core{addr: fmt.Sprintf("core %d", len(r.cores)), disk: consensus.Start{}.Empty(r.rng.Uint64() | 1)}
 	r.cores = append(r.cores, c)
 	r.boot(c)
 }
@@ -304,7 +304,7 @@
 	r.Swaps++
 	c.gone, c.up = true, false
 	c.life++
-	c.disk = register.Acceptor{}
+	c.disk = consensus.Acceptor{}
 }
 
 // wipe starts a core again at its address, with an empty disk.
@@ -314,7 +314,7 @@
 	if c.up {
 		r.down(c)
 	}
-	c.disk = register.Start{Founders: r.founders, Addr: c.addr}.Empty(r.rng.Uint64() | 1)
+	c.disk = consensus.Start{Founders: r.founders, Addr: c.addr}.Empty(r.rng.Uint64() | 1)
 }
 
 // apart tells what is still amiss with the set, after the faults: all cores that are
@@ -330,7 +330,7 @@
 			return c.addr + " is no member"
 		}
 		live = append(live, c.acceptor.Self.Slot)
-		set = register.Slots(c.acceptor.Sets().Now)
+		set = consensus.Slots(c.acceptor.Sets().Now)
 		sets[fmt.Sprint(set)] = true
 	}
 	missing := 0
@@ -341,7 +341,7 @@
 	}
 	most := len(set) % 2
 	if len(set) <= max(3, r.slots) {
-		most = len(set) - register.Majority(len(set))
+		most = len(set) - consensus.Majority(len(set))
 	}
 	if len(sets) != 1 || missing > most || len(live)+missing != len(set) {
 		return fmt.Sprintf("%d are missing in %v", missing, slices.Sorted(maps.Keys(sets)))
--- a/routing/table.go
+++ b/routing/table.go
@@ -1,4 +1,4 @@
-// Package way decides where a request goes: a decision object that is asked.
+// Package routing decides where a request goes: a decision object that is asked.
 // (DESIGN 4)
 package routing
 
--- a/boot/common.go
+++ b/settings/common.go
@@ -1,6 +1,6 @@
-// Package boot reads and checks a process's settings, from a file and from
+// Package settings reads and checks a process's settings, from a file and from
 // flags; a flag wins over the file. (DESIGN 11)
-package boot
+package settings
 
 import "time"
 
--- a/boot/exit.go
+++ b/settings/exit.go
@@ -1,4 +1,4 @@
-package boot
+package settings
 
 // Exit says whether the process should end now, with what code and text.
 type Exit struct {
--- a/boot/group.go
+++ b/settings/group.go
@@ -1,4 +1,4 @@
-package boot
+package settings
 
 // Group is a group of further settings, an adapter's, read from the same file and
 // flags: a pointer to a struct with tags as Common's.
@@ -7,5 +7,5 @@
 	Data any
 	// Fill, if set, is handed the program's settings once all is read, before they are
 	// checked.
-	Fill func(settings any)
+	Fill func(read any)
 }
--- a/boot/read.go
+++ b/settings/read.go
@@ -1,4 +1,4 @@
-package boot
+package settings
 
 import (
 	"errors"
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -12,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"curlewwalk/boot"
 	"curlewwalk/claim"
 	"curlewwalk/collect"
 	"curlewwalk/custody"
@@ -25,6 +24,7 @@
 	"curlewwalk/rendezvous"
 	"curlewwalk/roster"
 	"curlewwalk/routing"
+	"curlewwalk/settings"
 	"curlewwalk/trace"
 	"curlewwalk/wire"
 )
@@ -55,7 +55,7 @@
 // Node is a sidecar with its parts.
 type Node struct {
 	p        *process.Process
-	set      boot.Sidecar
+	set      settings.Sidecar
 	steward  *steward
 	seeker   *membership.Seeker
 	near     *relay.Near
@@ -70,7 +70,7 @@
 }
 
 // New puts the parts together and opens the addresses.
-func New(set boot.Sidecar, doors *Doors) *Node {
+func New(set settings.Sidecar, doors *Doors) *Node {
 	p := process.New("sidecar", set.Common)
 	n := &Node{p: p, set: set, queue: trace.NewQueue(set.Advertise, p.Boot, set.TraceQueue)}
 	n.seeker = membership.NewSeeker()
@@ -167,7 +167,7 @@
 
 // Run prints the signal of readiness, the addresses that really stand, and returns when
 // the sidecar has been warned and stopped in order; read reads the settings again.
-func (n *Node) Run(read func() (boot.Sidecar, boot.Exit)) {
+func (n *Node) Run(read func() (settings.Sidecar, settings.Exit)) {
 	fmt.Fprintf(os.Stdout, "started wire=%s control=%s inquiries=%s\n", n.p.Host.Addr(), n.webs[0].Listener.Addr(), n.webs[1].Listener.Addr())
 	n.p.Wait(func() {
 		next, exit := read()
