Explore quorum reads whose answers come at different moments in the model

The model looked at each state as a reader does whom all answer at once. Now a look may begin in any state, each node answers in any later one, and whichever answers have come must show nothing older than what had been acknowledged, and call nothing settled that is not.

Two deliberate defects of the reader (a word called settled that one vote shows; one that a voter knows an older word settled) are caught.

--- a/proof/defects/all.go
+++ b/proof/defects/all.go
@@ -87,6 +87,8 @@
 	{readBack, "consensus/sets.go", "if len(s.Before) > 0 {", "if false {", "./proof/model", "TestEveryInterleaving", nil},
 	{readBack, "consensus/sets.go", "m.Slot == f.Slot && (m.ID == 0 || m.ID == f.ID)", "m.Slot == f.Slot", "./proof/model", "TestEveryInterleaving", nil},
 	{readBack, "consensus/epoch.go", "(known/n+1)*n + uint64(slot)", "(known/n+1)*n + uint64(min(slot, 1))", "./proof/model", "TestEveryInterleaving", nil},
+	{readBack, "consensus/acceptor.go", "return top, settled || sets.Quorum(same)", "return top, settled || sets.Quorum(same) || len(same) > 0", "./proof/model", "TestEveryInterleaving", nil},
+	{readBack, "consensus/acceptor.go", "settled = settled || v.Settled == v.Mark.Stamp", "settled = settled || v.Settled <= v.Mark.Stamp", "./proof/model", "TestEveryInterleaving", nil},
 	{force, "consensus/proposer.go", "known && !same {", "known && !same && false {", "./proof/model", "TestEveryInterleaving", nil},
 	{returns, "consensus/proposer.go", "finishing := c.phase", "finishing := false && c.phase", "./consensus", "TestSealOutlastsTicks", nil},
 	{returns, "consensus/usher.go", "even := len(set)%2 == 0", "even := false", "./proof/simulator", "TestSecondLoss", nil},
--- a/proof/fleet/tree.go
+++ b/proof/fleet/tree.go
@@ -10,9 +10,10 @@
 
 // Branch is one span of a tree.
 type Branch struct {
-	Span, Parent, Route, Service, Caller, Link string
-	Candidates, Missing                        []string
-	Events                                     []struct {
+	Span, Parent, Service, Caller, Link string
+	Route                               string `json:"way"`
+	Candidates, Missing                 []string
+	Events                              []struct {
 		Kind, Node, Outcome, Reason string
 		Counter                     uint64
 		Status                      int
--- a/proof/model/explore.go
+++ b/proof/model/explore.go
@@ -11,14 +11,16 @@
 // events follow each other at most.
 type Bounds struct {
 	Crashes, Timeouts, Doubled, Wiped int
-	Depth                             int
+	// Looks are quorum reads whose answers come at different moments.
+	Looks int
+	Depth int
 	// States ends the exploration early; zero: never.
 	States int
 }
 
 // String names the bounds.
 func (b Bounds) String() string {
-	return fmt.Sprintf("(crashes %d, timeouts %d, doubled %d, disks lost %d, depth %d)", b.Crashes, b.Timeouts, b.Doubled, b.Wiped, b.Depth)
+	return fmt.Sprintf("(crashes %d, timeouts %d, doubled %d, disks lost %d, looks %d, depth %d)", b.Crashes, b.Timeouts, b.Doubled, b.Wiped, b.Looks, b.Depth)
 }
 
 // Result is what an exploration came to.
--- a/proof/model/scenario.go
+++ b/proof/model/scenario.go
@@ -84,6 +84,9 @@
 		{Grow, Bounds{Depth: 11}},
 		{Swap, Bounds{Depth: 11}},
 		{Wiped, Bounds{Wiped: 1, Depth: 12}},
+		{Race, Bounds{Looks: 1, Depth: 10}},
+		{Swap, Bounds{Looks: 1, Depth: 9}},
+		{Wiped, Bounds{Wiped: 1, Looks: 1, Depth: 9}},
 	}
 	Long = []Run{
 		{Race, Bounds{Crashes: 1}},
@@ -97,5 +100,10 @@
 		{Swap, Bounds{Crashes: 1, Timeouts: 1}},
 		{Wiped, Bounds{Wiped: 1}},
 		{Wiped, Bounds{Wiped: 1, Crashes: 1, Timeouts: 1}},
+		{Race, Bounds{Looks: 1}},
+		{Race, Bounds{Looks: 1, Crashes: 1, Timeouts: 1}},
+		{Grow, Bounds{Looks: 1}},
+		{Swap, Bounds{Looks: 1}},
+		{Wiped, Bounds{Wiped: 1, Looks: 1}},
 	}
 )
--- a/proof/model/state.go
+++ b/proof/model/state.go
@@ -83,6 +83,7 @@
 	left     Bounds    // of failures, still to come
 	open     uint      // orders that were not given yet, by bit
 	drawn    uint64    // identities drawn after losses
+	look     look      // that is under way
 
 	proposals []proposal        // sorted by mark
 	settled   map[uint64]digest // the word under each settled stamp
@@ -134,7 +135,8 @@
 	for _, m := range s.flight {
 		b = append(b, m.key[:]...)
 	}
-	b = append(b, 0xff, byte(s.left.Crashes), byte(s.left.Timeouts), byte(s.left.Doubled), byte(s.left.Wiped), byte(s.open), byte(s.drawn))
+	b = append(b, 0xff, byte(s.left.Crashes), byte(s.left.Timeouts), byte(s.left.Doubled), byte(s.left.Wiped), byte(s.left.Looks), byte(s.open), byte(s.drawn))
+	b = s.look.appendState(b)
 	for _, p := range s.proposals {
 		b = binary.AppendUvarint(b, p.mark.Epoch)
 		b = binary.AppendUvarint(b, p.mark.Stamp)
--- a/proof/model/step.go
+++ b/proof/model/step.go
@@ -26,6 +26,8 @@
 	wipe    = "lose the disk"
 	timeout = "time out"
 	give    = "order"
+	ask     = "look"
+	show    = "answer the look"
 )
 
 // event is one thing that may happen next.
@@ -78,6 +80,7 @@
 			out = append(out, event{kind: timeout, node: i})
 		}
 	}
+	out = append(out, s.looks()...)
 	for i, o := range s.scenario.Orders {
 		ready := !o.AfterWipe || s.drawn > 0
 		if s.open&(1<<i) != 0 && ready && s.nodes[o.Node].memory.Phase == consensus.Established {
@@ -87,6 +90,19 @@
 	return out
 }
 
+// looks lists what a look that is under way, or may begin, has happen next.
+func (s *state) looks() (out []event) {
+	for i, n := range s.nodes {
+		if !s.look.open && s.left.Looks > 0 && n.memory.Phase == consensus.Established {
+			out = append(out, event{kind: ask, node: i})
+		}
+		if s.look.open && s.look.answered&(1<<i) == 0 {
+			out = append(out, event{kind: show, node: i})
+		}
+	}
+	return out
+}
+
 // step is the state after an event.
 func (s *state) step(e event) *state {
 	next := s.copied()
@@ -113,6 +129,10 @@
 			n.now += later
 			return n.proposer.Tick(n.now)
 		})
+	case ask:
+		next.beginLook(e.node)
+	case show:
+		next.answerLook(e.node)
 	case give:
 		next.open &^= 1 << e.n
 		o := s.scenario.Orders[e.n].order(s)
