Choose no route by an old table while a live core tells of a newer word

Sidecars ran requests on a route that had been dropped 2.2 to 2.9 s before. At 14.4 s its table was 8.5 s old. The far sidecar admitted, rightly, by its own claim; the near one looked at its claim only before it denies a route.

Ruled out: an acknowledgement without a majority, a wrong difference (stamps and numbers of all tables were printed, and each is what was settled), a patience that grew too long (no core was live from 8.7 to 12.3 s).

Change: a near sidecar whose claim is over 2 s old, while a live core tells of a newer settled word, refuses requests as not run, with when to come back.

--- a/membership/seats.go
+++ b/membership/seats.go
@@ -239,6 +239,12 @@
 	return slices.DeleteFunc(s.Known(), func(c Seat) bool { return now.Sub(s.bySlot[c.Slot].at) >= Silence })
 }
 
+// SettledPast tells whether a live core has told that a newer word than that of a stamp is
+// settled. Settled words only grow, so what a core told once stays true.
+func (s Seats) SettledPast(stamp uint64, now time.Time) bool {
+	return slices.ContainsFunc(s.Live(now), func(c Seat) bool { return c.Settled > stamp })
+}
+
 // Wall is the middle one of the live cores' wall clocks, the own one counted in:
 // it is right as long as most of them are. (DESIGN 17.2)
 func (s Seats) Wall(own time.Time, ownSlot int, now time.Time) time.Time {
--- a/membership/seats_test.go
+++ b/membership/seats_test.go
@@ -71,3 +71,19 @@
 		t.Errorf("set %v", set)
 	}
 }
+
+// A word counts as settled past a stamp while a core that told so is live: of who can't be
+// heard nothing follows.
+func TestSettledPast(t *testing.T) {
+	now := time.Now()
+	s := Seats{}.Hear(Seat{Slot: 1, Addr: "a", Inc: 1, Settled: 7}, now).Hear(Seat{Slot: 2, Addr: "b", Inc: 1, Settled: 9}, now.Add(-time.Second))
+	for _, c := range []struct {
+		stamp uint64
+		after time.Duration
+		want  bool
+	}{{6, 0, true}, {7, 0, true}, {9, 0, false}, {7, Silence - time.Second, false}, {6, Silence - time.Second, true}, {6, Silence, false}} {
+		if got := s.SettledPast(c.stamp, now.Add(c.after)); got != c.want {
+			t.Errorf("past %d after %v: %v", c.stamp, c.after, got)
+		}
+	}
+}
--- a/proof/defects/all.go
+++ b/proof/defects/all.go
@@ -95,6 +95,8 @@
 	{returns, "core/door.go", "case !joined && len", "case false && len", "./core", "TestLacksSeat", nil},
 	{returns, "consensus/epoch.go", "stride    = 1 << 29", "stride    = 1 << 16", "./consensus", "TestSlotsOutlastYears", nil},
 	{readBack, "consensus/transition.go", "if next.OathDirty || next.WordDirty {", "if false {", "./consensus", "TestVotesWaitForTheDisk", nil},
+	{force, "relay/near.go", "if n.Behind != nil && n.Behind() {", "if false {", "./relay", "TestNoRouteWhileBehind", nil},
+	{force, "membership/seats.go", "return c.Settled > stamp", "return c.Settled > stamp+9", "./membership", "TestSettledPast", nil},
 	{readBack, "core/control.go", "if !contact || !ok || d.Stamp < newest {", "if !ok || false && contact && newest == 0 {", "./proof", "TestCutOffCore", nil},
 	{returns, "consensus/health.go", "return !h.failed && !(h.writing && now-h.began > syncWithin)", "return true", "./consensus", "TestFullDiskIsUnable", nil},
 	{returns, "consensus/health.go", "return now-h.contacted <= contactWithin", "return true", "./consensus", "TestNoOrderWithoutMajority", nil},
--- a/relay/near.go
+++ b/relay/near.go
@@ -67,6 +67,9 @@
 	Crossing float64
 	// Unsure, if set, tells that this sidecar is not sure of the newest word.
 	Unsure func() bool
+	// Behind, if set, tells that a newer word is in force elsewhere, and has been kept from
+	// this sidecar for too long for its own to be followed. (DESIGN 7.2)
+	Behind func() bool
 }
 
 // request is one client's request on its way.
@@ -133,14 +136,9 @@
 		return n.count(n.word(http.StatusBadRequest, routing.NotRun, "this path can't be passed on as it is", "", 0))
 	}
 	q := request{caller: caller, begun: begun}
-	var ok bool
-	table := n.Table()
-	if q.route, q.contract, ok = table.Match(r.Host, r.URL.Path, r.Method); !ok && table.Stamp == 0 {
-		return n.count(n.word(http.StatusServiceUnavailable, routing.NotRun, "no configuration is known here yet", "", time.Second))
-	} else if !ok && n.Unsure != nil && n.Unsure() {
-		return n.count(n.word(http.StatusServiceUnavailable, routing.NotRun, "no way is known here, but a newer configuration may be in force", "", time.Second))
-	} else if !ok {
-		return n.count(n.word(http.StatusNotFound, routing.NotRun, "no way takes this inquiry", "", 0))
+	var refusal *Response
+	if q.route, q.contract, refusal = n.match(r); refusal != nil {
+		return n.count(*refusal)
 	}
 	q.route.Service = routing.Pick(q.route, rand.IntN) // for all its attempts
 	h := endToEnd(r.Header)
@@ -169,6 +167,28 @@
 }
 
 // word words an answer of our own.
+// match finds a request's route and contract, or how it is refused.
+func (n *Near) match(r *http.Request) (desired.Route, desired.Contract, *Response) {
+	refuse := func(status int, reason string, back time.Duration) (desired.Route, desired.Contract, *Response) {
+		refusal := n.word(status, routing.NotRun, reason, "", back)
+		return desired.Route{}, desired.Contract{}, &refusal
+	}
+	if n.Behind != nil && n.Behind() {
+		return refuse(http.StatusServiceUnavailable, "a newer configuration is in force, and not known here yet", n.back())
+	}
+	table := n.Table()
+	route, contract, ok := table.Match(r.Host, r.URL.Path, r.Method)
+	switch {
+	case ok:
+		return route, contract, nil
+	case table.Stamp == 0:
+		return refuse(http.StatusServiceUnavailable, "no configuration is known here yet", time.Second)
+	case n.Unsure != nil && n.Unsure():
+		return refuse(http.StatusServiceUnavailable, "no way is known here, but a newer configuration may be in force", time.Second)
+	}
+	return refuse(http.StatusNotFound, "no way takes this inquiry", 0)
+}
+
 func (n *Near) word(status int, f routing.Fate, reason, trace string, back time.Duration) Response {
 	return n.Dialect.Word(Own{Status: status, Fate: f, Reason: reason, Trace: trace, Back: back})
 }
--- a/relay/unsure_test.go
+++ b/relay/unsure_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"curlewwalk/desired"
 	"curlewwalk/routing"
@@ -33,3 +34,23 @@
 		}
 	}
 }
+
+// A sidecar that is known to be behind chooses no route by its old configuration, be it one
+// that it has: the request is refused at once as not run, with when to come back.
+func TestNoRouteWhileBehind(t *testing.T) {
+	table, ok := routing.NewTable(desired.Word{Stamp: 3, DesiredStamp: 3, Desired: []byte(
+		`{"ways":[{"name":"old","prefix":"/old/","service":"orders","contract":"c"}],"contracts":[{"name":"c","aim":"1s","expiry":"2s","rank":1}]}`,
+	)})
+	if !ok {
+		t.Fatal("no table")
+	}
+	n := &Near{
+		Table: func() *routing.Table { return table }, Dialect: Plain{}, Draining: func() bool { return false }, Bodies: &Bodies{Most: 1 << 20, All: 1 << 20},
+		Behind: func() bool { return true }, ComeBack: 100 * time.Millisecond,
+	}
+	w := httptest.NewRecorder()
+	n.Handler("").ServeHTTP(w, httptest.NewRequest(http.MethodPost, "http://orders.example/old/1", nil))
+	if w.Code != http.StatusServiceUnavailable || w.Header().Get("Curlewwalk-Outcome") != string(routing.NotRun) || w.Header().Get("Retry-After") == "" {
+		t.Errorf("behind: %d, %q, come back in %q", w.Code, w.Header().Get("Curlewwalk-Outcome"), w.Header().Get("Retry-After"))
+	}
+}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -97,7 +97,7 @@
 		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log, Lineage: lin, Claims: claims, RetryBudgets: n.steward.retryBudgets, Budgets: n.steward.budgets, Costs: routing.NewCosts(), Life: p.Life, Draining: n.shut,
 	}
 	n.near.Shun = set.Shun
-	n.near.Unsure = n.unsure
+	n.near.Unsure, n.near.Behind = n.unsure, n.behind
 	n.near.Home, n.near.Dialect, n.near.Hold, n.near.ComeBack, n.near.Late, n.near.Crossing = set.Caller, relay.Plain{}, set.Hold, set.ComeBack, set.Late, set.Crossing
 	if doors != nil {
 		n.near.Dialect = doors.Dialect
@@ -194,6 +194,15 @@
 	return n.steward.claim.Age(now) > sureFor && (n.steward.agreed.Age(now) > roster.ClaimFor || !n.seeker.Seats().NoMajority(now))
 }
 
+// behind tells whether this sidecar must not choose routes by what it knows: a live core
+// tells that a newer word is settled, and no core has been sure towards this sidecar for so
+// long that the newer one is to be in force by now. One that hears no core at all goes on;
+// who admits is bound by its own claim. (DESIGN 7.2)
+func (n *Node) behind() bool {
+	now := time.Now()
+	return n.steward.claim.Age(now) > sureFor && n.seeker.Seats().SettledPast(n.steward.table.Load().Stamp, now)
+}
+
 // shut tells whether clients' requests are refused. The calls of an own backend belong
 // to requests that were handed over: where they can't be told from clients', all are
 // taken while it runs one. (DESIGN 11.3)
