Have an order's contact use the keeper's look

Keeper.regain repeated what Keeper.look does: one quorum read, told to the keeper's thread. look now returns whether a majority answered, and regain bounds it in time. No change of behaviour.

--- a/consensus/keeper.go
+++ b/consensus/keeper.go
@@ -153,18 +153,20 @@
 		case <-tick.C:
 			k.box.Send(ctx, msgTick{})
 		case <-look.C:
-			k.Launcher.Go(ctx, "look", k.look)
+			k.Launcher.Go(ctx, "look", func(ctx context.Context) { k.look(ctx) })
 		}
 	}
 }
 
-// look asks a majority whether there is a newer word. What was acknowledged
-// before it began is among the answers. (DESIGN 7.2)
-func (k *Keeper) look(ctx context.Context) {
+// look asks a majority whether there is a newer word; false if none answers. What was
+// acknowledged before it began is among the answers. (DESIGN 7.2)
+func (k *Keeper) look(ctx context.Context) bool {
 	begin := time.Now()
-	if top, held, ok := k.newest(ctx, Look); ok {
+	top, held, ok := k.newest(ctx, Look)
+	if ok {
 		k.box.Send(ctx, msgLooked{at: begin, top: top, held: held})
 	}
+	return ok
 }
 
 // newest asks a majority for the newest word, by a Look or a Read. held tells whether
@@ -271,12 +273,7 @@
 func (k *Keeper) regain(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, regainLimit)
 	defer cancel()
-	begin := time.Now()
-	top, held, ok := k.newest(ctx, Look)
-	if ok {
-		k.box.Send(ctx, msgLooked{at: begin, top: top, held: held})
-	}
-	return ok
+	return k.look(ctx)
 }
 
 // ReadBack reads the newest word from a majority, and has it mended first if
