--- a/relay/counts.go
+++ b/relay/counts.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"curlewwalk/routing"
 )
@@ -11,6 +12,18 @@
 	// Open is how many are under way now.
 	Open                                                       atomic.Int64
 	Requests, Answered, NotRun, Unknown, ExtraAttempts, Joined atomic.Int64
+	// ClientsLeft counts the requests whose clients left before they were answered, and
+	// AfterLeaving sums up, in nanoseconds, for how long these went on all the same.
+	ClientsLeft, AfterLeaving atomic.Int64
+	// Recalled counts the attempts that a peer recalled before they were begun, and
+	// RecalledLate those that were begun, or unknown.
+	Recalled, RecalledLate atomic.Int64
+}
+
+// left takes that a request's client left, and for how long the request went on.
+func (c *Counts) left(after time.Duration) {
+	c.ClientsLeft.Add(1)
+	c.AfterLeaving.Add(int64(after))
 }
 
 // ended takes how one ended.
@@ -34,6 +47,11 @@
 	Unknown       int64 `json:"unknown"`
 	ExtraAttempts int64 `json:"extra_legs"`
 	Joined        int64 `json:"joined"`
+	ClientsLeft   int64 `json:"clients_left"`
+	// AfterLeaving is how long requests went on after their clients had left, in all.
+	AfterLeaving time.Duration `json:"after_leaving_ns"`
+	Recalled     int64         `json:"recalled"`
+	RecalledLate int64         `json:"recalled_late"`
 }
 
 // Read takes a reading.
@@ -41,5 +59,7 @@
 	return Totals{
 		Open: c.Open.Load(), Requests: c.Requests.Load(), Answered: c.Answered.Load(), NotRun: c.NotRun.Load(),
 		Unknown: c.Unknown.Load(), ExtraAttempts: c.ExtraAttempts.Load(), Joined: c.Joined.Load(),
+		ClientsLeft: c.ClientsLeft.Load(), AfterLeaving: time.Duration(c.AfterLeaving.Load()),
+		Recalled: c.Recalled.Load(), RecalledLate: c.RecalledLate.Load(),
 	}
 }
--- a/relay/far.go
+++ b/relay/far.go
@@ -107,6 +107,9 @@
 	rc := AttemptResponse{ID: q.ID, Fate: routing.Unknown, Reason: "it was begun, or begun before a restart"}
 	if ask(ctx, f.ledger.refuse, q.ID) && q.Boot == f.Boot {
 		rc.Fate, rc.Reason = routing.NotRun, "recalled before it was begun"
+		f.Counts.Recalled.Add(1)
+	} else {
+		f.Counts.RecalledLate.Add(1)
 	}
 	return rc, ""
 }
--- a/relay/near.go
+++ b/relay/near.go
@@ -149,6 +149,12 @@
 	q.left = said.Left
 	q.attempt = Attempt{Service: q.route.Service, Route: q.route.Name, Rank: q.contract.Rank, Repeatable: q.route.Repeatable, Caller: cmp.Or(caller, n.Home), Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h, Trailer: trailer, Body: body}
 	// The client's going away stops nothing: the request was handed over.
+	client := watchClient(r.Context())
+	defer func() {
+		if left, after := client.end(); left {
+			n.Counts.left(after)
+		}
+	}()
 	ctx := context.WithoutCancel(r.Context())
 	n.begin(ctx, &q, r.Header)
 	ctx, cancel := context.WithDeadline(trace.With(ctx, q.span), q.deadline)
