End runs that outlive the lineage keeper instead of leaving them waiting

Cause: a run that was given up on closes its entry under no deadline, so that it waited for good when the keeper had ended before it, as at a stop. Change: Run closes a channel at its end that all calls watch. TestKeeperHasEnded.

--- a/lineage/keeper.go
+++ b/lineage/keeper.go
@@ -12,6 +12,8 @@
 	enter chan Open
 	leave chan trace.ID
 	links chan query
+	// ended is closed when Run has ended: from then on nothing is noted or known.
+	ended chan struct{}
 }
 
 type query struct {
@@ -25,11 +27,12 @@
 
 // NewKeeper makes a keeper.
 func NewKeeper() *Keeper {
-	return &Keeper{enter: make(chan Open), leave: make(chan trace.ID), links: make(chan query)}
+	return &Keeper{enter: make(chan Open), leave: make(chan trace.ID), links: make(chan query), ended: make(chan struct{})}
 }
 
 // Run owns the book until ctx ends.
 func (k *Keeper) Run(ctx context.Context) {
+	defer close(k.ended)
 	b := NewBook()
 	for {
 		select {
@@ -53,15 +56,17 @@
 func (k *Keeper) Enter(ctx context.Context, o Open) {
 	select {
 	case k.enter <- o:
+	case <-k.ended:
 	case <-ctx.Done():
 	}
 }
 
-// Leave closes it once the backend has answered.
-func (k *Keeper) Leave(ctx context.Context, id trace.ID) {
+// Leave closes it once the backend has answered. It is not bound by the request's own
+// context, since a request that was given up on has to be closed as well.
+func (k *Keeper) Leave(id trace.ID) {
 	select {
 	case k.leave <- id:
-	case <-ctx.Done():
+	case <-k.ended:
 	}
 }
 
@@ -80,6 +85,8 @@
 	select {
 	case k.links <- q:
 		return <-q.reply
+	case <-k.ended:
+		return Cause{}
 	case <-ctx.Done():
 		return Cause{}
 	}
--- /dev/null
+++ b/lineage/keeper_test.go
@@ -0,0 +1,31 @@
+package lineage
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"curlewwalk/trace"
+)
+
+// What is still running when the process's parts have ended can end as well.
+func TestKeeperHasEnded(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	k := NewKeeper()
+	k.Run(ctx)
+	done := make(chan Cause)
+	go func() {
+		k.Enter(context.Background(), Open{})
+		k.Leave(trace.NewID())
+		done <- k.Link(context.Background(), "desk", "once", trace.Span{})
+	}()
+	select {
+	case c := <-done:
+		if !c.Parent.IsZero() {
+			t.Errorf("%+v", c)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("it waits for a keeper that has ended")
+	}
+}
--- a/relay/far.go
+++ b/relay/far.go
@@ -184,7 +184,7 @@
 		return why
 	}}
 	f.Lineage.Enter(ctx, lineage.Open{Span: span, Service: attempt.Service, Route: attempt.Route, Rank: attempt.Rank, Since: time.Now(), Deadline: deadline(ctx)})
-	defer f.Lineage.Leave(context.WithoutCancel(ctx), span.ID)
+	defer f.Lineage.Leave(span.ID)
 	rc := f.exchange(ctx, e, &attempt, span, g)
 	if rc.Fate == routing.Unknown && g.shut() {
 		rc.Fate = routing.NotRun
