--- /dev/null
+++ b/proof/stop_test.go
@@ -0,0 +1,150 @@
+package proof
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"curlewwalk/proof/fleet"
+)
+
+// sidecarStats is the part of GET /v1/stats that these tests read.
+type sidecarStats struct {
+	Closed bool `json:"closed"`
+	Near   struct {
+		Open int64 `json:"open"`
+	} `json:"near"`
+	Far struct {
+		Open int64 `json:"open"`
+	} `json:"far"`
+}
+
+// awaitStats waits until a sidecar's statistics are as wanted.
+func (r *rig) awaitStats(machine int, what string, want func(s sidecarStats) bool) {
+	r.t.Helper()
+	must(r.t, fleet.Await(r.ctx, what, func(ctx context.Context) bool {
+		var s sidecarStats
+		_, err := r.Sidecars[machine].Get(ctx, "/v1/stats", &s)
+		return err == nil && want(s)
+	}))
+}
+
+// rawAnswer is what a connection of its own brought; err if it ended without an answer.
+type rawAnswer struct {
+	status  int
+	outcome string
+	err     error
+}
+
+// ask sends a request to a machine's sidecar on a connection of its own.
+func (r *rig) ask(machine int, method, uri string, answers chan<- rawAnswer) {
+	c, err := net.Dial("tcp", r.Requests(machine))
+	if err != nil {
+		answers <- rawAnswer{err: err}
+		return
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", method, uri)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		answers <- rawAnswer{err: err}
+		return
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	answers <- rawAnswer{resp.StatusCode, resp.Header.Get("Curlewwalk-Outcome"), err}
+}
+
+// restart starts a sidecar anew with further settings.
+func (r *rig) restart(machine int, args ...string) {
+	r.t.Helper()
+	r.Sidecars[machine].Stop()
+	r.Sidecars[machine].Args(args...)
+	must(r.t, r.Sidecars[machine].Start())
+	must(r.t, r.AwaitServing(r.ctx, 1, r.known))
+}
+
+// A stopping sidecar whose backend still runs something takes calls of that backend, which
+// can't be told from clients' requests there; of all these it takes none that may last
+// longer than it will itself.
+func TestStopRefusesWhatOutlastsIt(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	r.restart(1, "--caller=desk", "--drain=2500ms")
+	running, release := make(chan struct{}, 9), make(chan struct{})
+	hold := http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
+		io.Copy(io.Discard, q.Body)
+		running <- struct{}{}
+		<-release
+	})
+	r.backend(1, hold)
+	first, second := make(chan rawAnswer, 1), make(chan rawAnswer, 1)
+	go r.ask(0, "POST", "/once/", first)
+	recv(r, running)
+	var runs atomic.Int64
+	r.backend(0, http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
+		io.Copy(io.Discard, q.Body)
+		runs.Add(1)
+		<-release
+	}))
+	r.Sidecars[1].Signal(syscall.SIGTERM)
+	r.awaitStats(1, "clients to be refused", func(s sidecarStats) bool { return s.Closed })
+	// Its deadline is 3 s away.
+	go r.ask(1, "POST", "/once/", second)
+	if a := recv(r, second); a.err != nil || a.status != 503 || a.outcome != "not-run" {
+		t.Errorf("what outlasts the stop: %+v", a)
+	}
+	if n := runs.Load(); n != 0 {
+		t.Errorf("it ran %d times", n)
+	}
+	close(release)
+	if a := recv(r, first); a.err != nil || a.status != 200 {
+		t.Errorf("what was running: %+v", a)
+	}
+}
+
+// When the time to stop is over, all that is still open is answered: refused if it was not
+// begun, and with an unknown outcome if it was. No connection is closed without an answer.
+func TestStopAnswersWhatIsOpen(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	r.restart(0, "--drain=1s")
+	running, release := make(chan struct{}, 20), make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	r.backend(1, http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
+		io.Copy(io.Discard, q.Body)
+		running <- struct{}{}
+		<-release
+	}))
+	const asked = 12
+	begun := make(chan rawAnswer, asked)
+	for range asked {
+		go r.ask(0, "POST", "/once/", begun)
+	}
+	r.awaitStats(1, "all to run or wait", func(s sidecarStats) bool { return s.Far.Open == asked })
+	exit := make(chan int, 1)
+	go func() { exit <- r.Sidecars[0].Stop() }()
+	outcomes := map[string]int{}
+	for range asked {
+		a := recv(r, begun)
+		if a.err != nil {
+			t.Errorf("no answer: %v", a.err)
+			continue
+		}
+		outcomes[fmt.Sprint(a.status, " ", a.outcome)]++
+	}
+	ran := len(running)
+	if outcomes["503 not-run"] != asked-ran || outcomes["502 unknown"] != ran || ran == 0 || ran == asked {
+		t.Errorf("%d ran of %d: %v", ran, asked, outcomes)
+	}
+	if code := recv(r, exit); code != 0 {
+		t.Errorf("it ended with %d", code)
+	}
+}
--- /dev/null
+++ b/relay/departure_test.go
@@ -0,0 +1,176 @@
+package relay
+
+import (
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"curlewwalk/membership"
+	"curlewwalk/roster"
+)
+
+// promptly bounds what must follow from a client's leaving. It is well below the 3 s that a
+// request of these tests may take.
+const promptly = time.Second
+
+// await waits until ok, and fails the test if that takes too long.
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	late := time.After(promptly)
+	for !ok() {
+		select {
+		case <-tick.C:
+		case <-late:
+			t.Fatalf("waited in vain: %s", what)
+		}
+	}
+}
+
+// ended reads from a backend's connection until the sidecar closes it.
+func ended(v visit) {
+	var b [1]byte
+	for {
+		if _, err := v.w.Read(b[:]); err != nil {
+			return
+		}
+	}
+}
+
+// A client that leaves stops what may be stopped: a repeatable run at its backend, and
+// whatever has not reached one yet. What must run once and was begun goes on.
+func TestClientLeaves(t *testing.T) {
+	t.Run("a repeatable run is stopped", func(t *testing.T) {
+		came, stopped := make(chan bool, 9), make(chan bool, 9)
+		p := newPair(t, func(v visit) bool {
+			came <- true
+			ended(v)
+			stopped <- true
+			return false
+		})
+		c := p.client(t)
+		c.say("GET /look/x HTTP/1.1\r\nHost: x\r\n\r\n")
+		<-came
+		c.Close()
+		await(t, "the backend's connection to be closed", func() bool { return len(stopped) > 0 })
+		await(t, "the request to end", func() bool { return p.near.Counts.Open.Load() == 0 })
+		if n := p.uris()["/look/x"]; n != 1 {
+			t.Errorf("it was sent %d times", n)
+		}
+	})
+	t.Run("a repeatable run with a body is stopped", func(t *testing.T) {
+		came, stopped := make(chan bool, 9), make(chan bool, 9)
+		p := newPair(t, func(v visit) bool {
+			io.Copy(io.Discard, v.Body)
+			came <- true
+			ended(v)
+			stopped <- true
+			return false
+		})
+		c := p.client(t)
+		c.say("POST /look/x HTTP/1.1\r\nHost: x\r\nContent-Length: 40000\r\n\r\n%040000d", 0)
+		<-came
+		c.Close()
+		await(t, "the backend's connection to be closed", func() bool { return len(stopped) > 0 })
+	})
+	t.Run("a run that must not be repeated goes on", func(t *testing.T) {
+		came, release, whole := make(chan bool, 9), make(chan bool), make(chan error, 9)
+		p := newPair(t, func(v visit) bool {
+			io.Copy(io.Discard, v.Body)
+			came <- true
+			<-release
+			v.w.SetReadDeadline(time.Now().Add(time.Millisecond))
+			_, err := v.w.Read(make([]byte, 1))
+			whole <- err
+			v.say(v.id, "ok")
+			return true
+		})
+		c := p.client(t)
+		c.say("POST /once/x HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx")
+		<-came
+		c.Close()
+		await(t, "the far side to be told", func() bool { return p.far.Counts.RecalledLate.Load() == 1 })
+		close(release)
+		if err := <-whole; err == io.EOF {
+			t.Error("the connection to the backend was closed")
+		}
+		await(t, "the run to end", func() bool { return p.far.Counts.Answered.Load() == 1 })
+	})
+	for _, uri := range []string{"/look/waits", "/once/waits"} {
+		t.Run("what waits in line does not run: "+uri, func(t *testing.T) {
+			came, release := make(chan bool, 9), make(chan bool)
+			p := newPair(t, func(v visit) bool {
+				io.Copy(io.Discard, v.Body)
+				came <- true
+				<-release
+				v.say(v.id, "ok")
+				return true
+			})
+			table, _ := roster.Roster{}.Announce(roster.Announcement{Instance: "a", Service: "desk", Address: p.entry.Address, Capacity: 1}, "north", time.Now())
+			p.far.Roster = func() roster.Roster { return table }
+			first, second := p.client(t), p.client(t)
+			first.say("POST /once/first HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+			<-came
+			second.say("POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", uri)
+			await(t, "the second to wait in line", func() bool { return table.Entries()[0].Desk.Open() == 2 })
+			second.Close()
+			await(t, "the second to leave the line", func() bool { return table.Entries()[0].Desk.Open() == 1 })
+			close(release)
+			if resp, _ := first.hear(); resp == nil || resp.StatusCode != http.StatusOK {
+				t.Errorf("the first: %+v", resp)
+			}
+			first.say("POST /once/third HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+			if resp, _ := first.hear(); resp == nil || resp.StatusCode != http.StatusOK {
+				t.Errorf("the third: %+v", resp)
+			}
+			if n := p.uris()[uri]; n != 0 {
+				t.Errorf("it came to the backend %d times", n)
+			}
+		})
+	}
+	t.Run("what is held for a place is not sent", func(t *testing.T) {
+		p := newPair(t, plainly)
+		with, without := p.near.View(), membership.NewView(nil, nil)
+		var view atomic.Pointer[membership.View]
+		view.Store(without)
+		p.near.View, p.near.Hold = view.Load, 10
+		c := p.client(t)
+		c.say("GET /look/held HTTP/1.1\r\nHost: x\r\n\r\n")
+		await(t, "the request to be held", func() bool { return p.near.Counts.Open.Load() == 1 })
+		c.Close()
+		await(t, "the request to end", func() bool { return p.near.Counts.Open.Load() == 0 })
+		view.Store(with)
+		if resp, _ := p.get(t, "/look/other"); resp == nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("another: %+v", resp)
+		}
+		if n := p.uris()["/look/held"]; n != 0 {
+			t.Errorf("it came to the backend %d times", n)
+		}
+	})
+	// Nothing that it runs can be answered any more.
+	t.Run("a peer whose connection has broken", func(t *testing.T) {
+		came, stopped := make(chan bool, 9), make(chan bool, 9)
+		p := newPair(t, func(v visit) bool {
+			came <- true
+			ended(v)
+			stopped <- true
+			return false
+		})
+		c := p.client(t)
+		c.say("GET /look/x HTTP/1.1\r\nHost: x\r\n\r\n")
+		<-came
+		p.cut()
+		await(t, "the backend's connection to be closed", func() bool { return len(stopped) > 0 })
+	})
+}
+
+// get asks for a path on a connection of its own.
+func (p *pair) get(t *testing.T, uri string) (*http.Response, string) {
+	t.Helper()
+	c := p.client(t)
+	c.say("GET %s HTTP/1.1\r\nHost: x\r\n\r\n", uri)
+	return c.hear()
+}
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -52,6 +52,8 @@
 	Far      relay.Totals      `json:"far"`
 	Trace    trace.QueueStats  `json:"trace_queue"`
 	Draining bool              `json:"draining"`
+	// Closed tells that requests of clients are refused.
+	Closed bool `json:"closed"`
 	// Held counts the claims on keys that this node holds for others, Settled those
 	// of them with a response; HandedOver tells whether it has got its own of earlier
 	// boots.
@@ -169,7 +171,7 @@
 	return stats{
 		Node: n.set.Advertise, Boot: n.p.Boot, Zone: n.set.Zone, Stamp: n.steward.table.Load().Stamp, Follows: f,
 		NewsAge: time.Since(f.Since).String(), ClaimAge: n.steward.claim.Age(time.Now()).String(), Claimed: n.claimed(), Cores: n.seeker.Seats().Known(), Near: n.near.Counts.Read(), Far: n.far.Counts.Read(),
-		Trace: n.queue.Stats(), Draining: n.draining.Load(), ExtraAttempts: n.steward.retryBudgets.Held(),
+		Trace: n.queue.Stats(), Draining: n.draining.Load(), Closed: n.closed.Load(), ExtraAttempts: n.steward.retryBudgets.Held(),
 		Held: held, Settled: settled, HandedOver: n.near.Custody.Ready(), Bodies: [2]int64{n.near.Bodies.Held(), n.far.Bodies.Held()},
 	}
 }
