Stop what is under way for a client that has left

Class: a request's end was told down the chain only by its deadline.

Ruled out: that the backend did not heed it. It was never told.

Change: a client's leaving recalls the attempt under way. The far side drops one that was not begun, and stops the run of a repeatable one by closing the backend's connection; what must run once goes on. A lost peer's connection counts as a recall of all that came on it. Nothing more is sent for a client that has left. Of a run that was stopped neither line nor costs learn anything, and its backend is not shunned. An old sidecar heeds the recall of what was not begun.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -104,7 +104,8 @@
 	return false
 }
 
-// Recall asks a far sidecar, in one incarnation of it, to let an attempt never run.
+// Recall asks a far sidecar, in one incarnation of it, to let an attempt never run, or to
+// stop it if that may be.
 type Recall struct {
 	ID   string `msgpack:"id"`
 	Boot uint64 `msgpack:"bt"`
--- a/relay/counts.go
+++ b/relay/counts.go
@@ -15,9 +15,10 @@
 	// ClientsLeft counts the requests whose clients left before they were answered, and
 	// AfterLeaving sums up, in nanoseconds, for how long these went on all the same.
 	ClientsLeft, AfterLeaving atomic.Int64
-	// Recalled counts the attempts that a peer recalled before they were begun, and
-	// RecalledLate those that were begun, or unknown.
-	Recalled, RecalledLate atomic.Int64
+	// Recalled counts the attempts that a peer recalled before they were begun, Stopped the
+	// runs that a recall stopped, and LeftRunning the recalled attempts that must not be
+	// stopped, or are not known.
+	Recalled, Stopped, LeftRunning atomic.Int64
 }
 
 // left takes that a request's client left, and for how long the request went on.
@@ -51,7 +52,8 @@
 	// AfterLeaving is how long requests went on after their clients had left, in all.
 	AfterLeaving time.Duration `json:"after_leaving_ns"`
 	Recalled     int64         `json:"recalled"`
-	RecalledLate int64         `json:"recalled_late"`
+	Stopped      int64         `json:"stopped"`
+	LeftRunning  int64         `json:"left_running"`
 }
 
 // Read takes a reading.
@@ -60,6 +62,6 @@
 		Open: c.Open.Load(), Requests: c.Requests.Load(), Answered: c.Answered.Load(), NotRun: c.NotRun.Load(),
 		Unknown: c.Unknown.Load(), ExtraAttempts: c.ExtraAttempts.Load(), Joined: c.Joined.Load(),
 		ClientsLeft: c.ClientsLeft.Load(), AfterLeaving: time.Duration(c.AfterLeaving.Load()),
-		Recalled: c.Recalled.Load(), RecalledLate: c.RecalledLate.Load(),
+		Recalled: c.Recalled.Load(), Stopped: c.Stopped.Load(), LeftRunning: c.LeftRunning.Load(),
 	}
 }
--- a/relay/departure_test.go
+++ b/relay/departure_test.go
@@ -51,6 +51,7 @@
 			stopped <- true
 			return false
 		})
+		p.near.Shun = time.Hour
 		c := p.client(t)
 		c.say("GET /look/x HTTP/1.1\r\nHost: x\r\n\r\n")
 		<-came
@@ -60,6 +61,9 @@
 		if n := p.uris()["/look/x"]; n != 1 {
 			t.Errorf("it was sent %d times", n)
 		}
+		if p.near.View().Service("desk")[0].Load.Shunned() {
+			t.Error("its backend is shunned for what its client did")
+		}
 	})
 	t.Run("a repeatable run with a body is stopped", func(t *testing.T) {
 		came, stopped := make(chan bool, 9), make(chan bool, 9)
@@ -92,7 +96,7 @@
 		c.say("POST /once/x HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\nx")
 		<-came
 		c.Close()
-		await(t, "the far side to be told", func() bool { return p.far.Counts.RecalledLate.Load() == 1 })
+		await(t, "the far side to be told", func() bool { return p.far.Counts.LeftRunning.Load() == 1 })
 		close(release)
 		if err := <-whole; err == io.EOF {
 			t.Error("the connection to the backend was closed")
--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -37,10 +37,15 @@
 		trace.WriteB3(req.Header, span)
 		f.Dialect.Address(req.Header, attempt, time.Until(deadline(ctx)))
 		x := exchange{far: f, link: l, req: req, attempt: attempt, guard: g}
+		// A link waits by its own deadline: this is how it hears of an end before that.
+		heard := context.AfterFunc(ctx, func() { l.SetDeadline(time.Now()) })
 		again := l.carried
 		l.carried = true
 		l.headed = l.headed || attempt.Method == http.MethodHead
 		rc := x.run(ctx)
+		if !heard() {
+			l.keep = 0 // its deadline may be changed at any moment from now on
+		}
 		if rc.Reason == elsewhere {
 			f.links.drop(l.at)
 		}
@@ -117,7 +122,7 @@
 func (x *exchange) answer(ctx context.Context) (rc AttemptResponse, idle time.Duration) {
 	unknown := func(reason string) (AttemptResponse, time.Duration) {
 		if ctx.Err() != nil {
-			reason = string(roster.Expired)
+			reason = string(refusalOf(ctx))
 		}
 		return AttemptResponse{Fate: routing.Unknown, Reason: reason}, 0
 	}
@@ -225,8 +230,11 @@
 
 // lost is what is known of an attempt whose link failed.
 func lost(ctx context.Context, err error) AttemptResponse {
-	reason := "backend: " + cause(err)
-	if end := deadline(ctx); ctx.Err() != nil || !end.IsZero() && errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(end) {
+	reason, end := "backend: "+cause(err), deadline(ctx)
+	switch {
+	case ctx.Err() != nil:
+		reason = string(refusalOf(ctx))
+	case !end.IsZero() && errors.Is(err, os.ErrDeadlineExceeded) && !time.Now().Before(end):
 		reason = string(roster.Expired)
 	}
 	return AttemptResponse{Fate: routing.Unknown, Reason: reason}
--- a/relay/far.go
+++ b/relay/far.go
@@ -30,13 +30,14 @@
 	Halving time.Duration
 
 	started time.Time
-	ledger  *proposer
+	ledger  *ledgerKeeper
+	open    openAttempts
 	links   *links
 }
 
 // NewFar makes the far side and starts its ledger.
 func NewFar(ctx context.Context, l *launch.Launcher) *Far {
-	f := &Far{started: time.Now(), ledger: newProposer()}
+	f := &Far{started: time.Now(), ledger: newLedgerKeeper()}
 	l.Go(ctx, "ledger", f.ledger.run)
 	f.links = newLinks(ctx, l, func(p place) bool { return f.Roster().Stands(p.instance, p.address) })
 	return f
@@ -88,8 +89,14 @@
 	if !traced {
 		span = trace.Root() // an untraced peer is served all the same
 	}
-	ctx, cancel := context.WithTimeout(trace.With(context.WithoutCancel(ctx), span), attempt.Left)
+	// Nothing ends it by itself when its sender can't be answered any more: what must not
+	// be repeated goes on.
+	peer := ctx
+	ctx, end := context.WithCancelCause(trace.With(context.WithoutCancel(ctx), span))
+	ctx, cancel := context.WithTimeout(ctx, attempt.Left)
 	defer cancel()
+	defer f.open.add(&attempt, end)()
+	defer context.AfterFunc(peer, func() { f.recall(attempt.ID) })()
 	f.Queue.Put(span, trace.ServerReceive, note)
 	rc := f.carry(ctx, attempt, span)
 	note.Status, note.Outcome, note.Reason = rc.Status, string(rc.Fate), rc.Reason
@@ -98,29 +105,13 @@
 	return rc, ""
 }
 
-// Recall handles a recall.
-func (f *Far) Recall(ctx context.Context, in wire.Request) (any, string) {
-	var q Recall
-	if !in.Into(&q) {
-		return nil, "not a recall"
-	}
-	rc := AttemptResponse{ID: q.ID, Fate: routing.Unknown, Reason: "it was begun, or begun before a restart"}
-	if ask(ctx, f.ledger.refuse, q.ID) && q.Boot == f.Boot {
-		rc.Fate, rc.Reason = routing.NotRun, "recalled before it was begun"
-		f.Counts.Recalled.Add(1)
-	} else {
-		f.Counts.RecalledLate.Add(1)
-	}
-	return rc, ""
-}
-
 // check asks the gate. It is asked first, and again before the write.
 func (f *Far) check(ctx context.Context, attempt *Attempt) (roster.Entry, roster.Refusal) {
 	switch {
 	case attempt.Boot != f.Boot:
 		return roster.Entry{}, roster.WrongBoot
 	case ctx.Err() != nil:
-		return roster.Entry{}, roster.Expired
+		return roster.Entry{}, refusalOf(ctx)
 	case !f.Claimed():
 		return roster.Entry{}, roster.Lapsed
 	}
@@ -130,7 +121,7 @@
 func (f *Far) carry(ctx context.Context, attempt Attempt, span trace.Span) AttemptResponse {
 	refuse := func(why roster.Refusal, open int64) AttemptResponse {
 		rc := AttemptResponse{ID: attempt.ID, Fate: routing.NotRun, Reason: string(why), Open: int(open)}
-		if !ask(context.WithoutCancel(ctx), f.ledger.refuse, attempt.ID) {
+		if !f.ledger.ask(context.WithoutCancel(ctx), f.ledger.refuse, attempt.ID) {
 			rc.Fate = routing.Unknown // it came before, and was begun
 		}
 		return rc
@@ -159,14 +150,18 @@
 	}
 	done, back := e.Desk.Enter(ctx, roster.Bid{Rank: attempt.Rank, Route: attempt.Route, Left: min(attempt.Left, attempt.Aim), Last: attempt.late()}, limit)
 	if done == nil {
-		rc := refuse(roster.Full, e.Desk.Open())
+		why := roster.Full
+		if refusalOf(ctx) == roster.Recalled {
+			why = roster.Recalled
+		}
+		rc := refuse(why, e.Desk.Open())
 		rc.Back = back
 		return rc
 	}
-	defer done()
-	if !ask(ctx, f.ledger.begin, attempt.ID) {
+	defer func() { done(refusalOf(ctx) == roster.Recalled) }()
+	if !f.ledger.ask(ctx, f.ledger.begin, attempt.ID) {
 		if ctx.Err() != nil {
-			return refuse(roster.Expired, 0)
+			return refuse(refusalOf(ctx), 0)
 		}
 		return AttemptResponse{ID: attempt.ID, Fate: routing.Unknown, Reason: "this leg came before"}
 	}
--- a/relay/ledger.go
+++ b/relay/ledger.go
@@ -49,10 +49,13 @@
 	return v, known
 }
 
-// proposer runs a ledger. Its loop is the only one to touch it.
-type proposer struct {
+// ledgerKeeper runs a ledger. Its loop is the only one to touch it.
+type ledgerKeeper struct {
 	begin  chan mark
 	refuse chan mark
+	// ended is closed when the loop has ended: from then on nothing begins, and nothing is
+	// known to be refused.
+	ended chan struct{}
 }
 
 type mark struct {
@@ -60,10 +63,13 @@
 	reply chan bool
 }
 
-func newProposer() *proposer { return &proposer{begin: make(chan mark), refuse: make(chan mark)} }
+func newLedgerKeeper() *ledgerKeeper {
+	return &ledgerKeeper{begin: make(chan mark), refuse: make(chan mark), ended: make(chan struct{})}
+}
 
 // run owns the ledger until ctx ends.
-func (c *proposer) run(ctx context.Context) {
+func (c *ledgerKeeper) run(ctx context.Context) {
+	defer close(c.ended)
 	l, start := NewLedger(), time.Now()
 	for {
 		select {
@@ -77,11 +83,14 @@
 	}
 }
 
-func ask(ctx context.Context, ch chan<- mark, id string) bool {
+// ask puts a question to the loop by one of its channels; false if ctx or the loop has ended.
+func (c *ledgerKeeper) ask(ctx context.Context, question chan<- mark, id string) bool {
 	m := mark{id: id, reply: make(chan bool, 1)}
 	select {
-	case ch <- m:
+	case question <- m:
 		return <-m.reply
+	case <-c.ended:
+		return false
 	case <-ctx.Done():
 		return false
 	}
--- a/relay/ledger_test.go
+++ b/relay/ledger_test.go
@@ -11,24 +11,24 @@
 func TestLedger(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	l := newProposer()
+	l := newLedgerKeeper()
 	go l.run(ctx)
-	if !ask(ctx, l.begin, "a") || ask(ctx, l.begin, "a") {
+	if !l.ask(ctx, l.begin, "a") || l.ask(ctx, l.begin, "a") {
 		t.Error("a leg must begin once")
 	}
-	if ask(ctx, l.refuse, "a") {
+	if l.ask(ctx, l.refuse, "a") {
 		t.Error("a leg that has begun was refused")
 	}
 	for range 2 {
-		if !ask(ctx, l.refuse, "b") {
+		if !l.ask(ctx, l.refuse, "b") {
 			t.Error("a leg that was never seen could not be refused")
 		}
 	}
-	if ask(ctx, l.begin, "b") {
+	if l.ask(ctx, l.begin, "b") {
 		t.Error("a refused leg began")
 	}
 	cancel()
-	if ask(ctx, l.begin, "c") {
+	if l.ask(ctx, l.begin, "c") {
 		t.Error("a leg began without a ledger")
 	}
 }
--- a/relay/near.go
+++ b/relay/near.go
@@ -85,6 +85,7 @@
 	traced   bool // the client itself sent identifiers
 	// left is how long the client will wait; zero if it does not say.
 	left    time.Duration
+	client  *departure
 	attempt Attempt
 }
 
@@ -97,7 +98,11 @@
 		if n.Draining() {
 			w.Header().Set("Connection", "close")
 		}
-		http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyFor))
+		if r.ContentLength != 0 {
+			// net/http takes it off again at the end of the body. Without one it is
+			// looking for the client's leaving already.
+			http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyFor))
+		}
 		n.serve(caller, r).write(w, r)
 	})
 }
@@ -148,10 +153,9 @@
 	n.Dialect.Hear(r, trailer)
 	q.left = said.Left
 	q.attempt = Attempt{Service: q.route.Service, Route: q.route.Name, Rank: q.contract.Rank, Repeatable: q.route.Repeatable, Caller: cmp.Or(caller, n.Home), Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h, Trailer: trailer, Body: body}
-	// The client's going away stops nothing: the request was handed over.
-	client := watchClient(r.Context())
+	q.client = n.watch(r, said)
 	defer func() {
-		if left, after := client.end(); left {
+		if left, after := q.client.end(); left {
 			n.Counts.left(after)
 		}
 	}()
@@ -168,6 +172,15 @@
 	return n.count(rc)
 }
 
+// watch watches a request's client. What runs under a key goes on without it: the answer is
+// kept for a repeat of the key.
+func (n *Near) watch(r *http.Request, said Said) *departure {
+	if said.Key != "" {
+		return ignoreClient()
+	}
+	return watchClient(r.Context())
+}
+
 func (n *Near) tooLarge() Response {
 	return n.count(n.word(http.StatusRequestEntityTooLarge, routing.NotRun, fmt.Sprintf("body is over %d bytes", n.Bodies.Most), "", 0))
 }
@@ -310,7 +323,7 @@
 			Aim: q.aim, Room: q.room(), Patience: n.Budgets.Patience(q.contract.Name, q.room()),
 			Cost: func(t membership.Target) routing.Cost { return n.Costs.Of(q.route.Name, t) },
 			Hold: n.hold(q), Back: n.back(), Late: n.Late, Crossing: n.crossing(q),
-			Spend: func() bool { return n.RetryBudgets.Spend(q.route.Service) }, Unsure: n.Unsure,
+			Spend: func() bool { return n.RetryBudgets.Spend(q.route.Service) }, Unsure: n.Unsure, Left: q.client.left,
 		},
 	}
 	note := trace.Event{Route: q.route.Name, Service: q.route.Service, Caller: q.caller, Link: q.cause.Link, Candidates: q.cause.Candidates}
@@ -385,7 +398,9 @@
 	attempt.Aim = time.Until(q.aim) + n.Budgets.Patience(q.contract.Name, q.room()) - grace
 	t.Load.Attempts.Add(1)
 	sent := time.Now()
+	over := q.client.during(func() { n.recallLater(ctx, t.Node, attempt) })
 	r := n.Net.Call(ctx, t.Node, wire.Traffic, KindAttempt, attempt)
+	over()
 	t.Load.Attempts.Add(-1)
 	if r.Traced {
 		span.Hear(r.Span.Counter())
@@ -400,7 +415,7 @@
 		l.Fate, l.Reason, l.Reached, l.Back, l.Expired = rc.Fate, rc.Reason, rc.Reached, rc.Back, rc.Reason == string(roster.Expired)
 		l.Lapsed = rc.Fate == routing.NotRun && rc.Reason == string(roster.Lapsed)
 		t.Load.Tell(rc.Open)
-		if rc.Fate != routing.Answered && rc.Reason != string(roster.Full) {
+		if rc.Fate != routing.Answered && rc.Reason != string(roster.Full) && rc.Reason != string(roster.Recalled) {
 			t.Load.Shun(n.Shun)
 		}
 	default:
@@ -420,22 +435,25 @@
 // the attempt did not run proves it. Past the deadline nobody waits for that word.
 // (DESIGN 10.2)
 func (n *Near) recall(ctx context.Context, l routing.Attempt, attempt Attempt) routing.Attempt {
-	ask := func(ctx context.Context) (rc AttemptResponse, ok bool) {
-		ok = n.Net.Call(ctx, l.Target.Node, wire.Control, KindRecall, Recall{ID: attempt.ID, Boot: attempt.Boot}).Into(&rc)
-		return rc, ok && rc.of(&attempt)
-	}
 	if ctx.Err() != nil {
-		n.Launcher.Go(context.WithoutCancel(ctx), "recall", func(ctx context.Context) {
-			ctx, cancel := context.WithTimeout(ctx, recallFor)
-			defer cancel()
-			ask(ctx)
-		})
+		n.recallLater(ctx, l.Target.Node, attempt)
 		return l
 	}
-	ctx, cancel := context.WithTimeout(ctx, recallFor)
-	defer cancel()
-	if rc, ok := ask(ctx); ok && rc.Fate == routing.NotRun {
+	if rc, ok := n.askRecall(ctx, l.Target.Node, attempt); ok && rc.Fate == routing.NotRun {
 		l.Fate, l.Reason, l.Reached = routing.NotRun, rc.Reason, false
 	}
 	return l
 }
+
+// recallLater recalls an attempt whose answer nobody waits for, and does not wait either.
+func (n *Near) recallLater(ctx context.Context, node string, attempt Attempt) {
+	n.Launcher.Go(context.WithoutCancel(ctx), "recall", func(ctx context.Context) { n.askRecall(ctx, node, attempt) })
+}
+
+// askRecall recalls an attempt, and tells what the far sidecar says, if it says so in time.
+func (n *Near) askRecall(ctx context.Context, node string, attempt Attempt) (rc AttemptResponse, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, recallFor)
+	defer cancel()
+	ok = n.Net.Call(ctx, node, wire.Control, KindRecall, Recall{ID: attempt.ID, Boot: attempt.Boot}).Into(&rc)
+	return rc, ok && rc.of(&attempt)
+}
--- a/relay/refused_test.go
+++ b/relay/refused_test.go
@@ -19,7 +19,7 @@
 	l := launch.New(slog.New(slog.DiscardHandler), func(name string, cause any, _ []byte) { t.Errorf("%s: %v", name, cause) })
 	f := NewFar(ctx, l)
 	f.Bodies, f.Draining = &Bodies{}, func() bool { return true }
-	if !ask(ctx, f.ledger.begin, "first") {
+	if !f.ledger.ask(ctx, f.ledger.begin, "first") {
 		t.Fatal("the first did not begin")
 	}
 	if rc := f.carry(ctx, Attempt{ID: "first"}, trace.Root()); rc.Fate != routing.Unknown {
--- a/roster/desk.go
+++ b/roster/desk.go
@@ -26,9 +26,9 @@
 }
 
 // Enter asks for a place at the backend, and waits for it if the line says so.
-// done must be called when the run has ended; without it, back tells when to
-// come again. limit is asked at each change.
-func (d *Desk) Enter(ctx context.Context, b Bid, limit func() int64) (done func(), back time.Duration) {
+// done must be called when the run has ended, and be told whether it was stopped; without
+// done, back tells when to come again. limit is asked at each change.
+func (d *Desk) Enter(ctx context.Context, b Bid, limit func() int64) (done func(stopped bool), back time.Duration) {
 	d.mu.Lock()
 	v, id, back, s := d.line.Ask(b, limit(), time.Since(d.start))
 	var turn chan bool
@@ -45,10 +45,15 @@
 		return nil, 0
 	}
 	began := time.Now()
-	return func() {
+	return func(stopped bool) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		d.tell(d.line.Done(b.Route, time.Since(began), limit(), time.Since(d.start)))
+		now := time.Since(d.start)
+		if stopped {
+			d.tell(d.line.Abandon(limit(), now))
+			return
+		}
+		d.tell(d.line.Done(b.Route, time.Since(began), limit(), now))
 	}, 0
 }
 
--- a/roster/gate.go
+++ b/roster/gate.go
@@ -10,7 +10,7 @@
 // Refusal says why the gate is shut; empty means open.
 type Refusal string
 
-// The refusals. All of them come before a byte was written.
+// The refusals. But for Recalled, all of them come before a byte was written.
 const (
 	Open       Refusal = ""
 	NoBackend  Refusal = "no-such-backend"
@@ -22,6 +22,9 @@
 	Expired    Refusal = "expired"
 	Draining   Refusal = "node-draining"
 	Lapsed     Refusal = "claim-lapsed"
+	// Recalled is of an attempt that its sender wants no more, which ends one that was begun
+	// as well, if that may be stopped.
+	Recalled Refusal = "recalled"
 )
 
 // Check asks whether an attempt may go to its backend at this moment. (DESIGN 9.2)
--- a/roster/line.go
+++ b/roster/line.go
@@ -138,6 +138,12 @@
 	return l.shift(limit, now)
 }
 
+// Abandon takes that a run was stopped, of which nothing is learned.
+func (l *Line) Abandon(limit int64, now time.Duration) Shift {
+	l.open--
+	return l.shift(limit, now)
+}
+
 func blend(old, took time.Duration) time.Duration {
 	if old == 0 {
 		return took
--- a/roster/line_test.go
+++ b/roster/line_test.go
@@ -162,3 +162,26 @@
 		t.Errorf("ran %v, want %v", order, want)
 	}
 }
+
+// A run that was stopped frees its place, and nothing is learned of it.
+func TestAbandon(t *testing.T) {
+	const ms = time.Millisecond
+	var l Line
+	l.Done("w", 100*ms, 1, 0)
+	l.open = 0
+	mean, cost := l.mean, l.costs["w"]
+	bid := Bid{Route: "w", Left: time.Second}
+	if v, _, _, _ := l.Ask(bid, 1, 0); v != Run {
+		t.Fatalf("the first: %v", v)
+	}
+	v, second, _, _ := l.Ask(bid, 1, 0)
+	if v != Wait {
+		t.Fatalf("the second: %v", v)
+	}
+	if s := l.Abandon(1, ms); len(s.Run) != 1 || s.Run[0] != second || l.Full() != 1 {
+		t.Errorf("%+v, %d in all", s, l.Full())
+	}
+	if l.mean != mean || l.costs["w"] != cost {
+		t.Errorf("it learned %v %+v, had %v %+v", l.mean, l.costs["w"], mean, cost)
+	}
+}
--- a/routing/spend.go
+++ b/routing/spend.go
@@ -29,6 +29,8 @@
 	Back time.Duration
 	// Spend pays for an extra attempt after one that came to a backend.
 	Spend func() bool
+	// Left, if set, tells whether the client has left: then nothing more is done for it.
+	Left func() bool
 	// Unsure, if set, tells whether the near sidecar too is not sure of the newest word.
 	Unsure func() bool
 }
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -44,10 +44,11 @@
 		metrics.Counter("after_clients_left_seconds_total", "Time for which requests went on after their clients had left.", nil, metrics.Value(func() float64 {
 			return n.near.Counts.Read().AfterLeaving.Seconds()
 		})),
-		metrics.Counter("recalled_attempts_total", "Attempts for own backends that were recalled, by whether they had been begun.", []string{"outcome"}, func(emit metrics.Emit) {
+		metrics.Counter("recalled_attempts_total", "Attempts for own backends that were recalled, by what was done.", []string{"outcome"}, func(emit metrics.Emit) {
 			total := n.far.Counts.Read()
 			emit(float64(total.Recalled), "not-run")
-			emit(float64(total.RecalledLate), "begun")
+			emit(float64(total.Stopped), "stopped")
+			emit(float64(total.LeftRunning), "left-running")
 		}),
 		metrics.Gauge("retry_budget", "Retries to a service that this sidecar may make now.", []string{"service"}, func(emit metrics.Emit) {
 			for service, held := range n.steward.retryBudgets.Held() {
