Answer all that is open at the end of a stop, and take nothing that outlasts it

Causes: a stopping sidecar took clients' requests as long as its own backend ran something, whatever their deadlines (L1); and at the end of drain it cut the connections of all that was open, most of which waited in other sidecars' lines and could have been refused (L2). Class: a bound on the whole stop that nobody told to those who wait.

Ruled out: L3, an answer lost on the way.

--- a/relay/far.go
+++ b/relay/far.go
@@ -151,8 +151,8 @@
 	done, back := e.Desk.Enter(ctx, roster.Bid{Rank: attempt.Rank, Route: attempt.Route, Left: min(attempt.Left, attempt.Aim), Last: attempt.late()}, limit)
 	if done == nil {
 		why := roster.Full
-		if refusalOf(ctx) == roster.Recalled {
-			why = roster.Recalled
+		if ended := refusalOf(ctx); ended != roster.Expired {
+			why = ended
 		}
 		rc := refuse(why, e.Desk.Open())
 		rc.Back = back
--- a/relay/limits.go
+++ b/relay/limits.go
@@ -9,6 +9,8 @@
 	bodyFor = time.Minute // (ours)
 	// recallFor is how long an attempt's fate is asked for after it was lost.
 	recallFor = 300 * time.Millisecond // (ours)
+	// stopRecallFor is that at the end of a stop, when little time is left.
+	stopRecallFor = 100 * time.Millisecond // (ours)
 	// grace is what the far side gets back from to answer before the near side
 	// stops listening.
 	grace = 20 * time.Millisecond // (ours)
--- a/relay/near.go
+++ b/relay/near.go
@@ -44,11 +44,15 @@
 	RetryBudgets *contract.RetryBudgets
 	Budgets      *contract.Budgets
 	Costs        *routing.Costs
-	// Life ends when the node must stop at once.
+	// Life ends when the node has to answer whatever is still open, with ErrStopping as its
+	// cause if it is being stopped.
 	Life context.Context
-	// Draining tells whether new requests are still taken.
+	// Draining tells whether clients' requests are refused.
 	Draining func() bool
-	Counts   Counts
+	// StopsAt, if set, tells since when on what is taken may be anybody's, of a node that is
+	// being stopped: it must have ended by then. (DESIGN 11.3)
+	StopsAt func() (end time.Time, stopping bool)
+	Counts  Counts
 	// Routes counts the requests that have ended, by route and outcome.
 	Routes  metrics.Labelled
 	Dialect Dialect
@@ -114,7 +118,7 @@
 	defer n.Counts.Open.Add(-1)
 	// Calls of the own backends belong to requests that were handed over.
 	if caller == "" && n.Draining() {
-		return n.count(n.word(http.StatusServiceUnavailable, routing.NotRun, "this node is stopping", "", time.Second))
+		return n.count(n.stopping(time.Second))
 	}
 	size := r.ContentLength
 	if size < 0 {
@@ -159,9 +163,11 @@
 			n.Counts.left(after)
 		}
 	}()
-	ctx := context.WithoutCancel(r.Context())
-	n.begin(ctx, &q, r.Header)
-	ctx, cancel := context.WithDeadline(trace.With(ctx, q.span), q.deadline)
+	n.begin(n.Life, &q, r.Header)
+	if caller == "" && n.outlasts(q.deadline) {
+		return n.count(n.stopping(n.back()))
+	}
+	ctx, cancel := context.WithDeadline(trace.With(n.Life, q.span), q.deadline)
 	defer cancel()
 	rc := n.claimed(ctx, &q, said.Key)
 	if q.traced {
@@ -172,6 +178,20 @@
 	return n.count(rc)
 }
 
+// stopping is the refusal of a node that is being stopped.
+func (n *Near) stopping(back time.Duration) Response {
+	return n.word(http.StatusServiceUnavailable, routing.NotRun, "this node is stopping", "", back)
+}
+
+// outlasts tells whether a request with a deadline may last longer than this node.
+func (n *Near) outlasts(deadline time.Time) bool {
+	if n.StopsAt == nil {
+		return false
+	}
+	end, stopping := n.StopsAt()
+	return stopping && deadline.After(end)
+}
+
 // watch watches a request's client. What runs under a key goes on without it: the answer is
 // kept for a repeat of the key.
 func (n *Near) watch(r *http.Request, said Said) *departure {
@@ -323,7 +343,7 @@
 			Aim: q.aim, Room: q.room(), Patience: n.Budgets.Patience(q.contract.Name, q.room()),
 			Cost: func(t membership.Target) routing.Cost { return n.Costs.Of(q.route.Name, t) },
 			Hold: n.hold(q), Back: n.back(), Late: n.Late, Crossing: n.crossing(q),
-			Spend: func() bool { return n.RetryBudgets.Spend(q.route.Service) }, Unsure: n.Unsure, Left: q.client.left,
+			Spend: func() bool { return n.RetryBudgets.Spend(q.route.Service) }, Unsure: n.Unsure, Unwanted: func() string { return n.unwanted(q) },
 		},
 	}
 	note := trace.Event{Route: q.route.Name, Service: q.route.Service, Caller: q.caller, Link: q.cause.Link, Candidates: q.cause.Candidates}
@@ -353,6 +373,17 @@
 	}
 }
 
+// unwanted tells why nothing more is to be done for a request, if so.
+func (n *Near) unwanted(q *request) string {
+	switch {
+	case q.client.left():
+		return "the client has left"
+	case n.Life.Err() != nil:
+		return ErrStopping.Error()
+	}
+	return ""
+}
+
 // pause waits, or until ctx ends.
 func pause(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
@@ -432,14 +463,19 @@
 }
 
 // recall asks the far sidecar to let a lost attempt never run; only its word that
-// the attempt did not run proves it. Past the deadline nobody waits for that word.
-// (DESIGN 10.2)
+// the attempt did not run proves it. Past the deadline nobody waits for that word; at the
+// end of a stop it is waited for, though not for long. (DESIGN 10.2)
 func (n *Near) recall(ctx context.Context, l routing.Attempt, attempt Attempt) routing.Attempt {
-	if ctx.Err() != nil {
+	wait := recallFor
+	switch {
+	case ctx.Err() == nil:
+	case errors.Is(context.Cause(ctx), ErrStopping):
+		ctx, wait = context.WithoutCancel(ctx), stopRecallFor
+	default:
 		n.recallLater(ctx, l.Target.Node, attempt)
 		return l
 	}
-	if rc, ok := n.askRecall(ctx, l.Target.Node, attempt); ok && rc.Fate == routing.NotRun {
+	if rc, ok := n.askRecall(ctx, l.Target.Node, attempt, wait); ok && rc.Fate == routing.NotRun {
 		l.Fate, l.Reason, l.Reached = routing.NotRun, rc.Reason, false
 	}
 	return l
@@ -447,12 +483,12 @@
 
 // recallLater recalls an attempt whose answer nobody waits for, and does not wait either.
 func (n *Near) recallLater(ctx context.Context, node string, attempt Attempt) {
-	n.Launcher.Go(context.WithoutCancel(ctx), "recall", func(ctx context.Context) { n.askRecall(ctx, node, attempt) })
+	n.Launcher.Go(context.WithoutCancel(ctx), "recall", func(ctx context.Context) { n.askRecall(ctx, node, attempt, recallFor) })
 }
 
 // askRecall recalls an attempt, and tells what the far sidecar says, if it says so in time.
-func (n *Near) askRecall(ctx context.Context, node string, attempt Attempt) (rc AttemptResponse, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, recallFor)
+func (n *Near) askRecall(ctx context.Context, node string, attempt Attempt, wait time.Duration) (rc AttemptResponse, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	ok = n.Net.Call(ctx, node, wire.Control, KindRecall, Recall{ID: attempt.ID, Boot: attempt.Boot}).Into(&rc)
 	return rc, ok && rc.of(&attempt)
--- a/relay/recall.go
+++ b/relay/recall.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/rotisserie/eris"
@@ -12,6 +14,9 @@
 	"curlewwalk/wire"
 )
 
+// ErrStopping ends the context of what is still open when a sidecar's time to stop is over.
+var ErrStopping = eris.New("this node is stopping")
+
 // errRecalled ends the context of an attempt that its sender wants no more.
 var errRecalled = eris.New("the attempt was recalled")
 
@@ -55,6 +60,13 @@
 	return attempt, ok
 }
 
+// ids lists those that are open.
+func (o *openAttempts) ids() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Collect(maps.Keys(o.byID))
+}
+
 // recall ends an attempt that nobody waits for any more. One that was not begun never is,
 // and leaves the line; a run at the backend is stopped if running it twice does no harm,
 // else left to its end. It tells whether the attempt was not begun. (DESIGN 10.7)
@@ -76,6 +88,19 @@
 	return notBegun
 }
 
+// RefuseWaiting refuses all open attempts that were not begun, so that their senders may
+// turn elsewhere: this sidecar is about to end.
+func (f *Far) RefuseWaiting() {
+	for _, id := range f.open.ids() {
+		if !f.ledger.ask(context.Background(), f.ledger.refuse, id) {
+			continue
+		}
+		if attempt, open := f.open.find(id); open {
+			attempt.end(ErrStopping)
+		}
+	}
+}
+
 // Recall handles a recall.
 func (f *Far) Recall(_ context.Context, in wire.Request) (any, string) {
 	var q Recall
@@ -91,8 +116,12 @@
 
 // refusalOf tells why an attempt whose context has ended is not gone on with.
 func refusalOf(ctx context.Context) roster.Refusal {
-	if errors.Is(context.Cause(ctx), errRecalled) {
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, errRecalled):
 		return roster.Recalled
+	case errors.Is(cause, ErrStopping):
+		return roster.Draining
 	}
 	return roster.Expired
 }
--- a/routing/decision.go
+++ b/routing/decision.go
@@ -105,8 +105,8 @@
 	if past.expired {
 		return past.end(http.StatusGatewayTimeout, past.reason)
 	}
-	if d.Means.Left != nil && d.Means.Left() {
-		return past.end(status(past.fate), "the client has left")
+	if why := d.Means.unwanted(); why != "" {
+		return past.end(status(past.fate), why)
 	}
 	if d.exhausted(past) || d.lapsed() {
 		return past.end(status(past.fate), past.reason)
--- a/routing/spend.go
+++ b/routing/spend.go
@@ -29,8 +29,9 @@
 	Back time.Duration
 	// Spend pays for an extra attempt after one that came to a backend.
 	Spend func() bool
-	// Left, if set, tells whether the client has left: then nothing more is done for it.
-	Left func() bool
+	// Unwanted, if set, tells why nothing more is to be done for the request, since its
+	// client has left or this node is being stopped; empty: it is wanted.
+	Unwanted func() string
 	// Unsure, if set, tells whether the near sidecar too is not sure of the newest word.
 	Unsure func() bool
 }
@@ -49,6 +50,13 @@
 	trickle = 16 // (ours)
 )
 
+func (m *Means) unwanted() string {
+	if m.Unwanted == nil {
+		return ""
+	}
+	return m.Unwanted()
+}
+
 // late is how late the request would be at a place.
 func (m *Means) late(t membership.Target, now time.Time) time.Duration {
 	c := m.Cost(t)
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -65,8 +65,12 @@
 	outgoing *outgoing
 	// draining: not ready, and no new attempts. closed: no new requests either.
 	draining, closed atomic.Bool
-	reload           *process.Reloader
-	webs             []*process.Web
+	// giveUpAt is when what is open will be answered, of a node that is being stopped; nil
+	// before. giveUp does so.
+	giveUpAt atomic.Pointer[time.Time]
+	giveUp   context.CancelCauseFunc
+	reload   *process.Reloader
+	webs     []*process.Web
 }
 
 // New puts the parts together and opens the addresses.
@@ -94,8 +98,9 @@
 	table := func() *routing.Table { return n.steward.table.Load() }
 	n.near = &relay.Near{
 		Zone: set.Zone, Table: table, View: func() *membership.View { return n.steward.view.Load() },
-		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log, Lineage: lin, Claims: claims, RetryBudgets: n.steward.retryBudgets, Budgets: n.steward.budgets, Costs: routing.NewCosts(), Life: p.Life, Draining: n.shut,
+		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log, Lineage: lin, Claims: claims, RetryBudgets: n.steward.retryBudgets, Budgets: n.steward.budgets, Costs: routing.NewCosts(), Draining: n.shut, StopsAt: n.stopsAt,
 	}
+	n.near.Life, n.giveUp = context.WithCancelCause(p.Life)
 	n.near.Shun = set.Shun
 	n.near.Unsure, n.near.Behind = n.unsure, n.behind
 	n.near.Home, n.near.Dialect, n.near.Hold, n.near.ComeBack, n.near.Late, n.near.Crossing = set.Caller, relay.Plain{}, set.Hold, set.ComeBack, set.Late, set.Crossing
@@ -204,12 +209,21 @@
 }
 
 // shut tells whether clients' requests are refused. The calls of an own backend belong
-// to requests that were handed over: where they can't be told from clients', all are
-// taken while it runs one. (DESIGN 11.3)
+// to requests that were handed over: where they can't be told from clients', all that
+// surely end before the stop does are taken while it runs one. (DESIGN 11.3)
 func (n *Node) shut() bool {
 	return n.closed.Load() && (n.set.Caller == "" || n.far.Counts.Open.Load() == 0)
 }
 
+// stopsAt tells until when what is still taken must have ended, once clients are refused.
+func (n *Node) stopsAt() (end time.Time, stopping bool) {
+	at := n.giveUpAt.Load()
+	if at == nil || !n.closed.Load() {
+		return time.Time{}, false
+	}
+	return *at, true
+}
+
 // heartbeat answers another process.
 func (n *Node) heartbeat(_ context.Context, in wire.Request) (any, string) {
 	var h membership.Heartbeat
