--- a/core/node.go
+++ b/core/node.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"net/http"
 	"os"
 	"sync/atomic"
 	"time"
@@ -248,6 +249,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), n.reload.Drain())
 	defer cancel()
 	n.leave(ctx)
-	n.web.Stop(ctx)
+	parting, over := context.WithTimeout(ctx, linger)
+	defer over()
+	n.p.PartAll(parting, process.Farewell(http.Header{}, nil))
 	n.p.End()
 }
--- a/process/process.go
+++ b/process/process.go
@@ -33,6 +33,7 @@
 	// Life ends all parts.
 	Life context.Context
 	end  context.CancelFunc
+	webs webs
 }
 
 // Exit prints an exit's text where it belongs and ends the process, if it is
--- a/process/web.go
+++ b/process/web.go
@@ -48,6 +48,7 @@
 		defer close(w.served)
 		w.server.Serve(w.clients)
 	})
+	p.webs.add(w)
 	return w
 }
 
--- a/proof/defects/all.go
+++ b/proof/defects/all.go
@@ -17,6 +17,7 @@
 	waits    = "tracing makes a request wait"
 	lives    = "bad input ends or stalls a process"
 	held     = "a request is held though it could be refused or go elsewhere"
+	left     = "work goes on for a client that has left"
 )
 
 // All lists the defects.
@@ -109,8 +110,19 @@
 	{extra, "contract/retry_budget.go", "earns = 200", "earns = 400", "./contract", "TestExtraAttemptsOverAnyWindow", nil},
 	{cold, "roster/entry.go", "bear := float64(e.Capacity) * e.ShareAt(now) * ramp", "bear := float64(e.Capacity) * ramp", "./proof", "TestColdBackend", nil},
 	{cold, "routing/table.go", "longest = max(longest, min(freshMost, c.Deadline.Duration))", "longest = max(longest, min(0, c.Deadline.Duration))", "./proof/simulator", "TestColdThroughKills", nil},
-	{dropped, "sidecar/node.go", "for n.far.Counts.Open.Load() > 0 || n.near.Counts.Open.Load() > 0 {", "for false {", "./proof", "TestDrain", nil},
-	{dropped, "sidecar/node.go", "n.webs[1].Part(parting, relay.Farewell(n.near.Dialect))", "", "./proof", "TestFarewell", nil},
+	{dropped, "sidecar/stop.go", "n.awaitIdle(ctx, giveUpAt)", "", "./proof", "TestDrain", nil},
+	{dropped, "sidecar/stop.go", "n.webs[1].Part(parting, farewell)", "_ = farewell", "./proof", "TestFarewell", nil},
+	{dropped, "sidecar/stop.go", "n.giveUp(relay.ErrStopping)", "", "./proof", "TestStopAnswersWhatIsOpen", nil},
+	{dropped, "relay/near.go", "case errors.Is(context.Cause(ctx), ErrStopping):", "case false:", "./proof", "TestStopAnswersWhatIsOpen", nil},
+	{dropped, "relay/near.go", "caller == \"\" && n.outlasts(q.deadline)", "false", "./proof", "TestStopRefusesWhatOutlastsIt", nil},
+	{dropped, "core/node.go", "n.p.PartAll(parting, process.Farewell(http.Header{}, nil))", "_ = http.Header{}\n\tprocess.Farewell(nil, nil)", "./proof", "TestCoreStopAnswers", nil},
+	{left, "relay/near.go", "return watchClient(r.Context())", "return ignoreClient()", "./relay", "TestClientLeaves", nil},
+	{left, "relay/near.go", "over := q.client.during(func() { n.recallLater(ctx, t.Node, attempt) })", "over := func() {}", "./relay", "TestClientLeaves", nil},
+	{left, "relay/recall.go", "case open && attempt.repeatable:", "case false:", "./relay", "TestClientLeaves", nil},
+	{twice, "relay/recall.go", "case open && attempt.repeatable:", "case open:", "./relay", "TestClientLeaves", nil},
+	{left, "relay/exchange.go", "context.AfterFunc(ctx, func() { l.SetDeadline(time.Now()) })", "func() bool { return true }", "./relay", "TestClientLeaves", nil},
+	{left, "relay/far.go", "defer context.AfterFunc(peer, func() { f.recall(attempt.ID) })()", "_ = peer", "./relay", "TestClientLeaves", nil},
+	{left, "routing/decision.go", "why := d.Means.unwanted(); why != \"\"", "why := d.Means.unwanted(); why == \"-\"", "./relay", "TestClientLeaves", nil},
 	{returns, "feed/feed.go", "SettleIn = 700 * time.Millisecond", "SettleIn = 17 * time.Second", "./proof", "TestHerd", nil},
 	{returns, "consensus/keeper.go", "!k.trying && ", "", "./consensus", "TestSeatGrantedSlowly", nil},
 	{whole, "relay/exchange.go", "|| x.link.headed {", "|| x.attempt.Method == http.MethodHead {", "./relay", "TestStrayAnswerAfterHead", nil},
--- /dev/null
+++ b/proof/leave_test.go
@@ -0,0 +1,60 @@
+package proof
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"curlewwalk/proof/fleet"
+	"curlewwalk/proof/standin"
+)
+
+// A client that leaves ends the whole tree of calls that works for it: each backend's
+// connection is closed, which ends its own calls, and so on down.
+func TestLeavingEndsTheTree(t *testing.T) {
+	t.Parallel()
+	deep := standin.Plan{Name: "deep", Method: "GET", Prefix: "/deep/", Service: "store", Aim: time.Second, Deadline: 10 * time.Second, Rank: 1, Repeatable: true}
+	top := look
+	top.Deadline = 10 * time.Second
+	f, ctx := start(t, fleet.Size{Name: "rig", Cores: 1, Machines: 2, Zones: []string{"north", "south"}, Capacity: 9, Plans: []standin.Plan{top, deep}})
+	r := &rig{Fleet: f, t: t, ctx: ctx}
+	reached, ended := make(chan string, 9), make(chan string, 9)
+	run := func(name string, calls func(ctx context.Context)) http.Handler {
+		return http.HandlerFunc(func(_ http.ResponseWriter, q *http.Request) {
+			reached <- name
+			calls(q.Context())
+			<-q.Context().Done()
+			ended <- name
+		})
+	}
+	r.backendOf("store", 1, run("leaf", func(context.Context) {}))
+	root := run("root", func(ctx context.Context) {
+		req, err := http.NewRequestWithContext(ctx, "GET", "http://"+r.Requests(0)+"/deep/x", nil)
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		resp, err := r.Client.Transport.RoundTrip(req)
+		if err == nil {
+			resp.Body.Close()
+		}
+	})
+	r.backendOf("desk", 0, root)
+	c, err := net.Dial("tcp", r.Requests(1))
+	must(t, err)
+	io.WriteString(c, "GET /look/x HTTP/1.1\r\nHost: x\r\n\r\n")
+	for range 2 {
+		recv(r, reached)
+	}
+	left := time.Now()
+	c.Close()
+	for range 2 {
+		name := recv(r, ended)
+		if after := time.Since(left); after > 3*time.Second {
+			t.Errorf("%s ended %v after the client had left", name, after)
+		}
+	}
+}
--- a/proof/rig_test.go
+++ b/proof/rig_test.go
@@ -40,11 +40,17 @@
 // backend starts a backend on a machine that answers by h, and waits until the
 // sidecars of the rig know as many as there are.
 func (r *rig) backend(machine int, h http.Handler) *standin.Backend {
+	r.t.Helper()
+	return r.backendOf("desk", machine, h)
+}
+
+// backendOf is backend for a service.
+func (r *rig) backendOf(service string, machine int, h http.Handler) *standin.Backend {
 	r.t.Helper()
 	n := r.known
 	r.known++
 	b := &standin.Backend{
-		Instance: fmt.Sprintf("desk-%d", n), Service: "desk", Zone: r.Zone(machine), Capacity: 9,
+		Instance: fmt.Sprintf("%s-%d", service, n), Service: service, Zone: r.Zone(machine), Capacity: 9,
 		Control: r.Sidecars[machine].Control, Plans: r.Size.Plans, Ledger: r.Ledger, Client: r.Client, Handle: h,
 	}
 	must(r.t, b.Start(net.JoinHostPort(r.Site.IP(machine), fmt.Sprint(8000+n))))
--- a/proof/stop_test.go
+++ b/proof/stop_test.go
@@ -148,3 +148,38 @@
 		t.Errorf("it ended with %d", code)
 	}
 }
+
+// A core that stops answers its operators on the connections that they keep: what crosses
+// its end is told to have gone unheard, so that they turn to another core.
+func TestCoreStopAnswers(t *testing.T) {
+	t.Parallel()
+	r := newRig(t)
+	c, err := net.Dial("tcp", r.Cores[0].Control)
+	must(t, err)
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	in := bufio.NewReader(c)
+	get := func() (*http.Response, error) {
+		io.WriteString(c, "GET /live HTTP/1.1\r\nHost: x\r\n\r\n")
+		resp, err := http.ReadResponse(in, nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+		}
+		return resp, err
+	}
+	if resp, err := get(); err != nil || resp.StatusCode != 200 {
+		t.Fatalf("%+v %v", resp, err)
+	}
+	exit := make(chan int, 1)
+	go func() { exit <- r.Cores[0].Stop() }()
+	_, err = in.Peek(1) // the farewell has come, or the end
+	if err != nil {
+		t.Fatalf("no farewell: %v", err)
+	}
+	if resp, err := get(); err != nil || resp.StatusCode != http.StatusRequestTimeout || !resp.Close {
+		t.Errorf("%+v %v", resp, err)
+	}
+	if code := recv(r, exit); code != 0 {
+		t.Errorf("it ended with %d", code)
+	}
+}
--- a/relay/response.go
+++ b/relay/response.go
@@ -1,9 +1,7 @@
 package relay
 
 import (
-	"bytes"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -24,18 +22,10 @@
 	Fate    routing.Fate
 }
 
-// Farewell is the answer to whatever a client may be sending on an idle connection
-// that is about to be closed. A client that sends nothing takes it for the end of the
-// connection. (DESIGN 11.3)
-func Farewell(d Dialect) []byte {
-	rc := d.Word(Own{Status: http.StatusRequestTimeout, Fate: routing.NotRun, Reason: "this node is stopping", Back: time.Second})
-	rc.Header.Set("Connection", "close")
-	resp := http.Response{StatusCode: rc.Status, ProtoMajor: 1, ProtoMinor: 1, Header: rc.Header, ContentLength: int64(len(rc.Body)), Body: io.NopCloser(bytes.NewReader(rc.Body))}
-	var b bytes.Buffer
-	if err := resp.Write(&b); err != nil {
-		panic(err) // a buffer takes all
-	}
-	return b.Bytes()
+// Farewell is what a stopping sidecar answers on an idle connection, in a dialect.
+// (DESIGN 11.3)
+func Farewell(d Dialect) Response {
+	return d.Word(Own{Status: http.StatusRequestTimeout, Fate: routing.NotRun, Reason: "this node is stopping", Back: time.Second})
 }
 
 // pack writes a response for those who hold its claim; nothing if it need not be
--- a/sidecar/outgoing.go
+++ b/sidecar/outgoing.go
@@ -65,11 +65,11 @@
 }
 
 // part says farewell to the backends.
-func (o *outgoing) part(ctx context.Context) {
+func (o *outgoing) part(ctx context.Context, farewell []byte) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, w := range o.webs {
-		w.Part(ctx, relay.Farewell(o.near.Dialect))
+		w.Part(ctx, farewell)
 	}
 }
 
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"curlewwalk/process"
 	"curlewwalk/relay"
 )
 
@@ -37,8 +38,10 @@
 	// not know whether that was read: so it is told first, on the connection.
 	parting, over := context.WithTimeout(ctx, linger)
 	defer over()
-	n.webs[1].Part(parting, relay.Farewell(n.near.Dialect))
-	n.outgoing.part(parting)
+	goodbye := relay.Farewell(n.near.Dialect)
+	farewell := process.Farewell(goodbye.Header, goodbye.Body)
+	n.webs[1].Part(parting, farewell)
+	n.outgoing.part(parting, farewell)
 	for _, w := range n.webs {
 		w.Stop(ctx)
 	}
