--- a/relay/departure_test.go
+++ b/relay/departure_test.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"sync/atomic"
@@ -9,6 +11,7 @@
 
 	"curlewwalk/membership"
 	"curlewwalk/roster"
+	"curlewwalk/wire"
 )
 
 // promptly bounds what must follow from a client's leaving. It is well below the 3 s that a
@@ -154,21 +157,36 @@
 			t.Errorf("it came to the backend %d times", n)
 		}
 	})
-	// Nothing that it runs can be answered any more.
-	t.Run("a peer whose connection has broken", func(t *testing.T) {
-		came, stopped := make(chan bool, 9), make(chan bool, 9)
-		p := newPair(t, func(v visit) bool {
-			came <- true
-			ended(v)
-			stopped <- true
-			return false
+	// Nothing that it runs can be answered any more. It recalls what it still can, and what
+	// it can't ends all the same.
+	for _, recalls := range []bool{true, false} {
+		t.Run(fmt.Sprintf("a peer whose connection has broken, recalls %v", recalls), func(t *testing.T) {
+			came, stopped := make(chan bool, 9), make(chan bool, 9)
+			p := newPair(t, func(v visit) bool {
+				came <- true
+				ended(v)
+				stopped <- true
+				return false
+			})
+			if recalls {
+				c := p.client(t)
+				c.say("GET /look/x HTTP/1.1\r\nHost: x\r\n\r\n")
+			} else {
+				p.attempt(Attempt{ID: "lonely", Repeatable: true, Method: "GET", URI: "/look/x"})
+			}
+			<-came
+			p.cut()
+			await(t, "the backend's connection to be closed", func() bool { return len(stopped) > 0 })
 		})
-		c := p.client(t)
-		c.say("GET /look/x HTTP/1.1\r\nHost: x\r\n\r\n")
-		<-came
-		p.cut()
-		await(t, "the backend's connection to be closed", func() bool { return len(stopped) > 0 })
-	})
+	}
+}
+
+// attempt sends an attempt as a peer does that does nothing more for it.
+func (p *pair) attempt(attempt Attempt) {
+	attempt.Service, attempt.Instance, attempt.Boot = "desk", "a", 7
+	attempt.Left, attempt.Aim = 3*time.Second, 3*time.Second
+	node := p.near.View().Nodes()[0].Addr
+	go p.near.Net.Call(context.Background(), node, wire.Traffic, KindAttempt, attempt)
 }
 
 // get asks for a path on a connection of its own.
--- a/wire/host.go
+++ b/wire/host.go
@@ -70,6 +70,7 @@
 					return
 				}
 			case <-ctx.Done():
+				writeRest(conn, out)
 				return
 			}
 		}
@@ -129,11 +130,31 @@
 	}
 	h.Counts.response(h.counted(m.Kind), len(b))
 	select {
+	case out <- b:
+		return // also of a host that is being ended, if there is room
+	default:
+	}
+	select {
 	case out <- b:
 	case <-ctx.Done():
 	}
 }
 
+// writeRest writes the responses that are ready when a connection is ended, so that no call
+// that was answered is lost.
+func writeRest(conn net.Conn, out <-chan []byte) {
+	for {
+		select {
+		case b := <-out:
+			if _, err := writeFrame(conn, b); err != nil {
+				return
+			}
+		default:
+			return
+		}
+	}
+}
+
 // pong answers a ping, unless responses wait to be written, which tell as much. The host
 // must not wait for its own writing here: the caller may be writing, and read nothing
 // before the host has read that. (DESIGN 3.4)
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -226,6 +226,56 @@
 	}
 }
 
+// A host that is ended while it writes loses none of the responses that are ready.
+func TestEndedHostWritesItsResponses(t *testing.T) {
+	ctx, l := begin(t)
+	life, end := context.WithCancel(ctx)
+	const calls = 8
+	ran := make(chan bool, calls)
+	h := &Host{Launcher: l, Handlers: map[string]Handler{
+		"long": func(context.Context, Request) (any, string) { return make([]byte, 8<<20), "" },
+		"run":  func(context.Context, Request) (any, string) { ran <- true; return 1, "" },
+	}}
+	h.Listener = listen(t)
+	l.Go(life, "host", h.Run)
+	conn, err := net.Dial("tcp", h.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	exchange(conn, r, Greeting{}, uncounted, uncounted)
+	send := func(id uint64, kind string) {
+		frame, err := encode(trace.Span{}, message{ID: id, Kind: kind})
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.Write(frame)
+	}
+	send(1, "long")
+	// Its first bytes have come, and the rest fills what the connection holds.
+	if _, err := r.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	for id := range uint64(calls) {
+		send(2+id, "run")
+	}
+	for range calls {
+		<-ran
+	}
+	end()
+	got := 0
+	for {
+		if _, err := readFrame(r, MaxFrame); err != nil {
+			break
+		}
+		got++
+	}
+	if got != 1+calls {
+		t.Errorf("%d of %d responses came", got, 1+calls)
+	}
+}
+
 func listen(t *testing.T) net.Listener {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
