--- a/relay/exchange.go
+++ b/relay/exchange.go
@@ -120,60 +120,88 @@
 
 // answer reads the answer, and tells how long the link may then be idle.
 func (x *exchange) answer(ctx context.Context) (rc AttemptResponse, idle time.Duration) {
-	unknown := func(reason string) (AttemptResponse, time.Duration) {
-		if ctx.Err() != nil {
-			reason = string(refusalOf(ctx))
-		}
-		return AttemptResponse{Fate: routing.Unknown, Reason: reason}, 0
-	}
-	for early, strays := 0, 0; ; {
-		x.link.left = mostHead
-		resp, err := x.head()
-		if err != nil {
-			return lost(ctx, err), 0
-		}
-		x.link.left = math.MaxInt64
-		switch {
-		case resp.StatusCode == http.StatusSwitchingProtocols:
-			return unknown("backend switched protocols")
-		case resp.StatusCode < 200:
-			if early++; early > mostEarly {
-				return unknown("backend does not come to its answer")
-			}
-			continue
+	for strays := 0; ; {
+		resp, failed := x.next(ctx)
+		if resp == nil {
+			return failed, 0
 		}
 		switch x.far.Dialect.Judge(x.attempt, resp.StatusCode, resp.Header) {
 		case Declined:
-			// The head proves it. What follows only decides whether the link is kept.
-			x.link.SetReadDeadline(earlier(deadline(ctx), time.Now().Add(restFor)))
-			_, _, fault := x.whole(resp)
-			return AttemptResponse{Fate: routing.NotRun, Reason: "declined by the backend", Reached: true}, keepAfter(resp, fault)
+			return x.declined(ctx, resp)
 		case Elsewhere:
 			return AttemptResponse{Fate: routing.NotRun, Reason: elsewhere, Reached: true}, 0
 		case Stray:
 			// It came late, in the place of the one that is due.
-			strays++
-			if _, _, fault := x.whole(resp); fault != "" || strays > mostStrays || resp.Close || x.link.headed {
-				return unknown("backend answered another inquiry")
+			if strays++; !x.passOver(resp, strays) {
+				return unknown(ctx, "backend answered another inquiry"), 0
 			}
 			continue
 		case False:
-			return unknown("backend's answer claims what it can't")
+			return unknown(ctx, "backend's answer claims what it can't"), 0
 		}
-		body, trailer, fault := x.whole(resp)
-		if fault != "" {
-			return unknown(fault)
+		rc, idle = x.own(ctx, resp)
+		if strays > 0 {
+			idle = 0
 		}
-		h := endToEnd(resp.Header)
-		if x.attempt.Method == http.MethodHead && resp.Header.Get("Content-Length") != "" {
-			h["Content-Length"] = resp.Header["Content-Length"]
+		return rc, idle
+	}
+}
+
+// next reads the head of the next answer that is not a 1xx one, or tells what is known
+// without one.
+func (x *exchange) next(ctx context.Context) (resp *http.Response, failed AttemptResponse) {
+	for early := 0; early <= mostEarly; early++ {
+		x.link.left = mostHead
+		resp, err := x.head()
+		if err != nil {
+			return nil, lost(ctx, err)
 		}
-		h.Del(HeaderOutcome) // only ours may promise
-		if strays == 0 {
-			idle = keepAfter(resp, "")
+		x.link.left = math.MaxInt64
+		switch {
+		case resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, unknown(ctx, "backend switched protocols")
+		case resp.StatusCode >= 200:
+			return resp, AttemptResponse{}
 		}
-		return AttemptResponse{Fate: routing.Answered, Status: resp.StatusCode, Header: h, Trailer: endToEnd(trailer), Body: body}, idle
 	}
+	return nil, unknown(ctx, "backend does not come to its answer")
+}
+
+// declined reads what follows the head of an answer that declines. The head proves it; the
+// rest only decides whether the link is kept.
+func (x *exchange) declined(ctx context.Context, resp *http.Response) (rc AttemptResponse, idle time.Duration) {
+	x.link.SetReadDeadline(earlier(deadline(ctx), time.Now().Add(restFor)))
+	_, _, fault := x.whole(resp)
+	return AttemptResponse{Fate: routing.NotRun, Reason: "declined by the backend", Reached: true}, keepAfter(resp, fault)
+}
+
+// passOver reads an answer to another request to its end; false if the one that is due
+// can't be told from what follows.
+func (x *exchange) passOver(resp *http.Response, strays int) bool {
+	_, _, fault := x.whole(resp)
+	return !(fault != "" || strays > mostStrays || resp.Close || x.link.headed)
+}
+
+// own reads the answer that is the attempt's own.
+func (x *exchange) own(ctx context.Context, resp *http.Response) (rc AttemptResponse, idle time.Duration) {
+	body, trailer, fault := x.whole(resp)
+	if fault != "" {
+		return unknown(ctx, fault), 0
+	}
+	h := endToEnd(resp.Header)
+	if x.attempt.Method == http.MethodHead && resp.Header.Get("Content-Length") != "" {
+		h["Content-Length"] = resp.Header["Content-Length"]
+	}
+	h.Del(HeaderOutcome) // only ours may promise
+	return AttemptResponse{Fate: routing.Answered, Status: resp.StatusCode, Header: h, Trailer: endToEnd(trailer), Body: body}, keepAfter(resp, "")
+}
+
+// unknown is what is known of an attempt whose answer can't be passed on.
+func unknown(ctx context.Context, reason string) AttemptResponse {
+	if ctx.Err() != nil {
+		reason = string(refusalOf(ctx))
+	}
+	return AttemptResponse{Fate: routing.Unknown, Reason: reason}
 }
 
 // head reads the head of the next answer.
--- a/relay/near.go
+++ b/relay/near.go
@@ -1,17 +1,11 @@
 package relay
 
 import (
-	"bytes"
 	"cmp"
 	"context"
-	"crypto/sha256"
-	"errors"
-	"fmt"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"time"
 
 	"curlewwalk/claim"
@@ -22,7 +16,6 @@
 	"curlewwalk/lineage"
 	"curlewwalk/membership"
 	"curlewwalk/metrics"
-	"curlewwalk/roster"
 	"curlewwalk/routing"
 	"curlewwalk/trace"
 	"curlewwalk/wire"
@@ -111,53 +104,37 @@
 	})
 }
 
+// serve takes a request and comes to its response.
 func (n *Near) serve(caller string, r *http.Request) Response {
-	begun := time.Now()
 	n.Counts.Requests.Add(1)
 	n.Counts.Open.Add(1)
 	defer n.Counts.Open.Add(-1)
+	rc := n.take(caller, r)
+	n.Counts.ended(rc.Fate)
+	return rc
+}
+
+func (n *Near) take(caller string, r *http.Request) Response {
+	begun := time.Now()
 	// Calls of the own backends belong to requests that were handed over.
 	if caller == "" && n.Draining() {
-		return n.count(n.stopping(time.Second))
-	}
-	size := r.ContentLength
-	if size < 0 {
-		size = n.Bodies.Most // it will tell at its end
+		return n.stopping(time.Second)
 	}
-	if size > n.Bodies.Most {
-		return n.tooLarge()
-	}
-	if !n.Bodies.Take(size) {
-		return n.count(n.word(http.StatusServiceUnavailable, routing.NotRun, "this node holds as many bodies as it can", "", time.Second))
+	size, refusal := n.reserve(r)
+	if refusal != nil {
+		return *refusal
 	}
 	defer n.Bodies.Give(size)
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, n.Bodies.Most))
-	var big *http.MaxBytesError
-	switch {
-	case errors.As(err, &big):
-		return n.tooLarge()
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return n.count(n.word(http.StatusRequestTimeout, routing.NotRun, "body took too long", "", time.Second))
-	case err != nil:
-		return n.count(n.word(http.StatusBadRequest, routing.NotRun, "body was cut short", "", 0))
-	}
-	if target("", r.RequestURI).RequestURI() != r.RequestURI {
-		return n.count(n.word(http.StatusBadRequest, routing.NotRun, "this path can't be passed on as it is", "", 0))
+	body, refusal := n.read(r)
+	if refusal != nil {
+		return *refusal
 	}
 	q := request{caller: caller, begun: begun}
-	var refusal *Response
 	if q.route, q.contract, refusal = n.match(r); refusal != nil {
-		return n.count(*refusal)
+		return *refusal
 	}
-	q.route.Service = routing.Pick(q.route, rand.IntN) // for all its attempts
-	h := endToEnd(r.Header)
-	said := n.Dialect.Hear(r, h)
-	// A trailer may say no more than a header.
-	trailer := endToEnd(r.Trailer)
-	n.Dialect.Hear(r, trailer)
-	q.left = said.Left
-	q.attempt = Attempt{Service: q.route.Service, Route: q.route.Name, Rank: q.contract.Rank, Repeatable: q.route.Repeatable, Caller: cmp.Or(caller, n.Home), Method: r.Method, URI: r.RequestURI, Host: r.Host, Header: h, Trailer: trailer, Body: body}
-	q.client = n.watch(r, said)
+	said := n.address(&q, r, body)
+	q.client = watch(r, said)
 	defer func() {
 		if left, after := q.client.end(); left {
 			n.Counts.left(after)
@@ -165,7 +142,7 @@
 	}()
 	n.begin(n.Life, &q, r.Header)
 	if caller == "" && n.outlasts(q.deadline) {
-		return n.count(n.stopping(n.back()))
+		return n.stopping(n.back())
 	}
 	ctx, cancel := context.WithDeadline(trace.With(n.Life, q.span), q.deadline)
 	defer cancel()
@@ -175,7 +152,25 @@
 		trace.WriteB3(rc.Header, q.span)
 	}
 	n.Routes.Add(q.route.Name, string(rc.Fate))
-	return n.count(rc)
+	return rc
+}
+
+// address makes the attempt that all of a request's attempts are made of, and tells what the
+// request says of itself.
+func (n *Near) address(q *request, r *http.Request, body []byte) Said {
+	q.route.Service = routing.Pick(q.route, rand.IntN) // for all its attempts
+	header := endToEnd(r.Header)
+	said := n.Dialect.Hear(r, header)
+	// A trailer may say no more than a header.
+	trailer := endToEnd(r.Trailer)
+	n.Dialect.Hear(r, trailer)
+	q.left = said.Left
+	q.attempt = Attempt{
+		Service: q.route.Service, Route: q.route.Name, Rank: q.contract.Rank, Repeatable: q.route.Repeatable,
+		Caller: cmp.Or(q.caller, n.Home), Method: r.Method, URI: r.RequestURI, Host: r.Host,
+		Header: header, Trailer: trailer, Body: body,
+	}
+	return said
 }
 
 // stopping is the refusal of a node that is being stopped.
@@ -194,23 +189,17 @@
 
 // watch watches a request's client. What runs under a key goes on without it: the answer is
 // kept for a repeat of the key.
-func (n *Near) watch(r *http.Request, said Said) *departure {
+func watch(r *http.Request, said Said) *departure {
 	if said.Key != "" {
 		return ignoreClient()
 	}
 	return watchClient(r.Context())
 }
 
-func (n *Near) tooLarge() Response {
-	return n.count(n.word(http.StatusRequestEntityTooLarge, routing.NotRun, fmt.Sprintf("body is over %d bytes", n.Bodies.Most), "", 0))
-}
-
-// word words an answer of our own.
 // match finds a request's route and contract, or how it is refused.
 func (n *Near) match(r *http.Request) (desired.Route, desired.Contract, *Response) {
 	refuse := func(status int, reason string, back time.Duration) (desired.Route, desired.Contract, *Response) {
-		refusal := n.word(status, routing.NotRun, reason, "", back)
-		return desired.Route{}, desired.Contract{}, &refusal
+		return desired.Route{}, desired.Contract{}, n.refuse(status, reason, back)
 	}
 	if n.Behind != nil && n.Behind() {
 		return refuse(http.StatusServiceUnavailable, "a newer configuration is in force, and not known here yet", n.back())
@@ -228,15 +217,11 @@
 	return refuse(http.StatusNotFound, "no way takes this inquiry", 0)
 }
 
+// word words an answer of our own.
 func (n *Near) word(status int, f routing.Fate, reason, trace string, back time.Duration) Response {
 	return n.Dialect.Word(Own{Status: status, Fate: f, Reason: reason, Trace: trace, Back: back})
 }
 
-func (n *Near) count(r Response) Response {
-	n.Counts.ended(r.Fate)
-	return r
-}
-
 // begin ties the request to its cause and opens its span. (DESIGN 2.5)
 func (n *Near) begin(ctx context.Context, q *request, h http.Header) {
 	told, traced := trace.ReadB3(h)
@@ -269,227 +254,6 @@
 	}
 }
 
-// claimed runs the request under its Idempotency-Key, if it has one.
-func (n *Near) claimed(ctx context.Context, q *request, text string) Response {
-	if text == "" {
-		return n.run(ctx, q)
-	}
-	if len(text) > longestKey {
-		return n.own(q, http.StatusBadRequest, routing.NotRun, fmt.Sprintf("%s is over %d bytes", HeaderKey, longestKey), 0)
-	}
-	if !n.Custody.Ready() {
-		// An earlier life of this node may have run what this repeats.
-		return n.own(q, http.StatusServiceUnavailable, routing.Unknown, "claims on keys are still being handed over to this node", time.Second)
-	}
-	key := claim.Key{Caller: q.caller, Text: text}
-	print := claim.Print(sha256.Sum256(bytes.Join([][]byte{[]byte(q.attempt.Method), []byte(q.attempt.Host), []byte(q.attempt.URI), q.attempt.Body}, []byte{0})))
-	verdict, rc, err := n.Claims.Lay(ctx, key, print)
-	switch {
-	case err != nil && verdict == claim.Repeat:
-		return n.own(q, http.StatusGatewayTimeout, routing.Unknown, "expired while the first inquiry of this key was running", time.Second)
-	case verdict == claim.Crowded:
-		return n.own(q, http.StatusServiceUnavailable, routing.NotRun, "too many keys are claimed", time.Second)
-	case verdict == claim.Gone:
-		return n.own(q, http.StatusBadGateway, routing.Unknown, "the first inquiry of this key has ended; its answer is kept no longer", time.Second)
-	case verdict == claim.Clash:
-		return n.own(q, http.StatusUnprocessableEntity, routing.NotRun, "this key was used for another inquiry", 0)
-	case verdict == claim.Repeat:
-		n.Counts.Joined.Add(1)
-		return rc
-	}
-	trust, known, ok := n.Custody.Entrust(ctx, key, print, time.Until(q.deadline))
-	keep := true
-	switch {
-	case known != nil && known.Print != print:
-		rc, keep = n.own(q, http.StatusUnprocessableEntity, routing.NotRun, "this key was used for another inquiry", 0), false
-	case known != nil:
-		rc = n.restored(*known)
-	case !ok:
-		rc, keep = n.own(q, http.StatusServiceUnavailable, routing.NotRun, "the claim on this key could not be entrusted to other nodes", time.Second), false
-		n.Custody.Settle(ctx, trust, nil)
-	default:
-		rc = n.run(ctx, q)
-		keep = rc.Fate != routing.NotRun
-		n.Custody.Settle(ctx, trust, rc.pack(keep))
-	}
-	n.Claims.Finish(n.Life, key, rc, keep)
-	return rc
-}
-
-// Restore takes a claim of an earlier life of this node. (DESIGN 10.4)
-func (n *Near) Restore(ctx context.Context, e custody.Entry) {
-	n.Claims.Restore(ctx, e.Key, e.Print, n.restored(e))
-}
-
-// restored is the response of such a claim. Whether one without a response ran,
-// nobody knows.
-func (n *Near) restored(e custody.Entry) Response {
-	rc, ok := unpack(e.Response)
-	if !ok {
-		rc = n.word(http.StatusBadGateway, routing.Unknown, "this node was restarted before the first inquiry of this key was answered", "", time.Second)
-	}
-	return rc
-}
-
 func (n *Near) own(q *request, status int, f routing.Fate, reason string, retry time.Duration) Response {
 	return n.word(status, f, reason, q.span.Trace.String(), retry)
 }
-
-// run asks the decision and obeys, attempt by attempt.
-func (n *Near) run(ctx context.Context, q *request) Response {
-	d := routing.Decision{
-		Route: q.route, Deadline: q.deadline, Zone: n.Zone, Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		Means: routing.Means{
-			Aim: q.aim, Room: q.room(), Patience: n.Budgets.Patience(q.contract.Name, q.room()),
-			Cost: func(t membership.Target) routing.Cost { return n.Costs.Of(q.route.Name, t) },
-			Hold: n.hold(q), Back: n.back(), Late: n.Late, Crossing: n.crossing(q),
-			Spend: func() bool { return n.RetryBudgets.Spend(q.route.Service) }, Unsure: n.Unsure, Unwanted: func() string { return n.unwanted(q) },
-		},
-	}
-	note := trace.Event{Route: q.route.Name, Service: q.route.Service, Caller: q.caller, Link: q.cause.Link, Candidates: q.cause.Candidates}
-	n.Queue.Put(q.span, trace.ClientStart, note)
-	var last AttemptResponse
-	for {
-		o := d.Ask(n.Table(), n.View(), time.Now())
-		if o.Wait > 0 {
-			pause(ctx, o.Wait)
-			continue
-		}
-		if !o.Send {
-			rc := Response{Status: last.Status, Header: last.Header, Trailer: last.Trailer, Body: last.Body, Fate: routing.Answered}
-			if o.End.Status != 0 {
-				n.Log.Info("an inquiry was not answered", "trace", q.span.Trace.String(), "way", q.route.Name, "caller", q.caller,
-					"status", o.End.Status, "outcome", o.End.Fate, "reason", o.End.Reason, "legs", len(d.Attempts()))
-				rc = n.own(q, o.End.Status, o.End.Fate, o.End.Reason, o.End.RetryAfter)
-			}
-			n.Budgets.Ended(q.contract.Name, time.Since(q.begun), q.contract.Aim.Duration, q.contract.Deadline.Duration, rc.Fate == routing.Answered)
-			note.Status, note.Outcome, note.Reason, note.Attempt = rc.Status, string(rc.Fate), o.End.Reason, len(d.Attempts())
-			n.Queue.Put(q.span, trace.ClientReceive, note)
-			return rc
-		}
-		var l routing.Attempt
-		l, last = n.send(ctx, q, o, len(d.Attempts())+1)
-		d.Tell(l)
-	}
-}
-
-// unwanted tells why nothing more is to be done for a request, if so.
-func (n *Near) unwanted(q *request) string {
-	switch {
-	case q.client.left():
-		return "the client has left"
-	case n.Life.Err() != nil:
-		return ErrStopping.Error()
-	}
-	return ""
-}
-
-// pause waits, or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
-// hold is until when a request may be held for a place. (DESIGN 15.4)
-func (n *Near) hold(q *request) time.Time {
-	return q.begun.Add(time.Duration(n.Hold * float64(q.contract.Aim.Duration)))
-}
-
-// crossing is the price of leaving the own zone, by how much would be carried.
-func (n *Near) crossing(q *request) float64 {
-	return n.Crossing * (1 + float64(len(q.attempt.Body))/usual)
-}
-
-// back is when a refused request may come again at the soonest: spread, so that those
-// refused together do not come together.
-func (n *Near) back() time.Duration {
-	return n.ComeBack + time.Duration(rand.Int64N(int64(n.ComeBack)/2+1))
-}
-
-// send carries one attempt. The first attempt is the span's own; each further one is a
-// child span of its own. (DESIGN 2.1)
-func (n *Near) send(ctx context.Context, q *request, o routing.Order, num int) (routing.Attempt, AttemptResponse) {
-	span, t := q.span, o.Target
-	if num == 1 {
-		n.RetryBudgets.Earn(q.route.Service)
-	} else {
-		n.Counts.ExtraAttempts.Add(1)
-		span = q.span.Child()
-		ctx = trace.With(ctx, span)
-		n.Queue.Put(span, trace.ClientStart, trace.Event{Route: q.route.Name, Service: q.route.Service, Instance: t.Instance, Attempt: num})
-	}
-	attempt := q.attempt
-	attempt.ID = span.ID.String() + "/" + trace.NewID().String()
-	attempt.N, attempt.Instance, attempt.Boot, attempt.Patient = num, t.Instance, t.Boot, o.Patient
-	attempt.Left = time.Until(q.deadline) - grace
-	attempt.Aim = time.Until(q.aim) + n.Budgets.Patience(q.contract.Name, q.room()) - grace
-	t.Load.Attempts.Add(1)
-	sent := time.Now()
-	over := q.client.during(func() { n.recallLater(ctx, t.Node, attempt) })
-	r := n.Net.Call(ctx, t.Node, wire.Traffic, KindAttempt, attempt)
-	over()
-	t.Load.Attempts.Add(-1)
-	if r.Traced {
-		span.Hear(r.Span.Counter())
-	}
-	l := routing.Attempt{Target: t, Fate: routing.Unknown, Reason: "lost on the way", Reached: true}
-	var rc AttemptResponse
-	switch {
-	case r.Fate == wire.Unsent:
-		l.Fate, l.Reason, l.Reached = routing.NotRun, "node could not be reached", false
-		t.Load.Shun(n.Shun)
-	case r.Into(&rc) && rc.of(&attempt):
-		l.Fate, l.Reason, l.Reached, l.Back, l.Expired = rc.Fate, rc.Reason, rc.Reached, rc.Back, rc.Reason == string(roster.Expired)
-		l.Lapsed = rc.Fate == routing.NotRun && rc.Reason == string(roster.Lapsed)
-		t.Load.Tell(rc.Open)
-		if rc.Fate != routing.Answered && rc.Reason != string(roster.Full) && rc.Reason != string(roster.Recalled) {
-			t.Load.Shun(n.Shun)
-		}
-	default:
-		t.Load.Shun(n.Shun)
-		l = n.recall(ctx, l, attempt)
-	}
-	if expired := l.Expired || ctx.Err() != nil; expired || l.Fate == routing.Answered {
-		n.Costs.Learn(q.route.Name, t, time.Since(sent), expired)
-	}
-	if num > 1 {
-		n.Queue.Put(span, trace.ClientReceive, trace.Event{Route: q.route.Name, Service: q.route.Service, Instance: t.Instance, Attempt: num, Status: rc.Status, Outcome: string(l.Fate), Reason: l.Reason})
-	}
-	return l, rc
-}
-
-// recall asks the far sidecar to let a lost attempt never run; only its word that
-// the attempt did not run proves it. Past the deadline nobody waits for that word; at the
-// end of a stop it is waited for, though not for long. (DESIGN 10.2)
-func (n *Near) recall(ctx context.Context, l routing.Attempt, attempt Attempt) routing.Attempt {
-	wait := recallFor
-	switch {
-	case ctx.Err() == nil:
-	case errors.Is(context.Cause(ctx), ErrStopping):
-		ctx, wait = context.WithoutCancel(ctx), stopRecallFor
-	default:
-		n.recallLater(ctx, l.Target.Node, attempt)
-		return l
-	}
-	if rc, ok := n.askRecall(ctx, l.Target.Node, attempt, wait); ok && rc.Fate == routing.NotRun {
-		l.Fate, l.Reason, l.Reached = routing.NotRun, rc.Reason, false
-	}
-	return l
-}
-
-// recallLater recalls an attempt whose answer nobody waits for, and does not wait either.
-func (n *Near) recallLater(ctx context.Context, node string, attempt Attempt) {
-	n.Launcher.Go(context.WithoutCancel(ctx), "recall", func(ctx context.Context) { n.askRecall(ctx, node, attempt, recallFor) })
-}
-
-// askRecall recalls an attempt, and tells what the far sidecar says, if it says so in time.
-func (n *Near) askRecall(ctx context.Context, node string, attempt Attempt, wait time.Duration) (rc AttemptResponse, ok bool) {
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	ok = n.Net.Call(ctx, node, wire.Control, KindRecall, Recall{ID: attempt.ID, Boot: attempt.Boot}).Into(&rc)
-	return rc, ok && rc.of(&attempt)
-}
