--- a/process/process.go
+++ b/process/process.go
@@ -34,6 +34,9 @@
 	Life context.Context
 	end  context.CancelFunc
 	webs webs
+	// signals are those that came. They are taken from the start on: by its own, the runtime
+	// would end a process that already serves.
+	signals chan os.Signal
 }
 
 // Exit prints an exit's text where it belongs and ends the process, if it is
@@ -57,7 +60,8 @@
 		echo = os.Stderr
 	}
 	r := ring.New(s.LogLines, echo)
-	p := &Process{Name: name, Boot: rand.Uint64(), Ring: r, Log: slog.New(r)}
+	p := &Process{Name: name, Boot: rand.Uint64(), Ring: r, Log: slog.New(r), signals: make(chan os.Signal, 4)}
+	signal.Notify(p.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	p.Life, p.end = context.WithCancel(context.Background())
 	p.Launcher = launch.New(p.Log, p.broken)
 	own := wire.Greeting{Version: wire.Version, Node: s.Advertise, Boot: p.Boot}
@@ -96,9 +100,7 @@
 
 // Wait returns when the process is warned to stop; each SIGHUP calls reload.
 func (p *Process) Wait(reload func()) {
-	ch := make(chan os.Signal, 4)
-	signal.Notify(ch, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	for s := range ch {
+	for s := range p.signals {
 		if s != syscall.SIGHUP {
 			p.Log.Info("warned to stop", "signal", s.String())
 			return
--- /dev/null
+++ b/process/process_test.go
@@ -0,0 +1,40 @@
+package process
+
+import (
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"curlewwalk/settings"
+)
+
+// A signal that comes before a process waits for one, when it serves already, does not end
+// it at once.
+func TestEarlySignals(t *testing.T) {
+	p := New("test", settings.Common{Wire: "127.0.0.1:0", LogLines: 8})
+	send := func(s syscall.Signal) {
+		t.Helper()
+		if err := syscall.Kill(os.Getpid(), s); err != nil {
+			t.Fatal(err)
+		}
+	}
+	send(syscall.SIGHUP)
+	reloads := make(chan bool, 9)
+	warned := make(chan bool)
+	go func() {
+		p.Wait(func() { reloads <- true })
+		close(warned)
+	}()
+	wait := func(what string, ch <-chan bool) {
+		t.Helper()
+		select {
+		case <-ch:
+		case <-time.After(5 * time.Second):
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+	wait("the reload", reloads)
+	send(syscall.SIGTERM)
+	wait("the warning", warned)
+}
