--- /dev/null
+++ b/sidecar/new.go
@@ -0,0 +1,168 @@
+package sidecar
+
+import (
+	"context"
+	"maps"
+	"net/netip"
+	"runtime/debug"
+	"time"
+
+	"curlewwalk/claim"
+	"curlewwalk/custody"
+	"curlewwalk/feed"
+	"curlewwalk/launch"
+	"curlewwalk/lineage"
+	"curlewwalk/membership"
+	"curlewwalk/process"
+	"curlewwalk/relay"
+	"curlewwalk/roster"
+	"curlewwalk/routing"
+	"curlewwalk/settings"
+	"curlewwalk/trace"
+	"curlewwalk/wire"
+)
+
+// New puts the parts together and opens the addresses.
+func New(set settings.Sidecar, doors *Doors) *Node {
+	p := process.New("sidecar", set.Common)
+	n := &Node{p: p, set: set, queue: trace.NewQueue(set.Advertise, p.Boot, set.TraceQueue), dialect: relay.Plain{}}
+	if doors != nil {
+		n.dialect = doors.Dialect
+	}
+	if set.Memory > 0 {
+		debug.SetMemoryLimit(set.Memory << 20 * 85 / 100)
+	}
+	n.addControl()
+	calls := lineage.NewKeeper()
+	claims := claim.New(func(r relay.Response) int { return len(r.Body) })
+	n.addNear(calls, claims)
+	n.addFar(calls)
+	rollcall := n.newRollcall()
+	n.addHandlers(rollcall)
+	n.listen()
+	n.start(map[string]func(context.Context){
+		"lineage": calls.Run, "claims": claims.Run, "rollcall": rollcall.Run, "follower": n.newFollower().Run,
+		"net": p.Net.Run, "host": p.Host.Run, "steward": n.steward.run, "seeker": n.seeker.Run,
+		"watcher": n.steward.watcher.Run, "holder": n.holder.Run, "custody": n.near.Custody.Run,
+	})
+	if doors != nil {
+		doors.Open(n)
+	}
+	return n
+}
+
+// table and view are the snapshots that traffic reads.
+func (n *Node) table() *routing.Table  { return n.steward.table.Load() }
+func (n *Node) view() *membership.View { return n.steward.view.Load() }
+
+// addControl adds the parts that know of other processes.
+func (n *Node) addControl() {
+	set, p := n.set, n.p
+	n.seeker = membership.NewSeeker()
+	n.steward = newSteward(p.Launcher, set.Advertise, p.Boot, set.Zone, set.ExtraAttempts, n.seeker.Hasten)
+	n.steward.roster.Store(&roster.Roster{Pace: roster.Pace{Beat: set.Beat}})
+	n.steward.climb = routing.Climb{For: set.Ramp, From: set.RampFrom}
+	n.seeker.Own = func() membership.Heartbeat { node := n.steward.node(); return membership.Heartbeat{Node: &node} }
+	n.seeker.Addr, n.seeker.Net, n.seeker.Launcher = set.Advertise, p.Net, p.Launcher
+	n.seeker.Told = n.steward.told
+	n.seeker.Heard = func(context.Context, membership.Seat) {}
+	n.reload = &process.Reloader{Seeker: n.seeker}
+	n.reload.Apply(set.Common)
+	watcher := n.steward.watcher
+	watcher.Own, watcher.Net, watcher.Launcher, watcher.Changed = set.Advertise, p.Net, p.Launcher, n.seeker.Hasten
+	watcher.View = n.view
+}
+
+// addNear adds the side beside the callers, with what it keeps of keys.
+func (n *Node) addNear(calls *lineage.Keeper, claims *claim.Claims[relay.Response]) {
+	set, p := n.set, n.p
+	n.near = &relay.Near{
+		Zone: set.Zone, Table: n.table, View: n.view, Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log,
+		Lineage: calls, Claims: claims, RetryBudgets: n.steward.retryBudgets, Budgets: n.steward.budgets, Costs: routing.NewCosts(),
+		Draining: n.shut, StopsAt: n.stopsAt, Unsure: n.unsure, Behind: n.behind,
+		Home: set.Caller, Dialect: n.dialect, Shun: set.Shun, Hold: set.Hold, ComeBack: set.ComeBack, Late: set.Late, Crossing: set.Crossing,
+		Bodies: &relay.Bodies{Most: set.MaxBody, All: set.BodyMemory},
+	}
+	n.near.Life, n.giveUp = context.WithCancelCause(p.Life)
+	n.holder = custody.NewHolder()
+	n.near.Custody = &custody.Owner{
+		Own: set.Advertise, Boot: p.Boot, Zone: set.Zone, View: n.view, Net: p.Net, Launcher: p.Launcher,
+		Known: n.known, Restore: n.near.Restore,
+	}
+	n.near.Custody.Begin()
+	n.outgoing = &outgoing{
+		p: p, near: n.near, host: netip.MustParseAddrPort(set.Advertise).Addr(), fixed: set.Outgoing,
+		known: n.steward.services, webs: map[string]*process.Web{},
+	}
+}
+
+// addFar adds the side beside the own backends.
+func (n *Node) addFar(calls *lineage.Keeper) {
+	n.far = relay.NewFar(n.p.Life, n.p.Launcher)
+	n.far.Boot, n.far.Table, n.far.Queue, n.far.Lineage, n.far.Draining = n.p.Boot, n.table, n.queue, calls, n.draining.Load
+	n.far.Claimed, n.far.Dialect, n.far.Halving = n.claimed, n.dialect, n.set.Halving
+	n.far.Bodies = &relay.Bodies{Most: n.set.MaxBody, All: n.set.BodyMemory}
+	n.far.Roster = func() roster.Roster { return *n.steward.roster.Load() }
+}
+
+// newRollcall makes the part that asks the other sidecars when no core is heard.
+func (n *Node) newRollcall() *membership.Rollcall {
+	rollcall := membership.NewRollcall()
+	rollcall.Own, rollcall.Net, rollcall.Launcher, rollcall.Node, rollcall.View = n.set.Advertise, n.p.Net, n.p.Launcher, n.steward.node, n.view
+	rollcall.Seats, rollcall.Word, rollcall.Seeds = n.seeker.Seats, n.steward.spoken.Load, n.seeker.Seeds
+	rollcall.News, rollcall.Sure = n.steward.news, n.steward.agreed.Renew
+	rollcall.Take = func(ctx context.Context, f membership.Found) {
+		n.seeker.Hear(membership.Heartbeat{Know: f.Know})
+		n.steward.box.Send(ctx, msgFound{f})
+	}
+	return rollcall
+}
+
+// newFollower makes the part that follows a core's feed.
+func (n *Node) newFollower() *feed.Follower {
+	return &feed.Follower{
+		Own: n.set.Advertise, Zone: n.set.Zone, Seats: n.seeker.Seats, Net: n.p.Net, Hasten: n.seeker.Hasten,
+		Take: func(ctx context.Context, c membership.Seat, news feed.News, asked time.Time) {
+			// No more is asked for before it is in force: of words that come faster
+			// than that, the core then tells the newest only. (DESIGN 8.2)
+			launch.Ask(ctx, n.steward.box, func(r chan<- bool) any { return msgNews{c, news, asked, r} })
+		},
+	}
+}
+
+// addHandlers adds what other processes may ask.
+func (n *Node) addHandlers(rollcall *membership.Rollcall) {
+	handlers := n.p.Host.Handlers
+	maps.Copy(handlers, n.holder.Handlers())
+	handlers[membership.KindHeartbeat] = n.heartbeat
+	handlers[membership.KindProbe] = func(context.Context, wire.Request) (any, string) {
+		return membership.Probe{Boot: n.p.Boot, Inc: n.steward.inc.Load()}, ""
+	}
+	handlers[membership.KindGossip] = rollcall.Answer
+	handlers[relay.KindAttempt] = n.far.Attempt
+	handlers[relay.KindRecall] = n.far.Recall
+}
+
+// listen opens the addresses.
+func (n *Node) listen() {
+	set, p := n.set, n.p
+	p.Host.Listener = p.Listen("wire", set.Wire)
+	n.webs = append(n.webs, p.Serve(p.Listen("control", set.Control), n.control()))
+	n.webs = append(n.webs, p.Serve(p.Listen("inquiries", set.Requests), n.near.Handler("")))
+	for service := range set.Outgoing {
+		if _, err := n.outgoing.addr(service); err != nil {
+			p.Fail("outgoing "+service, err)
+		}
+	}
+}
+
+// start starts the parts' loops, and what publishes trace events.
+func (n *Node) start(loops map[string]func(context.Context)) {
+	for name, run := range loops {
+		n.p.Launcher.Go(n.p.Life, name, run)
+	}
+	for range workers {
+		w := &trace.Worker{Queue: n.queue, Choose: n.collector, Send: n.publish, Linger: publishEvery, MaxSize: 256}
+		n.p.Launcher.Go(n.p.Life, "trace-worker", w.Run)
+	}
+}
--- a/sidecar/node.go
+++ b/sidecar/node.go
@@ -4,26 +4,18 @@
 import (
 	"context"
 	"fmt"
-	"maps"
-	"net/netip"
 	"os"
-	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"time"
 
-	"curlewwalk/claim"
 	"curlewwalk/collect"
 	"curlewwalk/custody"
-	"curlewwalk/feed"
-	"curlewwalk/launch"
-	"curlewwalk/lineage"
 	"curlewwalk/membership"
 	"curlewwalk/process"
 	"curlewwalk/relay"
 	"curlewwalk/rendezvous"
 	"curlewwalk/roster"
-	"curlewwalk/routing"
 	"curlewwalk/settings"
 	"curlewwalk/trace"
 	"curlewwalk/wire"
@@ -63,6 +55,7 @@
 	holder   *custody.Holder
 	queue    *trace.Queue
 	outgoing *outgoing
+	dialect  relay.Dialect
 	// draining: not ready, and no new attempts. closed: no new requests either.
 	draining, closed atomic.Bool
 	// giveUpAt is when what is open will be answered, of a node that is being stopped; nil
@@ -73,103 +66,6 @@
 	webs     []*process.Web
 }
 
-// New puts the parts together and opens the addresses.
-func New(set settings.Sidecar, doors *Doors) *Node {
-	p := process.New("sidecar", set.Common)
-	n := &Node{p: p, set: set, queue: trace.NewQueue(set.Advertise, p.Boot, set.TraceQueue)}
-	n.seeker = membership.NewSeeker()
-	n.steward = newSteward(p.Launcher, set.Advertise, p.Boot, set.Zone, set.ExtraAttempts, n.seeker.Hasten)
-	n.steward.roster.Store(&roster.Roster{Pace: roster.Pace{Beat: set.Beat}})
-	n.steward.climb = routing.Climb{For: set.Ramp, From: set.RampFrom}
-	if set.Memory > 0 {
-		debug.SetMemoryLimit(set.Memory << 20 * 85 / 100)
-	}
-	lin := lineage.NewKeeper()
-	claims := claim.New(func(r relay.Response) int { return len(r.Body) })
-	n.seeker.Own = func() membership.Heartbeat { nd := n.steward.node(); return membership.Heartbeat{Node: &nd} }
-	n.seeker.Addr, n.seeker.Net, n.seeker.Launcher = set.Advertise, p.Net, p.Launcher
-	n.reload = &process.Reloader{Seeker: n.seeker}
-	n.reload.Apply(set.Common)
-	n.seeker.Told = n.steward.told
-	watcher := n.steward.watcher
-	watcher.Own, watcher.Net, watcher.Launcher, watcher.Changed = set.Advertise, p.Net, p.Launcher, n.seeker.Hasten
-	watcher.View = func() *membership.View { return n.steward.view.Load() }
-	n.seeker.Heard = func(context.Context, membership.Seat) {}
-	table := func() *routing.Table { return n.steward.table.Load() }
-	n.near = &relay.Near{
-		Zone: set.Zone, Table: table, View: func() *membership.View { return n.steward.view.Load() },
-		Net: p.Net, Launcher: p.Launcher, Queue: n.queue, Log: p.Log, Lineage: lin, Claims: claims, RetryBudgets: n.steward.retryBudgets, Budgets: n.steward.budgets, Costs: routing.NewCosts(), Draining: n.shut, StopsAt: n.stopsAt,
-	}
-	n.near.Life, n.giveUp = context.WithCancelCause(p.Life)
-	n.near.Shun = set.Shun
-	n.near.Unsure, n.near.Behind = n.unsure, n.behind
-	n.near.Home, n.near.Dialect, n.near.Hold, n.near.ComeBack, n.near.Late, n.near.Crossing = set.Caller, relay.Plain{}, set.Hold, set.ComeBack, set.Late, set.Crossing
-	if doors != nil {
-		n.near.Dialect = doors.Dialect
-	}
-	holder := custody.NewHolder()
-	n.holder = holder
-	maps.Copy(p.Host.Handlers, holder.Handlers())
-	n.near.Bodies = &relay.Bodies{Most: set.MaxBody, All: set.BodyMemory}
-	n.near.Custody = &custody.Owner{
-		Own: set.Advertise, Boot: p.Boot, Zone: set.Zone, View: watcher.View, Net: p.Net, Launcher: p.Launcher,
-		Known: n.known, Restore: n.near.Restore,
-	}
-	n.near.Custody.Begin()
-	n.far = relay.NewFar(p.Life, p.Launcher)
-	n.far.Boot, n.far.Table, n.far.Queue, n.far.Lineage, n.far.Draining = p.Boot, table, n.queue, lin, n.draining.Load
-	n.far.Claimed, n.far.Dialect, n.far.Halving = n.claimed, n.near.Dialect, set.Halving
-	n.far.Bodies = &relay.Bodies{Most: set.MaxBody, All: set.BodyMemory}
-	rollcall := membership.NewRollcall()
-	rollcall.Own, rollcall.Net, rollcall.Launcher, rollcall.Node, rollcall.View = set.Advertise, p.Net, p.Launcher, n.steward.node, watcher.View
-	rollcall.Seats, rollcall.Word, rollcall.Seeds = n.seeker.Seats, n.steward.spoken.Load, n.seeker.Seeds
-	rollcall.News, rollcall.Sure = n.steward.news, n.steward.agreed.Renew
-	rollcall.Take = func(ctx context.Context, f membership.Found) {
-		n.seeker.Hear(membership.Heartbeat{Know: f.Know})
-		n.steward.box.Send(ctx, msgFound{f})
-	}
-	n.far.Roster = func() roster.Roster { return *n.steward.roster.Load() }
-	n.outgoing = &outgoing{p: p, near: n.near, host: netip.MustParseAddrPort(set.Advertise).Addr(), fixed: set.Outgoing, known: n.steward.services, webs: map[string]*process.Web{}}
-
-	p.Host.Handlers[membership.KindHeartbeat] = n.heartbeat
-	p.Host.Handlers[membership.KindProbe] = func(context.Context, wire.Request) (any, string) {
-		return membership.Probe{Boot: p.Boot, Inc: n.steward.inc.Load()}, ""
-	}
-	p.Host.Handlers[membership.KindGossip] = rollcall.Answer
-	p.Host.Handlers[relay.KindAttempt] = n.far.Attempt
-	p.Host.Handlers[relay.KindRecall] = n.far.Recall
-	p.Host.Listener = p.Listen("wire", set.Wire)
-	n.webs = append(n.webs, p.Serve(p.Listen("control", set.Control), n.control()))
-	n.webs = append(n.webs, p.Serve(p.Listen("inquiries", set.Requests), n.near.Handler("")))
-	for svc := range set.Outgoing {
-		if _, err := n.outgoing.addr(svc); err != nil {
-			p.Fail("outgoing "+svc, err)
-		}
-	}
-	follower := &feed.Follower{
-		Own: set.Advertise, Zone: set.Zone, Seats: n.seeker.Seats, Net: p.Net, Hasten: n.seeker.Hasten,
-		Take: func(ctx context.Context, c membership.Seat, news feed.News, asked time.Time) {
-			// No more is asked for before it is in force: of words that come faster
-			// than that, the core then tells the newest only. (DESIGN 8.2)
-			launch.Ask(ctx, n.steward.box, func(r chan<- bool) any { return msgNews{c, news, asked, r} })
-		},
-	}
-	for name, run := range map[string]func(context.Context){
-		"net": p.Net.Run, "host": p.Host.Run, "steward": n.steward.run, "seeker": n.seeker.Run,
-		"lineage": lin.Run, "claims": claims.Run, "follower": follower.Run, "watcher": watcher.Run, "rollcall": rollcall.Run, "holder": holder.Run, "custody": n.near.Custody.Run,
-	} {
-		p.Launcher.Go(p.Life, name, run)
-	}
-	for range workers {
-		w := &trace.Worker{Queue: n.queue, Choose: n.collector, Send: n.publish, Linger: publishEvery, MaxSize: 256}
-		p.Launcher.Go(p.Life, "trace-worker", w.Run)
-	}
-	if doors != nil {
-		doors.Open(n)
-	}
-	return n
-}
-
 // Run prints the signal of readiness, the addresses that really stand, and returns when
 // the sidecar has been warned and stopped in order; read reads the settings again.
 func (n *Node) Run(read func() (settings.Sidecar, settings.Exit)) {
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -133,7 +133,7 @@
 	return append(s.table.Load().Services(), s.view.Load().Services()...)
 }
 
-func (s *steward) on(ctx context.Context, msg any) {
+func (s *steward) on(_ context.Context, msg any) {
 	now := time.Now()
 	s.sleep.Seen(now)
 	switch m := msg.(type) {
--- a/wire/host.go
+++ b/wire/host.go
@@ -63,18 +63,29 @@
 	out := make(chan []byte, 16)
 	h.Launcher.Go(ctx, "host-write", func(ctx context.Context) {
 		defer conn.Close()
-		for {
-			select {
-			case b := <-out:
-				if _, err := writeFrame(conn, b); err != nil {
-					return
-				}
-			case <-ctx.Done():
-				writeRest(conn, out)
+		write(ctx, conn, out)
+	})
+	h.takeCalls(ctx, r, out, far)
+}
+
+// write writes responses as they come, until ctx or the connection ends.
+func write(ctx context.Context, conn net.Conn, out <-chan []byte) {
+	for {
+		select {
+		case b := <-out:
+			if _, err := writeFrame(conn, b); err != nil {
 				return
 			}
+		case <-ctx.Done():
+			writeRest(conn, out)
+			return
 		}
-	})
+	}
+}
+
+// takeCalls reads calls and has them answered, until the connection ends or what comes on it
+// can't be trusted.
+func (h *Host) takeCalls(ctx context.Context, r *bufio.Reader, out chan<- []byte, far Greeting) {
 	var last uint64
 	for {
 		b, err := readFrame(r, MaxFrame)
--- a/wire/net.go
+++ b/wire/net.go
@@ -97,58 +97,78 @@
 // Run owns the table.
 func (n *Net) Run(ctx context.Context) {
 	waiting := map[line][]chan dialled{}
-	swap := func(change func(map[line]*Connection)) {
-		next := maps.Clone(*n.open.Load())
-		change(next)
-		n.open.Store(&next)
-	}
 	for {
 		select {
 		case <-ctx.Done():
-			for _, c := range *n.open.Load() {
-				c.Close()
-			}
+			n.closeAll()
 			return
 		case w := <-n.want:
-			if c, ok := (*n.open.Load())[w.line]; ok {
-				w.reply <- dialled{line: w.line, c: c}
-				continue
-			}
-			if waiting[w.line] = append(waiting[w.line], w.reply); len(waiting[w.line]) == 1 {
-				n.l.Go(ctx, "dial", func(ctx context.Context) {
-					c, err := dial(ctx, n.l, n.from, w.line.addr, n.own, &n.Counts)
-					if err != nil {
-						c = nil
-					}
-					select {
-					case n.made <- dialled{line: w.line, c: c, refused: errors.Is(err, syscall.ECONNREFUSED)}:
-					case <-ctx.Done():
-						if c != nil {
-							c.Close()
-						}
-					}
-				})
-			}
+			n.wanted(ctx, waiting, w)
 		case d := <-n.made:
 			for _, reply := range waiting[d.line] {
 				reply <- d
 			}
 			delete(waiting, d.line)
-			if d.c == nil {
-				continue
+			if d.c != nil {
+				n.keep(ctx, d)
 			}
-			swap(func(m map[line]*Connection) { m[d.line] = d.c })
-			n.l.Go(ctx, "circuit-watch", func(ctx context.Context) {
-				<-d.c.Broken()
-				select {
-				case n.gone <- d.c:
-				case <-ctx.Done():
-				}
-			})
 		case c := <-n.gone:
-			swap(func(m map[line]*Connection) {
+			n.swap(func(m map[line]*Connection) {
 				maps.DeleteFunc(m, func(_ line, have *Connection) bool { return have == c })
 			})
 		}
 	}
 }
+
+func (n *Net) closeAll() {
+	for _, c := range *n.open.Load() {
+		c.Close()
+	}
+}
+
+// swap puts a changed copy of the table in its place.
+func (n *Net) swap(change func(map[line]*Connection)) {
+	next := maps.Clone(*n.open.Load())
+	change(next)
+	n.open.Store(&next)
+}
+
+// wanted answers who wants a connection that is open, and has others wait for the one that
+// is being opened.
+func (n *Net) wanted(ctx context.Context, waiting map[line][]chan dialled, w want) {
+	if c, ok := (*n.open.Load())[w.line]; ok {
+		w.reply <- dialled{line: w.line, c: c}
+		return
+	}
+	waiting[w.line] = append(waiting[w.line], w.reply)
+	if len(waiting[w.line]) == 1 {
+		n.l.Go(ctx, "dial", func(ctx context.Context) { n.dial(ctx, w.line) })
+	}
+}
+
+// dial opens a connection and hands it to Run.
+func (n *Net) dial(ctx context.Context, to line) {
+	c, err := dial(ctx, n.l, n.from, to.addr, n.own, &n.Counts)
+	if err != nil {
+		c = nil
+	}
+	select {
+	case n.made <- dialled{line: to, c: c, refused: errors.Is(err, syscall.ECONNREFUSED)}:
+	case <-ctx.Done():
+		if c != nil {
+			c.Close()
+		}
+	}
+}
+
+// keep puts a connection into the table until it has ended.
+func (n *Net) keep(ctx context.Context, d dialled) {
+	n.swap(func(m map[line]*Connection) { m[d.line] = d.c })
+	n.l.Go(ctx, "circuit-watch", func(ctx context.Context) {
+		<-d.c.Broken()
+		select {
+		case n.gone <- d.c:
+		case <-ctx.Done():
+		}
+	})
+}
