--- a/core/leave.go
+++ b/core/leave.go
@@ -10,7 +10,7 @@
 const (
 	// leaveLimit is how long a core that is being stopped tries to leave the set.
 	leaveLimit = 2 * time.Second // (ours)
-	// linger is how long it takes at most, after that, to part with its operators.
+	// linger is how long it says the farewell, after that, to operators that keep coming.
 	linger = 2 * time.Second // (ours)
 	// leaveEvery is how often it looks whether it has left, or tries again.
 	leaveEvery = 100 * time.Millisecond // (ours)
--- a/core/node.go
+++ b/core/node.go
@@ -249,8 +249,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), n.reload.Drain())
 	defer cancel()
 	n.leave(ctx)
-	parting, over := context.WithTimeout(ctx, linger)
-	defer over()
-	n.p.PartAll(parting, process.Farewell(http.Header{}, nil))
+	n.p.PartAll(ctx, linger, process.Farewell(http.Header{}, nil))
 	n.p.End()
 }
--- a/process/webs.go
+++ b/process/webs.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 )
 
 // webs are the HTTP listeners of a process.
@@ -27,15 +28,18 @@
 	return slices.Clone(ws.all)
 }
 
-// PartAll parts with the clients of all listeners, side by side, until ctx ends: what they
-// have sent is answered, and idle connections get the farewell.
-func (p *Process) PartAll(ctx context.Context, farewell []byte) {
+// PartAll parts with the clients of all listeners, side by side: idle connections get the
+// farewell, for as long as linger if new ones keep coming, and what was sent is answered until
+// ctx ends.
+func (p *Process) PartAll(ctx context.Context, linger time.Duration, farewell []byte) {
+	parting, over := context.WithTimeout(ctx, linger)
+	defer over()
 	var all sync.WaitGroup
 	for _, w := range p.webs.list() {
 		all.Add(1)
 		p.Launcher.Go(ctx, "part", func(ctx context.Context) {
 			defer all.Done()
-			w.Part(ctx, farewell)
+			w.Part(parting, farewell)
 			w.Stop(ctx)
 		})
 	}
--- a/proof/defects/all.go
+++ b/proof/defects/all.go
@@ -115,7 +115,7 @@
 	{dropped, "sidecar/stop.go", "n.giveUp(relay.ErrStopping)", "", "./proof", "TestStopAnswersWhatIsOpen", nil},
 	{dropped, "relay/run.go", "case errors.Is(context.Cause(ctx), ErrStopping):", "case false:", "./proof", "TestStopAnswersWhatIsOpen", nil},
 	{dropped, "relay/near.go", "caller == \"\" && n.outlasts(q.deadline)", "false", "./proof", "TestStopRefusesWhatOutlastsIt", nil},
-	{dropped, "core/node.go", "n.p.PartAll(parting, process.Farewell(http.Header{}, nil))", "_, _ = parting, http.Header{}\n\tprocess.Farewell(http.Header{}, nil)", "./proof", "TestCoreStopAnswers", nil},
+	{dropped, "core/node.go", "n.p.PartAll(ctx, linger, process.Farewell(http.Header{}, nil))", "process.Farewell(http.Header{}, nil)", "./proof", "TestCoreStopAnswers", nil},
 	{left, "relay/near.go", "return watchClient(r.Context())", "return ignoreClient()", "./relay", "TestClientLeaves", nil},
 	{left, "relay/run.go", "over := q.client.during(func() { n.recallLater(ctx, t.Node, attempt) })", "over := func() {}", "./relay", "TestClientLeaves", nil},
 	{left, "relay/recall.go", "case open && attempt.repeatable:", "case false:", "./relay", "TestClientLeaves", nil},
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -207,13 +207,7 @@
 	h := &Host{Launcher: l, Handlers: map[string]Handler{"run": func(context.Context, Request) (any, string) { runs <- 1; return 1, "" }}}
 	h.Listener = listen(t)
 	l.Go(ctx, "host", h.Run)
-	conn, err := net.Dial("tcp", h.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	r := bufio.NewReader(conn)
-	exchange(conn, r, Greeting{}, uncounted, uncounted)
+	conn, r := greeted(t, h)
 	out, _ := encode(trace.Span{}, message{ID: 1, Kind: "run"})
 	conn.Write(append(append([]byte{}, out...), out...))
 	for {
@@ -238,13 +232,7 @@
 	}}
 	h.Listener = listen(t)
 	l.Go(life, "host", h.Run)
-	conn, err := net.Dial("tcp", h.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	r := bufio.NewReader(conn)
-	exchange(conn, r, Greeting{}, uncounted, uncounted)
+	conn, r := greeted(t, h)
 	send := func(id uint64, kind string) {
 		frame, err := encode(trace.Span{}, message{ID: id, Kind: kind})
 		if err != nil {
@@ -276,6 +264,19 @@
 	}
 }
 
+// greeted is a raw connection to a host, after the greetings.
+func greeted(t *testing.T, h *Host) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	conn, err := net.Dial("tcp", h.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	r := bufio.NewReader(conn)
+	exchange(conn, r, Greeting{}, uncounted, uncounted)
+	return conn, r
+}
+
 func listen(t *testing.T) net.Listener {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
