Sight: backends that leave, late announcements and what came of them are told

A line on standard output and a counter for each: leaving, unknown-left, overtaken, called-back. No change of logic. The fleets of the tests read on what their processes print.

--- a/process/process.go
+++ b/process/process.go
@@ -27,6 +27,8 @@
 	Boot     uint64
 	Ring     *ring.Ring
 	Log      *slog.Logger
+	// notices prints to standard output.
+	notices  *slog.Logger
 	Launcher *launch.Launcher
 	Net      *wire.Net
 	Host     *wire.Host
@@ -60,7 +62,7 @@
 		echo = os.Stderr
 	}
 	r := ring.New(s.LogLines, echo)
-	p := &Process{Name: name, Boot: rand.Uint64(), Ring: r, Log: slog.New(r), signals: make(chan os.Signal, 4)}
+	p := &Process{Name: name, Boot: rand.Uint64(), Ring: r, Log: slog.New(r), notices: slog.New(slog.NewTextHandler(os.Stdout, nil)), signals: make(chan os.Signal, 4)}
 	signal.Notify(p.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	p.Life, p.end = context.WithCancel(context.Background())
 	p.Launcher = launch.New(p.Log, p.broken)
@@ -74,6 +76,12 @@
 	return p
 }
 
+// Notice logs a rare line that operators want to see, and prints it too.
+func (p *Process) Notice(message string, attributes ...any) {
+	p.Log.Info(message, attributes...)
+	p.notices.Info(message, attributes...)
+}
+
 // broken ends the process over a broken invariant: the one thing that does.
 func (p *Process) broken(part string, cause any, stack []byte) {
 	p.Log.Error("broken invariant", "part", part, "cause", fmt.Sprint(cause))
--- a/proof/fleet/program.go
+++ b/proof/fleet/program.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -28,6 +29,7 @@
 	disk    string // the file that says what trouble the disk has
 
 	cmd    *exec.Cmd
+	stdout *tail
 	stderr *tail
 	exited chan struct{}
 }
@@ -74,7 +76,7 @@
 	p.cmd = exec.Command(p.path, p.args...)
 	p.cmd.Env = append(os.Environ(), "CURLEWWALK_PROOF_CLOCK="+p.clock, "CURLEWWALK_PROOF_DISK="+p.disk)
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	p.stderr = &tail{}
+	p.stdout, p.stderr = &tail{}, &tail{}
 	p.cmd.Stderr = p.stderr
 	out, err := p.cmd.StdoutPipe()
 	if err != nil {
@@ -83,11 +85,13 @@
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
-	line, err := bufio.NewReader(out).ReadString('\n')
+	reader := bufio.NewReader(out)
+	line, err := reader.ReadString('\n')
 	exited := make(chan struct{})
 	p.exited = exited
-	cmd := p.cmd
+	cmd, stdout := p.cmd, p.stdout
 	go func() {
+		io.Copy(stdout, reader) // a full pipe would hold the process up
 		cmd.Wait()
 		close(exited)
 	}()
@@ -124,6 +128,14 @@
 	}
 }
 
+// Printed is what the process wrote to its standard output after its first line.
+func (p *Program) Printed() string {
+	if p.stdout == nil {
+		return ""
+	}
+	return p.stdout.String()
+}
+
 // Said is what the process wrote to its standard error.
 func (p *Program) Said() string {
 	if p.stderr == nil {
--- a/roster/entry.go
+++ b/roster/entry.go
@@ -25,6 +25,9 @@
 	Desk *Desk
 }
 
+// Overtakes tells whether an announcement came later than one that was sent after it.
+func (e Entry) Overtakes(a Announcement) bool { return a.Count != 0 && a.Count < e.count }
+
 // ShareAt is the part of its capacity that the backend can bear at a time.
 func (e Entry) ShareAt(now time.Time) float64 {
 	share := cmp.Or(e.share, e.Share)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -28,8 +28,8 @@
 		return r, faults
 	}
 	old, known := r.entries[a.Instance]
-	if known && a.Count != 0 && a.Count < old.count {
-		return r, nil // overtaken by a later one: it tells nothing any more
+	if old.Overtakes(a) {
+		return r, nil // it tells nothing any more
 	}
 	e := Entry{Heard: now, ramp: ramp, share: share, coldUntil: now.Add(left), Desk: old.Desk, LeftAt: old.LeftAt, count: a.Count, Backend: membership.Backend{
 		Instance: a.Instance, Service: a.Service, Address: a.Address, Capacity: a.Capacity, Share: share,
@@ -110,6 +110,12 @@
 	return next
 }
 
+// Entry finds a backend; the zero Entry if it is not known.
+func (r Roster) Entry(instance string) (e Entry, known bool) {
+	e, known = r.entries[instance]
+	return e, known
+}
+
 // Entries lists the backends by instance.
 func (r Roster) Entries() []Entry {
 	var out []Entry
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -97,6 +97,11 @@
 			emit(float64(held-settled), "open")
 			emit(float64(settled), "answered")
 		}),
+		metrics.Counter("backend_departures_total", "Announcements and words of leaving of own backends, by what they came to.", []string{"word"}, func(emit metrics.Emit) {
+			for w, name := range wordNames {
+				emit(float64(n.steward.departures.counts[w].Load()), name)
+			}
+		}),
 		metrics.Gauge("draining", "Whether the sidecar is stopping.", nil, metrics.Value(func() float64 {
 			return metrics.Bool(n.draining.Load())
 		})),
--- a/sidecar/new.go
+++ b/sidecar/new.go
@@ -61,6 +61,7 @@
 	n.seeker = membership.NewSeeker()
 	n.steward = newSteward(p.Launcher, set.Advertise, p.Boot, set.Zone, set.ExtraAttempts, n.seeker.Hasten)
 	n.steward.roster.Store(&roster.Roster{Pace: roster.Pace{Beat: set.Beat}})
+	n.steward.departures.notice = p.Notice
 	n.steward.climb = routing.Climb{For: set.Ramp, From: set.RampFrom}
 	n.seeker.Own = func() membership.Heartbeat { node := n.steward.node(); return membership.Heartbeat{Node: &node} }
 	n.seeker.Addr, n.seeker.Net, n.seeker.Launcher = set.Advertise, p.Net, p.Launcher
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -45,6 +45,8 @@
 	report reportLimit
 	// climb is how zones are taken back.
 	climb routing.Climb
+	// departures tells what own backends said of leaving.
+	departures departures
 }
 
 // follows is what the steward shows of the feed.
@@ -144,11 +146,16 @@
 			m.reply <- nil
 			return
 		}
+		before, _ := s.roster.Load().Entry(m.a.Instance)
 		next, faults := s.roster.Load().Announce(m.a, s.zone, now)
+		after, _ := next.Entry(m.a.Instance)
+		s.departures.announced(m.a, before, after)
 		s.swapRoster(next)
 		m.reply <- faults
 	case msgLeave:
+		before, _ := s.roster.Load().Entry(m.instance)
 		next, ok := s.roster.Load().Leave(m.instance, now)
+		s.departures.left(m.instance, ok, before.Leaving)
 		s.swapRoster(next)
 		m.reply <- ok
 	case msgDrain:
