--- a/process/process.go
+++ b/process/process.go
@@ -23,10 +23,10 @@
 
 // Process is the frame that a program hangs its parts in.
 type Process struct {
-	Name     string
-	Boot     uint64
-	Ring     *ring.Ring
-	Log      *slog.Logger
+	Name string
+	Boot uint64
+	Ring *ring.Ring
+	Log  *slog.Logger
 	// notices prints to standard output.
 	notices  *slog.Logger
 	Launcher *launch.Launcher
--- a/proof/standin/backend.go
+++ b/proof/standin/backend.go
@@ -80,23 +80,47 @@
 	<-b.done
 }
 
-// Leave says that the backend is leaving.
+// Leave says that the backend is leaving. It serves on.
 func (b *Backend) Leave(ctx context.Context) error {
 	b.leaving.Store(true)
-	if err := b.announce(ctx); err != nil {
+	if err := b.announce(ctx, true); err != nil {
 		return err
 	}
 	b.Ledger.Left(ledger.Left{Instance: b.Instance, At: time.Now()})
 	return nil
 }
 
+// Depart says that the backend has gone, without having said that it is leaving, and
+// announces it no more. It serves on.
+func (b *Backend) Depart(ctx context.Context) error {
+	b.stop()
+	<-b.done
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+b.Control+"/v1/backends/"+b.Instance, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := b.Client.Do(req)
+	if err != nil {
+		return err
+	}
+	resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("word of leaving: status %d", resp.StatusCode)
+	}
+	b.Ledger.Left(ledger.Left{Instance: b.Instance, At: time.Now()})
+	return nil
+}
+
+// LateBeat sends an announcement from before the backend said that it is leaving.
+func (b *Backend) LateBeat(ctx context.Context) error { return b.announce(ctx, false) }
+
 func (b *Backend) announceLoop(ctx context.Context) {
 	defer close(b.done)
 	tick := time.NewTicker(500 * time.Millisecond)
 	defer tick.Stop()
 	for {
 		call, cancel := context.WithTimeout(ctx, 400*time.Millisecond)
-		b.announce(call)
+		b.announce(call, b.leaving.Load())
 		cancel()
 		select {
 		case <-ctx.Done():
@@ -107,10 +131,10 @@
 }
 
 // announce tells the sidecar once.
-func (b *Backend) announce(ctx context.Context) error {
+func (b *Backend) announce(ctx context.Context, leaving bool) error {
 	a := map[string]any{
 		"instance": b.Instance, "service": b.Service, "address": b.Addr(), "locality": b.Zone,
-		"capacity": b.Capacity, "leaving": b.leaving.Load(),
+		"capacity": b.Capacity, "leaving": leaving,
 	}
 	if b.Share > 0 {
 		a["warmup"] = map[string]any{"share": b.Share}
--- /dev/null
+++ b/roster/leaving_test.go
@@ -0,0 +1,98 @@
+package roster
+
+import (
+	"testing"
+	"time"
+)
+
+// own is a roster with one backend, which has announced itself up to a count.
+func own(t *testing.T, count uint64, now time.Time) (Roster, Announcement) {
+	t.Helper()
+	a := Announcement{Instance: "a", Service: "s", Address: "10.0.0.1:80", Capacity: 9, Count: count}
+	r, faults := Roster{}.Announce(a, "north", now)
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	return r, a
+}
+
+// admits tells whether the gate lets an attempt through to an instance.
+func admits(r Roster, instance string, now time.Time) bool {
+	_, refusal := r.Check(Ask{Service: "s", Instance: instance}, func(string) bool { return false }, now)
+	return refusal == Open
+}
+
+// Whoever has said that it leaves is given nothing more, and takes nothing from others,
+// whatever is heard of it later.
+func TestLeavingIsFinal(t *testing.T) {
+	t.Run("late announcement", lateAnnouncement)
+	t.Run("word of an unknown one", wordOfUnknown)
+	t.Run("late announcement of an address", lateAddress)
+}
+
+// lateAnnouncement has an announcement come after a word of leaving, however late, and
+// whether announcements count or not.
+func lateAnnouncement(t *testing.T) {
+	begin := time.Now()
+	leave := map[string]func(r Roster, a Announcement) Roster{
+		"by its announcement": func(r Roster, a Announcement) Roster {
+			a.Leaving = true
+			next, _ := r.Announce(a, "north", begin)
+			return next
+		},
+		"by a word of leaving": func(r Roster, a Announcement) Roster {
+			next, _ := r.Leave(a.Instance, begin)
+			return next
+		},
+		"by a word of leaving, twice": func(r Roster, a Announcement) Roster {
+			next, _ := r.Leave(a.Instance, begin)
+			next, _ = next.Leave(a.Instance, begin.Add(time.Second))
+			return next
+		},
+		"by a word of leaving, and forgotten in silence": func(r Roster, a Announcement) Roster {
+			next, _ := r.Leave(a.Instance, begin)
+			return next.Tick(begin.Add(r.Pace.Forget() + 1))
+		},
+	}
+	for way, leaves := range leave {
+		for _, count := range []uint64{0, 7} {
+			for _, after := range []time.Duration{time.Millisecond, 2250 * time.Millisecond, time.Minute, 24 * time.Hour} {
+				r, a := own(t, count, begin)
+				r = leaves(r, a)
+				if count > 0 {
+					a.Count++ // the newest that was sent, and late
+				}
+				now := begin.Add(after)
+				r, _ = r.Announce(a, "north", now)
+				if admits(r, "a", now) {
+					t.Errorf("left %s, announcements count from %d: admitted after %v", way, count, after)
+				}
+			}
+		}
+	}
+}
+
+// wordOfUnknown has a word of leaving come before any announcement, since that is late, or
+// the process has started anew.
+func wordOfUnknown(t *testing.T) {
+	now := time.Now()
+	r, _ := Roster{}.Leave("a", now)
+	_, a := own(t, 1, now)
+	if r, _ = r.Announce(a, "north", now.Add(time.Millisecond)); admits(r, "a", now.Add(time.Millisecond)) {
+		t.Error("admitted after its word of leaving")
+	}
+}
+
+// lateAddress has a backend that has left announce its address late: another has it now.
+func lateAddress(t *testing.T) {
+	now := time.Now()
+	r, a := own(t, 1, now)
+	r, _ = r.Leave("a", now)
+	next := a
+	next.Instance = "b"
+	r, _ = r.Announce(next, "north", now.Add(3*time.Second))
+	r, _ = r.Announce(a, "north", now.Add(4*time.Second))
+	if !admits(r, "b", now.Add(4*time.Second)) {
+		t.Error("the one that has the address now is not admitted to")
+	}
+}
