A backend's word of leaving is final, however late an earlier beat comes

The announcements' count could not help: DELETE has none. Change: departures are kept by instance, the newest 256, and bind whatever is announced later. A stopping sidecar's own marking of its backends is apart from their words. TestOvertaken expected that a beat without a count calls a leaving backend back: that is the fault itself; it now expects that it does not, at both times.

--- /dev/null
+++ b/membership/departures.go
@@ -0,0 +1,40 @@
+package membership
+
+import "slices"
+
+// MostDepartures is how many departures are remembered of a sidecar's backends: many more
+// than leave a machine while their late announcements may still be under way. There is no
+// bound in time, since nobody tells how late an announcement may come. (ours)
+const MostDepartures = 256
+
+// Departures are the instances that have said that they leave, the newest MostDepartures.
+// An instance is one life of a backend, so its word is final: no announcement that comes
+// later brings it back. The value is immutable. (DESIGN 9.1)
+type Departures struct {
+	instances []string // the oldest first
+}
+
+// Has tells whether an instance has said that it leaves.
+func (d Departures) Has(instance string) bool { return slices.Contains(d.instances, instance) }
+
+// With adds instances; changed is false if all of them were known.
+func (d Departures) With(instances ...string) (next Departures, changed bool) {
+	added := slices.Clone(d.instances)
+	for _, instance := range instances {
+		if !slices.Contains(added, instance) {
+			added = append(added, instance)
+		}
+	}
+	if len(added) == len(d.instances) {
+		return d, false
+	}
+	return Departures{instances: added[max(0, len(added)-MostDepartures):]}, true
+}
+
+// Beyond lists the instances that are not among others.
+func (d Departures) Beyond(others []string) []string {
+	return slices.DeleteFunc(d.List(), func(instance string) bool { return slices.Contains(others, instance) })
+}
+
+// List lists the instances, the oldest first.
+func (d Departures) List() []string { return slices.Clone(d.instances) }
--- a/proof/metrics_test.go
+++ b/proof/metrics_test.go
@@ -82,7 +82,7 @@
 		{caller, "lease_valid", 1, nil},
 		{caller, "configuration_version", 1, nil},
 		{caller, "sidecars_known", 2, nil},
-		{callee, "backend_departures_total", 0, []string{"word", "called-back"}},
+		{callee, "backend_departures_total", 0, []string{"word", "late"}},
 		{caller, "cores_live", 1, nil},
 		{callee, "keys_held", 1, []string{"state", "answered"}},
 		{core, "configuration_version", 1, []string{"state", "committed"}},
--- a/roster/entry.go
+++ b/roster/entry.go
@@ -12,9 +12,7 @@
 	membership.Backend
 	// Heard is when it last announced itself, by the monotonic clock.
 	Heard time.Time
-	// LeftAt is when it said that it was leaving.
-	LeftAt time.Time
-	ramp   time.Duration
+	ramp  time.Duration
 	// share is what it said that it bears; Share is what others are told.
 	share float64
 	// count is that of its newest announcement.
--- a/roster/leaving_test.go
+++ b/roster/leaving_test.go
@@ -41,17 +41,13 @@
 			return next
 		},
 		"by a word of leaving": func(r Roster, a Announcement) Roster {
-			next, _ := r.Leave(a.Instance, begin)
-			return next
+			return r.Depart(a.Instance)
 		},
 		"by a word of leaving, twice": func(r Roster, a Announcement) Roster {
-			next, _ := r.Leave(a.Instance, begin)
-			next, _ = next.Leave(a.Instance, begin.Add(time.Second))
-			return next
+			return r.Depart(a.Instance).Depart(a.Instance)
 		},
 		"by a word of leaving, and forgotten in silence": func(r Roster, a Announcement) Roster {
-			next, _ := r.Leave(a.Instance, begin)
-			return next.Tick(begin.Add(r.Pace.Forget() + 1))
+			return r.Depart(a.Instance).Tick(begin.Add(r.Pace.Forget() + 1))
 		},
 	}
 	for way, leaves := range leave {
@@ -76,7 +72,7 @@
 // the process has started anew.
 func wordOfUnknown(t *testing.T) {
 	now := time.Now()
-	r, _ := Roster{}.Leave("a", now)
+	r := Roster{}.Depart("a")
 	_, a := own(t, 1, now)
 	if r, _ = r.Announce(a, "north", now.Add(time.Millisecond)); admits(r, "a", now.Add(time.Millisecond)) {
 		t.Error("admitted after its word of leaving")
@@ -87,12 +83,21 @@
 func lateAddress(t *testing.T) {
 	now := time.Now()
 	r, a := own(t, 1, now)
-	r, _ = r.Leave("a", now)
+	r = r.Depart("a")
 	next := a
 	next.Instance = "b"
 	r, _ = r.Announce(next, "north", now.Add(3*time.Second))
-	r, _ = r.Announce(a, "north", now.Add(4*time.Second))
-	if !admits(r, "b", now.Add(4*time.Second)) {
-		t.Error("the one that has the address now is not admitted to")
+	leaving := a
+	leaving.Leaving = true
+	for _, late := range []Announcement{a, leaving} {
+		got, _ := r.Announce(late, "north", now.Add(4*time.Second))
+		if !admits(got, "b", now.Add(4*time.Second)) {
+			t.Errorf("the one that has the address now is not admitted to after %+v", late)
+		}
+	}
+	// Nor does one that this process never heard before.
+	started, _ := Roster{}.Announce(next, "north", now)
+	if started, _ = started.Announce(leaving, "north", now); !admits(started, "b", now) || !started.Departed("a") {
+		t.Error("a late word of leaving took the address")
 	}
 }
--- a/roster/overtaken_test.go
+++ b/roster/overtaken_test.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// An announcement that was overtaken on its way, however late, calls no leaving backend
-// back; one that counts nothing is taken as ever.
+// An announcement that was overtaken on its way, however late, tells nothing: nor does one
+// that counts nothing, of a backend that has said that it leaves.
 func TestOvertaken(t *testing.T) {
 	now := time.Now()
 	a := Announcement{Instance: "a", Service: "s", Address: "10.0.0.1:80", Capacity: 9, Count: 7}
@@ -17,14 +17,17 @@
 	gone, late := a, a
 	gone.Leaving, gone.Count, late.Count = true, 9, 8
 	r, _ = r.Announce(gone, "north", now)
-	for _, after := range []time.Duration{time.Millisecond, leftFor + time.Second} {
+	for _, after := range []time.Duration{time.Millisecond, 3 * time.Second} {
 		next, _ := r.Announce(late, "north", now.Add(after))
 		if e := next.entries["a"]; !e.Leaving || e.Heard != now {
 			t.Errorf("after %v an overtaken beat was taken: %+v", after, e)
 		}
 	}
 	late.Count = 0
-	if next, _ := r.Announce(late, "north", now.Add(leftFor+time.Second)); next.entries["a"].Leaving {
-		t.Error("one that does not count is not taken")
+	for _, after := range []time.Duration{time.Millisecond, 3 * time.Second} {
+		next, _ := r.Announce(late, "north", now.Add(after))
+		if e := next.entries["a"]; !e.Leaving || e.Heard != now {
+			t.Errorf("after %v one that does not count was taken: %+v", after, e)
+		}
 	}
 }
--- a/roster/pace_test.go
+++ b/roster/pace_test.go
@@ -17,7 +17,7 @@
 				t.Fatal(faults)
 			}
 		}
-		r, _ = r.Leave("b", begin)
+		r = r.Depart("b")
 		r = r.Shade(func(string) float64 { return 0 }, begin).Tick(begin)
 		for after, want := range map[time.Duration]Refusal{fresh: Open, fresh + 1: Stale} {
 			if _, why := r.Check(Ask{Service: "s", Instance: "a"}, func(string) bool { return false }, begin.Add(after)); why != want {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -9,31 +9,37 @@
 	"curlewwalk/membership"
 )
 
-// leftFor is how long a leaving backend stays so whatever it says, so that a beat that
-// was overtaken can't call it back.
-const leftFor = 2 * time.Second // (ours)
-
 // Roster is an immutable table of own backends by instance.
 type Roster struct {
 	Rev uint64
 	// Pace is how often they announce themselves.
 	Pace    Pace
 	entries map[string]Entry
+	// departures are those that have said that they leave, known or not.
+	departures membership.Departures
+	// draining tells that the sidecar is stopping: all its backends are told as leaving.
+	draining bool
 }
 
-// Announce takes a backend's word and returns the next roster, or the faults.
+// Announce takes a backend's word and returns the next roster, or the faults. Of one that
+// has said that it leaves, what says otherwise is late and tells nothing any more; and it
+// takes no address, since another instance may have that by now. (DESIGN 9.1)
 func (r Roster) Announce(a Announcement, home string, now time.Time) (Roster, []string) {
 	share, ramp, left, faults := a.check()
 	if len(faults) > 0 {
 		return r, faults
 	}
 	old, known := r.entries[a.Instance]
-	if old.Overtakes(a) {
-		return r, nil // it tells nothing any more
+	departed := r.departures.Has(a.Instance)
+	switch {
+	case old.Overtakes(a) || departed && !a.Leaving:
+		return r, nil
+	case a.Leaving && !known:
+		return r.Depart(a.Instance), nil
 	}
-	e := Entry{Heard: now, ramp: ramp, share: share, coldUntil: now.Add(left), Desk: old.Desk, LeftAt: old.LeftAt, count: a.Count, Backend: membership.Backend{
+	e := Entry{Heard: now, ramp: ramp, share: share, coldUntil: now.Add(left), Desk: old.Desk, count: a.Count, Backend: membership.Backend{
 		Instance: a.Instance, Service: a.Service, Address: a.Address, Capacity: a.Capacity, Share: share,
-		Zone: cmp.Or(a.Zone, home), Leaving: a.Leaving,
+		Zone: cmp.Or(a.Zone, home), Leaving: a.Leaving || r.draining,
 	}}
 	if e.Desk == nil || old.Address != a.Address || old.Service != a.Service {
 		e.Desk = NewDesk()
@@ -41,15 +47,9 @@
 	if old.share == share {
 		e.Share = old.Share // as it is shaded
 	}
-	switch {
-	case a.Leaving && !old.Leaving:
-		e.LeftAt = now
-	case !a.Leaving && old.Leaving && now.Sub(old.LeftAt) < leftFor:
-		e.Leaving = true
-	}
-	next := Roster{Rev: r.Rev, Pace: r.Pace, entries: maps.Clone(r.entries)}
-	if next.entries == nil {
-		next.entries = map[string]Entry{}
+	next := r.copy()
+	if a.Leaving {
+		next.departures, _ = r.departures.With(a.Instance)
 	}
 	// An address that another instance announces is no longer the earlier one's.
 	maps.DeleteFunc(next.entries, func(_ string, o Entry) bool {
@@ -62,21 +62,52 @@
 	return next, nil
 }
 
-// Leave marks a backend as leaving; false if it is not known.
-func (r Roster) Leave(instance string, now time.Time) (Roster, bool) {
-	e, ok := r.entries[instance]
-	if !ok || e.Leaving {
-		return r, ok
-	}
-	e.Leaving, e.LeftAt = true, now
-	next := Roster{Rev: r.Rev + 1, Pace: r.Pace, entries: maps.Clone(r.entries)}
-	next.entries[instance] = e
-	return next, true
+// copy is the same roster with a table of its own to change.
+func (r Roster) copy() Roster {
+	next := r
+	if next.entries = maps.Clone(r.entries); next.entries == nil {
+		next.entries = map[string]Entry{}
+	}
+	return next
+}
+
+// Depart takes that instances have said that they leave, whether they are known or not.
+func (r Roster) Depart(instances ...string) Roster {
+	departures, changed := r.departures.With(instances...)
+	if !changed {
+		return r
+	}
+	next := r.copy()
+	next.departures = departures
+	next.Rev++
+	for _, instance := range instances {
+		if e, known := next.entries[instance]; known {
+			e.Leaving = true
+			next.entries[instance] = e
+		}
+	}
+	return next
+}
+
+// Departed tells whether an instance has said that it leaves.
+func (r Roster) Departed(instance string) bool { return r.departures.Has(instance) }
+
+// Drain has all backends told as leaving: the sidecar is stopping. Their own words stand as
+// they are, since they may go on after it has started again.
+func (r Roster) Drain() Roster {
+	next := r.copy()
+	next.draining = true
+	for instance, e := range next.entries {
+		e.Leaving = true
+		next.entries[instance] = e
+	}
+	next.Rev++
+	return next
 }
 
 // Tick takes silent backends off.
 func (r Roster) Tick(now time.Time) Roster {
-	next := Roster{Rev: r.Rev, Pace: r.Pace, entries: maps.Clone(r.entries)}
+	next := r.copy()
 	maps.DeleteFunc(next.entries, func(_ string, e Entry) bool { return now.Sub(e.Heard) > r.Pace.Forget() })
 	if len(next.entries) == len(r.entries) {
 		return r
@@ -92,7 +123,7 @@
 // Shade lets the share that others are told of cold backends be what the rates of their
 // services come to; rate is 0 for a service without one.
 func (r Roster) Shade(rate func(service string) float64, now time.Time) Roster {
-	next := Roster{Rev: r.Rev, Pace: r.Pace, entries: maps.Clone(r.entries)}
+	next := r.copy()
 	for k, e := range next.entries {
 		share := e.share
 		if n := rate(e.Service); n > 0 && e.Cold(now) {
--- a/sidecar/departures.go
+++ b/sidecar/departures.go
@@ -26,13 +26,14 @@
 	wordUnknownLeft
 	// wordOvertaken is an announcement that a later one came before.
 	wordOvertaken
-	// wordCalledBack is an announcement that ended a leaving.
-	wordCalledBack
+	// wordLate is an announcement of a backend that has said that it leaves, and which
+	// does not say so.
+	wordLate
 	numWords
 )
 
 // wordNames are the words as logs and metrics name them.
-var wordNames = [numWords]string{"leaving", "unknown-left", "overtaken", "called-back"}
+var wordNames = [numWords]string{"leaving", "unknown-left", "overtaken", "late"}
 
 // note counts a word and prints it.
 func (d *departures) note(w word, instance string, attributes ...any) {
@@ -42,25 +43,27 @@
 	}
 }
 
-// announced compares a backend before and after an announcement.
-func (d *departures) announced(a roster.Announcement, before, after roster.Entry) {
-	attributes := []any{"count", a.Count, "state-leaving", a.Leaving}
+// announced compares a roster before and after an announcement.
+func (d *departures) announced(a roster.Announcement, before, after roster.Roster) {
+	entry, _ := before.Entry(a.Instance)
 	switch {
-	case before.Leaving && !after.Leaving:
-		d.note(wordCalledBack, a.Instance, append(attributes, "after", after.Heard.Sub(before.LeftAt))...)
-	case !before.Leaving && after.Leaving:
-		d.note(wordLeaving, a.Instance, attributes...)
-	case before.Overtakes(a):
-		d.note(wordOvertaken, a.Instance, attributes...)
+	case before.Departed(a.Instance) && !a.Leaving:
+		d.note(wordLate, a.Instance, "count", a.Count)
+	case entry.Overtakes(a):
+		d.note(wordOvertaken, a.Instance, "count", a.Count)
+	case !before.Departed(a.Instance) && after.Departed(a.Instance):
+		d.note(wordLeaving, a.Instance, "by", "announcement", "count", a.Count)
 	}
 }
 
-// left takes a word of leaving that is no announcement.
+// left takes a word of leaving that is no announcement; before tells whether the instance
+// had said so already.
 func (d *departures) left(instance string, known, before bool) {
 	switch {
-	case !known:
-		d.note(wordUnknownLeft, instance, "by", "delete")
-	case !before:
+	case before:
+	case known:
 		d.note(wordLeaving, instance, "by", "delete")
+	default:
+		d.note(wordUnknownLeft, instance, "by", "delete")
 	}
 }
--- a/sidecar/steward.go
+++ b/sidecar/steward.go
@@ -146,24 +146,19 @@
 			m.reply <- nil
 			return
 		}
-		before, _ := s.roster.Load().Entry(m.a.Instance)
-		next, faults := s.roster.Load().Announce(m.a, s.zone, now)
-		after, _ := next.Entry(m.a.Instance)
-		s.departures.announced(m.a, before, after)
+		before := s.roster.Load()
+		next, faults := before.Announce(m.a, s.zone, now)
+		s.departures.announced(m.a, *before, next)
 		s.swapRoster(next)
 		m.reply <- faults
 	case msgLeave:
-		before, _ := s.roster.Load().Entry(m.instance)
-		next, ok := s.roster.Load().Leave(m.instance, now)
-		s.departures.left(m.instance, ok, before.Leaving)
-		s.swapRoster(next)
-		m.reply <- ok
+		before := s.roster.Load()
+		_, known := before.Entry(m.instance)
+		s.departures.left(m.instance, known, before.Departed(m.instance))
+		s.swapRoster(before.Depart(m.instance))
+		m.reply <- known
 	case msgDrain:
-		next := *s.roster.Load()
-		for _, e := range next.Entries() {
-			next, _ = next.Leave(e.Instance, now)
-		}
-		s.swapRoster(next)
+		s.swapRoster(s.roster.Load().Drain())
 	case msgNews:
 		s.take(m.core, m.n)
 		s.claim.Renew(m.asked.Add(-m.n.Age))
