--- a/proof/day/day.go
+++ b/proof/day/day.go
@@ -25,6 +25,9 @@
 	forceWithin  = 2 * time.Second
 )
 
+// ruleDay is of what the day judges itself: configurations, and the return of service.
+const ruleDay ledger.Rule = "DAY"
+
 // Day is one run.
 type Day struct {
 	F   *fleet.Fleet
@@ -37,7 +40,7 @@
 	serial   int
 	acked    map[uint64][]byte
 	newest   uint64
-	broken   []string
+	broken   []ledger.Breach
 	slowest  time.Duration              // return of service after a fault
 	spread   time.Duration              // slowest configuration in force
 	back     map[string][]time.Duration // return of service, by kind of request and of its word
@@ -135,7 +138,7 @@
 func (d *Day) say(format string, args ...any) { fmt.Fprintf(d.Out, format+"\n", args...) }
 
 func (d *Day) wrong(format string, args ...any) {
-	d.broken = append(d.broken, fmt.Sprintf(format, args...))
+	d.broken = append(d.broken, ledger.Breach{Rule: ruleDay, Text: fmt.Sprintf(format, args...)})
 }
 
 // pause lets load run for a while.
--- a/proof/fault/relay.go
+++ b/proof/fault/relay.go
@@ -13,13 +13,14 @@
 // Net is the network between machines: all relays obey its cuts.
 type Net struct {
 	mu   sync.Mutex
-	cut  func(from, to string) bool // whether nothing gets from one machine to another
-	turn chan struct{}              // closed and renewed when the cuts change
+	cut  func(from, to string) bool           // whether nothing gets from one machine to another
+	more map[*func(from, to string) bool]bool // cuts that overlap, until each is mended
+	turn chan struct{}                        // closed and renewed when the cuts change
 }
 
 // NewNet makes a whole network.
 func NewNet() *Net {
-	return &Net{cut: func(string, string) bool { return false }, turn: make(chan struct{})}
+	return &Net{cut: func(string, string) bool { return false }, more: map[*func(from, to string) bool]bool{}, turn: make(chan struct{})}
 }
 
 // Split puts the named machines on a side of their own. What passes between
@@ -44,10 +45,31 @@
 // Whole mends the network: what piled up goes on its way.
 func (n *Net) Whole() { n.Split() }
 
-func (n *Net) set(cut func(from, to string) bool) {
+// Add adds a cut beside all others; mend ends it.
+func (n *Net) Add(cut func(from, to string) bool) (mend func()) {
+	n.change(func() { n.more[&cut] = true })
+	return func() { n.change(func() { delete(n.more, &cut) }) }
+}
+
+// cuts tells whether any cut stands between two machines.
+func (n *Net) cuts(from, to string) bool {
+	if n.cut(from, to) {
+		return true
+	}
+	for cut := range n.more {
+		if (*cut)(from, to) {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Net) set(cut func(from, to string) bool) { n.change(func() { n.cut = cut }) }
+
+func (n *Net) change(cuts func()) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.cut = cut
+	cuts()
 	close(n.turn)
 	n.turn = make(chan struct{})
 }
@@ -56,7 +78,7 @@
 func (n *Net) passable(ctx context.Context, from, to string) bool {
 	for {
 		n.mu.Lock()
-		ok, turn := !n.cut(from, to), n.turn
+		ok, turn := !n.cuts(from, to), n.turn
 		n.mu.Unlock()
 		if ok {
 			return true
--- a/proof/fleet/fleet.go
+++ b/proof/fleet/fleet.go
@@ -222,6 +222,13 @@
 	f.Kill(ps...)
 }
 
+// Reset ends all connections that others have to a process.
+func (f *Fleet) Reset(p *Program) {
+	if relay := f.relays[p.IP]; relay != nil {
+		relay.Drop()
+	}
+}
+
 // Blackout kills all that stands in one zone, backends included.
 func (f *Fleet) Blackout(zone string) (dead []*Program, gone []*standin.Backend) {
 	for i, p := range f.Sidecars {
--- a/proof/ledger/extra.go
+++ b/proof/ledger/extra.go
@@ -14,10 +14,10 @@
 
 // judgeExtra slides a window over the runs of each service: those beyond the
 // first of each request are extra tries.
-func (l *Ledger) judgeExtra(broken func(string, ...any)) {
+func (l *Ledger) judgeExtra(v *Verdict) {
 	for service, runs := range l.runsByService() {
 		slices.SortFunc(runs, func(a, b run) int { return a.at.Compare(b.at) })
-		judgeWindows(service, runs, broken)
+		judgeWindows(v, service, runs)
 	}
 }
 
@@ -39,7 +39,7 @@
 
 // judgeWindows checks each window that ends with a run; the runs are in order of
 // time. The first window that has too many extra runs is told.
-func judgeWindows(service string, runs []run, broken func(string, ...any)) {
+func judgeWindows(v *Verdict, service string, runs []run) {
 	first, extra, from := 0, 0, 0
 	count := func(r run, n int) {
 		if r.extra {
@@ -55,7 +55,7 @@
 			from++
 		}
 		if float64(extra) > extraShare*float64(first)+extraAllowance {
-			broken("%d extra tries to %s beside %d in 10 s", extra, service, first)
+			v.broken(RuleBudget, "", "%d extra tries to %s beside %d in 10 s", extra, service, first)
 			return
 		}
 	}
--- a/proof/ledger/ledger.go
+++ b/proof/ledger/ledger.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -63,6 +64,7 @@
 	sent     map[string]Sent
 	ran      map[string][]Ran
 	answered map[string]Answered
+	planned  map[string][]Planned
 	left     map[string]time.Time
 	emptied  map[string][]span
 }
@@ -71,7 +73,7 @@
 
 // New makes an empty ledger.
 func New() *Ledger {
-	return &Ledger{sent: map[string]Sent{}, ran: map[string][]Ran{}, answered: map[string]Answered{}, left: map[string]time.Time{}, emptied: map[string][]span{}}
+	return &Ledger{sent: map[string]Sent{}, ran: map[string][]Ran{}, planned: map[string][]Planned{}, answered: map[string]Answered{}, left: map[string]time.Time{}, emptied: map[string][]span{}}
 }
 
 func (l *Ledger) with(fn func()) {
@@ -86,11 +88,46 @@
 // Ran records a run as it begins.
 func (l *Ledger) Ran(r Ran) { l.with(func() { l.ran[r.ID] = append(l.ran[r.ID], r) }) }
 
+// Planned is how long a backend would work on a request, and when it ended.
+type Planned struct {
+	ID       string
+	Instance string
+	Begun    time.Time
+	Work     time.Duration
+	Ended    time.Time
+}
+
+// Planned records a run's work as it begins; ended is called at its end.
+func (l *Ledger) Planned(p Planned) (ended func()) {
+	return func() {
+		p.Ended = time.Now()
+		l.with(func() { l.planned[p.ID] = append(l.planned[p.ID], p) })
+	}
+}
+
+// Runs lists the runs of a request, and the work that has ended.
+func (l *Ledger) Runs(id string) (runs []Ran, work []Planned) {
+	l.with(func() { runs, work = slices.Clone(l.ran[id]), slices.Clone(l.planned[id]) })
+	return runs, work
+}
+
+// LeftAt tells when a backend's first word of leaving was taken.
+func (l *Ledger) LeftAt(instance string) (at time.Time, left bool) {
+	l.with(func() { at, left = l.left[instance] })
+	return at, left
+}
+
 // Answered records an answer.
 func (l *Ledger) Answered(a Answered) { l.with(func() { l.answered[a.ID] = a }) }
 
-// Left records that a backend's word of leaving was taken.
-func (l *Ledger) Left(x Left) { l.with(func() { l.left[x.Instance] = x.At }) }
+// Left records that a backend's word of leaving was taken: its first one counts.
+func (l *Ledger) Left(x Left) {
+	l.with(func() {
+		if _, known := l.left[x.Instance]; !known {
+			l.left[x.Instance] = x.At
+		}
+	})
+}
 
 // Emptied records that a zone was asked to be emptied; taken back ends it.
 func (l *Ledger) Emptied(zone string, at time.Time) {
@@ -143,7 +180,7 @@
 	// Cuts says how, for some of them.
 	Cuts []string
 	// Broken lists what must never happen and did.
-	Broken []string
+	Broken []Breach
 }
 
 const (
@@ -152,8 +189,8 @@
 )
 
 // broken notes that something happened that must never.
-func (v *Verdict) broken(format string, args ...any) {
-	v.Broken = append(v.Broken, fmt.Sprintf(format, args...))
+func (v *Verdict) broken(rule Rule, id, format string, args ...any) {
+	v.Broken = append(v.Broken, Breach{Rule: rule, ID: id, Text: fmt.Sprintf(format, args...)})
 }
 
 // cut counts a request that got no answer, and says how.
@@ -170,7 +207,7 @@
 	for id, runs := range l.ran {
 		l.judgeRuns(&v, id, runs)
 	}
-	l.judgeExtra(v.broken)
+	l.judgeExtra(&v)
 	v.Spread = l.spread()
 	for id, answer := range l.answered {
 		l.judgeAnswer(&v, id, answer)
@@ -183,17 +220,17 @@
 	v.Ran += len(runs)
 	sent, ok := l.sent[id]
 	if !ok {
-		v.broken("%s ran at %s, but nobody sent it", id, runs[0].Instance)
+		v.broken(RuleUnasked, id, "%s ran at %s, but nobody sent it", id, runs[0].Instance)
 		return
 	}
 	if len(runs) > 1+l.again(id) && !sent.Repeatable {
-		v.broken("%s must run once and ran %d times", id, len(runs))
+		v.broken(RuleTwice, id, "%s must run once and ran %d times", id, len(runs))
 	}
 	for _, run := range runs {
 		if run.Zone != sent.Zone {
 			v.Crossed++
 		}
-		l.judgeRun(sent, run, v.broken)
+		l.judgeRun(v, sent, run)
 	}
 }
 
@@ -212,11 +249,11 @@
 	default:
 		v.Good++
 		if len(l.ran[id]) == 0 {
-			v.broken("%s got an answer and never ran", id)
+			v.broken(RuleMixed, id, "%s got an answer and never ran", id)
 		}
 	}
 	if answer.Wrong != "" {
-		v.broken("%s got a wrong answer: %s", id, answer.Wrong)
+		v.broken(RuleMixed, id, "%s got a wrong answer: %s", id, answer.Wrong)
 	}
 }
 
@@ -230,7 +267,7 @@
 	}
 	// What may be repeated may have run any number of times of one sending.
 	if ran := len(l.ran[id]); ran > again && (again == 0 || !l.sent[id].Repeatable) {
-		v.broken("%s was promised not to have run and ran %d times", id, ran)
+		v.broken(RuleRefused, id, "%s was promised not to have run and ran %d times", id, ran)
 	}
 }
 
@@ -242,22 +279,22 @@
 	return l.answered[id].Again
 }
 
-func (l *Ledger) judgeRun(s Sent, r Ran, broken func(string, ...any)) {
+func (l *Ledger) judgeRun(v *Verdict, s Sent, r Ran) {
 	if r.Service != s.Service {
-		broken("%s was for %s and ran at %s of %s", s.ID, s.Service, r.Instance, r.Service)
+		v.broken(RuleRoute, s.ID, "%s was for %s and ran at %s of %s", s.ID, s.Service, r.Instance, r.Service)
 	}
 	if r.Digest != s.Digest {
-		broken("%s was altered on its way", s.ID)
+		v.broken(RuleUnasked, s.ID, "%s was altered on its way", s.ID)
 	}
 	if r.Caller != s.Caller {
-		broken("%s was sent by %q and told to be by %q", s.ID, s.Caller, r.Caller)
+		v.broken(RuleUnasked, s.ID, "%s was sent by %q and told to be by %q", s.ID, s.Caller, r.Caller)
 	}
 	if at, ok := l.left[r.Instance]; ok && r.At.Sub(at) > leaveWithin {
-		broken("%s ran at %s %v after it had left", s.ID, r.Instance, r.At.Sub(at))
+		v.broken(RuleDrain, s.ID, "%s ran at %s %v after it had left", s.ID, r.Instance, r.At.Sub(at))
 	}
 	for _, e := range l.emptied[r.Zone] {
 		if r.At.Sub(e.from) > emptyWithin && (e.to.IsZero() || r.At.Before(e.to)) {
-			broken("%s ran in %s %v after it was to be emptied", s.ID, r.Zone, r.At.Sub(e.from))
+			v.broken(RuleEvac, s.ID, "%s ran in %s %v after it was to be emptied", s.ID, r.Zone, r.At.Sub(e.from))
 		}
 	}
 }
--- a/proof/ledger/ledger_test.go
+++ b/proof/ledger/ledger_test.go
@@ -66,8 +66,17 @@
 		l.Answered(answered)
 		c.defect(l)
 		v := l.Judge()
-		if got := strings.Join(v.Broken, "; "); (c.told == "") != (got == "") || !strings.Contains(got, c.told) {
+		if got := text(v.Broken); (c.told == "") != (got == "") || !strings.Contains(got, c.told) {
 			t.Errorf("%s: told %q, want %q", name, got, c.told)
 		}
 	}
 }
+
+// text is what the breaches tell.
+func text(all []Breach) string {
+	var out []string
+	for _, b := range all {
+		out = append(out, b.String())
+	}
+	return strings.Join(out, "; ")
+}
--- /dev/null
+++ b/proof/soak/shorten.go
@@ -0,0 +1,43 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+
+	"curlewwalk/proof/fleet"
+	"curlewwalk/proof/ledger"
+)
+
+// Shorten takes entries out of a plan while it still breaks a rule that it broke, for so many
+// plays at most: first halves, then smaller parts.
+func Shorten(ctx context.Context, p Plan, rules []ledger.Rule, bin fleet.Binaries, plays int, out io.Writer) Plan {
+	for parts := 2; parts <= 2*len(p.Entries) && plays > 0; parts *= 2 {
+		for part := 0; part < parts && plays > 0 && ctx.Err() == nil; part++ {
+			from, to := part*len(p.Entries)/parts, (part+1)*len(p.Entries)/parts
+			if from == to {
+				continue
+			}
+			shorter := p
+			shorter.Entries = slices.Delete(slices.Clone(p.Entries), from, to)
+			plays--
+			if breaks(ctx, shorter, rules, bin) {
+				p = shorter
+				fmt.Fprintf(out, "still broken with %d entries\n", len(p.Entries))
+				part--
+			}
+		}
+	}
+	return p
+}
+
+// breaks plays a plan and tells whether it breaks one of some rules.
+func breaks(ctx context.Context, p Plan, rules []ledger.Rule, bin fleet.Binaries) bool {
+	r, err := New(p, bin, nil)
+	if err != nil {
+		return false
+	}
+	res, err := r.Do(ctx)
+	return err == nil && slices.ContainsFunc(res.Broken, func(b ledger.Breach) bool { return slices.Contains(rules, b.Rule) })
+}
--- /dev/null
+++ b/proof/soak/table.go
@@ -0,0 +1,41 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+
+	"curlewwalk/proof/ledger"
+	"curlewwalk/proof/standin"
+)
+
+// Table prints results, a line each.
+type Table struct {
+	out    io.Writer
+	played int
+}
+
+// NewTable prints the head of a table.
+func NewTable(out io.Writer) *Table {
+	fmt.Fprintf(out, "%-12s %6s %5s %7s %8s %8s %7s %6s %6s %6s %6s %7s %7s  %s\n",
+		"deployment", "seed", "sides", "entries", "sent", "answered", "refused", "cut", "left", "leave", "config", "half-ms", "most-ms", "broken")
+	return &Table{out: out}
+}
+
+// Add prints a result.
+func (t *Table) Add(r *Result) {
+	t.played++
+	counts := map[ledger.Rule]int{}
+	for _, b := range r.Broken {
+		counts[b.Rule]++
+	}
+	broken := "nothing"
+	if len(counts) > 0 {
+		broken = fmt.Sprint(counts)
+	}
+	fmt.Fprintf(t.out, "%-12s %6d %5d %7d %8d %8d %7d %6d %6d %6d %6d %7d %7d  %s\n",
+		r.Plan.Deployment, r.Seed, r.Size, r.Entries-r.Skipped, r.Sent, r.Ends[standin.EndAnswered], r.Ends[standin.EndRefused],
+		r.Ends[standin.EndCut], r.Ends[standin.EndLeft], r.Departures, r.Configurations, r.HalfMS, r.MostMS, broken)
+}
+
+// Played is how many results there were.
+func (t *Table) Played() int { return t.played }
--- a/proof/standin/again_test.go
+++ b/proof/standin/again_test.go
@@ -70,7 +70,7 @@
 func judged(t *testing.T, l *ledger.Ledger, cut, notRun int, broken string) {
 	t.Helper()
 	v := l.Judge()
-	if got := strings.Join(v.Broken, "; "); v.Cut != cut || v.NotRun != notRun || (broken == "") != (got == "") || !strings.Contains(got, broken) {
+	if got := fmt.Sprint(v.Broken); v.Cut != cut || v.NotRun != notRun || (broken == "") != (len(v.Broken) == 0) || !strings.Contains(got, broken) {
 		t.Errorf("cut %d %v, not run %d, broken %q; want %d, %d, %q", v.Cut, v.Cuts, v.NotRun, got, cut, notRun, broken)
 	}
 }
--- a/proof/standin/backend.go
+++ b/proof/standin/backend.go
@@ -26,7 +26,11 @@
 	// Share is what it says of its warm-up; zero means warm.
 	Share float64
 	// Slow is how many times longer than planned it works; zero means as planned.
-	Slow    float64
+	Slow float64
+	// Slowed is as Slow, of a while; zero if it is none.
+	Slowed atomic.Int64
+	// Counts tells whether its announcements are counted.
+	Counts  bool
 	Control string // the sidecar's control address
 	Plans   []Plan
 	Ledger  *ledger.Ledger
@@ -46,6 +50,7 @@
 	done     chan struct{}
 	leaving  atomic.Bool
 	serial   atomic.Int64
+	calls    atomic.Int64
 }
 
 // Start listens on addr and announces itself until stopped.
@@ -93,8 +98,16 @@
 // Depart says that the backend has gone, without having said that it is leaving, and
 // announces it no more. It serves on.
 func (b *Backend) Depart(ctx context.Context) error {
-	b.stop()
-	<-b.done
+	b.Silence()
+	if err := b.sayGone(ctx); err != nil {
+		return err
+	}
+	b.Ledger.Left(ledger.Left{Instance: b.Instance, At: time.Now()})
+	return nil
+}
+
+// sayGone is a word of leaving. One of a backend that is not known is taken as well.
+func (b *Backend) sayGone(ctx context.Context) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+b.Control+"/v1/backends/"+b.Instance, nil)
 	if err != nil {
 		return err
@@ -104,16 +117,37 @@
 		return err
 	}
 	resp.Body.Close()
-	if resp.StatusCode/100 != 2 {
+	if resp.StatusCode/100 != 2 && resp.StatusCode != http.StatusNotFound {
 		return fmt.Errorf("word of leaving: status %d", resp.StatusCode)
 	}
-	b.Ledger.Left(ledger.Left{Instance: b.Instance, At: time.Now()})
 	return nil
 }
 
 // LateBeat sends an announcement from before the backend said that it is leaving.
 func (b *Backend) LateBeat(ctx context.Context) error { return b.announce(ctx, false) }
 
+// Beat is an announcement as it stands now, to be sent at any time, and again.
+func (b *Backend) Beat() (send func(ctx context.Context) error) {
+	body := b.announcement(b.leaving.Load())
+	return func(ctx context.Context) error { return b.send(ctx, body) }
+}
+
+// Silence ends the announcements. It serves on.
+func (b *Backend) Silence() {
+	b.stop()
+	<-b.done
+}
+
+// Say says once that the backend is leaving, by its announcement or by a word of leaving;
+// the caller tells the ledger.
+func (b *Backend) Say(ctx context.Context, gone bool) error {
+	if !gone {
+		b.leaving.Store(true)
+		return b.announce(ctx, true)
+	}
+	return b.sayGone(ctx)
+}
+
 func (b *Backend) announceLoop(ctx context.Context) {
 	defer close(b.done)
 	tick := time.NewTicker(500 * time.Millisecond)
@@ -130,8 +164,8 @@
 	}
 }
 
-// announce tells the sidecar once.
-func (b *Backend) announce(ctx context.Context, leaving bool) error {
+// announcement is what the backend says of itself now.
+func (b *Backend) announcement(leaving bool) []byte {
 	a := map[string]any{
 		"instance": b.Instance, "service": b.Service, "address": b.Addr(), "locality": b.Zone,
 		"capacity": b.Capacity, "leaving": leaving,
@@ -139,7 +173,20 @@
 	if b.Share > 0 {
 		a["warmup"] = map[string]any{"share": b.Share}
 	}
+	if b.Counts {
+		a["count"] = b.calls.Add(1)
+	}
 	body, _ := json.Marshal(a)
+	return body
+}
+
+// announce tells the sidecar once.
+func (b *Backend) announce(ctx context.Context, leaving bool) error {
+	return b.send(ctx, b.announcement(leaving))
+}
+
+// send sends an announcement.
+func (b *Backend) send(ctx context.Context, body []byte) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.Control+"/v1/backends", bytes.NewReader(body))
 	if err != nil {
 		return err
@@ -164,6 +211,7 @@
 
 // serve runs a request: records it, works, makes its inner calls, answers.
 func (b *Backend) serve(w http.ResponseWriter, r *http.Request) {
+	begun := time.Now()
 	n := b.open.Add(1)
 	defer b.open.Add(-1)
 	for old := b.Peak.Load(); n > old && !b.Peak.CompareAndSwap(old, n); old = b.Peak.Load() {
@@ -187,6 +235,8 @@
 	if b.Slow > 0 {
 		work = time.Duration(float64(work) * b.Slow)
 	}
+	work *= time.Duration(max(1, b.Slowed.Load()))
+	defer b.Ledger.Planned(ledger.Planned{ID: id, Instance: b.Instance, Begun: begun, Work: work})()
 	wait(r.Context(), work/2)
 	for _, name := range p.Calls {
 		b.call(r.Context(), id, name)
