A late announcement takes no address back, and none is taken from before a restart

One whose address was taken takes nothing back while the other is heard. What is heard for the first time two beats after a start, and is not its first by its count, is taken once a later one comes.

--- a/roster/leaving_test.go
+++ b/roster/leaving_test.go
@@ -101,3 +101,52 @@
 		t.Error("a late word of leaving took the address")
 	}
 }
+
+// A backend whose address another one has taken has ended: what it announces late takes
+// nothing back while the other is there. Where that one falls silent in its turn, it was the
+// late one.
+func TestLateAnnouncementOfDisplaced(t *testing.T) {
+	begin := time.Now()
+	r, a := own(t, 5, begin)
+	b := a
+	b.Instance, b.Service, b.Count = "b", "other", 1
+	now := begin.Add(3 * time.Second)
+	r, _ = r.Announce(b, "north", now)
+	a.Count = 6
+	now = now.Add(r.Pace.Fresh())
+	late, _ := r.Announce(a, "north", now)
+	if _, holds := late.Entry("b"); !holds || admits(late, "a", now) {
+		t.Error("a late announcement took the address back")
+	}
+	now = now.Add(1)
+	back, _ := r.Announce(a, "north", now)
+	if !admits(back, "a", now) {
+		t.Error("the one that is there is not taken, though the other is silent")
+	}
+}
+
+// A process that has been up for some beats has heard whoever is there. What it hears then
+// for the first time, and what counts as not its first announcement, may be late, from before
+// this process started: it is taken once a later one has come.
+func TestFirstHeardLate(t *testing.T) {
+	begin := time.Now()
+	for count, taken := range map[uint64][2]bool{0: {true, true}, 1: {true, true}, 7: {false, true}} {
+		r := Roster{Started: begin}
+		_, a := own(t, count, begin)
+		soon := begin.Add(r.Pace.Settled())
+		if got, _ := r.Announce(a, "north", soon); !admits(got, "a", soon) {
+			t.Errorf("count %d: not taken at the start", count)
+		}
+		now := soon.Add(1)
+		for i, want := range taken {
+			for range 2 { // it may come doubled
+				if r, _ = r.Announce(a, "north", now); admits(r, "a", now) != want {
+					t.Errorf("count %d, announcement %d: admitted %v", count, i+1, !want)
+				}
+			}
+			if count > 0 {
+				a.Count++
+			}
+		}
+	}
+}
--- a/roster/pace.go
+++ b/roster/pace.go
@@ -12,6 +12,10 @@
 // other services after about 2 s.
 func (p Pace) Fresh() time.Duration { return 3 * p.beat() }
 
+// Settled is how long after its start a process has heard all backends that are there:
+// each announces itself once a beat, about.
+func (p Pace) Settled() time.Duration { return 2 * p.beat() }
+
 // Forget is when a silent backend is taken off the roster.
 func (p Pace) Forget() time.Duration { return 10 * p.beat() }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -13,10 +13,16 @@
 type Roster struct {
 	Rev uint64
 	// Pace is how often they announce themselves.
-	Pace    Pace
+	Pace Pace
+	// Started is when this process began to hear announcements.
+	Started time.Time
 	entries map[string]Entry
 	// departures are those that have said that they leave, known or not.
 	departures membership.Departures
+	// displaced are those whose address another one has taken; doubted those that were
+	// heard for the first time when they should have been heard before.
+	displaced membership.Departures
+	doubted   []doubt
 	// draining tells that the sidecar is stopping: all its backends are told as leaving.
 	draining bool
 }
@@ -30,12 +36,13 @@
 		return r, faults
 	}
 	old, known := r.entries[a.Instance]
-	departed := r.departures.Has(a.Instance)
 	switch {
-	case old.Overtakes(a) || departed && !a.Leaving:
+	case r.late(a, now):
 		return r, nil
 	case a.Leaving && !known:
 		return r.Depart(a.Instance), nil
+	case !known && r.doubts(a, now):
+		return r.doubt(a), nil
 	}
 	e := Entry{Heard: now, ramp: ramp, share: share, coldUntil: now.Add(left), Desk: old.Desk, count: a.Count, Backend: membership.Backend{
 		Instance: a.Instance, Service: a.Service, Address: a.Address, Capacity: a.Capacity, Share: share,
@@ -48,14 +55,19 @@
 		e.Share = old.Share // as it is shaded
 	}
 	next := r.copy()
-	if a.Leaving && !departed {
+	if a.Leaving && !r.departures.Has(a.Instance) {
 		next.departures, _ = r.departures.With(a.Instance)
 		next.Rev++
 	}
 	// An address that another instance announces is no longer the earlier one's.
 	maps.DeleteFunc(next.entries, func(_ string, o Entry) bool {
-		return o.Address == a.Address && o.Instance != a.Instance
+		taken := o.Address == a.Address && o.Instance != a.Instance
+		if taken {
+			next.displaced, _ = next.displaced.With(o.Instance)
+		}
+		return taken
 	})
+	next.doubted = slices.DeleteFunc(slices.Clone(r.doubted), func(d doubt) bool { return d.instance == a.Instance })
 	next.entries[a.Instance] = e
 	if !known || old.Backend != e.Backend {
 		next.Rev++
--- a/sidecar/departures.go
+++ b/sidecar/departures.go
@@ -29,11 +29,13 @@
 	// wordLate is an announcement of a backend that has said that it leaves, and which
 	// does not say so.
 	wordLate
+	// wordDoubted is an announcement of one that should have been heard before.
+	wordDoubted
 	numWords
 )
 
 // wordNames are the words as logs and metrics name them.
-var wordNames = [numWords]string{"leaving", "unknown-left", "overtaken", "late"}
+var wordNames = [numWords]string{"leaving", "unknown-left", "overtaken", "late", "doubted"}
 
 // note counts a word and prints it.
 func (d *departures) note(w word, instance string, attributes ...any) {
@@ -49,6 +51,8 @@
 	switch {
 	case before.Departed(a.Instance) && !a.Leaving:
 		d.note(wordLate, a.Instance, "count", a.Count)
+	case after.Doubted(a.Instance):
+		d.note(wordDoubted, a.Instance, "count", a.Count)
 	case entry.Overtakes(a):
 		d.note(wordOvertaken, a.Instance, "count", a.Count)
 	case !before.Departed(a.Instance) && after.Departed(a.Instance):
--- a/sidecar/new.go
+++ b/sidecar/new.go
@@ -60,7 +60,7 @@
 	set, p := n.set, n.p
 	n.seeker = membership.NewSeeker()
 	n.steward = newSteward(p.Launcher, set.Advertise, p.Boot, set.Zone, set.ExtraAttempts, n.seeker.Hasten)
-	n.steward.roster.Store(&roster.Roster{Pace: roster.Pace{Beat: set.Beat}})
+	n.steward.roster.Store(&roster.Roster{Pace: roster.Pace{Beat: set.Beat}, Started: time.Now()})
 	n.steward.departures.notice = p.Notice
 	n.steward.climb = routing.Climb{For: set.Ramp, From: set.RampFrom}
 	n.seeker.Own = func() membership.Heartbeat { node := n.steward.node(); return membership.Heartbeat{Node: &node} }
