--- a/proof/soak/kinds.go
+++ b/proof/soak/kinds.go
@@ -29,6 +29,9 @@
 	kindSplit      Kind = "core-split"
 	kindConfigure  Kind = "configurations"
 	kindEvacuate   Kind = "zone-emptied"
+	kindZone       Kind = "zone-loses-power"
+	kindClocks     Kind = "clocks-jump"
+	kindInvalid    Kind = "invalid-configurations"
 )
 
 // The kinds of a plan's end.
@@ -75,6 +78,9 @@
 		kindSplit:      {longest: 6, do: split},
 		kindConfigure:  {planned: true, hows: configurings, longest: 0.5, most: 12, do: configure},
 		kindEvacuate:   {planned: true, longest: 9, do: evacuate},
+		kindZone:       {longest: 5, do: loseZone},
+		kindClocks:     {planned: true, longest: 6, do: jumpClocks},
+		kindInvalid:    {planned: true, most: 4, do: sendInvalid},
 	}
 }
 
--- /dev/null
+++ b/proof/soak/zones.go
@@ -0,0 +1,100 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"curlewwalk/proof/fleet"
+)
+
+// loseZone has a zone lose power, its backends with it; all comes back, the backends as new
+// ones. It waits its turn where something else is done there.
+func loseZone(ctx context.Context, r *Run, e Entry, _ *rand.Rand) {
+	zone := r.Fleet.Size.Zones[e.Target%len(r.Fleet.Size.Zones)]
+	var sidecars, cores []*fleet.Program
+	for i, p := range r.Fleet.Sidecars {
+		if r.Fleet.Zone(i) == zone {
+			sidecars = append(sidecars, p)
+		}
+	}
+	for i, p := range r.Fleet.Cores {
+		if r.Fleet.Zone(i) == zone {
+			cores = append(cores, p)
+		}
+	}
+	if len(cores) > 0 {
+		give, ok := r.holdCore(cores...)
+		if !ok {
+			r.skip(e)
+			return
+		}
+		defer give()
+	}
+	r.strike(e, false, sidecars, func() { r.zoneOff(ctx, e, zone, slices.Concat(sidecars, cores)) })
+}
+
+// zoneOff ends all that stands in a zone, and starts it again.
+func (r *Run) zoneOff(ctx context.Context, e Entry, zone string, programs []*fleet.Program) {
+	defer r.troubles.begin(Trouble{Kind: e.Kind, Machines: ips(programs), Core: true})()
+	var places []*place
+	for _, p := range r.places {
+		if r.Fleet.Zone(p.number) == zone && p.mu.TryLock() {
+			defer p.mu.Unlock()
+			places = append(places, p)
+			p.current.Load().Kill()
+		}
+	}
+	r.Fleet.PowerOff(programs...)
+	wait(ctx, seconds(e.For))
+	r.revive(ctx, programs...)
+	for _, p := range places {
+		r.replace(ctx, p, "", p.current.Load().Service)
+	}
+}
+
+// mostJump is how far a wall clock jumps at most, either way.
+const mostJump = 100 * time.Hour
+
+// jumpClocks has the wall clocks of a third of all machines jump, and back after a while.
+func jumpClocks(ctx context.Context, r *Run, e Entry, rng *rand.Rand) {
+	all := r.Fleet.Programs()
+	chosen := rng.Perm(len(all))[:len(all)/3]
+	for _, i := range chosen {
+		if err := r.Fleet.Jump(all[i], time.Duration(rng.Int64N(int64(2*mostJump)))-mostJump); err != nil {
+			r.find(ruleStart, "", "%v", err)
+		}
+	}
+	wait(ctx, seconds(e.For))
+	for _, i := range chosen {
+		if err := r.Fleet.Jump(all[i], 0); err != nil {
+			r.find(ruleStart, "", "%v", err)
+		}
+	}
+}
+
+// invalidConfigurations are refused for good, whatever is wrong with them.
+var invalidConfigurations = []string{
+	`{"ways":[{"name":"x"}]}`, `{"ways":`, `[]`,
+	`{"ways":[{"name":"x","prefix":"/x/","service":"s","contract":"none"}],"contracts":[]}`,
+}
+
+// sendInvalid sends invalid configurations; none may be acknowledged. That none is in force
+// shows in what is read and in the routes that are served.
+func sendInvalid(ctx context.Context, r *Run, e Entry, rng *rand.Rand) {
+	for range max(1, e.Count) {
+		body := invalidConfigurations[rng.IntN(len(invalidConfigurations))]
+		core := r.Fleet.Cores[rng.IntN(len(r.Fleet.Cores))]
+		call, cancel := context.WithTimeout(ctx, ackWithin)
+		number := strconv.FormatUint(r.operator.last(time.Now())+1000, 10)
+		reply, err := r.Fleet.Operate(call, core, http.MethodPut, "/v1/desired", []byte(body), headerGeneration, number)
+		cancel()
+		if err == nil && reply.Status < http.StatusBadRequest {
+			r.find(ruleConfig, "", "%s answered %d to an invalid configuration: %s", core.Name, reply.Status, body)
+		}
+		wait(ctx, 200*time.Millisecond)
+	}
+}
