A late announcement that is heard first after a start keeps no address from who is there

One announcement alone holds no address now, and where another is known to have it, an announcement that is not its instance's first waits for a second. TestLateAnnouncementAfterAStart, seen failing before. What is left (a beat after a start) is in DESIGN 9.1.

--- a/roster/entry.go
+++ b/roster/entry.go
@@ -15,8 +15,10 @@
 	ramp  time.Duration
 	// share is what it said that it bears; Share is what others are told.
 	share float64
-	// count is that of its newest announcement.
+	// count is that of its newest announcement; again tells that it was not the first one
+	// heard here.
 	count uint64
+	again bool
 	// coldUntil is when it is warm by its own word.
 	coldUntil time.Time
 	// Desk counts its open requests; all snapshots share it.
--- a/roster/late.go
+++ b/roster/late.go
@@ -28,21 +28,31 @@
 	return r.displaced.Has(a.Instance) && r.heldByAnother(a, now)
 }
 
-// heldByAnother tells whether another instance has the address and was heard lately.
+// heldByAnother tells whether another instance has the address, was heard lately, and again
+// after its first announcement here: one alone may be the late one.
 func (r Roster) heldByAnother(a Announcement, now time.Time) bool {
 	for _, e := range r.entries {
-		if e.Address == a.Address && e.Instance != a.Instance && now.Sub(e.Heard) <= r.Pace.Fresh() {
+		if e.Address == a.Address && e.Instance != a.Instance && e.again && now.Sub(e.Heard) <= r.Pace.Fresh() {
 			return true
 		}
 	}
 	return false
 }
 
+// heardAgain tells whether an announcement is not just its backend's last one, doubled.
+func (r Roster) heardAgain(old Entry, a Announcement, now time.Time) bool {
+	if a.Count != 0 {
+		return a.Count > old.count
+	}
+	return now.Sub(old.Heard) >= r.Pace.beat()/2
+}
+
 // doubts tells whether an announcement of an unknown instance may be late, from before this
-// process started: it isn't the instance's first, and who is there has been heard by now. It
-// is taken once a later one of the instance comes.
+// process started: it isn't the instance's first, and whoever is there has been heard by now,
+// or another is known to have its address. It is taken once a later one of the instance comes.
 func (r Roster) doubts(a Announcement, now time.Time) bool {
-	if r.Started.IsZero() || now.Sub(r.Started) <= r.Pace.Settled() || a.Count <= 1 {
+	settled := !r.Started.IsZero() && now.Sub(r.Started) > r.Pace.Settled()
+	if a.Count <= 1 || !settled && !r.heldByAnother(a, now) {
 		return false
 	}
 	i := slices.IndexFunc(r.doubted, func(d doubt) bool { return d.instance == a.Instance })
--- a/roster/leaving_test.go
+++ b/roster/leaving_test.go
@@ -112,6 +112,9 @@
 	b.Instance, b.Service, b.Count = "b", "other", 1
 	now := begin.Add(3 * time.Second)
 	r, _ = r.Announce(b, "north", now)
+	b.Count = 2
+	now = now.Add(r.Pace.beat())
+	r, _ = r.Announce(b, "north", now)
 	a.Count = 6
 	now = now.Add(r.Pace.Fresh())
 	late, _ := r.Announce(a, "north", now)
@@ -150,3 +153,40 @@
 		}
 	}
 }
+
+// In a process that has just started, a late announcement may be the first that is heard of
+// an address, or come between the first two of the one that is there. That one has its
+// address back with its next beat, and keeps it.
+func TestLateAnnouncementAfterAStart(t *testing.T) {
+	begin := time.Now()
+	for _, heardBefore := range []int{0, 1, 2} {
+		r := Roster{Started: begin}
+		_, late := own(t, 7, begin)
+		there := late
+		there.Instance, there.Count = "there", 20
+		now := begin
+		beat := func() {
+			now = now.Add(r.Pace.beat() / 4)
+			r, _ = r.Announce(there, "north", now)
+			there.Count++
+		}
+		for range heardBefore {
+			beat()
+		}
+		for range 2 { // it may come doubled
+			r, _ = r.Announce(late, "north", now)
+		}
+		if taken := admits(r, "a", now); taken == (heardBefore == 2) {
+			t.Errorf("after %d beats of the other: the late one is admitted to: %v", heardBefore, taken)
+		}
+		for beats := 1; beats <= 3; beats++ {
+			beat()
+			if !admits(r, "there", now) || admits(r, "a", now) {
+				t.Errorf("after %d beats of the other, and %d more: it does not have its address", heardBefore, beats)
+			}
+			if beats > 1 {
+				r, _ = r.Announce(late, "north", now)
+			}
+		}
+	}
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -51,6 +51,7 @@
 	if e.Desk == nil || old.Address != a.Address || old.Service != a.Service {
 		e.Desk = NewDesk()
 	}
+	e.again = known && (old.again || r.heardAgain(old, a, now))
 	if old.share == share {
 		e.Share = old.Share // as it is shaded
 	}
