--- a/roster/roster.go
+++ b/roster/roster.go
@@ -55,27 +55,33 @@
 	if old.share == share {
 		e.Share = old.Share // as it is shaded
 	}
-	next := r.copy()
+	next := r.with(e)
 	if a.Leaving && !r.departures.Has(a.Instance) {
 		next.departures, _ = r.departures.With(a.Instance)
 		next.Rev++
 	}
-	// An address that another instance announces is no longer the earlier one's.
-	maps.DeleteFunc(next.entries, func(_ string, o Entry) bool {
-		taken := o.Address == a.Address && o.Instance != a.Instance
-		if taken {
-			next.displaced, _ = next.displaced.With(o.Instance)
-		}
-		return taken
-	})
-	next.doubted = slices.DeleteFunc(slices.Clone(r.doubted), func(d doubt) bool { return d.instance == a.Instance })
-	next.entries[a.Instance] = e
 	if !known || old.Backend != e.Backend {
 		next.Rev++
 	}
 	return next, nil
 }
 
+// with is the roster with a backend that has announced itself. An address that it announces
+// is no longer an earlier one's.
+func (r Roster) with(e Entry) Roster {
+	next := r.copy()
+	maps.DeleteFunc(next.entries, func(_ string, other Entry) bool {
+		taken := other.Address == e.Address && other.Instance != e.Instance
+		if taken {
+			next.displaced, _ = next.displaced.With(other.Instance)
+		}
+		return taken
+	})
+	next.doubted = slices.DeleteFunc(slices.Clone(r.doubted), func(d doubt) bool { return d.instance == e.Instance })
+	next.entries[e.Instance] = e
+	return next
+}
+
 // copy is the same roster with a table of its own to change.
 func (r Roster) copy() Roster {
 	next := r
