--- a/proof/soak/backends.go
+++ b/proof/soak/backends.go
@@ -20,7 +20,7 @@
 	}
 	b := &standin.Backend{
 		Instance: fmt.Sprintf("%s-%d-%d", service, p.number, p.serial), Service: service, Zone: f.Zone(p.number), Capacity: f.Size.Capacity,
-		Control: f.Sidecars[p.number].Control, Plans: f.Size.Plans, Ledger: f.Ledger, Client: f.Client, Counts: p.serial%3 != 0,
+		Control: f.Sidecars[p.number].Control, Plans: f.Size.Plans, Ledger: f.Ledger, Client: f.Client, Counts: (p.serial+p.number)%3 != 0,
 	}
 	if err := b.Start(addr); err != nil {
 		return err
