--- a/proof/soak/backends.go
+++ b/proof/soak/backends.go
@@ -65,13 +65,13 @@
 
 // The ways in which a backend leaves.
 const (
-	howDecaying = "decaying"       // it announces that it leaves, and later that it has gone
-	howGone     = "gone"           // it says that it has gone, and serves on
-	howTwice    = "twice"          // it says both, each twice
-	howAddress  = "address-passes" // as gone; its address passes to the next one
+	howLeaving = "leaving"        // it announces that it leaves, and later that it has gone
+	howGone    = "gone"           // it says that it has gone, and serves on
+	howTwice   = "twice"          // it says both, each twice
+	howAddress = "address-passes" // as gone; its address passes to the next one
 )
 
-var leavings = []string{howDecaying, howGone, howTwice, howAddress}
+var leavings = []string{howLeaving, howGone, howTwice, howAddress}
 
 // leave has a backend leave in order, with beats from before its word that come late. The
 // next one stands up beside it, or takes its address once that may be given again.
@@ -152,7 +152,7 @@
 
 // endInOrder says that a backend has gone and ends it once it works on nothing.
 func (r *Run) endInOrder(ctx context.Context, b *standin.Backend, e Entry) {
-	if e.How == howDecaying {
+	if e.How == howLeaving {
 		b.Say(ctx, true)
 	}
 	b.Silence()
--- a/proof/soak/troubles.go
+++ b/proof/soak/troubles.go
@@ -6,19 +6,19 @@
 	"time"
 )
 
-// Bounds of the users' pages that the checks use.
+// Bounds of the users' rules, which the checks use.
 const (
-	contact   = 3 * time.Second        // contact_s
-	ackWithin = 4 * time.Second        // ack_s
-	settle    = 4 * time.Second        // settle_s
-	drain     = 2 * time.Second        // drain_s
-	grace     = 6 * time.Second        // grace_s
-	apply     = 2 * time.Second        // apply_s
-	lossSlack = 200 * time.Millisecond // loss_slack_s
-	revert    = 250 * time.Millisecond // revert_slack_s
-	reuse     = 2 * time.Second        // reuse_after_s
-	recovery  = 15 * time.Second       // recovery_s
-	goneAfter = 500 * time.Millisecond // GONE
+	contact   = 3 * time.Second        // a machine is in touch so long after trouble
+	ackWithin = 4 * time.Second        // an order is to be acknowledged
+	settle    = 4 * time.Second        // a machine counts as lost so long after its return
+	drain     = 2 * time.Second        // a leaving backend may still be sent requests
+	grace     = 6 * time.Second        // a process may take to end after SIGTERM
+	apply     = 2 * time.Second        // a configuration is to be in force
+	lossSlack = 200 * time.Millisecond // a whole request counts as taken
+	revert    = 250 * time.Millisecond // a version that was seen binds
+	reuse     = 2 * time.Second        // an address may be given to another backend
+	recovery  = 15 * time.Second       // service is to be back after a loss
+	goneAfter = 500 * time.Millisecond // work for a client that has left is to end
 )
 
 // Trouble is a span in which something was done to machines.
