Soak: long requests that may be repeated, so that GONE can be broken at all

The planted defect for GONE ran five minutes without being found: no repeatable request of the soak worked longer than 0.15 s, so its check could not trip.

--- a/proof/soak/clients.go
+++ b/proof/soak/clients.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"curlewwalk/proof/fleet"
 	"curlewwalk/proof/standin"
 )
 
@@ -50,6 +52,15 @@
 	}
 }
 
+// reportPlan is of requests that may be repeated and take long: what is done for clients that
+// leave them, and what is open at the end of a stop, shows with them.
+func reportPlan(size fleet.Size) standin.Plan {
+	return standin.Plan{
+		Name: "report", Method: http.MethodGet, Prefix: "/report/", Service: size.Backends[1], Repeatable: true,
+		Aim: 1200 * time.Millisecond, Deadline: 8 * time.Second, Rank: 4, Share: 0.06, Work: 1200 * time.Millisecond,
+	}
+}
+
 // markEvery is how often each sidecar is asked for a route that tells its configuration.
 const markEvery = 250 * time.Millisecond
 
--- a/proof/soak/run.go
+++ b/proof/soak/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,7 +51,7 @@
 // New lays a run out.
 func New(p Plan, bin fleet.Binaries, out io.Writer) (*Run, error) {
 	size := p.size()
-	size.Plans = append(size.Plans, markPlan(size))
+	size.Plans = slices.Concat([]standin.Plan{reportPlan(size)}, size.Plans, []standin.Plan{markPlan(size)})
 	f, err := fleet.New(size, bin)
 	if err != nil {
 		return nil, err
