--- a/roster/leaving_test.go
+++ b/roster/leaving_test.go
@@ -106,8 +106,15 @@
 // nothing back while the other is there. Where that one falls silent in its turn, it was the
 // late one.
 func TestLateAnnouncementOfDisplaced(t *testing.T) {
+	t.Run("counted", func(t *testing.T) { lateDisplaced(t, 5) })
+	t.Run("not counted", func(t *testing.T) { lateDisplaced(t, 0) })
+}
+
+// lateDisplaced has a backend whose announcements count from a number, or not at all, lose its
+// address and announce it late.
+func lateDisplaced(t *testing.T, count uint64) {
 	begin := time.Now()
-	r, a := own(t, 5, begin)
+	r, a := own(t, count, begin)
 	b := a
 	b.Instance, b.Service, b.Count = "b", "other", 1
 	now := begin.Add(3 * time.Second)
@@ -115,7 +122,9 @@
 	b.Count = 2
 	now = now.Add(r.Pace.beat())
 	r, _ = r.Announce(b, "north", now)
-	a.Count = 6
+	if count > 0 {
+		a.Count++
+	}
 	now = now.Add(r.Pace.Fresh())
 	late, _ := r.Announce(a, "north", now)
 	if _, holds := late.Entry("b"); !holds || admits(late, "a", now) {
