--- a/proof/soak/backends.go
+++ b/proof/soak/backends.go
@@ -73,12 +73,22 @@
 
 var leavings = []string{howLeaving, howGone, howTwice, howAddress}
 
+// take takes the place that an entry strikes, until its mu is unlocked; false if something is
+// done there already.
+func (r *Run) take(e Entry) (p *place, ok bool) {
+	p = r.places[e.Target%len(r.places)]
+	if !p.mu.TryLock() {
+		r.skip(e)
+		return nil, false
+	}
+	return p, true
+}
+
 // leave has a backend leave in order, with beats from before its word that come late. The
 // next one stands up beside it, or takes its address once that may be given again.
 func leave(ctx context.Context, r *Run, e Entry, rng *rand.Rand) {
-	p := r.places[e.Target%len(r.places)]
-	if !p.mu.TryLock() {
-		r.skip(e)
+	p, ok := r.take(e)
+	if !ok {
 		return
 	}
 	defer p.mu.Unlock()
@@ -172,9 +182,8 @@
 
 // crash has a backend end without a word; another stands up, at its address or a new one.
 func crash(ctx context.Context, r *Run, e Entry, rng *rand.Rand) {
-	p := r.places[e.Target%len(r.places)]
-	if !p.mu.TryLock() {
-		r.skip(e)
+	p, ok := r.take(e)
+	if !ok {
 		return
 	}
 	defer p.mu.Unlock()
--- a/proof/standin/caller.go
+++ b/proof/standin/caller.go
@@ -103,17 +103,4 @@
 }
 
 // Pick draws a plan by its share. One goroutine at a time may call it.
-func (c *Caller) Pick() Plan {
-	x := c.draw().Float64()
-	var last Plan
-	for _, p := range c.Plans {
-		if p.Share == 0 {
-			continue
-		}
-		last = p
-		if x -= p.Share; x < 0 {
-			break
-		}
-	}
-	return last
-}
+func (c *Caller) Pick() Plan { return pick(c.Plans, c.draw().Float64()) }
--- a/proof/standin/plan.go
+++ b/proof/standin/plan.go
@@ -21,3 +21,17 @@
 	// Body is how large the request's body is, about.
 	Body int
 }
+
+// pick is the plan at a point from 0 to 1 of the plans' shares laid end to end.
+func pick(plans []Plan, point float64) (last Plan) {
+	for _, p := range plans {
+		if p.Share == 0 {
+			continue
+		}
+		last = p
+		if point -= p.Share; point < 0 {
+			break
+		}
+	}
+	return last
+}
--- a/proof/standin/series.go
+++ b/proof/standin/series.go
@@ -86,7 +86,7 @@
 			wait(ctx, connectAgain)
 			continue
 		}
-		s.One(ctx, s.pick())
+		s.One(ctx, pick(s.Plans, s.Rand.Float64()))
 		if s.Pause > 0 {
 			wait(ctx, time.Duration(s.Rand.Int64N(int64(s.Pause))))
 		}
@@ -119,21 +119,6 @@
 	}
 }
 
-// pick draws a plan by its share.
-func (s *Series) pick() Plan {
-	x, last := s.Rand.Float64(), Plan{}
-	for _, p := range s.Plans {
-		if p.Share == 0 {
-			continue
-		}
-		last = p
-		if x -= p.Share; x < 0 {
-			break
-		}
-	}
-	return last
-}
-
 // One sends one request on the connection and waits for its answer, unless it is left.
 func (s *Series) One(ctx context.Context, p Plan) Exchange {
 	s.serial++
