--- a/review/standin/mesh.py
+++ b/review/standin/mesh.py
@@ -9,6 +9,7 @@
 import random
 import re
 import shutil
+import signal
 import socket
 import sys
 import tempfile
@@ -390,6 +391,7 @@
         finally:
             await fleet.stop()
 
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the fleet is stopped on the way out
     try:
         for program in ("sidecar", "controlplane"):
             if not os.path.exists(os.path.join(ROOT, "target", program)):
