Departures: recorded in the control state before they are acknowledged

Cause: a departure was kept only in memory, by the sidecar and by the replicas, and after 0.25 s it was acknowledged without any replica. Ruled out: admission without a lease (the late requests ran after its renewal), and the announcement's count (it is above all known ones and says nothing of a departure).

Change: departures are part of the control state, written by a command of the coordinator with all that are pending. The sidecar acknowledges one when the control state that it watches has it, and answers 503 after 0.9 s otherwise. A new process admits nothing before it has a confirmed control state, so it knows each acknowledged departure whatever comes first. DELETE of the platform answered 200 even where the sidecar had not processed it; that is 503 too.

Tests: e2e.TestDepartureOutlivesMassKill failed on the code before (25 and 28 requests late, both variants), passes now. Golden files are unchanged: a second set holds the added fields.

--- a/internal/config/control_state.go
+++ b/internal/config/control_state.go
@@ -1,6 +1,9 @@
 package config
 
-import "slices"
+import (
+	"bytes"
+	"slices"
+)
 
 // ControlState is the replicated state of the control plane at one revision. Each change creates a
 // complete new state. Some fields stay on the replicas and are not sent to sidecars (see
@@ -41,6 +44,10 @@
 	Members         []Member `msgpack:"sl,omitempty"`
 	PreviousMembers []Member `msgpack:"fo,omitempty"`
 	HighestMemberID int      `msgpack:"to,omitempty"`
+	// Departed lists the newest backend instances that have announced their departure, the newest
+	// last, at most MaxDepartures. A departure is final, and it is acknowledged only once it is
+	// recorded here. (DESIGN 9.1)
+	Departed []string `msgpack:"dp,omitempty"`
 }
 
 // ForSidecars returns the state without the fields that stay on the replicas.
@@ -62,6 +69,13 @@
 	return slices.Compact(out)
 }
 
+// RoutesAlike reports whether two states route all requests alike: they have the same configuration
+// and the same evacuated zones.
+func (s ControlState) RoutesAlike(other ControlState) bool {
+	return s.ConfigurationRevision == other.ConfigurationRevision && bytes.Equal(s.Configuration, other.Configuration) &&
+		slices.Equal(s.EvacuatedZones(), other.EvacuatedZones())
+}
+
 // HasClosure reports whether the state has a closure, waived or not, of a maintenance window.
 func (s ControlState) HasClosure(window string) bool {
 	return slices.ContainsFunc(s.Closures, func(c ZoneClosure) bool { return c.Window == window })
--- a/internal/controlplane/consensus/command.go
+++ b/internal/controlplane/consensus/command.go
@@ -28,6 +28,8 @@
 	CommandEndWindow CommandKind = "end"
 	// CommandReconfigure changes the member set: a member joins, leaves or replaces another.
 	CommandReconfigure CommandKind = "reseat"
+	// CommandRecordDepartures records that backend instances have departed.
+	CommandRecordDepartures CommandKind = "depart"
 )
 
 // Command is a write to the control state that the proposer executes.
@@ -63,6 +65,8 @@
 	Joining         config.Member   `msgpack:"sm"`
 	Leaving         int             `msgpack:"ou,omitempty"`
 	ExpectedMembers []config.Member `msgpack:"of,omitempty"`
+	// Departed lists the backend instances of a command that records departures.
+	Departed []string `msgpack:"dp,omitempty"`
 	// RevisionsOnly is set if the sender needs only the revisions of the resulting state.
 	RevisionsOnly bool `msgpack:"br,omitempty"`
 	// Deadline is the time, since the replica's start, at which the proposer ends the command
--- a/internal/controlplane/consensus/command_apply.go
+++ b/internal/controlplane/consensus/command_apply.go
@@ -30,6 +30,8 @@
 		state = state.WithEvacuation(command.Zone) // records the revocation as well
 	case CommandBeginWindow:
 		state.Closures = append(state.Closures, config.ZoneClosure{Zone: command.Zone, Window: command.Window})
+	case CommandRecordDepartures:
+		state = state.WithDepartures(command.Departed)
 	case CommandEndWindow:
 		state.Closures = slices.DeleteFunc(state.Closures, func(c config.ZoneClosure) bool { return c.Window == command.Window })
 	}
--- a/internal/controlplane/consensus/command_resolution.go
+++ b/internal/controlplane/consensus/command_resolution.go
@@ -19,6 +19,8 @@
 	switch {
 	case command.Kind == CommandRefresh:
 		return result, true
+	case command.Kind == CommandRecordDepartures && base.HaveDeparted(command.Departed):
+		return result, true // another replica has recorded them
 	case command.Kind == CommandBeginWindow && base.HasClosure(command.Window), command.Kind == CommandEndWindow && !base.HasClosure(command.Window):
 		return result, true // an earlier coordinator has committed it
 	case command.isNumbered() && command.Generation <= base.Generation:
@@ -108,6 +110,8 @@
 		return state.HasClosure(command.Window)
 	case CommandEndWindow:
 		return !state.HasClosure(command.Window)
+	case CommandRecordDepartures:
+		return state.HaveDeparted(command.Departed)
 	case CommandReconfigure:
 		return false // reconfigurations are resolved by resolveReconfiguration
 	}
--- a/internal/controlplane/consensus/state_files.go
+++ b/internal/controlplane/consensus/state_files.go
@@ -43,6 +43,8 @@
 	Members         []config.Member `json:"slots,omitempty"`
 	PreviousMembers []config.Member `json:"formerly,omitempty"`
 	HighestMemberID int             `json:"top,omitempty"`
+
+	Departed []string `json:"departed,omitempty"`
 }
 
 // decodePromise decodes a promise file. Fields that are missing in the file of an earlier
@@ -87,6 +89,7 @@
 		Generation: header.Generation, Submitted: header.Submitted, AcceptedGenerations: header.AcceptedGenerations,
 		Evacuations: header.Evacuations, CompactedRevision: header.CompactedRevision,
 		Members: header.Members, PreviousMembers: header.PreviousMembers, HighestMemberID: header.HighestMemberID,
+		Departed: header.Departed,
 	}
 	a.Promised = max(a.Promised, header.Term)
 	return a, nil
@@ -101,6 +104,7 @@
 		Generation: state.Generation, Submitted: state.Submitted, AcceptedGenerations: state.AcceptedGenerations,
 		Evacuations: state.Evacuations, CompactedRevision: state.CompactedRevision,
 		Members: state.Members, PreviousMembers: state.PreviousMembers, HighestMemberID: state.HighestMemberID,
+		Departed: state.Departed,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/controlplane/heartbeat.go
+++ b/internal/controlplane/heartbeat.go
@@ -20,6 +20,7 @@
 	case h.Node != nil:
 		sidecar = h.Node.Addr
 		response.Departed = n.watchServer.ObserveNode(ctx, *h.Node)
+		n.departures.Report(ctx, h.Node.Departed)
 	case h.NodeStatus != nil:
 		sidecar = h.NodeStatus.Addr
 		response.RequestFull = !n.watchServer.ObserveStatus(ctx, *h.NodeStatus)
--- a/internal/controlplane/node.go
+++ b/internal/controlplane/node.go
@@ -35,6 +35,7 @@
 
 	reconfigurer  *reconfigurer
 	joinRequester *joinRequester
+	departures    *departureRecorder
 	maintenance   *maintenanceScheduler
 
 	reloader  *process.Reloader
@@ -67,6 +68,7 @@
 	n.commands = &commandRouter{cluster: n.cluster, replica: n.replica, actors: p.Actors, executed: &n.counters.commands}
 	n.reconfigurer = newReconfigurer(cfg, n.cluster, n.commands, p)
 	n.joinRequester = &joinRequester{cluster: n.cluster, client: p.TransportClient, stopping: &n.stopping}
+	n.departures = newDepartureRecorder(n.cluster, n.commands, p.Actors, p.Log)
 	n.maintenance = &maintenanceScheduler{cluster: n.cluster, commands: n.commands, watchServer: n.watchServer, log: p.Log}
 	n.reloader = &process.Reloader{Discovery: n.discovery}
 	n.reloader.Apply(cfg.Common)
@@ -147,6 +149,7 @@
 		"watch":            n.watchServer.Run,
 		"maintenance":      n.maintenance.Run,
 		"reconfigurer":     n.reconfigurer.Run,
+		"departures":       n.departures.Run,
 		"join-requester":   n.joinRequester.Run,
 		"trace-store":      n.traces.Run,
 	} {
--- a/internal/dataplane/agent.go
+++ b/internal/dataplane/agent.go
@@ -144,7 +144,7 @@
 		Zone:            a.Zone,
 		AppliedRevision: a.table.Load().Revision,
 		Backends:        registry.Backends(),
-		Departed:        registry.RecentDepartures(),
+		Departed:        registry.UnrecordedDepartures(),
 		Refutation:      a.refutation.Load(),
 		OpenRequests:    registry.Outstanding(),
 		Suspects:        a.Suspects(),
@@ -154,15 +154,10 @@
 
 // handleHeartbeatResponse processes a control plane replica's response to a heartbeat. It
 // runs on the heartbeat's goroutine. It refutes a suspicion of this incarnation immediately.
-// A response with RequestFull means that the replica does not have the state to which the
-// heartbeat referred, so it does not acknowledge pending departures.
-func (a *agent) handleHeartbeatResponse(ctx context.Context, sent, response membership.Heartbeat) {
+func (a *agent) handleHeartbeatResponse(ctx context.Context, response membership.Heartbeat) {
 	if len(response.Departed) > 0 {
 		a.mailbox.Send(ctx, msgDeparted{response.Departed})
 	}
-	if incarnation, version := sent.NodeVersion(); incarnation == a.Incarnation && !response.RequestFull && a.pendingDepartures.nonEmpty.Load() {
-		a.mailbox.Send(ctx, msgReplicated{version})
-	}
 	if response.Budgets != nil {
 		a.LatencyBudgets.SetGlobal(response.Budgets)
 	}
--- a/internal/dataplane/agent_backends.go
+++ b/internal/dataplane/agent_backends.go
@@ -12,14 +12,19 @@
 		// The announcement may have been queued while the process was frozen, and the backend
 		// may have stopped since. The first announcement of the backend after this period is
 		// applied.
-		m.reply <- nil
+		m.reply <- announceResult{recorded: true}
 		return
 	}
 	before := a.registry.Load()
 	after, faults := before.Announce(m.announcement, a.Zone, now)
 	a.departureLog.observeAnnouncement(m.announcement, *before, after)
 	a.setRegistry(after)
-	a.acknowledge(*before, after, now, func() { m.reply <- faults })
+	answer := func(recorded bool) { m.reply <- announceResult{faults, recorded} }
+	if len(faults) > 0 || !m.announcement.Draining {
+		answer(true)
+		return
+	}
+	a.acknowledgeDeparture(m.announcement.Instance, now, answer)
 }
 
 // leave marks an own backend as departed. The backend gets no further requests and is removed
@@ -30,18 +35,14 @@
 	a.departureLog.observeRemoval(m.instance, known, before.HasDeparted(m.instance))
 	after := before.MarkDeparted(m.instance)
 	a.setRegistry(after)
-	a.acknowledge(*before, after, now, func() { m.reply <- known })
+	a.acknowledgeDeparture(m.instance, now, func(recorded bool) { m.reply <- leaveResult{known, recorded} })
 }
 
-// acknowledge replies to a backend. The reply is immediate unless the change marks a backend
-// as departed. In that case, it is sent once a control plane replica has stored the departure
-// or acknowledgeTimeout has passed.
-func (a *agent) acknowledge(before, after endpoints.Registry, now time.Time, answer func()) {
-	if !after.DepartedSince(before) {
-		answer()
-		return
-	}
-	a.pendingDepartures.add(after.Version, now, answer)
+// acknowledgeDeparture replies to a backend that is leaving, once the control state records its
+// departure or acknowledgeTimeout has passed.
+func (a *agent) acknowledgeDeparture(instance string, now time.Time, answer func(recorded bool)) {
+	a.pendingDepartures.add(instance, now, answer)
+	a.pendingDepartures.release(a.registry.Load().IsRecorded)
 }
 
 // setRegistry replaces the endpoint registry. If the registry's version changes, it rebuilds
--- a/internal/dataplane/agent_configuration.go
+++ b/internal/dataplane/agent_configuration.go
@@ -42,8 +42,14 @@
 }
 
 // applyState puts a control state into force. It ignores a state from which no routing table
-// can be built.
+// can be built. A state that changes only the recorded departures keeps the routing table.
 func (a *agent) applyState(state config.ControlState) {
+	if previous := a.controlState.Load(); previous != nil && previous.RoutesAlike(state) {
+		a.table.Store(a.table.Load().WithRevision(state.Revision))
+		a.controlState.Store(&state)
+		a.recordDepartures(state)
+		return
+	}
 	table, ok := routing.NewTable(state)
 	if !ok {
 		return
@@ -52,11 +58,19 @@
 	table.ContinueSlowStart(a.table.Load(), time.Now())
 	a.table.Store(table)
 	a.controlState.Store(&state)
+	a.recordDepartures(state)
 	if a.reportLimiter.changed(time.Now()) {
 		a.HeartbeatNow()
 	}
 }
 
+// recordDepartures applies the departures that a control state records, and acknowledges those of
+// own backends among them.
+func (a *agent) recordDepartures(state config.ControlState) {
+	a.setRegistry(a.registry.Load().WithRecorded(state.Departed))
+	a.pendingDepartures.release(a.registry.Load().IsRecorded)
+}
+
 // rebuildView rebuilds the view from the mirrored nodes. The entry for this sidecar is
 // replaced by the agent's own, which is always the most recent.
 func (a *agent) rebuildView() {
--- a/internal/dataplane/agent_messages.go
+++ b/internal/dataplane/agent_messages.go
@@ -14,23 +14,18 @@
 // Messages handled by the agent. A message with a channel gets exactly one reply on it. The
 // channel must be buffered so that the reply does not block the agent.
 type (
-	// msgAnnounce carries an announcement of an own backend. The reply lists the faults found
-	// in the announcement.
+	// msgAnnounce carries an announcement of an own backend.
 	msgAnnounce struct {
 		announcement endpoints.Announcement
-		reply        chan<- []string
+		reply        chan<- announceResult
 	}
-	// msgLeave reports that an own backend is leaving. The reply reports whether the backend
-	// was known.
+	// msgLeave reports that an own backend is leaving.
 	msgLeave struct {
 		instance string
-		reply    chan<- bool
+		reply    chan<- leaveResult
 	}
 	// msgDeparted lists backends that departed during an earlier incarnation of this sidecar.
 	msgDeparted struct{ instances []string }
-	// msgReplicated reports that a control plane replica has stored the given version of this
-	// node.
-	msgReplicated struct{ version uint64 }
 	// msgUpdates carries updates from a control plane replica. The reply is sent once they
 	// are in force.
 	msgUpdates struct {
@@ -51,6 +46,17 @@
 	msgPing struct{ reply chan<- bool }
 )
 
+// announceResult is the result of an announcement. faults lists the faults found in it. recorded is
+// false if the announcement reports a departure that was not recorded in time.
+type announceResult struct {
+	faults   []string
+	recorded bool
+}
+
+// leaveResult is the result of a backend's request to leave. known reports whether the backend was
+// registered. recorded is false if the departure was not recorded in time.
+type leaveResult struct{ known, recorded bool }
+
 // handle processes one message. Only the actor may call it.
 func (a *agent) handle(_ context.Context, message any) {
 	now := time.Now()
@@ -62,8 +68,6 @@
 		a.leave(m, now)
 	case msgDeparted:
 		a.setRegistry(a.registry.Load().MarkDeparted(m.instances...))
-	case msgReplicated:
-		a.pendingDepartures.replicated(m.version)
 	case msgDrain:
 		a.setRegistry(a.registry.Load().Drain())
 	case msgUpdates:
--- a/internal/dataplane/api.go
+++ b/internal/dataplane/api.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 
 	"curlewwalk/internal/actor"
@@ -14,6 +15,9 @@
 // maxAnnouncementSize is the maximum size of an announcement's body, in bytes.
 const maxAnnouncementSize = 64 << 10
 
+// DepartureRetryAfter is the Retry-After header, in seconds, of a departure that is not acknowledged.
+const DepartureRetryAfter = "1"
+
 // apiHandler serves the sidecar's operator API: /v1, /live, /ready, and /metrics.
 func (s *Sidecar) apiHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -51,16 +55,46 @@
 	return true, "serving"
 }
 
+var (
+	// ErrDepartureNotRecorded means that the departure of a backend was not recorded in the control
+	// state in time. The backend gets no more requests from this process, but it should announce its
+	// departure again, since the departure may be lost with the process.
+	ErrDepartureNotRecorded = errors.New("departure not recorded yet")
+	// errNotProcessed means that the caller's context ended before its request was processed.
+	errNotProcessed = errors.New("not processed")
+)
+
 // Announce registers an own backend, or marks the backend as leaving. faults lists the faults
-// found in the announcement. ok is false if ctx ended first.
-func (s *Sidecar) Announce(ctx context.Context, announcement endpoints.Announcement) (faults []string, ok bool) {
-	return actor.Ask(ctx, s.agent.mailbox, func(reply chan<- []string) any { return msgAnnounce{announcement, reply} })
+// found in the announcement. An announcement with an error is not acknowledged; it may be sent
+// again.
+func (s *Sidecar) Announce(ctx context.Context, announcement endpoints.Announcement) (faults []string, err error) {
+	result, ok := actor.Ask(ctx, s.agent.mailbox, func(reply chan<- announceResult) any { return msgAnnounce{announcement, reply} })
+	return result.faults, departureError(ok, result.recorded)
+}
+
+// Leave marks an own backend as departed. known reports whether the backend was registered. A
+// departure with an error is not acknowledged; it may be sent again.
+func (s *Sidecar) Leave(ctx context.Context, instance string) (known bool, err error) {
+	result, ok := actor.Ask(ctx, s.agent.mailbox, func(reply chan<- leaveResult) any { return msgLeave{instance, reply} })
+	return result.known, departureError(ok, result.recorded)
+}
+
+// departureError returns the error of a request of a backend, or nil if it is acknowledged.
+func departureError(processed, recorded bool) error {
+	switch {
+	case !processed:
+		return errNotProcessed
+	case !recorded:
+		return ErrDepartureNotRecorded
+	}
+	return nil
 }
 
-// Leave marks an own backend as departed. known reports whether the backend was registered.
-// ok is false if ctx ended first.
-func (s *Sidecar) Leave(ctx context.Context, instance string) (known, ok bool) {
-	return actor.Ask(ctx, s.agent.mailbox, func(reply chan<- bool) any { return msgLeave{instance, reply} })
+// writeNotAcknowledged answers a request of a backend that is not acknowledged and should be sent
+// again.
+func writeNotAcknowledged(w http.ResponseWriter, err error) {
+	w.Header().Set("Retry-After", DepartureRetryAfter)
+	process.WriteError(w, http.StatusServiceUnavailable, err.Error())
 }
 
 // announceResponse is the response to an announcement.
@@ -79,16 +113,16 @@
 		process.WriteError(w, http.StatusBadRequest, "not an announcement: "+err.Error())
 		return
 	}
-	faults, ok := s.Announce(r.Context(), announcement)
-	if !ok {
-		return // the backend has disconnected
+	faults, err := s.Announce(r.Context(), announcement)
+	if err != nil {
+		writeNotAcknowledged(w, err)
+		return
 	}
 	if len(faults) > 0 {
 		process.WriteError(w, http.StatusUnprocessableEntity, faults...)
 		return
 	}
 	response := announceResponse{Every: s.settings.Beat.String()}
-	var err error
 	if response.Outgoing, err = s.egress.addr(announcement.Service); err != nil {
 		response.Fault = "outgoing address: " + err.Error()
 	}
@@ -96,8 +130,12 @@
 }
 
 func (s *Sidecar) handleLeave(w http.ResponseWriter, r *http.Request) {
-	known, ok := s.Leave(r.Context(), r.PathValue("instance"))
-	if ok && !known {
+	known, err := s.Leave(r.Context(), r.PathValue("instance"))
+	if err != nil {
+		writeNotAcknowledged(w, err)
+		return
+	}
+	if !known {
 		process.WriteError(w, http.StatusNotFound, "no such backend")
 		return
 	}
--- a/internal/dataplane/endpoints/registry.go
+++ b/internal/dataplane/endpoints/registry.go
@@ -22,6 +22,9 @@
 	// departures holds the instances that have announced their departure, including instances that
 	// were not known before.
 	departures membership.Departures
+	// recorded lists the departures of all sidecars that the control state records. unrecorded lists
+	// the departures of own backends that it does not record yet, the oldest first.
+	recorded, unrecorded []string
 	// displaced holds the instances whose address has been taken over by another instance. They need
 	// not have departed.
 	displaced membership.Departures
@@ -54,7 +57,7 @@
 	e.confirmed = known && (previous.confirmed || r.isNewer(previous, a, now))
 	next := r.withEndpoint(e)
 	if a.Draining && !r.departures.Contains(a.Instance) {
-		next.departures, _ = r.departures.Add(a.Instance)
+		next = next.withDepartures(a.Instance)
 		next.Version++
 	}
 	if !known || previous.Backend != e.Backend {
@@ -114,38 +117,6 @@
 	return next
 }
 
-// MarkDeparted records the departure of instances, which may be unknown.
-func (r Registry) MarkDeparted(instances ...string) Registry {
-	departures, changed := r.departures.Add(instances...)
-	if !changed {
-		return r
-	}
-	next := r.clone()
-	next.departures = departures
-	next.Version++
-	for _, instance := range instances {
-		if e, known := next.endpoints[instance]; known {
-			e.Draining = true
-			next.endpoints[instance] = e
-		}
-	}
-	return next
-}
-
-// HasDeparted reports whether an instance has announced its departure.
-func (r Registry) HasDeparted(instance string) bool { return r.departures.Contains(instance) }
-
-// DepartedSince reports whether any instance has departed since an earlier registry.
-func (r Registry) DepartedSince(earlier Registry) bool {
-	return r.departures.Last() != earlier.departures.Last()
-}
-
-// RecentDepartures returns the newest departures, up to the number that is reported to the control
-// plane.
-func (r Registry) RecentDepartures() []string {
-	return r.departures.Newest(membership.MaxReportedDepartures).List()
-}
-
 // Drain returns the registry of a sidecar that is stopping. All its backends are reported as
 // draining. They are not recorded as departures, since the backends may continue after the sidecar
 // restarts.
--- a/internal/dataplane/endpoints/stale.go
+++ b/internal/dataplane/endpoints/stale.go
@@ -22,7 +22,7 @@
 	if r.endpoints[a.Instance].Supersedes(a) {
 		return true
 	}
-	if r.departures.Contains(a.Instance) {
+	if r.HasDeparted(a.Instance) {
 		return !a.Draining
 	}
 	return r.displaced.Contains(a.Instance) && r.addressTaken(a, now)
--- a/internal/dataplane/pending_departures.go
+++ b/internal/dataplane/pending_departures.go
@@ -2,58 +2,49 @@
 
 import (
 	"slices"
-	"sync/atomic"
 	"time"
 )
 
-// acknowledgeTimeout is the maximum time for which the acknowledgment of a departure is
-// delayed until a control plane replica has stored the departure. After it, the departure is
-// acknowledged even if no replica has stored it.
-const acknowledgeTimeout = 250 * time.Millisecond
+// acknowledgeTimeout is the maximum time for which a backend that is leaving waits until the control
+// state records its departure. Backends treat one second without a response as a failure.
+const acknowledgeTimeout = 900 * time.Millisecond
 
-// pendingDepartures holds departures of own backends that have not been acknowledged. A
-// departure is acknowledged once a control plane replica has stored it, so that the departure
-// survives this process. After acknowledgeTimeout, the departure is acknowledged in any case.
-// Only the agent's actor may call the methods. (DESIGN 9.1)
-type pendingDepartures struct {
-	pending []pendingDeparture
-	// nonEmpty reports to other goroutines whether any departure is pending.
-	nonEmpty atomic.Bool
-}
+// pendingDepartures holds departures of own backends that have not been answered. A departure is
+// acknowledged once the control state records it, so that it outlives this process and all replicas.
+// After acknowledgeTimeout the backend is told that the departure is not recorded. Only the agent's
+// actor may call the methods. (DESIGN 9.1)
+type pendingDepartures []pendingDeparture
 
-// pendingDeparture is a departure that has not been acknowledged.
+// pendingDeparture is a departure that has not been answered.
 type pendingDeparture struct {
-	// version is the first version of the endpoint registry that contains the departure.
-	version     uint64
-	deadline    time.Time
-	acknowledge func()
+	instance string
+	deadline time.Time
+	answer   func(recorded bool)
 }
 
-// add delays the acknowledgment of a departure until the given version has been stored.
-func (p *pendingDepartures) add(version uint64, now time.Time, acknowledge func()) {
-	p.pending = append(p.pending, pendingDeparture{version: version, deadline: now.Add(acknowledgeTimeout), acknowledge: acknowledge})
-	p.nonEmpty.Store(true)
+// add delays the answer to a departure until it is recorded.
+func (p *pendingDepartures) add(instance string, now time.Time, answer func(recorded bool)) {
+	*p = append(*p, pendingDeparture{instance: instance, deadline: now.Add(acknowledgeTimeout), answer: answer})
 }
 
-// replicated acknowledges the departures that are contained in the given version of this
-// node, which a control plane replica has stored.
-func (p *pendingDepartures) replicated(version uint64) {
-	p.release(func(departure pendingDeparture) bool { return departure.version <= version })
+// release acknowledges the departures that are recorded.
+func (p *pendingDepartures) release(recorded func(instance string) bool) {
+	*p = slices.DeleteFunc(*p, func(departure pendingDeparture) bool {
+		if !recorded(departure.instance) {
+			return false
+		}
+		departure.answer(true)
+		return true
+	})
 }
 
-// expire acknowledges the departures that have been pending for acknowledgeTimeout.
+// expire answers the departures that have been pending for acknowledgeTimeout.
 func (p *pendingDepartures) expire(now time.Time) {
-	p.release(func(departure pendingDeparture) bool { return !now.Before(departure.deadline) })
-}
-
-// release acknowledges and removes the departures for which due returns true.
-func (p *pendingDepartures) release(due func(departure pendingDeparture) bool) {
-	p.pending = slices.DeleteFunc(p.pending, func(departure pendingDeparture) bool {
-		if !due(departure) {
+	*p = slices.DeleteFunc(*p, func(departure pendingDeparture) bool {
+		if now.Before(departure.deadline) {
 			return false
 		}
-		departure.acknowledge()
+		departure.answer(false)
 		return true
 	})
-	p.nonEmpty.Store(len(p.pending) > 0)
 }
--- a/internal/dataplane/routing/table.go
+++ b/internal/dataplane/routing/table.go
@@ -75,6 +75,13 @@
 	)
 }
 
+// WithRevision returns the same table under a later revision of the control state.
+func (t *Table) WithRevision(revision uint64) *Table {
+	next := *t
+	next.Revision = revision
+	return &next
+}
+
 // ContinueSlowStart copies the zones in a slow start from the previous table, and starts the slow
 // start of zones whose evacuation ended with this table. It must be called before the table is
 // shared.
--- a/internal/dataplane/wiring.go
+++ b/internal/dataplane/wiring.go
@@ -39,8 +39,8 @@
 		Client: s.process.TransportClient,
 		Actors: s.process.Actors,
 		Local:  s.localHeartbeat,
-		OnResponse: func(ctx context.Context, sent, response membership.Heartbeat) {
-			s.agent.handleHeartbeatResponse(ctx, sent, response)
+		OnResponse: func(ctx context.Context, response membership.Heartbeat) {
+			s.agent.handleHeartbeatResponse(ctx, response)
 		},
 	})
 }
--- a/internal/membership/departures.go
+++ b/internal/membership/departures.go
@@ -40,14 +40,6 @@
 	return Departures{instances: d.instances[max(0, len(d.instances)-count):]}
 }
 
-// Last returns the newest instance, or "" if there is none.
-func (d Departures) Last() string {
-	if len(d.instances) == 0 {
-		return ""
-	}
-	return d.instances[len(d.instances)-1]
-}
-
 // Len returns the number of instances.
 func (d Departures) Len() int { return len(d.instances) }
 
--- a/internal/membership/discovery.go
+++ b/internal/membership/discovery.go
@@ -38,9 +38,9 @@
 	// OnReplica, if set, is called with each status that a replica sent of itself, in full or as a
 	// digest. It is not called with statuses that another process passed on. It must not block.
 	OnReplica func(ctx context.Context, replica Replica)
-	// OnResponse, if set, is called with each heartbeat that got a response, and with that
-	// response, before the response is recorded in the table of replicas. It must not block.
-	OnResponse func(ctx context.Context, sent, response Heartbeat)
+	// OnResponse, if set, is called with each response to a heartbeat, before the response is
+	// recorded in the table of replicas. It must not block.
+	OnResponse func(ctx context.Context, response Heartbeat)
 }
 
 // Discovery finds the control plane replicas and exchanges heartbeats with them. Run does the work;
@@ -244,7 +244,7 @@
 		if r.Decode(&response) {
 			result.response = &response
 			if d.OnResponse != nil {
-				d.OnResponse(ctx, result.sent, response)
+				d.OnResponse(ctx, response)
 			}
 		}
 		select {
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -52,15 +52,3 @@
 	WantBudgets bool                          `msgpack:"su,omitempty"`
 	Budgets     map[string]retrybudget.Counts `msgpack:"bu,omitempty"`
 }
-
-// NodeVersion returns the incarnation and the version of the node that the heartbeat describes, by
-// a Node or a NodeStatus. Both are zero if it describes none.
-func (h Heartbeat) NodeVersion() (incarnation, version uint64) {
-	switch {
-	case h.Node != nil:
-		return h.Node.Incarnation, h.Node.Version
-	case h.NodeStatus != nil:
-		return h.NodeStatus.Incarnation, h.NodeStatus.Version
-	}
-	return 0, 0
-}
--- a/tests/e2e/late_announcement_test.go
+++ b/tests/e2e/late_announcement_test.go
@@ -74,3 +74,28 @@
 	sendDuringLateAnnouncements(ctx, t, f, leaving)
 	checkLedger(t, f)
 }
+
+// TestDepartureOutlivesMassKill guards against a departure that is forgotten when the sidecar that
+// acknowledged it and all replicas are killed at the same moment: a late announcement of the backend
+// must not bring it back.
+func TestDepartureOutlivesMassKill(t *testing.T) {
+	t.Parallel()
+	variants := map[string]func(b *fakes.Backend, ctx context.Context) error{
+		"leaving":      (*fakes.Backend).Leave,
+		"deregistered": (*fakes.Backend).Deregister,
+	}
+	for name, leave := range variants {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, ctx, leaving := leavingFleet(t)
+			leaving.StopAnnouncing()
+			must(t, leave(leaving, ctx))
+			killed := append([]*fleet.Program{f.Sidecars[1]}, f.Replicas...)
+			f.Kill(killed...)
+			must(t, f.Restart(killed...))
+			must(t, f.Sidecars[1].AwaitReady(ctx))
+			sendDuringLateAnnouncements(ctx, t, f, leaving)
+			checkLedger(t, f)
+		})
+	}
+}
--- a/tests/golden/golden.go
+++ b/tests/golden/golden.go
@@ -67,12 +67,23 @@
 	}
 }
 
-// Value checks the encoding of one type. A sample with every field set must be encoded as the bytes
-// of the golden file, and the golden file must be re-encoded as the same bytes after it was read.
-// sample is a pointer to the type's zero value.
+// Value checks the encoding of one type. A sample with every field set, except for addedFields, must
+// be encoded as the bytes of the golden file, and the golden file must be re-encoded as the same bytes
+// after it was read. If the type has added fields, the same holds for a sample with all fields and the
+// golden file of the second edition. sample is a pointer to the type's zero value.
 func Value(t *testing.T, codec Codec, name string, sample any) {
 	t.Helper()
+	fillFirst(sample, codec.Tag)
+	first := checkSample(t, codec, name, sample)
 	Fill(sample, codec.Tag)
+	if again, err := codec.Marshal(sample); err != nil || !bytes.Equal(again, first) {
+		checkSample(t, codec, secondEdition(name), sample)
+	}
+}
+
+// checkSample checks the encoding of a sample against a golden file, and returns the encoding.
+func checkSample(t *testing.T, codec Codec, name string, sample any) []byte {
+	t.Helper()
 	encoded, err := codec.Marshal(sample)
 	if err != nil {
 		t.Fatalf("%s: %v", name, err)
@@ -93,4 +104,5 @@
 	if !bytes.Equal(again, stored) {
 		t.Errorf("%s: the golden file is re-encoded as other bytes\ngot:  %q\nwant: %q", name, again, stored)
 	}
+	return encoded
 }
