Warm-up: backends of a restored zone are held to their rate unasked

Cause: the rate applied only once the backend had announced that it is cold, up to a heartbeat interval after it turned; until then only the share of the zone's slow start applied, which bounds what runs and not what arrives. Ruled out: the outbound side (the inbound side refuses at the write, 9 a second once it knows) and the limiter itself.

Change: for the warm-up time of the service and one heartbeat interval after a sidecar learns of a restore, the rate applies to all backends of the zone, whatever their announcements say. The state for sidecars has the revision of each zone's restore, so one that was killed or partitioned meanwhile notices it. What a warm backend got within the last second counts against the rate when it turns cold.

Unit tests for the table, the rate, the share and the limiter. TestForSidecars expects the added field.

--- a/internal/config/control_state.go
+++ b/internal/config/control_state.go
@@ -48,10 +48,17 @@
 	// last, at most MaxDepartures. A departure is final, and it is acknowledged only once it is
 	// recorded here. (DESIGN 9.1)
 	Departed []string `msgpack:"dp,omitempty"`
+	// RestoredZones lists the zones whose newest order revoked their evacuation, with its revision.
+	// Sidecars only: ForSidecars derives it from Evacuations.
+	RestoredZones []Evacuation `msgpack:"rz,omitempty"`
 }
 
-// ForSidecars returns the state without the fields that stay on the replicas.
+// ForSidecars returns the state as it is sent to sidecars: without the fields that stay on the
+// replicas, and with RestoredZones.
 func (s ControlState) ForSidecars() ControlState {
+	s.RestoredZones = slices.DeleteFunc(slices.Clone(s.Evacuations), func(e Evacuation) bool {
+		return slices.Contains(s.EvacuatedByOperator, e.Zone)
+	})
 	s.Submitted, s.AcceptedGenerations, s.Evacuations, s.CompactedRevision = nil, nil, nil, 0
 	return s
 }
@@ -70,10 +77,10 @@
 }
 
 // RoutesAlike reports whether two states route all requests alike: they have the same configuration
-// and the same evacuated zones.
+// the same evacuated zones, and no zone was evacuated and restored between them.
 func (s ControlState) RoutesAlike(other ControlState) bool {
 	return s.ConfigurationRevision == other.ConfigurationRevision && bytes.Equal(s.Configuration, other.Configuration) &&
-		slices.Equal(s.EvacuatedZones(), other.EvacuatedZones())
+		slices.Equal(s.EvacuatedZones(), other.EvacuatedZones()) && slices.Equal(s.RestoredZones, other.RestoredZones)
 }
 
 // HasClosure reports whether the state has a closure, waived or not, of a maintenance window.
--- a/internal/config/control_state_test.go
+++ b/internal/config/control_state_test.go
@@ -60,11 +60,40 @@
 		Revision: 7, ConfigurationRevision: 6, Configuration: []byte("{}"), Submitted: []byte("sent"), Generation: 3,
 		AcceptedGenerations: []AcceptedGeneration{{Generation: 3}}, Evacuations: []Evacuation{{Zone: "west"}}, CompactedRevision: 2,
 	}
-	want := ControlState{Revision: 7, ConfigurationRevision: 6, Configuration: []byte("{}"), Generation: 3}
+	want := ControlState{Revision: 7, ConfigurationRevision: 6, Configuration: []byte("{}"), Generation: 3, RestoredZones: []Evacuation{{Zone: "west"}}}
 	if d := cmp.Diff(want, state.ForSidecars()); d != "" {
 		t.Error(d)
 	}
+	state.EvacuatedByOperator = []string{"west"}
+	if got := state.ForSidecars().RestoredZones; len(got) != 0 {
+		t.Errorf("got restored zones %v, want none: the zone is evacuated", got)
+	}
 	if state.Submitted == nil || state.CompactedRevision != 2 {
 		t.Error("the replicas' state was changed")
 	}
 }
+
+// Two states route alike if only departures were recorded between them. An evacuation that was ordered
+// and revoked between them is a difference.
+func TestRoutesAlike(t *testing.T) {
+	base := ControlState{Revision: 3, ConfigurationRevision: 2, Configuration: []byte("{}"), EvacuatedByOperator: []string{"west"}}
+	departed := base.WithDepartures([]string{"a"})
+	departed.Revision++
+	if !base.RoutesAlike(departed) {
+		t.Error("a recorded departure changes the routing")
+	}
+	for name, change := range map[string]func(s *ControlState){
+		"configuration":           func(s *ControlState) { s.ConfigurationRevision, s.Configuration = 4, []byte("{ }") },
+		"evacuation":              func(s *ControlState) { s.EvacuatedByOperator = []string{"east", "west"} },
+		"restore":                 func(s *ControlState) { s.EvacuatedByOperator = nil },
+		"window":                  func(s *ControlState) { s.Closures = []ZoneClosure{{Zone: "east", Window: "w"}} },
+		"evacuation and restore":  func(s *ControlState) { s.RestoredZones = []Evacuation{{Zone: "east", Revision: 5}} },
+		"configuration by number": func(s *ControlState) { s.ConfigurationRevision = 4 },
+	} {
+		changed := base
+		change(&changed)
+		if base.RoutesAlike(changed) {
+			t.Errorf("%s: the states route alike, want a difference", name)
+		}
+	}
+}
--- a/internal/dataplane/agent_backends.go
+++ b/internal/dataplane/agent_backends.go
@@ -48,7 +48,7 @@
 // setRegistry replaces the endpoint registry. If the registry's version changes, it rebuilds
 // the view and sends a heartbeat.
 func (a *agent) setRegistry(next endpoints.Registry) {
-	next = next.ScaleShares(a.table.Load().WarmupRate, time.Now())
+	next = next.ScaleShares(a.table.Load(), time.Now())
 	changed := next.Version != a.registry.Load().Version
 	a.registry.Store(&next)
 	if changed {
--- a/internal/dataplane/agent_configuration.go
+++ b/internal/dataplane/agent_configuration.go
@@ -54,7 +54,7 @@
 	if !ok {
 		return
 	}
-	table.SlowStart = a.SlowStart
+	table.SlowStart, table.ColdMargin = a.SlowStart, a.HeartbeatInterval
 	table.ContinueSlowStart(a.table.Load(), time.Now())
 	a.table.Store(table)
 	a.controlState.Store(&state)
--- a/internal/dataplane/endpoints/controller.go
+++ b/internal/dataplane/endpoints/controller.go
@@ -98,6 +98,18 @@
 	}
 }
 
+// CountWarm counts a request to a backend that is not warming up, so that the request counts against
+// the warm-up rate if the backend turns cold within a second. rate is in requests per second; zero
+// means that the service has no warm-up rate.
+func (c *AdmissionController) CountWarm(rate float64) {
+	if rate <= 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limiter.Count(rate, time.Since(c.start))
+}
+
 // AllowWarmup reports whether a backend that is warming up may receive another request at the given
 // rate, in requests per second. If not, retryAfter is the time until it may. uptime is the time
 // since the sidecar started.
--- a/internal/dataplane/endpoints/endpoint.go
+++ b/internal/dataplane/endpoints/endpoint.go
@@ -48,6 +48,22 @@
 // WarmingUp reports whether the backend is still limited to the warm-up rate of its service.
 func (e Endpoint) WarmingUp(now time.Time) bool { return now.Before(e.warmAt) }
 
+// WarmupPolicy tells which rates limit the backends that are, or may be, warming up.
+type WarmupPolicy interface {
+	// WarmupRate returns the rate of a service in requests per second, or zero if it has none.
+	WarmupRate(service string) float64
+	// MayBeCold reports whether a backend may be warming up although its last announcement does not
+	// say so.
+	MayBeCold(zone, service string, now time.Time) bool
+}
+
+// WarmupLimit returns the warm-up rate of the backend's service, in requests per second, or zero if
+// it has none, and whether the rate applies to the backend now.
+func (e Endpoint) WarmupLimit(policy WarmupPolicy, now time.Time) (rate float64, limited bool) {
+	rate = policy.WarmupRate(e.Service)
+	return rate, rate > 0 && (e.WarmingUp(now) || policy.MayBeCold(e.Zone, e.Service, now))
+}
+
 // ConcurrencyLimit returns the number of requests that may run at the backend, at least 1.
 // zoneShare is the fraction of its capacity that the zone may use. recentlyStarted means that
 // requests admitted by an earlier incarnation of this sidecar may still be running; the limit is
--- a/internal/dataplane/endpoints/heartbeat_test.go
+++ b/internal/dataplane/endpoints/heartbeat_test.go
@@ -20,7 +20,7 @@
 				}
 			}
 			r = r.MarkDeparted("b")
-			r = r.ScaleShares(func(string) float64 { return 0 }, begin).ExpireSilent(begin)
+			r = r.ScaleShares(&fixedWarmup{}, begin).ExpireSilent(begin)
 			for after, want := range map[time.Duration]Rejection{freshness: Admitted, freshness + 1: HeartbeatExpired} {
 				if _, rejection := r.Admit(AdmissionRequest{Service: "s", Instance: "a"}, func(string) bool { return false }, begin.Add(after)); rejection != want {
 					t.Errorf("after %v: got rejection %q, want %q", after, rejection, want)
--- a/internal/dataplane/endpoints/registry.go
+++ b/internal/dataplane/endpoints/registry.go
@@ -148,14 +148,13 @@
 // capacity that is reported for it. About that many requests run concurrently at this rate.
 const warmupSeconds = 0.3
 
-// ScaleShares sets the reported capacity shares of backends that are warming up from the rates of
-// their services, in requests per second. A rate of 0 means that the service has no rate.
-func (r Registry) ScaleShares(rate func(service string) float64, now time.Time) Registry {
+// ScaleShares sets the reported capacity shares of the backends whose rate is limited.
+func (r Registry) ScaleShares(policy WarmupPolicy, now time.Time) Registry {
 	next := r.clone()
 	for instance, e := range next.endpoints {
 		share := e.announcedShare
-		if perSecond := rate(e.Service); perSecond > 0 && e.WarmingUp(now) {
-			share = min(share, perSecond*warmupSeconds/float64(e.Capacity))
+		if rate, limited := e.WarmupLimit(policy, now); limited {
+			share = min(share, rate*warmupSeconds/float64(e.Capacity))
 		}
 		if e.CapacityShare != share {
 			e.CapacityShare = share
--- a/internal/dataplane/endpoints/slow_start_test.go
+++ b/internal/dataplane/endpoints/slow_start_test.go
@@ -66,12 +66,64 @@
 	return admitted
 }
 
+// fixedWarmup is a WarmupPolicy with one rate for all services.
+type fixedWarmup struct {
+	rate      float64
+	mayBeCold bool
+}
+
+func (f *fixedWarmup) WarmupRate(string) float64                { return f.rate }
+func (f *fixedWarmup) MayBeCold(string, string, time.Time) bool { return f.mayBeCold }
+
+// TestPossiblyColdShare checks that a backend that has announced itself as warm, but may be cold, is
+// reported with the share of a backend that is warming up, as long as it may be cold.
+func TestPossiblyColdShare(t *testing.T) {
+	now := time.Now()
+	policy := &fixedWarmup{rate: 20, mayBeCold: true}
+	r, _ := Registry{}.Announce(Announcement{Instance: "a", Service: "s", Address: "127.0.0.1:1", Capacity: 30}, "north", now)
+	if got := r.ScaleShares(policy, now).Backends()[0].CapacityShare; got != 0.2 {
+		t.Errorf("got share %v while the backend may be cold, want 0.2", got)
+	}
+	policy.mayBeCold = false
+	if got := r.ScaleShares(policy, now).Backends()[0].CapacityShare; got != 1 {
+		t.Errorf("got share %v after that, want 1", got)
+	}
+}
+
+// TestWarmRequestsCount guards against a backend that gets the full warm-up rate on top of what it got
+// as a warm one, in the second in which it turns cold.
+func TestWarmRequestsCount(t *testing.T) {
+	const rate = 9.3
+	for warm, wantAllowed := range map[int]int{0: 9, 4: 5, 9: 0, 40: 0} {
+		var limiter SlowStartLimiter
+		now := 10 * time.Second
+		for range warm {
+			limiter.Count(rate, now)
+		}
+		allowed := 0
+		for range 20 {
+			ok, retryAfter := limiter.Allow(rate, now+time.Millisecond, now)
+			if ok {
+				allowed++
+			} else if retryAfter <= 0 {
+				t.Fatal("request rejected without a retry time")
+			}
+		}
+		if allowed != wantAllowed || len(limiter.admitted) > 9 {
+			t.Errorf("after %d requests as a warm backend: %d allowed, %d remembered; want %d, and 9 at most", warm, allowed, len(limiter.admitted), wantAllowed)
+		}
+		if ok, _ := limiter.Allow(rate, now+2*time.Second, now); !ok {
+			t.Errorf("after %d requests as a warm backend: rejected 2 s later", warm)
+		}
+	}
+}
+
 // TestScaleShares checks that a backend that is warming up is reported with the share that
 // corresponds to the rate of its service, until it is warm, and that a heartbeat with unchanged
 // content does not change the registry.
 func TestScaleShares(t *testing.T) {
 	begin := time.Now()
-	twentyPerSecond := func(string) float64 { return 20 }
+	twentyPerSecond := &fixedWarmup{rate: 20}
 	announce := func(r Registry, remaining string, at time.Duration) Registry {
 		t.Helper()
 		a := Announcement{Instance: "a", Service: "s", Address: "127.0.0.1:1", Capacity: 30}
--- a/internal/dataplane/proxy/admit.go
+++ b/internal/dataplane/proxy/admit.go
@@ -126,16 +126,23 @@
 }
 
 // checkBeforeWrite reports whether an attempt may still be written to the backend that it was
-// admitted to. For a backend that is warming up, it also enforces the warm-up rate.
+// admitted to. It also counts the attempt against the warm-up rate of the service, and enforces this
+// rate while the backend is, or may be, warming up.
 func (in *Inbound) checkBeforeWrite(ctx context.Context, admitted endpoints.Endpoint, attempt *Attempt) refusal {
 	current, rejection := in.checkAdmission(ctx, attempt)
 	if rejection == endpoints.Admitted && current.Address != admitted.Address {
 		rejection = endpoints.UnknownBackend
 	}
-	if rate, warmingUp := in.warmupRate(current, time.Now()); warmingUp && rejection == endpoints.Admitted {
-		if ok, retryAfter := admitted.Admission.AllowWarmup(rate, time.Since(in.started)); !ok {
-			return refusal{rejection: endpoints.BackendFull, retryAfter: retryAfter}
-		}
+	if rejection != endpoints.Admitted {
+		return refusal{rejection: rejection}
+	}
+	rate, limited := current.WarmupLimit(in.Table(), time.Now())
+	if !limited {
+		admitted.Admission.CountWarm(rate)
+		return refusal{}
+	}
+	if ok, retryAfter := admitted.Admission.AllowWarmup(rate, time.Since(in.started)); !ok {
+		return refusal{rejection: endpoints.BackendFull, retryAfter: retryAfter}
 	}
-	return refusal{rejection: rejection}
+	return refusal{}
 }
--- a/internal/dataplane/proxy/warmup_test.go
+++ b/internal/dataplane/proxy/warmup_test.go
@@ -117,3 +117,33 @@
 		t.Errorf("after the warm-up, %d of 20 attempts were answered, want all", got)
 	}
 }
+
+// TestPossiblyColdBackend guards against a backend of a restored zone that gets what a warm one bears
+// because its last announcement says that it is warm. Once its warm-up period has passed, it gets all.
+func TestPossiblyColdBackend(t *testing.T) {
+	f := newWarmupFixture(t)
+	f.inbound.started = time.Now().Add(-time.Minute)
+	f.announce("0s")
+	configured := f.inbound.Table()
+	evacuated, _ := routing.NewTable(config.ControlState{Revision: 2, EvacuatedByOperator: []string{"north"}})
+	for _, c := range []struct {
+		restoredAt   time.Time
+		want         int
+		wantLimit    int64
+		wantReceived int
+	}{
+		{time.Now(), 4, 4, 4},
+		{time.Now().Add(-time.Hour), 20, 6, 24},
+	} {
+		restored := configured.WithRevision(3)
+		restored.SlowStart = routing.SlowStart{Duration: 1, InitialShare: 1} // no slow start of the zone
+		restored.ContinueSlowStart(evacuated, c.restoredAt)
+		f.inbound.Table = func() *routing.Table { return restored }
+		if got := f.countAnswered(); got != c.want || len(f.runs) != c.wantReceived {
+			t.Errorf("restored at %v: %d of 20 attempts were answered and the backend received %d, want %d and %d", c.restoredAt, got, len(f.runs), c.want, c.wantReceived)
+		}
+		if got := f.limit(0); got != c.wantLimit {
+			t.Errorf("restored at %v: concurrency limit %d, want %d", c.restoredAt, got, c.wantLimit)
+		}
+	}
+}
--- a/internal/dataplane/routing/table.go
+++ b/internal/dataplane/routing/table.go
@@ -27,6 +27,9 @@
 	// SlowStart is the slow start of zones after their evacuation. It must not be set after
 	// ContinueSlowStart has been called.
 	SlowStart SlowStart
+	// ColdMargin is how much longer than its warm-up period a backend of a restored zone counts as
+	// possibly cold. It must not be set after ContinueSlowStart has been called.
+	ColdMargin time.Duration
 
 	routes    []config.Route
 	index     index
@@ -37,12 +40,22 @@
 	drainedZones map[string]bool
 	// restoredZones maps the zones in a slow start to the time at which their evacuation ended.
 	restoredZones map[string]time.Time
+	// restorations maps the zones that were restored by an order to the revision of that order.
+	// possiblyCold maps the zones that were restored to the time at which this process learned of it.
+	restorations map[string]uint64
+	possiblyCold map[string]time.Time
 }
 
 // NewTable returns the table of a control state. It returns false if the configuration is not
 // valid.
 func NewTable(state config.ControlState) (*Table, bool) {
-	t := &Table{Revision: state.Revision, SlowStart: DefaultSlowStart, contracts: map[string]config.Contract{}, drainedZones: map[string]bool{}}
+	t := &Table{
+		Revision: state.Revision, SlowStart: DefaultSlowStart, contracts: map[string]config.Contract{},
+		drainedZones: map[string]bool{}, restorations: map[string]uint64{},
+	}
+	for _, restored := range state.RestoredZones {
+		t.restorations[restored.Zone] = restored.Revision
+	}
 	for _, zone := range state.EvacuatedZones() {
 		t.drainedZones[zone] = true
 	}
@@ -84,7 +97,7 @@
 
 // ContinueSlowStart copies the zones in a slow start from the previous table, and starts the slow
 // start of zones whose evacuation ended with this table. It must be called before the table is
-// shared.
+// shared. The first table of a process continues an empty one.
 func (t *Table) ContinueSlowStart(previous *Table, now time.Time) {
 	t.restoredZones = map[string]time.Time{}
 	for zone, since := range previous.restoredZones {
@@ -97,6 +110,36 @@
 			t.restoredZones[zone] = now
 		}
 	}
+	t.continuePossiblyCold(previous, now)
+}
+
+// continuePossiblyCold copies the possibly cold zones from the previous table, and adds the zones
+// that were restored since. These are also zones that this process has not seen evacuated: it may
+// have started, or may have been partitioned, between the two orders.
+func (t *Table) continuePossiblyCold(previous *Table, now time.Time) {
+	t.possiblyCold = maps.Clone(previous.possiblyCold)
+	if t.possiblyCold == nil {
+		t.possiblyCold = map[string]time.Time{}
+	}
+	for zone := range previous.drainedZones {
+		if !t.drainedZones[zone] {
+			t.possiblyCold[zone] = now
+		}
+	}
+	for zone, revision := range t.restorations {
+		if previous.restorations[zone] != revision {
+			t.possiblyCold[zone] = now
+		}
+	}
+}
+
+// MayBeCold reports whether a backend of a service in a zone may be warming up although its last
+// announcement does not say so. Backends may turn cold shortly before their zone is restored. After
+// the warm-up period of the service they are warm again, or have announced that they are not.
+func (t *Table) MayBeCold(zone, service string, now time.Time) bool {
+	since, restored := t.possiblyCold[zone]
+	slowStart := t.services[service].SlowStart
+	return restored && slowStart != nil && now.Sub(since) < slowStart.Period.Duration+t.ColdMargin
 }
 
 // ZoneShare returns the share, from 0 to 1, of the capacity of the backends of a zone that may be
--- a/internal/dataplane/routing/table_test.go
+++ b/internal/dataplane/routing/table_test.go
@@ -58,7 +58,57 @@
 	}
 }
 
-// TestMatch checks the precedence of matching routes: the host first, then the longer prefix, then
+// TestMayBeCold guards against a restored zone that a process does not notice: whatever tables it has
+// seen of an evacuation and its end, the backends of the zone may be cold for their warm-up period and
+// the margin after it learns of the end, and not after that. Other zones and services are not affected.
+func TestMayBeCold(t *testing.T) {
+	const warmup, margin = 3 * time.Second, time.Second
+	configuration := []byte(`{"services": [{"name": "desk", "cold": {"for": "3s", "rate": 9.3}}, {"name": "till"}]}`)
+	never, evacuated := []config.Evacuation(nil), []string{"west"}
+	restoredAt := func(revision uint64) []config.Evacuation {
+		return []config.Evacuation{{Zone: "west", Revision: revision}}
+	}
+	type step struct {
+		evacuated []string
+		restored  []config.Evacuation
+	}
+	for name, c := range map[string]struct {
+		steps []step
+		// restored is the number of the step from which the zone may be cold, from 1, or zero for none.
+		restored int
+	}{
+		"never evacuated":                       {[]step{{nil, never}, {nil, never}}, 0},
+		"evacuated and restored":                {[]step{{nil, never}, {evacuated, never}, {nil, restoredAt(3)}}, 3},
+		"both orders missed":                    {[]step{{nil, never}, {nil, restoredAt(3)}}, 2},
+		"started after the end":                 {[]step{{nil, restoredAt(3)}}, 1},
+		"evacuated again, both orders missed":   {[]step{{nil, restoredAt(3)}, {nil, restoredAt(5)}}, 2},
+		"end of a maintenance window":           {[]step{{evacuated, never}, {nil, never}}, 2},
+		"restored, then a change of no concern": {[]step{{evacuated, never}, {nil, restoredAt(3)}, {nil, restoredAt(3)}}, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			begin := time.Now()
+			at := func(step int) time.Time { return begin.Add(time.Duration(step) * time.Second) }
+			table := &Table{}
+			for i, s := range c.steps {
+				next, ok := NewTable(config.ControlState{Revision: uint64(i + 1), ConfigurationRevision: 1, Configuration: configuration, EvacuatedByOperator: s.evacuated, RestoredZones: s.restored})
+				if !ok {
+					t.Fatal("NewTable rejected the control state")
+				}
+				next.ColdMargin = margin
+				next.ContinueSlowStart(table, at(i+1))
+				table = next.WithRevision(9)
+			}
+			end := at(c.restored).Add(warmup + margin)
+			if got := table.MayBeCold("west", "desk", end.Add(-1)); got != (c.restored > 0) {
+				t.Errorf("got %v before the end of the period, want the opposite", got)
+			}
+			if table.MayBeCold("west", "desk", end) || table.MayBeCold("east", "desk", at(0)) || table.MayBeCold("west", "till", at(0)) {
+				t.Error("may be cold after the period, in another zone, or for a service without a warm-up")
+			}
+		})
+	}
+}
+
 // the method.
 func TestMatch(t *testing.T) {
 	table := mustTable(t, []byte(`{"contracts": [{"name":"c","aim":"1s","expiry":"2s","rank":1}], "ways": [
--- a/tests/golden/editions.go
+++ b/tests/golden/editions.go
@@ -10,6 +10,7 @@
 // that version are understood. The encoding with them is held by a second golden file.
 var addedFields = map[string]bool{
 	"config.ControlState.dp":         true,
+	"config.ControlState.rz":         true,
 	"consensus.Command.dp":           true,
 	"consensus.stateHeader.departed": true,
 }
