CONFIG: the platform's adapter refuses routes to services that the document lacks

Cause: in the product's configuration the list of services is optional, so a route is checked against it only if it is not empty; the adapter relied on that check, and dropped the service of a route with a split before it. Ruled out: sidecars that obey a refused configuration, and the number.

Change: the adapter checks all services that a route names against the document's own table, and refuses a document without one of its tables or with a name twice in an object. Routes whose hosts differ in case only are refused when submitted; a stored configuration with them stays in force.

--- a/internal/config/scanner.go
+++ b/internal/config/scanner.go
@@ -203,3 +203,7 @@
 	}
 	return sc.positions[i].path
 }
+
+// DuplicateNames returns a violation for each name that occurs twice in one object of a document,
+// which must be valid JSON. Two readers may take different values of such a name.
+func DuplicateNames(document []byte) []FieldViolation { return newScanner(document).duplicates }
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -12,13 +12,14 @@
 // MaxAttempts is the highest number of attempts that a route may allow for a request.
 const MaxAttempts = 10
 
+// The highest values that a configuration may have.
 const (
-	maxDuration    = 10 * time.Minute // of each duration in a configuration
-	maxWeight      = 1_000_000        // of one service in a split
-	maxConnections = 1_000_000        // to one backend
-	maxRequestRate = 1e6              // requests per second
-	maxHeaderBytes = 16 << 20
-	maxBodyBytes   = 1 << 40
+	MaxDuration    = 10 * time.Minute // of each duration in a configuration
+	MaxWeight      = 1_000_000        // of one service in a split
+	MaxConnections = 1_000_000        // to one backend
+	MaxRequestRate = 1e6              // requests per second
+	MaxHeaderBytes = 16 << 20
+	MaxBodyBytes   = 1 << 40
 )
 
 // validator collects the violations of a configuration. Each method checks one kind of field and
@@ -55,8 +56,8 @@
 	switch {
 	case d.Invalid != "":
 		v.report(p, field, "%q is no duration such as \"250ms\"", d.Invalid)
-	case d.Duration <= 0 || d.Duration > maxDuration:
-		v.report(p, field, "%v is out of range: more than 0s, at most %v", d.Duration, maxDuration)
+	case d.Duration <= 0 || d.Duration > MaxDuration:
+		v.report(p, field, "%v is out of range: more than 0s, at most %v", d.Duration, MaxDuration)
 	}
 }
 
@@ -96,8 +97,8 @@
 func (v *validator) limits(top *fieldPath, l *Limits) {
 	p := fieldPath{parent: top, name: "limits"}
 	v.unknownFields(&p, &l.UnknownFields)
-	v.inRange(&p, "header_bytes", int64(l.MaxHeaderBytes), 0, maxHeaderBytes)
-	v.inRange(&p, "body_bytes", l.MaxBodyBytes, 0, maxBodyBytes)
+	v.inRange(&p, "header_bytes", int64(l.MaxHeaderBytes), 0, MaxHeaderBytes)
+	v.inRange(&p, "body_bytes", l.MaxBodyBytes, 0, MaxBodyBytes)
 	v.optionalDuration(&p, "header_wait", l.ReadHeaderTimeout)
 	v.optionalDuration(&p, "idle", l.IdleTimeout)
 }
@@ -135,7 +136,7 @@
 		v.unknownFields(&p, &s.UnknownFields)
 		v.name(&p, "name", s.Name)
 		v.uniqueName(&p, s.Name, i, seen)
-		v.inRange(&p, "connections", int64(s.MaxConnections), 0, maxConnections)
+		v.inRange(&p, "connections", int64(s.MaxConnections), 0, MaxConnections)
 		if s.SlowStart != nil {
 			v.slowStart(&p, s.SlowStart)
 		}
@@ -147,8 +148,8 @@
 	p := fieldPath{parent: service, name: "cold"}
 	v.unknownFields(&p, &s.UnknownFields)
 	v.duration(&p, "for", s.Period)
-	if s.RequestsPerSecond <= 0 || s.RequestsPerSecond > maxRequestRate {
-		v.report(&p, "rate", "%v is out of range: more than 0, at most %v", s.RequestsPerSecond, maxRequestRate)
+	if s.RequestsPerSecond <= 0 || s.RequestsPerSecond > MaxRequestRate {
+		v.report(&p, "rate", "%v is out of range: more than 0, at most %v", s.RequestsPerSecond, MaxRequestRate)
 	}
 }
 
@@ -229,8 +230,8 @@
 			v.report(&element, "service", "%q stands in this split twice", s.Service)
 		}
 		seen[s.Service] = true
-		v.inRange(&element, "weight", int64(s.Weight), 0, maxWeight)
-		sum += max(0, min(maxWeight, s.Weight))
+		v.inRange(&element, "weight", int64(s.Weight), 0, MaxWeight)
+		sum += max(0, min(MaxWeight, s.Weight))
 	}
 	if sum == 0 {
 		v.report(&list, "", "all weights are 0")
--- a/internal/controlplane/operator.go
+++ b/internal/controlplane/operator.go
@@ -14,7 +14,7 @@
 // PutConfiguration replaces the configuration. If the new configuration is invalid,
 // PutConfiguration returns its violations and changes nothing.
 func (n *Node) PutConfiguration(ctx context.Context, update ConfigurationUpdate) (consensus.CommandResult, []config.FieldViolation) {
-	if violations := update.validate(); len(violations) > 0 {
+	if violations := update.Violations(); len(violations) > 0 {
 		return consensus.CommandResult{Outcome: consensus.OutcomeRejected}, violations
 	}
 	result := n.commands.submitDetached(ctx, update.command())
@@ -25,16 +25,19 @@
 	return result, nil
 }
 
-// validate returns the violations of the update.
-func (u ConfigurationUpdate) validate() []config.FieldViolation {
+// Violations returns the violations of the update. An update without any may be submitted.
+func (u ConfigurationUpdate) Violations() []config.FieldViolation {
 	if len(u.Configuration) > config.MaxBytes || len(u.Source) > config.MaxBytes {
 		return []config.FieldViolation{{Path: "$", Message: fmt.Sprintf("over %d bytes", config.MaxBytes)}}
 	}
-	_, violations, ok := config.Parse(u.Configuration)
-	if !ok {
+	configuration, violations, ok := config.Parse(u.Configuration)
+	switch {
+	case !ok:
 		return []config.FieldViolation{{Path: "$", Message: "not JSON"}}
+	case len(violations) > 0:
+		return violations
 	}
-	return violations
+	return configuration.SubmissionViolations()
 }
 
 // command returns the command that commits the update.
--- a/internal/dataplane/routing/index.go
+++ b/internal/dataplane/routing/index.go
@@ -2,9 +2,6 @@
 
 import (
 	"slices"
-	"strings"
-	"unicode"
-	"unicode/utf8"
 
 	"curlewwalk/internal/config"
 )
@@ -29,7 +26,7 @@
 func newIndex(routes []config.Route) index {
 	x := index{hosts: map[string][]*hostRoutes{}}
 	for _, route := range routes {
-		key := foldCase(route.Host)
+		key := config.FoldHost(route.Host)
 		list := x.hosts[key]
 		// Longer hosts come first. Within a host, longer prefixes come first.
 		if len(list) == 0 || list[len(list)-1].hostLength != len(route.Host) {
@@ -48,7 +45,7 @@
 // match returns the route of a request, or nil if no route matches. Routes of its host take
 // precedence over routes for any host.
 func (x *index) match(host, path, method string) *config.Route {
-	for _, key := range [2]string{foldCase(host), ""} {
+	for _, key := range [2]string{config.FoldHost(host), ""} {
 		for _, routesOfHost := range x.hosts[key] {
 			if route := routesOfHost.match(path, method); route != nil {
 				return route
@@ -74,27 +71,3 @@
 	}
 	return nil
 }
-
-// foldCase returns equal strings for two arguments if and only if strings.EqualFold reports them as
-// equal.
-func foldCase(s string) string {
-	for i := range len(s) {
-		if s[i] >= utf8.RuneSelf {
-			return strings.Map(canonicalRune, s)
-		}
-	}
-	return strings.ToLower(s)
-}
-
-// canonicalRune returns the representative of all runes that fold to r: the lower-case letter for
-// ASCII letters, and otherwise the rune with the lowest code point.
-func canonicalRune(r rune) rune {
-	low := r
-	for next := unicode.SimpleFold(r); next != r; next = unicode.SimpleFold(next) {
-		low = min(low, next)
-	}
-	if 'A' <= low && low <= 'Z' {
-		low += 'a' - 'A'
-	}
-	return low
-}
--- a/internal/dataplane/routing/index_test.go
+++ b/internal/dataplane/routing/index_test.go
@@ -131,7 +131,7 @@
 	texts := []string{"", "a", "A", "k", "K", "\u212a", "s", "S", "\u017f", "ß", "ẞ", "ss", "σ", "ς", "Σ", "\xff", "\xfe", "\ufffd", "é", "É", "e\u0301", "ǅ", "ǆ", "Ǆ"}
 	for _, a := range texts {
 		for _, b := range texts {
-			if got, want := foldCase("x"+a) == foldCase("x"+b), strings.EqualFold("x"+a, "x"+b); got != want {
+			if got, want := config.FoldHost("x"+a) == config.FoldHost("x"+b), strings.EqualFold("x"+a, "x"+b); got != want {
 				t.Errorf("%q and %q: got equal = %v, which differs from strings.EqualFold", a, b, got)
 			}
 		}
--- a/tests/mutation/catalogue.go
+++ b/tests/mutation/catalogue.go
@@ -18,6 +18,7 @@
 	droppedInRestart    = "a planned restart drops a request"
 	slowRecovery        = "service has not recovered after 15 s"
 	tracingDelays       = "tracing delays a request"
+	invalidAccepted     = "an invalid configuration is acknowledged"
 	badInput            = "invalid input stops or blocks a process"
 	blockedRequest      = "a request waits though it could be rejected or sent elsewhere"
 	abandonedWork       = "work continues for a client that has disconnected"
@@ -78,6 +79,8 @@
 	{sentAfterEvacuation, "internal/membership/peer_status_table.go", "status, requestedAt.Add(-", "status, now.Add(-", "./internal/membership", "TestStatusAges", nil},
 	{sentAfterEvacuation, "internal/watch/watcher.go", "w.OnUpdates(ctx, s.replica, updates, requestedAt)", "w.OnUpdates(ctx, s.replica, updates, requestedAt.Add(updates.Age))", "./tests/e2e", "TestEvacuationOfUnreachableZone", nil},
 	{sentAfterEvacuation, "internal/controlplane/cluster.go", "return c.discovery.Replicas().MedianClock(clock.Wall(), c.replica.Acceptor().Self.MemberID, time.Now())", "return clock.Wall()", "./tests/e2e", "TestMaintenanceWindows", nil},
+	{invalidAccepted, "platform/configuration.go", "if r.service != nil && !known[*r.service] {", "if r.service != nil && len(known) > 0 && !known[*r.service] {", "./platform", "TestInvalidIsRefused", nil},
+	{invalidAccepted, "internal/config/submission.go", "folded.Host = FoldHost(folded.Host)", "", "./platform", "TestInvalidIsRefused", nil},
 	{staleConfiguration, "internal/watch/event_log.go", "\tl.state = &state\n\tl.appendEvent(Event{State: &state})", "\tl.state = &state", "./tests/e2e", "TestConfigurationStorm", nil},
 	{staleConfiguration, "internal/watch/mirror.go", "if state.Revision <= m.revision {", "if state.Revision == m.revision {", "./tests/simulation", "TestMembership", nil},
 	{staleConfiguration, "internal/controlplane/consensus/command_resolution.go", "case command.isNumbered() && command.Generation <= base.Generation:", "case false:", "./tests/simulation", "TestConsensus", nil},
