--- a/tests/soak/kinds.go
+++ b/tests/soak/kinds.go
@@ -11,6 +11,7 @@
 // The kinds of entries.
 const (
 	kindLeave            Kind = "backend-leaves"
+	kindLeaveKill        Kind = "backend-leaves-then-kills"
 	kindCrash            Kind = "backend-crashes"
 	kindSlow             Kind = "backend-slow"
 	kindGarble           Kind = "backend-garbles"
@@ -63,6 +64,7 @@
 func init() {
 	kinds = map[Kind]kind{
 		kindLeave:            {planned: true, variants: leaveVariants, maxSeconds: 9, play: leave},
+		kindLeaveKill:        {variants: strikeVariants, maxSeconds: 9, play: leaveThenKill},
 		kindCrash:            {variants: []string{"", variantReuseAddress}, maxSeconds: 2, play: crash},
 		kindSlow:             {planned: true, maxSeconds: 6, play: slow},
 		kindGarble:           {maxSeconds: 5, play: garble},
