Late announcements: also with all processes killed, so that only disks remember

With the planted defect that doesn't read departures back from the disk, TestDepartureOutlivesMassKill still passed: a sidecar that was not killed handed the state on by gossip.

--- a/tests/e2e/late_announcement_test.go
+++ b/tests/e2e/late_announcement_test.go
@@ -76,26 +76,33 @@
 }
 
 // TestDepartureOutlivesMassKill guards against a departure that is forgotten when the sidecar that
-// acknowledged it and all replicas are killed at the same moment: a late announcement of the backend
-// must not bring it back.
+// acknowledged it and all replicas, or all processes, are killed at the same moment: a late announcement
+// of the backend must not bring it back. If all processes are killed, only the disks have the departure.
 func TestDepartureOutlivesMassKill(t *testing.T) {
 	t.Parallel()
-	variants := map[string]func(b *fakes.Backend, ctx context.Context) error{
+	departures := map[string]func(b *fakes.Backend, ctx context.Context) error{
 		"leaving":      (*fakes.Backend).Leave,
 		"deregistered": (*fakes.Backend).Deregister,
 	}
-	for name, leave := range variants {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			f, ctx, leaving := leavingFleet(t)
-			leaving.StopAnnouncing()
-			must(t, leave(leaving, ctx))
-			killed := append([]*fleet.Program{f.Sidecars[1]}, f.Replicas...)
-			f.Kill(killed...)
-			must(t, f.Restart(killed...))
-			must(t, f.Sidecars[1].AwaitReady(ctx))
-			sendDuringLateAnnouncements(ctx, t, f, leaving)
-			checkLedger(t, f)
-		})
+	kills := map[string]func(f *fleet.Fleet) []*fleet.Program{
+		"its sidecar and the replicas": func(f *fleet.Fleet) []*fleet.Program { return append(f.Sidecars[1:2:2], f.Replicas...) },
+		"all processes":                (*fleet.Fleet).Programs,
+	}
+	for departure, leave := range departures {
+		for killed, programs := range kills {
+			t.Run(departure+", "+killed, func(t *testing.T) {
+				t.Parallel()
+				f, ctx, leaving := leavingFleet(t)
+				leaving.StopAnnouncing()
+				must(t, leave(leaving, ctx))
+				f.Kill(programs(f)...)
+				must(t, f.Restart(programs(f)...))
+				for _, p := range f.Sidecars {
+					must(t, p.AwaitReady(ctx))
+				}
+				sendDuringLateAnnouncements(ctx, t, f, leaving)
+				checkLedger(t, f)
+			})
+		}
 	}
 }
