--- a/review/standin-2/fleet.py
+++ b/review/standin-2/fleet.py
@@ -49,6 +49,7 @@
         path = os.path.join(self.dir, "boot.ini"); open(path, "w").write(t)
         return path
     def start(self):
+        if self.fleet.stopped: return
         log = open(os.path.join(self.dir, "log"), "ab")
         self.p = subprocess.Popen([os.path.join(ROOT, "target", self.kind), "--settings", self.settings()], stdout=log, stderr=log, cwd=ROOT)
         self.cold = False
@@ -69,10 +70,12 @@
         self.cores = [Proc(self, "controlplane", "127.%d.1.%d" % (NET, i + 1), zones[i % len(zones)]) for i in range(cores)]
         self.seed_ips = [c.ip for c in self.cores[:3]]
         self.sides = [Proc(self, "sidecar", "127.%d.2.%d" % (NET, i + 1), z, s) for i, (z, s) in enumerate(sides)]
-        self.backends = []
+        self.backends, self.stopped = [], False
     def start(self):
         for p in self.cores + self.sides: p.start()
     def stop(self):
+        """Ends all processes that the fleet started."""
+        self.stopped = True
         for p in self.cores + self.sides:
             try:
                 if p.p and p.p.poll() is None: p.p.send_signal(signal.SIGCONT); p.p.kill()
@@ -122,7 +125,7 @@
     """A client's connection."""
     def __init__(self, ip, port): self.ip, self.port, self.r, self.w = ip, port, None, None
     async def open(self, timeout=1):
-        self.r, self.w = await asyncio.wait_for(asyncio.open_connection(self.ip, self.port, limit=1 << 22), timeout)
+        self.r, self.w = await asyncio.wait_for(asyncio.open_connection(self.ip, self.port, limit=1 << 25), timeout)
     async def send(self, method, path, headers, body=b""):
         h = dict(headers)
         h.setdefault("Host", "%s:%d" % (self.ip, self.port))
@@ -199,7 +202,7 @@
         self.hook = None  # async hook(self, request, reader, writer) -> True if it answered
         self.beating = True
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, self.side.ip, self.fleet.ports["app"], limit=1 << 22)
+        self.server = await asyncio.start_server(self.serve, self.side.ip, self.fleet.ports["app"], limit=1 << 25)
         self.beats = asyncio.ensure_future(self.beat())
         self.fleet.backends.append(self)
     def warmup_left(self): return 0
@@ -310,3 +313,15 @@
             except Exception: pass
         c[k] = c.get(k, 0) + 1
     return c
+
+
+def play(main):
+    """Runs a case and exits with its code. Nothing is awaited after it: tasks of the stand-ins may still run."""
+    async def run():
+        code = 2
+        try: code = await main()
+        except Exception:
+            import traceback; traceback.print_exc()
+        finally:
+            sys.stdout.flush(); sys.stderr.flush(); os._exit(code)
+    asyncio.run(run())
